--- /dev/null
+++ b/packages/control/src/mod.ts
@@ -0,0 +1,6 @@
+/**
+ * Configuration, leases, plans and moves.
+ *
+ * @module
+ */
+export * from "./config_document.ts";
--- /dev/null
+++ b/packages/core/src/errors.ts
@@ -0,0 +1,162 @@
+/**
+ * The error union of the system. Every failure has a stable `type`; nothing throws a bare string.
+ *
+ * @module
+ */
+
+/** Whether a request ran: `true` is only said where it is proved that it did not run. */
+export type NotRun = true | false | "unknown";
+
+/** Reasons for which a request is refused or fails. Each has a counter and is a problem `type`. */
+export const REFUSAL_REASONS = [
+  "unauthenticated",
+  "forbidden",
+  "unknown_service",
+  "unknown_route",
+  "invalid_request",
+  "request_too_large",
+  "account_rate_limit",
+  "account_concurrency_limit",
+  "account_token_limit",
+  "overloaded",
+  "queue_full",
+  "cold_start",
+  "memory_pressure",
+  "deadline_exceeded",
+  "data_centre_out",
+  "endpoint_leaving",
+  "version_withdrawn",
+  "version_mismatch",
+  "side_not_ready",
+  "fenced",
+  "no_endpoint",
+  "hops_exhausted",
+  "quarantined",
+  "ejected",
+  "draining",
+  "not_ready",
+  "engine_failed",
+  "engine_lost",
+  "side_lost",
+  "link_lost",
+  "upstream_failed",
+  "generation_unknown",
+  "resume_forbidden",
+  "resume_expired",
+  "cancelled",
+  "idempotency_in_progress",
+  "idempotency_mismatch",
+  "idempotency_unavailable",
+  "store_unavailable",
+  "internal",
+] as const;
+
+/** One of {@link REFUSAL_REASONS}. */
+export type RefusalReason = typeof REFUSAL_REASONS[number];
+
+/** A refusal or failure of one request. `retryAfterMs` is present where a later try may help. */
+export interface Refusal {
+  readonly type: RefusalReason;
+  readonly message: string;
+  readonly notRun: NotRun;
+  readonly retryAfterMs?: number;
+}
+
+/** Where a settings or configuration file is wrong. `path` is the dotted key path. */
+export interface SettingsIssue {
+  readonly path: string;
+  readonly expected: string;
+}
+
+/** Reasons for which a frame or link is closed. */
+export type LinkReason =
+  | "frame_too_large"
+  | "frame_malformed"
+  | "frame_truncated"
+  | "protocol_version"
+  | "authentication"
+  | "handshake_timeout"
+  | "heartbeat_timeout"
+  | "flow_control"
+  | "connect_failed"
+  | "closed";
+
+/** Every failure in the system. */
+export type WpError =
+  | { readonly type: "invalid_id"; readonly message: string }
+  | { readonly type: "invariant"; readonly message: string }
+  | { readonly type: "duplicate_registration"; readonly message: string }
+  | { readonly type: "unknown_command"; readonly message: string }
+  | {
+    readonly type: "settings";
+    readonly message: string;
+    readonly file: string;
+    readonly issues: readonly SettingsIssue[];
+  }
+  | { readonly type: "link"; readonly message: string; readonly reason: LinkReason }
+  | { readonly type: "refused"; readonly message: string; readonly refusal: Refusal }
+  | { readonly type: "store_unavailable"; readonly message: string }
+  | { readonly type: "store_outcome_unknown"; readonly message: string }
+  | {
+    readonly type: "store_conflict";
+    readonly message: string;
+    readonly currentVersion: number | null;
+  }
+  | { readonly type: "store_value_too_large"; readonly message: string }
+  | { readonly type: "rate_limited"; readonly message: string; readonly retryAfterMs: number }
+  | { readonly type: "fenced"; readonly message: string; readonly highest: number }
+  | { readonly type: "engine"; readonly message: string; readonly status: number }
+  | { readonly type: "unreachable"; readonly message: string }
+  | { readonly type: "timeout"; readonly message: string }
+  | { readonly type: "plan_stale"; readonly message: string; readonly changed: readonly string[] }
+  | { readonly type: "invalid_change"; readonly message: string }
+  | { readonly type: "not_found"; readonly message: string };
+
+/** Carries a {@link WpError} through `throw` and rejected promises. */
+export class WpFailure extends Error {
+  readonly err: WpError;
+
+  constructor(err: WpError, options?: ErrorOptions) {
+    super(err.message, options);
+    this.name = "WpFailure";
+    this.err = err;
+  }
+}
+
+/**
+ * Throws a {@link WpFailure}.
+ *
+ * @example
+ * ```ts
+ * raise({ type: "not_found", message: "no service scribe" });
+ * ```
+ */
+export function raise(err: WpError): never {
+  throw new WpFailure(err);
+}
+
+/** Throws a {@link WpFailure} for a refused request, for example `refuse({ type: "overloaded", … })`. */
+export function refuse(refusal: Refusal): never {
+  throw new WpFailure({ type: "refused", message: refusal.message, refusal });
+}
+
+/**
+ * Turns anything thrown into a {@link WpError}; an unknown value becomes an `invariant` error.
+ *
+ * @example
+ * ```ts
+ * try { run(); } catch (e) { log.warn({ err: toWpError(e) }); }
+ * ```
+ */
+export function toWpError(e: unknown): WpError {
+  if (e instanceof WpFailure) return e.err;
+  const message = e instanceof Error ? e.message : String(e);
+  return { type: "invariant", message };
+}
+
+/** The refusal carried by `e`, or an `internal` refusal with the given `notRun`. */
+export function toRefusal(e: unknown, notRun: NotRun): Refusal {
+  const err = toWpError(e);
+  if (err.type === "refused") return err.refusal;
+  return { type: "internal", message: "internal error", notRun };
+}
--- /dev/null
+++ b/packages/core/src/mod.ts
@@ -0,0 +1,14 @@
+/**
+ * Core of wisteriapick: ids, errors, time, random numbers, tables, settings, logs and metrics.
+ *
+ * @module
+ */
+export * from "./clock.ts";
+export * from "./errors.ts";
+export * from "./ids.ts";
+export * from "./log.ts";
+export * from "./metrics.ts";
+export * from "./rng.ts";
+export * from "./settings.ts";
+export * from "./table.ts";
+export * from "./world.ts";
--- /dev/null
+++ b/packages/core/src/settings.ts
@@ -0,0 +1,65 @@
+/**
+ * Loading of checked YAML settings.
+ *
+ * @module
+ */
+import { readFileSync } from "node:fs";
+import { parse } from "yaml";
+import type { z } from "zod";
+import { raise, type SettingsIssue } from "./errors.ts";
+
+/**
+ * Checks a parsed value against a schema. A wrong value raises a `settings` error that names the file, each
+ * key path and what was expected there.
+ */
+export function checkSettings<T>(value: unknown, schema: z.ZodType<T>, file: string): T {
+  const res = schema.safeParse(value);
+  if (res.success) return res.data;
+  const issues: SettingsIssue[] = res.error.issues.map((issue) => ({
+    path: issue.path.join("."),
+    expected: issue.message,
+  }));
+  const lines = issues.map((i) => `${i.path || "(top level)"}: ${i.expected}`);
+  raise({ type: "settings", message: `${file}: ${lines.join("; ")}`, file, issues });
+}
+
+/**
+ * Reads and checks a YAML file.
+ *
+ * @example
+ * ```ts
+ * const cfg = loadSettings("entry.yaml", z.object({ listen: z.string() }));
+ * ```
+ */
+export function loadSettings<T>(file: string, schema: z.ZodType<T>): T {
+  let text: string;
+  try {
+    text = readFileSync(file, "utf8");
+  } catch (e) {
+    const expected = `a readable file (${(e as NodeJS.ErrnoException).code})`;
+    raise({
+      type: "settings",
+      message: `${file}: expected ${expected}`,
+      file,
+      issues: [{ path: "", expected }],
+    });
+  }
+  return parseSettings(text, schema, file);
+}
+
+/** Parses and checks YAML text; `file` is only used in the error. */
+export function parseSettings<T>(text: string, schema: z.ZodType<T>, file: string): T {
+  let value: unknown;
+  try {
+    value = parse(text);
+  } catch (e) {
+    const expected = `valid YAML: ${(e as Error).message.split("\n")[0]}`;
+    raise({
+      type: "settings",
+      message: `${file}: expected ${expected}`,
+      file,
+      issues: [{ path: "", expected }],
+    });
+  }
+  return checkSettings(value, schema, file);
+}
--- /dev/null
+++ b/packages/wire/src/messages.ts
@@ -0,0 +1,261 @@
+/**
+ * Messages between the processes of the system. Times are milliseconds, offsets count tokens from 0.
+ *
+ * @module
+ */
+import type {
+  AccountId,
+  DataCentreId,
+  EndpointId,
+  Fence,
+  GenerationId,
+  HostId,
+  MoveId,
+  ProcessId,
+  Refusal,
+  RefusalReason,
+  RequestId,
+  Revision,
+  ServiceId,
+  VersionId,
+} from "@wisteriapick/core";
+
+/** Oldest and newest protocol version this build speaks. */
+export const PROTOCOL_VERSIONS = { min: 1, max: 1 } as const;
+
+/** What a process is. */
+export type Role = "entry" | "side" | "operator";
+
+/** First frame in each direction. */
+export interface Hello {
+  readonly minVersion: number;
+  readonly maxVersion: number;
+  readonly role: Role;
+  readonly process: ProcessId;
+  readonly host: HostId;
+  readonly dataCentre: DataCentreId;
+  readonly nonce: Uint8Array;
+}
+
+/** Load of one endpoint, carried by every answer of its side. */
+export interface EndpointLoad {
+  readonly endpoint: EndpointId;
+  readonly service: ServiceId;
+  readonly version: VersionId;
+  /** Revision of the configuration in force at the side. */
+  readonly revision: Revision;
+  readonly running: number;
+  readonly queued: number;
+  /** Concurrency the endpoint bears at present, as learned. */
+  readonly allowance: number;
+  readonly kvUsedTokens: number;
+  readonly kvTotalTokens: number;
+  /** Expected wait for the first token of a new request. */
+  readonly expectedWaitMs: number;
+  readonly leaving: boolean;
+  /** Rises with each report of one side process, so that late reports are recognised. */
+  readonly seq: number;
+}
+
+/** A generation request. */
+export interface Run {
+  readonly kind: "run";
+  readonly req: RequestId;
+  readonly gen: GenerationId;
+  readonly service: ServiceId;
+  readonly version: VersionId;
+  readonly account: AccountId;
+  /** Weight of the client account for fair sharing. */
+  readonly weight: number;
+  readonly route: string;
+  readonly priority: number;
+  /** Time left until the caller's deadline. */
+  readonly remainingMs: number;
+  readonly attempt: number;
+  readonly revision: Revision;
+  readonly prompt: string;
+  readonly promptTokens: number;
+  /** Hashes of growing prefixes of the prompt, shortest first. */
+  readonly prefixes: readonly string[];
+  /** Stable digest of the request, for quarantine. */
+  readonly digest: string;
+  readonly maxTokens: number;
+  readonly stop?: readonly string[];
+  readonly temperature?: number;
+}
+
+/** The side started the generation, or holds it in its queue with a place reserved. */
+export interface Admitted {
+  readonly kind: "admitted";
+  readonly load: EndpointLoad;
+}
+
+/** The request did not run here. */
+export interface NotRunReply {
+  readonly kind: "not_run";
+  readonly reason: RefusalReason;
+  readonly retryAfterMs?: number;
+  readonly load: EndpointLoad;
+}
+
+/** Tokens from `offset` on. */
+export interface Tokens {
+  readonly kind: "tokens";
+  readonly offset: number;
+  readonly items: readonly string[];
+}
+
+/** A generation ended normally. */
+export interface End {
+  readonly kind: "end";
+  readonly reason: "stop" | "length" | "cancelled";
+  readonly promptTokens: number;
+  readonly cachedTokens: number;
+  readonly completionTokens: number;
+  readonly load: EndpointLoad;
+}
+
+/** A generation or call failed. */
+export interface Fail {
+  readonly kind: "fail";
+  readonly refusal: Refusal;
+  readonly load?: EndpointLoad;
+}
+
+/** Asks for the rest of a generation from `offset` on. */
+export interface Resume {
+  readonly kind: "resume";
+  readonly gen: GenerationId;
+  readonly account: AccountId;
+  readonly offset: number;
+}
+
+/** Cancels a generation at once. */
+export interface Cancel {
+  readonly kind: "cancel";
+  readonly gen: GenerationId;
+  readonly account: AccountId;
+}
+
+/** A request to a plain service. */
+export interface Call {
+  readonly kind: "call";
+  readonly req: RequestId;
+  readonly service: ServiceId;
+  readonly version: VersionId;
+  readonly account: AccountId;
+  readonly weight: number;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: readonly (readonly [string, string])[];
+  readonly repeatable: boolean;
+  readonly remainingMs: number;
+  readonly attempt: number;
+  readonly revision: Revision;
+  readonly digest: string;
+}
+
+/** Bytes of a body; an empty chunk with `last` ends it. */
+export interface BodyChunk {
+  readonly kind: "body";
+  readonly bytes: Uint8Array;
+  readonly last: boolean;
+}
+
+/** Status line and headers of a plain service's answer. */
+export interface ReplyHead {
+  readonly kind: "reply_head";
+  readonly status: number;
+  readonly headers: readonly (readonly [string, string])[];
+  readonly load: EndpointLoad;
+}
+
+/** An unasked load report. */
+export interface LoadReport {
+  readonly kind: "load";
+  readonly load: EndpointLoad;
+}
+
+/** Subscribes to configuration after `from`. */
+export interface ConfigPull {
+  readonly kind: "config_pull";
+  readonly from: Revision;
+}
+
+/** Configuration entries in order, or a whole snapshot, encoded by the control package. */
+export interface ConfigPush {
+  readonly kind: "config_push";
+  readonly revision: Revision;
+  /** Encoded log entries with consecutive revisions. */
+  readonly entries: readonly Uint8Array[];
+  /** Encoded snapshot at `revision`, where the log no longer reaches back far enough. */
+  readonly snapshot?: Uint8Array;
+  /** Age of the sender's last proof that it is up to date; `null` where it has none. */
+  readonly asOfMs: number | null;
+  /** Whether the store could be reached at that proof's origin. */
+  readonly storeUp: boolean;
+}
+
+/** Counts of one cell of a move's evidence. Times are sums in milliseconds. */
+export interface EvidenceCell {
+  readonly move: MoveId;
+  readonly version: VersionId;
+  readonly route: string;
+  readonly loadLevel: "low" | "high";
+  readonly requests: number;
+  readonly failures: number;
+  readonly slowFirstTokens: number;
+  readonly gaps: number;
+  readonly slowGaps: number;
+}
+
+/** Evidence since the last report of this process. */
+export interface Evidence {
+  readonly kind: "evidence";
+  readonly process: ProcessId;
+  readonly seq: number;
+  readonly cells: readonly EvidenceCell[];
+}
+
+/** An order to an endpoint, under a lease. */
+export interface Order {
+  readonly kind: "order";
+  readonly endpoint: EndpointId;
+  readonly fence: Fence;
+  readonly version: VersionId;
+  readonly model: string;
+  readonly adapters: readonly string[];
+  readonly role: string;
+}
+
+/** The state observed after an order. */
+export interface OrderDone {
+  readonly kind: "order_done";
+  readonly endpoint: EndpointId;
+  readonly version: VersionId;
+  readonly ready: boolean;
+  readonly highestFence: Fence;
+}
+
+/** Every message that may open a stream. */
+export type Opening = Run | Resume | Call | ConfigPull;
+
+/** Every message. */
+export type Message =
+  | Run
+  | Admitted
+  | NotRunReply
+  | Tokens
+  | End
+  | Fail
+  | Resume
+  | Cancel
+  | Call
+  | BodyChunk
+  | ReplyHead
+  | LoadReport
+  | ConfigPull
+  | ConfigPush
+  | Evidence
+  | Order
+  | OrderDone;
--- /dev/null
+++ b/packages/wire/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Links between the processes of the system.
+ *
+ * @module
+ */
+export * from "./messages.ts";
+export * from "./link.ts";
