--- /dev/null
+++ b/packages/wire/src/fields.ts
@@ -0,0 +1,128 @@
+/**
+ * Field types of messages: how a field is put on the wire and checked when it arrives. Bodies are arrays of fields in
+ * a fixed order; a field is only ever added at the end, as an optional one.
+ *
+ * @module
+ */
+import { WpFailure } from "@wisteriapick/core";
+
+/** One field type. `decode` throws a {@link WpFailure} for a value of another type. */
+export interface Field<T> {
+  encode(v: T): unknown;
+  decode(v: unknown): T;
+}
+
+const MAX_ID_LENGTH = 128;
+
+/** Throws the error that closes a link for a malformed frame. */
+export function malformed(expected: string): never {
+  throw new WpFailure({ type: "link", reason: "frame_malformed", message: `expected ${expected}` });
+}
+
+function plain<T>(expected: string, test: (v: unknown) => boolean): Field<T> {
+  return {
+    encode: (v) => v,
+    decode: (v) => test(v) ? v as T : malformed(expected),
+  };
+}
+
+/** Any text. */
+export const text: Field<string> = plain("text", (v) => typeof v === "string");
+/** A boolean. */
+export const flag: Field<boolean> = plain("a boolean", (v) => typeof v === "boolean");
+/** A whole number from 0. */
+export const count: Field<number> = plain(
+  "a whole number from 0",
+  (v) => Number.isSafeInteger(v) && (v as number) >= 0,
+);
+/** A finite number. */
+export const real: Field<number> = plain("a finite number", (v) => Number.isFinite(v));
+
+/** An id, checked by its constructor from the core package. */
+export function id<T extends string>(make: (s: string) => T): Field<T> {
+  return {
+    encode: (v) => v,
+    decode: (v) => {
+      if (typeof v !== "string" || v.length > MAX_ID_LENGTH) return malformed("an id");
+      return make(v);
+    },
+  };
+}
+
+/** A counter, checked by its constructor from the core package. */
+export function counter<T extends number>(make: (n: number) => T): Field<T> {
+  return {
+    encode: (v) => v,
+    decode: (v) => typeof v === "number" ? make(v) : malformed("a counter"),
+  };
+}
+
+/** One of a fixed set of words. */
+export function oneOf<T extends string>(words: readonly T[]): Field<T> {
+  const known = new Set<unknown>(words);
+  return plain(`one of ${words.length} words`, (v) => known.has(v));
+}
+
+/** Bytes that share memory with the received chunk; for data that is passed on at once. */
+export const bytesView: Field<Uint8Array> = plain("bytes", (v) => v instanceof Uint8Array);
+
+/** Bytes copied out of the received chunk; for data that is kept. */
+export const bytes: Field<Uint8Array> = {
+  encode: (v) => v,
+  decode: (v) => v instanceof Uint8Array ? Uint8Array.from(v) : malformed("bytes"),
+};
+
+/** A list of one field type. */
+export function list<T>(item: Field<T>): Field<readonly T[]> {
+  return {
+    encode: (v) => v.map((x) => item.encode(x)),
+    decode: (v) => {
+      if (!Array.isArray(v)) return malformed("a list");
+      for (let i = 0; i < v.length; i++) v[i] = item.decode(v[i]);
+      return v as T[];
+    },
+  };
+}
+
+/** A pair of texts, such as a header's name and value. */
+export const textPair: Field<readonly [string, string]> = plain(
+  "a pair of texts",
+  (v) => Array.isArray(v) && v.length === 2 && typeof v[0] === "string" && typeof v[1] === "string",
+);
+
+/** A field that may be absent. */
+export function optional<T>(field: Field<T>): Field<T | undefined> {
+  return {
+    encode: (v) => v === undefined ? null : field.encode(v),
+    decode: (v) => v === undefined || v === null ? undefined : field.decode(v),
+  };
+}
+
+/** A field that may be `null`. */
+export function nullable<T>(field: Field<T>): Field<T | null> {
+  return {
+    encode: (v) => v === null ? null : field.encode(v),
+    decode: (v) => v === null || v === undefined ? null : field.decode(v),
+  };
+}
+
+/** The field types of every property of `T`, in the order in which they are sent. */
+export type Shape<T> = { readonly [K in keyof T]-?: Field<T[K]> };
+
+/** An object, sent as an array of its fields. Fields after the known ones are ignored. */
+export function record<T extends object>(shape: Shape<T>): Field<T> {
+  const keys = Object.keys(shape) as (keyof T)[];
+  const fields = keys.map((key) => shape[key]) as Field<unknown>[];
+  return {
+    encode: (v) => keys.map((key, i) => fields[i]!.encode(v[key])),
+    decode: (v) => {
+      if (!Array.isArray(v)) return malformed("a record");
+      const out = {} as T;
+      for (let i = 0; i < keys.length; i++) {
+        const value = fields[i]!.decode(v[i]);
+        if (value !== undefined) out[keys[i]!] = value as T[keyof T];
+      }
+      return out;
+    },
+  };
+}
--- a/packages/wire/src/link.ts
+++ b/packages/wire/src/link.ts
@@ -17,8 +17,13 @@
 /** Receives what arrives on one stream. */
 export interface StreamHandler {
   onMessage(msg: Message): void;
-  /** Called once: `null` after both ends ended the stream, otherwise why it broke. */
+  /**
+   * Called once: `null` after both ends ended the stream, otherwise why it broke, including by this end's own
+   * `abort`. A stream is released only when both ends have called `end`, or one end `abort`.
+   */
   onClose(err: WpError | null): void;
+  /** Called once when the peer says that it sends no more. */
+  onEnd?(): void;
   /** Called when credit is available again after `send` returned false. */
   onDrain?(): void;
 }
@@ -31,17 +36,31 @@
   abstract end(): void;
   /** Breaks the stream at both ends. */
   abstract abort(): void;
+  /**
+   * Grants the peer no more credit until `resume`. What is in flight, at most one window and one message, still
+   * arrives. A receiver calls it while its own reader is slow, so that the backlog stays at the sender.
+   */
+  pause(): void {}
+  /** Grants credit again, at once for all that has arrived. */
+  resume(): void {}
 }
 
 /** An authenticated connection. */
 export abstract class Link {
   abstract readonly peer: Identity;
   abstract readonly open: boolean;
-  /** Opens a stream with its first message. */
+  /**
+   * Opens a stream with its first message.
+   *
+   * @throws WpFailure of type `link` where the link is closed or the message exceeds a frame; nothing was sent then.
+   */
   abstract openStream(msg: Message, handler: StreamHandler): LinkStream;
-  /** Sends one message outside any stream. */
+  /** Sends one message outside any stream; dropped where the link is closed. */
   abstract notify(msg: Message): void;
-  /** Opens a stream, resolves with the first answer, and ends it. */
+  /**
+   * Opens a stream, resolves with the first answer, and ends it. Rejects with a `WpFailure` of type `timeout` (5 s by
+   * default) or `link`.
+   */
   abstract request(msg: Message, options?: { timeoutMs?: number }): Promise<Message>;
   abstract close(): void;
   /** Calls `fn` once when the link closes, with the reason. */
--- /dev/null
+++ b/packages/wire/src/message_codec.ts
@@ -0,0 +1,226 @@
+/**
+ * The wire form of every message: a number for its kind and an array of its fields.
+ *
+ * @module
+ */
+import {
+  accountId,
+  dataCentreId,
+  endpointId,
+  fence,
+  generationId,
+  hostId,
+  moveId,
+  processId,
+  type Refusal,
+  REFUSAL_REASONS,
+  requestId,
+  revision,
+  serviceId,
+  versionId,
+} from "@wisteriapick/core";
+import {
+  bytes,
+  bytesView,
+  count,
+  counter,
+  type Field,
+  flag,
+  id,
+  list,
+  malformed,
+  nullable,
+  oneOf,
+  optional,
+  real,
+  record,
+  text,
+  textPair,
+} from "./fields.ts";
+import type { EndpointLoad, EvidenceCell, Hello, Message } from "./messages.ts";
+
+/** Numbers of frames that belong to the link itself. Messages start at {@link FIRST_MESSAGE_KIND}. */
+export const FRAME = {
+  hello: 0,
+  auth: 1,
+  refused: 2,
+  ping: 3,
+  pong: 4,
+  credit: 5,
+  streamEnd: 6,
+  streamAbort: 7,
+} as const;
+
+/** Number of the first message kind. */
+export const FIRST_MESSAGE_KIND = 16;
+
+type Body<K extends Message["kind"]> = Omit<Extract<Message, { kind: K }>, "kind">;
+type Bodies = { readonly [K in Message["kind"]]: Field<Body<K>> };
+
+const endpoint = id(endpointId);
+const service = id(serviceId);
+const version = id(versionId);
+const account = id(accountId);
+const gen = id(generationId);
+const req = id(requestId);
+const rev = counter(revision);
+const reason = oneOf(REFUSAL_REASONS);
+
+/** `notRun` has three values on the wire: true, false, "unknown". */
+const notRun: Field<Refusal["notRun"]> = {
+  encode: (v) => v,
+  decode: (v) => v === true || v === false || v === "unknown" ? v : malformed("a notRun value"),
+};
+
+const load = record<EndpointLoad>({
+  endpoint,
+  service,
+  version,
+  revision: rev,
+  running: count,
+  queued: count,
+  allowance: real,
+  kvUsedTokens: real,
+  kvTotalTokens: real,
+  expectedWaitMs: real,
+  leaving: flag,
+  seq: count,
+});
+
+const refusal = record<Refusal>({
+  type: reason,
+  message: text,
+  notRun,
+  retryAfterMs: optional(real),
+});
+
+const evidenceCell = record<EvidenceCell>({
+  move: id(moveId),
+  version,
+  route: text,
+  loadLevel: oneOf(["low", "high"]),
+  requests: count,
+  failures: count,
+  slowFirstTokens: real,
+  gaps: count,
+  slowGaps: real,
+});
+
+/** The body of a hello frame. */
+export const helloBody: Field<Hello> = record<Hello>({
+  minVersion: count,
+  maxVersion: count,
+  role: oneOf(["entry", "side", "operator"]),
+  process: id(processId),
+  host: id(hostId),
+  dataCentre: id(dataCentreId),
+  nonce: bytes,
+});
+
+// The order is part of the protocol: the position is the kind's number. New kinds go to the end.
+const BODIES: Bodies = {
+  run: record<Body<"run">>({
+    req,
+    gen,
+    service,
+    version,
+    account,
+    weight: real,
+    route: text,
+    priority: real,
+    remainingMs: real,
+    attempt: count,
+    revision: rev,
+    prompt: text,
+    promptTokens: count,
+    prefixes: list(text),
+    digest: text,
+    maxTokens: count,
+    stop: optional(list(text)),
+    temperature: optional(real),
+  }),
+  admitted: record<Body<"admitted">>({ load }),
+  not_run: record<Body<"not_run">>({ reason, retryAfterMs: optional(real), load }),
+  tokens: record<Body<"tokens">>({ offset: count, items: list(text) }),
+  end: record<Body<"end">>({
+    reason: oneOf(["stop", "length", "cancelled"]),
+    promptTokens: count,
+    cachedTokens: count,
+    completionTokens: count,
+    load,
+  }),
+  fail: record<Body<"fail">>({ refusal, load: optional(load) }),
+  resume: record<Body<"resume">>({ gen, account, offset: count }),
+  cancel: record<Body<"cancel">>({ gen, account }),
+  call: record<Body<"call">>({
+    req,
+    service,
+    version,
+    account,
+    weight: real,
+    method: text,
+    path: text,
+    headers: list(textPair),
+    repeatable: flag,
+    remainingMs: real,
+    attempt: count,
+    revision: rev,
+    digest: text,
+  }),
+  body: record<Body<"body">>({ bytes: bytesView, last: flag }),
+  reply_head: record<Body<"reply_head">>({ status: count, headers: list(textPair), load }),
+  load: record<Body<"load">>({ load }),
+  config_pull: record<Body<"config_pull">>({ from: rev }),
+  config_push: record<Body<"config_push">>({
+    revision: rev,
+    entries: list(bytes),
+    snapshot: optional(bytes),
+    asOfMs: nullable(real),
+    storeUp: flag,
+  }),
+  evidence: record<Body<"evidence">>({
+    process: id(processId),
+    seq: count,
+    cells: list(evidenceCell),
+  }),
+  order: record<Body<"order">>({
+    endpoint,
+    fence: counter(fence),
+    version,
+    model: text,
+    adapters: list(text),
+    role: text,
+  }),
+  order_done: record<Body<"order_done">>({
+    endpoint,
+    version,
+    ready: flag,
+    highestFence: counter(fence),
+  }),
+};
+
+const KINDS = Object.keys(BODIES) as Message["kind"][];
+const FIELDS = Object.values(BODIES) as Field<object>[];
+const NUMBERS = new Map(KINDS.map((kind, i) => [kind, FIRST_MESSAGE_KIND + i]));
+
+/** The number of a message's kind. */
+export function kindNumber(msg: Message): number {
+  return NUMBERS.get(msg.kind)!;
+}
+
+/** The wire form of a message's body. */
+export function encodeBody(msg: Message): unknown {
+  return FIELDS[NUMBERS.get(msg.kind)! - FIRST_MESSAGE_KIND]!.encode(msg);
+}
+
+/**
+ * Checks a received body and builds the message.
+ *
+ * @throws WpFailure where the kind is unknown or a field has the wrong type.
+ */
+export function decodeMessage(kind: number, body: unknown): Message {
+  const index = kind - FIRST_MESSAGE_KIND;
+  const field = FIELDS[index];
+  if (field === undefined) return malformed("a known message kind");
+  return { kind: KINDS[index]!, ...field.decode(body) } as Message;
+}
--- /dev/null
+++ b/packages/wire/tests/link_test.ts
@@ -0,0 +1,103 @@
+import assert from "node:assert/strict";
+import { test, type TestContext } from "node:test";
+import { WpFailure } from "@wisteriapick/core";
+import { connectLink, type LinkAcceptor, listenLinks } from "../src/mod.ts";
+import {
+  closed,
+  connectOptions,
+  listenOptions,
+  makeAcceptor,
+  makeRecorder,
+  makeResume,
+  makeTokens,
+  recordStream,
+  until,
+} from "./fixtures.ts";
+
+async function makePair(t: TestContext, acceptor: LinkAcceptor) {
+  const listening = listenOptions({ acceptor });
+  const listener = await listenLinks(listening);
+  const connecting = connectOptions(listener.address);
+  const link = await connectLink(connecting);
+  t.after(async () => {
+    link.close();
+    await listener.close();
+  });
+  return { link, listener, listening, connecting };
+}
+
+test("messages of one stream arrive in order, once, and both ends close without an error", async (t) => {
+  const recorder = makeRecorder();
+  const { link } = await makePair(t, recorder.acceptor);
+  const client = recordStream();
+  const stream = link.openStream(makeResume(), client.handler);
+  await until(() => recorder.streams.length === 1);
+  const server = recorder.streams[0]!;
+  for (let i = 0; i < 100; i++) server.stream!.send(makeTokens(i));
+  server.stream!.end();
+  stream.end();
+  await until(() => client.closes.length === 1 && server.closes.length === 1);
+  assert.deepEqual(client.messages, Array.from({ length: 100 }, (_, i) => makeTokens(i)));
+  assert.deepEqual([client.closes, server.closes], [[null], [null]]);
+});
+
+test("each end knows the authenticated identity of the other", async (t) => {
+  const { link, listener } = await makePair(t, makeAcceptor());
+  await until(() => listener.links.size === 1);
+  assert.equal(link.peer.role, "side");
+  assert.equal([...listener.links][0]!.peer.role, "entry");
+});
+
+test("a request resolves with the first answer and leaves no stream open", async (t) => {
+  const acceptor = makeAcceptor({
+    onStream: (_link, _msg, stream) => {
+      stream.send(makeTokens(7));
+      stream.end();
+      return { onMessage: () => {}, onClose: () => {} };
+    },
+  });
+  const { link } = await makePair(t, acceptor);
+  assert.deepEqual(await link.request(makeResume()), makeTokens(7));
+  await until(() => link.streams === 0);
+});
+
+test("a request without an answer fails by its timeout and breaks the stream at the peer", async (t) => {
+  const recorder = makeRecorder();
+  const { link, connecting } = await makePair(t, recorder.acceptor);
+  const answer = link.request(makeResume(), { timeoutMs: 50 });
+  await until(() => recorder.streams.length === 1);
+  (connecting.clock as import("@wisteriapick/core").ManualClock).advance(50);
+  await assert.rejects(answer, (e: WpFailure) => e.err.type === "timeout");
+  await until(() => recorder.streams[0]!.closes.length === 1);
+});
+
+test("closing a link breaks its streams at both ends and reports the loss at once", async (t) => {
+  const recorder = makeRecorder();
+  const { link, listener } = await makePair(t, recorder.acceptor);
+  const client = recordStream();
+  link.openStream(makeResume(), client.handler);
+  await until(() => recorder.streams.length === 1);
+  const loss = closed([...listener.links][0]!);
+  link.close();
+  assert.equal(client.closes.length, 1);
+  assert.equal((await loss).type, "link");
+  assert.equal(recorder.streams[0]!.closes.length, 1);
+  assert.throws(() => link.openStream(makeResume(), client.handler), WpFailure);
+});
+
+test("a handler that throws breaks its own stream only", async (t) => {
+  const acceptor = makeAcceptor({
+    onStream: (_link, msg) => {
+      if (msg.kind === "resume" && msg.gen === "bad") throw new Error("fault");
+      return { onMessage: () => {}, onClose: () => {} };
+    },
+  });
+  const { link } = await makePair(t, acceptor);
+  const good = recordStream();
+  const bad = recordStream();
+  link.openStream(makeResume("good"), good.handler);
+  link.openStream(makeResume("bad"), bad.handler);
+  await until(() => bad.closes.length === 1);
+  assert.equal(link.open, true);
+  assert.deepEqual(good.closes, []);
+});
