--- a/packages/wire/src/cbor_check.ts
+++ b/packages/wire/src/cbor_check.ts
@@ -18,8 +18,9 @@
  * Says whether `buf[start, end)` holds exactly one CBOR item of plain data: no tags, maps or indefinite lengths,
  * nested at most 16 levels, with every length within the bytes present.
  *
- * The decoder allocates arrays from their announced length and builds objects for tags. Without this check a frame of
- * a few bytes, sent before authentication, could make it allocate gigabytes.
+ * The protocol uses plain data only, but the decoder has no option that refuses the rest: it builds regular
+ * expressions, errors and sets from tags, runs nested lengths into the call stack's limit, and keeps shared tables.
+ * Frames are checked before they are decoded because they arrive before the peer is authenticated.
  *
  * @example
  * ```ts
--- a/packages/wire/src/connect.ts
+++ b/packages/wire/src/connect.ts
@@ -71,6 +71,8 @@
   readonly address: Address;
   /** Links open at present. */
   readonly links: ReadonlySet<SocketLink>;
+  /** Number of connections that are not authenticated yet. */
+  readonly pending: number;
   /** Stops accepting and closes all links. */
   close(): Promise<void>;
 }
@@ -89,17 +91,17 @@
  */
 export async function listenLinks(options: ListenOptions): Promise<LinkListener> {
   const links = new Set<SocketLink>();
-  const sockets = new Set<FrameSocket>();
+  const handshakes = new Set<FrameSocket>();
   const onSocket = (socket: Socket) => {
     const frames = startHandshake(socket, "acceptor", options, {
       onOpen: (link) => {
-        sockets.delete(frames);
+        handshakes.delete(frames);
         links.add(link);
         link.registerCloseListener(() => links.delete(link));
       },
-      onClose: () => sockets.delete(frames),
+      onClose: () => handshakes.delete(frames),
     });
-    sockets.add(frames);
+    handshakes.add(frames);
   };
   const server = options.tls === undefined
     ? createServer(onSocket)
@@ -110,9 +112,16 @@
     new Promise<void>((resolve) => {
       server.close(() => resolve());
       for (const link of links) link.close();
-      for (const frames of sockets) frames.close(linkError("closed", "listener closed"));
+      for (const frames of handshakes) frames.close(linkError("closed", "listener closed"));
     });
-  return { address, links, close };
+  return {
+    address,
+    links,
+    close,
+    get pending() {
+      return handshakes.size;
+    },
+  };
 }
 
 /**
--- a/packages/wire/src/socket_link.ts
+++ b/packages/wire/src/socket_link.ts
@@ -90,6 +90,11 @@
     return this.#streams.size;
   }
 
+  /** When the last frame arrived, by this end's clock. */
+  get lastReceivedMs(): number {
+    return this.#lastReceivedMs;
+  }
+
   override openStream(msg: Message, handler: StreamHandler): SocketStream {
     if (this.#closed !== null) throw new WpFailure(linkError("closed", "link is closed"));
     const id = this.#nextId;
--- /dev/null
+++ b/packages/wire/tests/handshake_test.ts
@@ -0,0 +1,209 @@
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { type AddressInfo, createServer, type Socket } from "node:net";
+import { test, type TestContext } from "node:test";
+import { ManualClock, WpFailure } from "@wisteriapick/core";
+
+import { encodeBody, FRAME, helloBody, kindNumber } from "../src/message_codec.ts";
+import {
+  type Address,
+  connectLink,
+  type ConnectOptions,
+  listenLinks,
+  type ListenOptions,
+} from "../src/mod.ts";
+import {
+  closeCounts,
+  connectOptions,
+  listenOptions,
+  makeAcceptor,
+  makeIdentity,
+  makeResume,
+  until,
+} from "./fixtures.ts";
+import { frameBytes, RawPeer, Relay } from "./raw_peer.ts";
+
+async function startListener(t: TestContext, parts: Partial<ListenOptions> = {}) {
+  const opened: string[] = [];
+  const options = listenOptions({
+    acceptor: makeAcceptor({
+      onLink: () => opened.push("link"),
+      onStream: () => {
+        opened.push("stream");
+        return { onMessage: () => {}, onClose: () => {} };
+      },
+      onNotify: () => opened.push("notify"),
+    }),
+    ...parts,
+  });
+  const listener = await listenLinks(options);
+  t.after(() => listener.close());
+  return { listener, options, opened };
+}
+
+/** Starts a server that is no listener of ours. */
+async function startRawServer(t: TestContext, serve: (socket: Socket) => void): Promise<Address> {
+  const sockets: Socket[] = [];
+  const server = createServer((socket) => {
+    sockets.push(socket);
+    socket.on("error", () => {});
+    serve(socket);
+  });
+  server.listen({ host: "127.0.0.1", port: 0 });
+  await once(server, "listening");
+  t.after(() => {
+    for (const socket of sockets) socket.destroy();
+    server.close();
+  });
+  return { host: "127.0.0.1", port: (server.address() as AddressInfo).port };
+}
+
+/** Expects a connection to be refused for `reason`, counted once at the connecting end. */
+async function assertRefused(options: ConnectOptions, reason: string): Promise<void> {
+  const refused = (e: WpFailure) => e.err.type === "link" && e.err.reason === reason;
+  await assert.rejects(connectLink(options), refused);
+  assert.deepEqual(await closeCounts(options.metrics!), { [reason]: 1 });
+}
+
+test("a peer with another cluster key is refused at both ends and opens nothing", async (t) => {
+  const { listener, options, opened } = await startListener(t);
+  await assertRefused(connectOptions(listener.address, { clusterKey: "other" }), "authentication");
+  assert.deepEqual(await closeCounts(options.metrics), { authentication: 1 });
+  assert.deepEqual(opened, []);
+});
+
+test("a listener without the cluster key is refused by the connector", async (t) => {
+  const address = await startRawServer(t, (socket) => {
+    const peer = new RawPeer(socket);
+    const hello = { ...makeIdentity("side"), minVersion: 1, maxVersion: 1 };
+    const nonce = Buffer.alloc(32, 7);
+    socket.write(frameBytes(FRAME.hello, 0, helloBody.encode({ ...hello, nonce })));
+    void until(() => peer.frames.some((f) => f.kind === FRAME.auth)).then(() => {
+      socket.write(frameBytes(FRAME.auth, 0, Buffer.alloc(32, 1)));
+    });
+  });
+  await assertRefused(connectOptions(address), "authentication");
+});
+
+test("peers without a common protocol version refuse each other", async (t) => {
+  const { listener, options } = await startListener(t);
+  const connecting = connectOptions(listener.address, { versions: { min: 2, max: 3 } });
+  await assertRefused(connecting, "protocol_version");
+  assert.deepEqual(await closeCounts(options.metrics), { protocol_version: 1 });
+});
+
+test("links of two protocol versions are open at once on one listener", async (t) => {
+  const { listener } = await startListener(t, { versions: { min: 1, max: 2 } });
+  const versions = [{ min: 1, max: 1 }, { min: 1, max: 2 }, { min: 2, max: 3 }];
+  const links = [];
+  for (const range of versions) {
+    links.push(await connectLink(connectOptions(listener.address, { versions: range })));
+  }
+  await until(() => listener.links.size === 3);
+  assert.deepEqual(links.map((link) => link.version), [1, 2, 2]);
+  assert.deepEqual([...listener.links].map((link) => link.version), [1, 2, 2]);
+  for (const link of links) link.close();
+});
+
+test("replaying a recorded handshake does not authenticate", async (t) => {
+  const { listener, options, opened } = await startListener(t);
+  const relay = new Relay(listener.address);
+  t.after(() => relay.close());
+  const link = await connectLink(connectOptions(await relay.listen()));
+  link.notify(makeResume());
+  await until(() => opened.includes("notify"));
+  const recorded = Buffer.concat(relay.sent[0]!);
+  const peer = RawPeer.connect(listener.address);
+  peer.send(recorded);
+  await until(() => peer.closed);
+  assert.deepEqual(await closeCounts(options.metrics), { authentication: 1 });
+  assert.deepEqual(opened, ["link", "notify"]);
+  link.close();
+});
+
+test("a peer that mirrors every frame is refused for the reflected nonce", async (t) => {
+  const address = await startRawServer(t, (socket) => socket.pipe(socket));
+  await assertRefused(connectOptions(address), "authentication");
+});
+
+test("a proof sent back to its maker does not authenticate", async (t) => {
+  const address = await startRawServer(t, (socket) => {
+    const peer = new RawPeer(socket);
+    const hello = { ...makeIdentity("side"), minVersion: 1, maxVersion: 1 };
+    const nonce = Buffer.alloc(32, 7);
+    socket.write(frameBytes(FRAME.hello, 0, helloBody.encode({ ...hello, nonce })));
+    void until(() => peer.frames.length === 2).then(() => {
+      socket.write(frameBytes(FRAME.auth, 0, peer.frames[1]!.body));
+    });
+  });
+  await assertRefused(connectOptions(address), "authentication");
+});
+
+test("messages before authentication have no effect", async (t) => {
+  const { listener, options, opened } = await startListener(t);
+  const peer = RawPeer.connect(listener.address);
+  peer.send(frameBytes(kindNumber(makeResume()), 1, encodeBody(makeResume())));
+  await until(() => peer.closed);
+  assert.deepEqual(opened, []);
+  const counts = await closeCounts(options.metrics);
+  assert.equal(Object.values(counts).reduce((a, b) => a + b), 1);
+});
+
+test("an auth without a hello is refused with a typed error", async (t) => {
+  const { listener } = await startListener(t);
+  const peer = RawPeer.connect(listener.address);
+  peer.send(frameBytes(FRAME.auth, 0, Buffer.alloc(32)));
+  await until(() => peer.closed);
+  assert.equal(peer.frames[0]!.kind, FRAME.refused);
+  assert.equal((peer.frames[0]!.body as unknown[])[0], "authentication");
+});
+
+test("a hello with a wrong field is refused and counted as malformed", async (t) => {
+  const { listener, options } = await startListener(t);
+  const peer = RawPeer.connect(listener.address);
+  peer.send(frameBytes(FRAME.hello, 0, [1, 1, "root", "p", "h", "d", Buffer.alloc(32)]));
+  await until(() => peer.closed);
+  assert.deepEqual(await closeCounts(options.metrics), { frame_malformed: 1 });
+});
+
+test("a stranger that speaks HTTP is refused by the frame length", async (t) => {
+  const { listener, options } = await startListener(t);
+  const peer = RawPeer.connect(listener.address);
+  peer.send(Buffer.from("GET / HTTP/1.1\r\n\r\n"));
+  await until(() => peer.closed);
+  assert.deepEqual(await closeCounts(options.metrics), { frame_too_large: 1 });
+});
+
+test("a connection that never speaks is closed after the handshake timeout", async (t) => {
+  const clock = new ManualClock();
+  const { listener, options } = await startListener(t, { clock });
+  const peer = RawPeer.connect(listener.address);
+  await once(peer.socket, "connect");
+  await until(() => listener.pending === 1);
+  clock.advance(2_000);
+  await until(() => peer.closed);
+  assert.deepEqual(await closeCounts(options.metrics), { handshake_timeout: 1 });
+});
+
+test("an address where nothing listens is reported as connect_failed", async (t) => {
+  const { listener } = await startListener(t);
+  await listener.close();
+  await assertRefused(connectOptions(listener.address), "connect_failed");
+});
+
+test("links run over TLS, and a peer with another TLS key is refused", async (t) => {
+  const psk = Buffer.alloc(32, 3);
+  const ciphers = "PSK-AES128-GCM-SHA256";
+  const tls = (key: Buffer) => ({
+    ciphers,
+    pskCallback: () => ({ psk: key, identity: "link" }),
+    checkServerIdentity: () => undefined,
+  });
+  const { listener } = await startListener(t, { tls: { ciphers, pskCallback: () => psk } });
+  const link = await connectLink(connectOptions(listener.address, { tls: tls(psk) }));
+  assert.equal(link.peer.role, "side");
+  link.close();
+  const other = connectOptions(listener.address, { tls: tls(Buffer.alloc(32, 4)) });
+  await assertRefused(other, "connect_failed");
+  await assertRefused(connectOptions(listener.address), "closed");
+});
