--- /dev/null
+++ b/packages/wire/tests/heartbeat_test.ts
@@ -0,0 +1,192 @@
+import assert from "node:assert/strict";
+import { test, type TestContext } from "node:test";
+import { Clock, ManualClock, Rng, type Undo, type WpError } from "@wisteriapick/core";
+import {
+  connectLink,
+  HEARTBEAT_MS,
+  HEARTBEAT_TIMEOUT_MS,
+  LinkPool,
+  listenLinks,
+  type PoolEvent,
+  type SocketLink,
+} from "../src/mod.ts";
+import {
+  closeCounts,
+  closed,
+  connectOptions,
+  listenOptions,
+  makeRecorder,
+  makeResume,
+  recordStream,
+  until,
+} from "./fixtures.ts";
+import { Relay } from "./raw_peer.ts";
+
+/** A listener behind a relay. */
+async function makeScene(t: TestContext) {
+  const recorder = makeRecorder();
+  const listener = await listenLinks(listenOptions({ acceptor: recorder.acceptor }));
+  const relay = new Relay(listener.address);
+  const address = await relay.listen();
+  t.after(async () => {
+    relay.close();
+    await listener.close();
+  });
+  return { recorder, listener, relay, address };
+}
+
+/** A clock whose owner was paused: time jumps before any timer fires. */
+class PausedClock extends Clock {
+  #now = 0;
+  #timers: (() => void)[] = [];
+
+  now(): number {
+    return this.#now;
+  }
+
+  wall(): number {
+    return this.#now;
+  }
+
+  setTimer(_ms: number, fn: () => void): Undo {
+    this.#timers.push(fn);
+    return () => this.#timers = this.#timers.filter((timer) => timer !== fn);
+  }
+
+  jump(ms: number): void {
+    this.#now += ms;
+    const due = this.#timers;
+    this.#timers = [];
+    for (const fn of due) fn();
+  }
+}
+
+test("an idle link stays open while the peer answers pings", async (t) => {
+  const { address } = await makeScene(t);
+  const clock = new ManualClock();
+  const link = await connectLink(connectOptions(address, { clock }));
+  t.after(() => link.close());
+  for (let i = 0; i < 20; i++) {
+    clock.advance(HEARTBEAT_MS);
+    await until(() => link.lastReceivedMs === clock.now());
+  }
+  assert.equal(link.open, true);
+});
+
+test("a connection that goes silent closes with heartbeat_timeout and breaks its streams", async (t) => {
+  const { address, relay, recorder } = await makeScene(t);
+  const clock = new ManualClock();
+  const options = connectOptions(address, { clock });
+  const link = await connectLink(options);
+  const stream = recordStream();
+  link.openStream(makeResume(), stream.handler);
+  await until(() => recorder.streams.length === 1);
+  relay.silence();
+  clock.advance(HEARTBEAT_TIMEOUT_MS);
+  assert.equal(link.open, true);
+  clock.advance(HEARTBEAT_MS);
+  const err = await closed(link);
+  assert.equal(err.type === "link" && err.reason, "heartbeat_timeout");
+  assert.equal(stream.closes.length, 1);
+  assert.deepEqual(await closeCounts(options.metrics), { heartbeat_timeout: 1 });
+});
+
+test("the accepting end notices a silent connection as well", async (t) => {
+  const clock = new ManualClock();
+  const options = listenOptions({ clock });
+  const listener = await listenLinks(options);
+  const relay = new Relay(listener.address);
+  t.after(async () => {
+    relay.close();
+    await listener.close();
+  });
+  const link = await connectLink(connectOptions(await relay.listen()));
+  t.after(() => link.close());
+  await until(() => listener.links.size === 1);
+  relay.silence();
+  clock.advance(HEARTBEAT_TIMEOUT_MS + HEARTBEAT_MS);
+  assert.equal(listener.links.size, 0);
+  assert.deepEqual(await closeCounts(options.metrics), { heartbeat_timeout: 1 });
+});
+
+test("a pool replaces a silent link through a new connection on the same way", async (t) => {
+  const { address, relay, recorder } = await makeScene(t);
+  const clock = new ManualClock();
+  const pool = new LinkPool({ ...connectOptions(address, { clock }), rng: new Rng(5) });
+  t.after(() => pool.close());
+  const events: PoolEvent[] = [];
+  pool.registerListener((event) => events.push(event));
+  pool.keep(address);
+  const first = await pool.ready(address);
+  relay.silence();
+  clock.advance(HEARTBEAT_TIMEOUT_MS + HEARTBEAT_MS);
+  assert.equal(pool.get(address), null);
+  assert.equal(reasonOf(events.find((event) => event.type === "down")?.err), "heartbeat_timeout");
+  clock.advance(100);
+  const second = await pool.ready(address) as SocketLink;
+  assert.notEqual(second, first);
+  const stream = recordStream();
+  second.openStream(makeResume("after"), stream.handler);
+  await until(() => recorder.streams.length === 1);
+  assert.deepEqual(events.map((event) => event.type), ["up", "down", "up"]);
+});
+
+test("a process that was paused does not take its peers for dead", async (t) => {
+  const { address, relay } = await makeScene(t);
+  const clock = new PausedClock();
+  const link = await connectLink(connectOptions(address, { clock }));
+  t.after(() => link.close());
+  clock.jump(30_000);
+  assert.equal(link.open, true);
+  await until(() => link.lastReceivedMs === clock.now());
+  relay.silence();
+  for (let i = 0; i < 5; i++) clock.jump(HEARTBEAT_MS);
+  assert.equal(link.open, false);
+});
+
+test("a pool that cannot connect waits longer each time, up to its bound, the same for one seed", async (t) => {
+  const { listener } = await makeScene(t);
+  await listener.close();
+  const waits = async (seed: number) => {
+    const clock = new ManualClock();
+    const address = listener.address;
+    const pool = new LinkPool({ ...connectOptions(address, { clock }), rng: new Rng(seed) });
+    let downs = 0;
+    pool.registerListener(() => downs++);
+    pool.keep(address);
+    const times: number[] = [];
+    for (let n = 1; n <= 9; n++) {
+      await until(() => downs === n);
+      const before = clock.now();
+      while (clock.step() && clock.now() === before);
+      times.push(clock.now() - before);
+    }
+    pool.close();
+    return times;
+  };
+  const first = await waits(3);
+  assert.deepEqual(await waits(3), first);
+  assert.notDeepEqual(await waits(4), first);
+  for (const [n, wait] of first.entries()) assert.ok(wait <= Math.min(5_000, 100 * 2 ** n));
+});
+
+test("a pool keeps one link per address until its last holder lets go", async (t) => {
+  const { address, listener } = await makeScene(t);
+  const clock = new ManualClock();
+  const pool = new LinkPool({ ...connectOptions(address, { clock }), rng: new Rng(1) });
+  t.after(() => pool.close());
+  const release = [pool.keep(address), pool.keep({ ...address })];
+  const link = await pool.ready(address);
+  await until(() => listener.links.size === 1);
+  release[0]!();
+  release[0]!();
+  assert.equal(pool.get(address), link);
+  release[1]!();
+  await until(() => listener.links.size === 0);
+  assert.equal(link.open, false);
+  assert.equal(pool.get(address), null);
+});
+
+function reasonOf(err: WpError | undefined): string | undefined {
+  return err?.type === "link" ? err.reason : err?.type;
+}
