--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -106,8 +106,9 @@
   | { readonly type: "rate_limited"; readonly message: string; readonly retryAfterMs: number }
   | { readonly type: "fenced"; readonly message: string; readonly highest: number }
   | { readonly type: "engine"; readonly message: string; readonly status: number }
-  | { readonly type: "unreachable"; readonly message: string }
-  | { readonly type: "timeout"; readonly message: string }
+  /** `sent` is false where the request is known not to have left this process. */
+  | { readonly type: "unreachable"; readonly message: string; readonly sent?: boolean }
+  | { readonly type: "timeout"; readonly message: string; readonly sent?: boolean }
   | { readonly type: "plan_stale"; readonly message: string; readonly changed: readonly string[] }
   | { readonly type: "invalid_change"; readonly message: string }
   | { readonly type: "not_found"; readonly message: string };
