--- /dev/null
+++ b/packages/standins/src/http_server.ts
@@ -0,0 +1,162 @@
+/**
+ * What the HTTP servers of the stand-ins share.
+ *
+ * @module
+ */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import { raise, toWpError, type WpError } from "@wisteriapick/core";
+import findMyWay from "find-my-way";
+
+/** Where a server listens. Port 0 lets the system choose. */
+export interface ListenOptions {
+  readonly host?: string;
+  readonly port?: number;
+}
+
+/** A listening server. */
+export interface RunningServer {
+  /** `ip:port`. */
+  readonly address: string;
+  readonly origin: string;
+  /** Breaks all open connections and stops listening. */
+  close(): Promise<void>;
+}
+
+/** One request as a stand-in sees it. */
+export interface StandinCall {
+  readonly req: IncomingMessage;
+  readonly res: ServerResponse;
+  readonly params: Record<string, string | undefined>;
+  readonly query: URLSearchParams;
+}
+
+/** Answers a call. Thrown failures become error answers. */
+export type StandinHandler = (call: StandinCall) => void | Promise<void>;
+
+const MAX_JSON_BYTES = 16 * 1024 * 1024;
+
+/** Routes of one stand-in. */
+export class StandinRoutes {
+  readonly #router = findMyWay({
+    maxParamLength: 2_048,
+    defaultRoute: (_req, res) => sendJson(res as ServerResponse, 404, { message: "no such route" }),
+  });
+
+  on(method: "GET" | "PUT" | "POST" | "DELETE", path: string, handler: StandinHandler): this {
+    this.#router.on(method, path, (req, res, params) => {
+      const call = {
+        req: req as IncomingMessage,
+        res: res as ServerResponse,
+        params,
+        query: new URL(req.url ?? "/", "http://standin").searchParams,
+      };
+      void answer(call, handler);
+    });
+    return this;
+  }
+
+  /** Starts listening. */
+  async listen(options: ListenOptions = {}): Promise<RunningServer> {
+    const server = createServer((req, res) => this.#router.lookup(req, res));
+    return listen(server, options);
+  }
+}
+
+async function answer(call: StandinCall, handler: StandinHandler): Promise<void> {
+  try {
+    await handler(call);
+  } catch (e) {
+    sendError(call, toWpError(e));
+  }
+}
+
+/** Makes a server listen. */
+export async function listen(
+  server: Server,
+  { host = "127.0.0.1", port = 0 }: ListenOptions = {},
+): Promise<RunningServer> {
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(port, host, resolve);
+  });
+  const bound = server.address() as AddressInfo;
+  const address = `${host}:${bound.port}`;
+  return {
+    address,
+    origin: `http://${address}`,
+    close: () =>
+      new Promise((resolve) => {
+        server.close(() => resolve());
+        server.closeAllConnections();
+      }),
+  };
+}
+
+/** Sends a JSON answer. */
+export function sendJson(
+  res: ServerResponse,
+  status: number,
+  body: unknown,
+  headers: Record<string, string> = {},
+): void {
+  if (res.headersSent || res.destroyed) return;
+  const bytes = Buffer.from(JSON.stringify(body));
+  res.writeHead(status, {
+    "content-type": "application/json",
+    "content-length": String(bytes.byteLength),
+    ...headers,
+  });
+  res.end(bytes);
+}
+
+/** Reads a whole body. */
+export async function readBody(req: IncomingMessage, maxBytes = MAX_JSON_BYTES): Promise<Buffer> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of req) {
+    size += chunk.length;
+    if (size > maxBytes) {
+      raise({ type: "store_value_too_large", message: `body exceeds ${maxBytes} bytes` });
+    }
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks);
+}
+
+/** Reads a JSON body. */
+export async function readJson<T>(req: IncomingMessage): Promise<T> {
+  const body = await readBody(req);
+  try {
+    return JSON.parse(body.toString("utf8")) as T;
+  } catch {
+    return raise({ type: "engine", message: "body is not JSON", status: 400 });
+  }
+}
+
+function sendError({ res }: StandinCall, err: WpError): void {
+  const { message } = err;
+  switch (err.type) {
+    case "store_outcome_unknown":
+      // A lost answer is a connection that breaks before any answer.
+      res.destroy();
+      return;
+    case "store_conflict":
+      return sendJson(res, 409, { message, currentVersion: err.currentVersion });
+    case "store_value_too_large":
+      return sendJson(res, 413, { message });
+    case "rate_limited":
+      return sendJson(res, 429, { message }, { "retry-after": String(err.retryAfterMs / 1_000) });
+    case "store_unavailable":
+    case "unreachable":
+      return sendJson(res, 503, { message });
+    case "not_found":
+      return sendJson(res, 404, { message });
+    case "fenced":
+      return sendJson(res, 412, { message, highest: err.highest });
+    case "engine":
+      return sendJson(res, err.status, { message });
+    default:
+      return sendJson(res, 500, { message });
+  }
+}
--- /dev/null
+++ b/packages/standins/src/rate_limit.ts
@@ -0,0 +1,56 @@
+/**
+ * Call-rate limits of the stand-ins.
+ *
+ * @module
+ */
+import type { Clock } from "@wisteriapick/core";
+
+/**
+ * A token bucket. `standing` calls that last, such as waiting watches, take one token each per second.
+ */
+export class RateLimit {
+  readonly perSecond: number;
+  readonly #clock: Clock;
+  #tokens: number;
+  #atMs: number;
+  #standing = 0;
+
+  constructor(perSecond: number, clock: Clock) {
+    this.perSecond = perSecond;
+    this.#clock = clock;
+    this.#tokens = perSecond;
+    this.#atMs = clock.now();
+  }
+
+  get standing(): number {
+    return this.#standing;
+  }
+
+  /** Takes one token. Returns 0 when taken, otherwise the milliseconds until one is free. */
+  take(): number {
+    this.#refill();
+    if (this.#tokens >= 1) {
+      this.#tokens -= 1;
+      return 0;
+    }
+    const rate = this.#rate();
+    return rate <= 0 ? 1_000 : Math.max(1, ((1 - this.#tokens) / rate) * 1_000);
+  }
+
+  /** Changes the number of standing calls. */
+  addStanding(change: number): void {
+    this.#refill();
+    this.#standing += change;
+  }
+
+  #rate(): number {
+    return this.perSecond - this.#standing;
+  }
+
+  #refill(): void {
+    const nowMs = this.#clock.now();
+    const gained = (this.#rate() * (nowMs - this.#atMs)) / 1_000;
+    this.#tokens = Math.max(0, Math.min(this.perSecond, this.#tokens + gained));
+    this.#atMs = nowMs;
+  }
+}
