Add the pure engine model

One timer drives continuous batching with chunked prefill, a prefix cache inside KV memory, preemption by recomputation, priorities, cold state, lagged load reports, late and incomplete cache events, and version behaviours.

--- /dev/null
+++ b/packages/standins/src/engine_model.ts
@@ -0,0 +1,451 @@
+/**
+ * A pure model of one continuously batching engine. Time comes from an injected clock; one timer drives all
+ * generations step by step.
+ *
+ * @module
+ */
+import type { Clock, GenerationId, Rng, Undo } from "@wisteriapick/core";
+import type {
+  EngineListener,
+  EngineOptions,
+  ModelFinish,
+  ModelLoad,
+  ModelRequest,
+  VersionBehaviour,
+} from "./engine_types.ts";
+import { ColdState } from "./cold_state.ts";
+import { LaggedLog } from "./lagged_log.ts";
+import { PrefixCache } from "./prefix_cache.ts";
+
+const DEFAULTS = {
+  kvTotalTokens: 60_000,
+  maxBatch: 128,
+  stepBaseMs: 12,
+  stepPerGenMs: 0.2,
+  stepPerKvTokenMs: 0.00015,
+  prefillPerTokenMs: 0.02,
+  prefillChunkTokens: 768,
+  slowness: 1,
+  coldBears: 2,
+  coldDoubleTokens: 400,
+  coldFadeMs: 4_000,
+  startsCold: false,
+  loadLagMs: 250,
+  cacheEventLagMs: 500,
+  cacheEventLoss: 0.05,
+  behaviour: null,
+} satisfies Required<EngineOptions>;
+
+const REPORT_INTERVAL_MS = 100;
+const KEPT_REPORTS = 256;
+const KEPT_CACHE_EVENTS = 4_096;
+
+interface Seq {
+  readonly req: ModelRequest;
+  readonly order: number;
+  produced: number;
+  /** Tokens still to be processed before the next token can be generated. */
+  prefillLeft: number;
+  /** KV tokens held outside the prefix cache. */
+  ownTokens: number;
+  /** Tokens held in the prefix cache on behalf of this generation. */
+  pinnedTokens: number;
+  cachedTokens: number;
+  /** Fails after this many tokens. */
+  failsAt: number;
+}
+
+/** An engine that batches, preempts, caches prefixes, turns cold and crashes. */
+export class EngineModel {
+  readonly #clock: Clock;
+  readonly #rng: Rng;
+  readonly #cfg: Required<EngineOptions>;
+  readonly #listener: EngineListener;
+  readonly #cache: PrefixCache;
+  readonly #reports = new LaggedLog<Omit<ModelLoad, "ageMs">>(KEPT_REPORTS);
+  readonly #cacheLog = new LaggedLog<{ type: "stored" | "evicted"; prefix: string }>(
+    KEPT_CACHE_EVENTS,
+  );
+  #behaviour: VersionBehaviour | null;
+  #waiting: Seq[] = [];
+  #running: Seq[] = [];
+  #ownTokens = 0;
+  #order = 0;
+  #alive = true;
+  #stalledUntil = 0;
+  #startedAt: number;
+  #stepTimer: Undo | null = null;
+  /** Set while a step's results are handed out, so that a listener's submit does not start a step early. */
+  #stepping = false;
+  readonly #coldState: ColdState;
+  #lastReportAt = -Infinity;
+  /** Counts since the engine was created; they survive restarts. */
+  readonly counts = { preemptions: 0, coldOverloads: 0, crashes: 0, finished: 0, steps: 0 };
+
+  constructor(
+    { clock, rng, listener = {}, options = {} }: {
+      clock: Clock;
+      rng: Rng;
+      listener?: EngineListener;
+      options?: EngineOptions;
+    },
+  ) {
+    this.#clock = clock;
+    this.#rng = rng;
+    this.#cfg = { ...DEFAULTS, ...options };
+    this.#behaviour = this.#cfg.behaviour;
+    this.#listener = listener;
+    this.#startedAt = clock.now();
+    this.#cache = new PrefixCache((type, prefix) => this.#publish(type, prefix));
+    this.#coldState = new ColdState(this.#cfg);
+    if (this.#cfg.startsCold) this.#coldState.start(-Infinity, 0);
+  }
+
+  get alive(): boolean {
+    return this.#alive;
+  }
+
+  get cold(): boolean {
+    return this.#coldState.active;
+  }
+
+  /** Generations the engine can sustain now. */
+  get bears(): number {
+    return this.#coldState.bears(this.#clock.now());
+  }
+
+  get running(): number {
+    return this.#running.length;
+  }
+
+  get waiting(): number {
+    return this.#waiting.length;
+  }
+
+  get kvUsedTokens(): number {
+    return this.#ownTokens + this.#cache.pinnedTokens;
+  }
+
+  get kvTotalTokens(): number {
+    return this.#cfg.kvTotalTokens;
+  }
+
+  /** The generations held, with tokens produced so far. */
+  generations(): { gen: GenerationId; produced: number }[] {
+    return [...this.#running, ...this.#waiting].map((s) => ({
+      gen: s.req.gen,
+      produced: s.produced,
+    }));
+  }
+
+  /**
+   * Adds a request. Returns false when the engine is down. More than a cold engine bears crashes it and is
+   * counted as a cold overload.
+   */
+  submit(req: ModelRequest): boolean {
+    if (!this.#alive) return false;
+    const seq: Seq = {
+      req,
+      order: this.#order++,
+      produced: 0,
+      prefillLeft: req.promptTokens,
+      ownTokens: 0,
+      pinnedTokens: 0,
+      cachedTokens: 0,
+      failsAt: this.#drawFailure(req),
+    };
+    this.#enqueue(seq);
+    if (this.#running.length + this.#waiting.length > Math.max(1, this.bears)) {
+      this.counts.coldOverloads++;
+      this.crash("cold_overload");
+      return true;
+    }
+    this.#arm();
+    return true;
+  }
+
+  /** Cancels a generation; an unknown one is ignored. */
+  cancel(gen: GenerationId): boolean {
+    const seq = this.#running.find((s) => s.req.gen === gen) ??
+      this.#waiting.find((s) => s.req.gen === gen);
+    if (seq === undefined) return false;
+    this.#leave(seq, "cancelled");
+    return true;
+  }
+
+  /** Kills the engine: everything held is lost. */
+  crash(reason: "poison" | "cold_overload" | "killed" = "killed"): void {
+    if (!this.#alive) return;
+    this.#alive = false;
+    this.counts.crashes++;
+    this.#stepTimer?.();
+    this.#stepTimer = null;
+    const held = [...this.#running, ...this.#waiting];
+    this.#running = [];
+    this.#waiting = [];
+    this.#ownTokens = 0;
+    this.#cache.clear();
+    this.#listener.onCrash?.(reason);
+    for (const seq of held) {
+      this.#listener.onFinish?.(seq.req.gen, "crashed", seq.produced, seq.cachedTokens);
+    }
+  }
+
+  /** Starts a dead engine again, cold unless told otherwise. */
+  restart({ cold = true }: { cold?: boolean } = {}): void {
+    if (this.#alive) return;
+    this.#alive = true;
+    this.#startedAt = this.#clock.now();
+    this.#stalledUntil = 0;
+    if (cold) this.#coldState.start(-Infinity, 0);
+    else this.#coldState.end();
+  }
+
+  /** Turns a warm engine cold without any notice: its capacity fades while its steps slow down. */
+  turnCold(): void {
+    const now = this.#clock.now();
+    this.#coldState.start(now, Math.min(this.bears, this.#cfg.maxBatch));
+  }
+
+  /** Makes steps stop for a while, as a stalled host does. */
+  stall(ms: number): void {
+    this.#stalledUntil = Math.max(this.#stalledUntil, this.#clock.now() + ms);
+  }
+
+  setBehaviour(behaviour: VersionBehaviour | null): void {
+    this.#behaviour = behaviour;
+  }
+
+  /** The newest load report that is at least the configured lag old. */
+  load(): ModelLoad {
+    this.#report();
+    const now = this.#clock.now();
+    const found = this.#reports.newestBefore(now - this.#cfg.loadLagMs);
+    if (found === null) {
+      const none = { running: 0, waiting: 0, kvUsedTokens: 0, preemptions: 0 };
+      return { ...none, kvTotalTokens: this.#cfg.kvTotalTokens, ageMs: this.#cfg.loadLagMs };
+    }
+    return { ...found.value, ageMs: now - found.atMs };
+  }
+
+  /** Published cache events after `seq`; late and with gaps in `seq`. */
+  cacheEvents(after: number): { seq: number; type: "stored" | "evicted"; prefix: string }[] {
+    const until = this.#clock.now() - this.#cfg.cacheEventLagMs;
+    return this.#cacheLog.since(after, until).map(({ seq, value }) => ({ seq, ...value }));
+  }
+
+  #publish(type: "stored" | "evicted", prefix: string): void {
+    const lost = this.#rng.chance(this.#cfg.cacheEventLoss);
+    this.#cacheLog.add(this.#clock.now(), { type, prefix }, lost);
+  }
+
+  #report(): void {
+    const now = this.#clock.now();
+    if (now - this.#lastReportAt < REPORT_INTERVAL_MS) return;
+    this.#lastReportAt = now;
+    this.#reports.add(now, {
+      running: this.#running.length,
+      waiting: this.#waiting.length,
+      kvUsedTokens: this.kvUsedTokens,
+      kvTotalTokens: this.#cfg.kvTotalTokens,
+      preemptions: this.counts.preemptions,
+    });
+  }
+
+  #activeBehaviour(route: string | undefined): VersionBehaviour | null {
+    const b = this.#behaviour;
+    if (b === null) return null;
+    if (this.#clock.now() - this.#startedAt < (b.afterMs ?? 0)) return null;
+    if (this.#running.length < (b.minRunning ?? 0)) return null;
+    if (b.route !== undefined && b.route !== route) return null;
+    return b;
+  }
+
+  #drawFailure(req: ModelRequest): number {
+    const share = this.#activeBehaviour(req.route)?.failShare ?? 0;
+    if (share === 0 || !this.#rng.chance(share)) return Infinity;
+    return this.#rng.int(Math.min(8, req.outputTokens));
+  }
+
+  #enqueue(seq: Seq): void {
+    const priority = seq.req.priority ?? 0;
+    let i = this.#waiting.length;
+    while (i > 0) {
+      const other = this.#waiting[i - 1]!;
+      const otherPriority = other.req.priority ?? 0;
+      if (otherPriority < priority) break;
+      if (otherPriority === priority && other.order < seq.order) break;
+      i--;
+    }
+    this.#waiting.splice(i, 0, seq);
+  }
+
+  #arm(): void {
+    if (this.#stepTimer !== null || this.#stepping || !this.#alive) return;
+    const wait = this.#stalledUntil - this.#clock.now();
+    if (wait > 0) {
+      this.#stepTimer = this.#clock.setTimer(wait, () => {
+        this.#stepTimer = null;
+        this.#arm();
+      });
+      return;
+    }
+    this.#admit();
+    if (this.#running.length === 0) return;
+    if (this.#running.some((s) => s.req.poison === true)) {
+      const crashAfterMs = this.#cfg.stepBaseMs;
+      this.#stepTimer = this.#clock.setTimer(crashAfterMs, () => this.crash("poison"));
+      return;
+    }
+    this.#makeRoom();
+    const prefilled = this.#prefill();
+    this.#stepTimer = this.#clock.setTimer(this.#stepMs(prefilled), () => this.#finishStep());
+  }
+
+  /** Moves waiting generations into the batch while their prompt fits. */
+  #admit(): void {
+    const { maxBatch, kvTotalTokens } = this.#cfg;
+    while (this.#waiting.length > 0 && this.#running.length < maxBatch) {
+      const seq = this.#waiting[0]!;
+      const prefixes = seq.req.prefixes ?? [];
+      const total = seq.req.promptTokens + seq.produced;
+      const cached = this.#cache.cachedTokens(prefixes);
+      seq.pinnedTokens = this.#cache.pin(prefixes, cached);
+      const own = total - cached;
+      // A generation larger than the whole memory is let in alone, as an engine would truncate it.
+      const fits = this.kvUsedTokens + own + this.#running.length < kvTotalTokens;
+      if (!fits && this.#running.length > 0) {
+        this.#cache.unpin(prefixes, cached);
+        return;
+      }
+      this.#waiting.shift();
+      seq.cachedTokens = cached;
+      seq.ownTokens = own;
+      // At least one token is always computed.
+      seq.prefillLeft = Math.max(1, own);
+      this.#ownTokens += own;
+      this.#running.push(seq);
+    }
+  }
+
+  /** Evicts idle cache, then preempts the last of the lowest priority, until the step's tokens fit. */
+  #makeRoom(): void {
+    const limit = this.#cfg.kvTotalTokens;
+    for (;;) {
+      const need = this.kvUsedTokens + this.#running.length;
+      const over = need + this.#cache.idleTokens - limit;
+      if (over > 0 && this.#cache.idleTokens > 0) this.#cache.evict(over);
+      if (need <= limit || this.#running.length <= 1) return;
+      this.#preempt();
+    }
+  }
+
+  #preempt(): void {
+    let victim = this.#running[0]!;
+    for (const seq of this.#running) {
+      const d = (seq.req.priority ?? 0) - (victim.req.priority ?? 0);
+      if (d > 0 || (d === 0 && seq.order > victim.order)) victim = seq;
+    }
+    this.counts.preemptions++;
+    this.#release(victim);
+    this.#enqueue(victim);
+  }
+
+  #release(seq: Seq): void {
+    const at = this.#running.indexOf(seq);
+    if (at < 0) return;
+    this.#running.splice(at, 1);
+    this.#ownTokens -= seq.ownTokens;
+    this.#cache.unpin(seq.req.prefixes ?? [], seq.pinnedTokens);
+    seq.ownTokens = 0;
+    seq.pinnedTokens = 0;
+  }
+
+  /** Spends the step's prefill budget in order of admission; returns the tokens processed. */
+  #prefill(): number {
+    let budget = this.#cfg.prefillChunkTokens;
+    for (const seq of this.#running) {
+      if (budget === 0) break;
+      if (seq.prefillLeft === 0) continue;
+      const n = Math.min(budget, seq.prefillLeft);
+      seq.prefillLeft -= n;
+      budget -= n;
+      if (seq.prefillLeft === 0) this.#storePrefixes(seq);
+    }
+    return this.#cfg.prefillChunkTokens - budget;
+  }
+
+  /** Hands a processed prompt's prefixes over to the cache. */
+  #storePrefixes(seq: Seq): void {
+    const prefixes = seq.req.prefixes ?? [];
+    if (prefixes.length === 0) return;
+    this.#cache.unpin(prefixes, seq.pinnedTokens);
+    const total = seq.ownTokens + seq.pinnedTokens;
+    seq.pinnedTokens = this.#cache.pin(prefixes, Infinity);
+    this.#ownTokens += total - seq.pinnedTokens - seq.ownTokens;
+    seq.ownTokens = total - seq.pinnedTokens;
+  }
+
+  #stepMs(prefilled: number): number {
+    const { stepBaseMs, stepPerGenMs, stepPerKvTokenMs, prefillPerTokenMs, slowness } = this.#cfg;
+    const ms = stepBaseMs + stepPerGenMs * this.#running.length +
+      stepPerKvTokenMs * this.kvUsedTokens + prefillPerTokenMs * prefilled;
+    return ms * slowness * this.#coldState.stepFactor(this.#running.length, this.#clock.now()) *
+      this.#slowFactor();
+  }
+
+  #slowFactor(): number {
+    const b = this.#behaviour;
+    if (b?.slowFactor === undefined) return 1;
+    if (b.route === undefined) return this.#activeBehaviour(undefined)?.slowFactor ?? 1;
+    const hit = this.#running.some((s) => this.#activeBehaviour(s.req.route) !== null);
+    return hit ? b.slowFactor : 1;
+  }
+
+  #finishStep(): void {
+    this.#stepTimer = null;
+    this.counts.steps++;
+    this.#report();
+    const gens: GenerationId[] = [];
+    const produced: number[] = [];
+    const done: Seq[] = [];
+    for (const seq of this.#running) {
+      if (seq.prefillLeft > 0) continue;
+      if (seq.produced >= seq.failsAt) {
+        done.push(seq);
+        continue;
+      }
+      seq.produced++;
+      seq.ownTokens++;
+      this.#ownTokens++;
+      gens.push(seq.req.gen);
+      produced.push(seq.produced);
+      if (this.#isDone(seq)) done.push(seq);
+    }
+    this.#coldState.warm(gens.length);
+    this.#stepping = true;
+    this.#listener.onStep?.({ atMs: this.#clock.now(), gens, produced });
+    for (const seq of done) {
+      if (this.#running.includes(seq)) this.#leave(seq, this.#howEnded(seq));
+    }
+    this.#stepping = false;
+    this.#arm();
+  }
+
+  #isDone(seq: Seq): boolean {
+    return seq.produced >= Math.min(seq.req.outputTokens, seq.req.maxTokens ?? Infinity);
+  }
+
+  #howEnded(seq: Seq): ModelFinish {
+    if (!this.#isDone(seq)) return "failed";
+    return seq.produced >= seq.req.outputTokens ? "stop" : "length";
+  }
+
+  #leave(seq: Seq, how: ModelFinish): void {
+    this.#release(seq);
+    const at = this.#waiting.indexOf(seq);
+    if (at >= 0) this.#waiting.splice(at, 1);
+    this.counts.finished++;
+    this.#listener.onFinish?.(seq.req.gen, how, seq.produced, seq.cachedTokens);
+  }
+}
--- /dev/null
+++ b/packages/standins/src/engine_types.ts
@@ -0,0 +1,94 @@
+/**
+ * Inputs and outputs of the engine model.
+ *
+ * @module
+ */
+import type { GenerationId } from "@wisteriapick/core";
+import type { PrefixSpec } from "./prefix_cache.ts";
+
+/** What the model needs to know of a request. Output lengths are hidden from every policy. */
+export interface ModelRequest {
+  readonly gen: GenerationId;
+  readonly promptTokens: number;
+  /** Prefixes of the prompt, shortest first. */
+  readonly prefixes?: readonly PrefixSpec[];
+  /** Tokens after which the generation ends by itself. */
+  readonly outputTokens: number;
+  readonly maxTokens?: number;
+  /** Lower runs first. */
+  readonly priority?: number;
+  readonly route?: string;
+  /** The engine crashes when it starts to run this request. */
+  readonly poison?: boolean;
+}
+
+/** How a version misbehaves. Fields narrow when it does. */
+export interface VersionBehaviour {
+  /** Share of generations that fail. */
+  readonly failShare?: number;
+  /** Factor on the time of each step. */
+  readonly slowFactor?: number;
+  /** Starts this long after the engine started. */
+  readonly afterMs?: number;
+  /** Only while at least this many generations run. */
+  readonly minRunning?: number;
+  /** Only on this route; for `slowFactor`, only steps with such a generation. */
+  readonly route?: string;
+}
+
+/** Why a generation left the engine. */
+export type ModelFinish = "stop" | "length" | "cancelled" | "failed" | "crashed";
+
+/** The generations that got a token in one step; `produced[i]` counts tokens of `gens[i]`. */
+export interface StepResult {
+  readonly atMs: number;
+  readonly gens: readonly GenerationId[];
+  readonly produced: readonly number[];
+}
+
+/** Receives what happens in the engine. */
+export interface EngineListener {
+  onStep?(step: StepResult): void;
+  onFinish?(gen: GenerationId, how: ModelFinish, produced: number, cachedTokens: number): void;
+  onCrash?(reason: "poison" | "cold_overload" | "killed"): void;
+}
+
+/** Sizes and speeds of one engine. */
+export interface EngineOptions {
+  /** KV memory in tokens, shared by generations and the prefix cache. */
+  readonly kvTotalTokens?: number;
+  /** Largest number of generations in one step. */
+  readonly maxBatch?: number;
+  /** Time of a step without any generation. */
+  readonly stepBaseMs?: number;
+  readonly stepPerGenMs?: number;
+  readonly stepPerKvTokenMs?: number;
+  readonly prefillPerTokenMs?: number;
+  /** Prompt tokens processed in one step at most. */
+  readonly prefillChunkTokens?: number;
+  /** Factor on every time, for hosts of different speed. */
+  readonly slowness?: number;
+  /** Generations that a cold engine bears at first. */
+  readonly coldBears?: number;
+  /** Tokens after which the number a cold engine bears has doubled. */
+  readonly coldDoubleTokens?: number;
+  /** Time in which a warm engine that turns cold loses its capacity. */
+  readonly coldFadeMs?: number;
+  readonly startsCold?: boolean;
+  /** Age of load reports. */
+  readonly loadLagMs?: number;
+  readonly cacheEventLagMs?: number;
+  /** Share of cache events that are never published. */
+  readonly cacheEventLoss?: number;
+  readonly behaviour?: VersionBehaviour | null;
+}
+
+/** A lagged load report of the model. */
+export interface ModelLoad {
+  readonly running: number;
+  readonly waiting: number;
+  readonly kvUsedTokens: number;
+  readonly kvTotalTokens: number;
+  readonly preemptions: number;
+  readonly ageMs: number;
+}
