--- a/packages/platform/src/model_engine.ts
+++ b/packages/platform/src/model_engine.ts
@@ -16,6 +16,12 @@
   readonly priority: number;
   readonly stop?: readonly string[];
   readonly temperature?: number;
+  /** Names of growing prefixes of the prompt, shortest first, as cache events name them. */
+  readonly prefixes?: readonly string[];
+  /** Tokens of the prompt that each further prefix covers. */
+  readonly prefixTokens?: number;
+  /** The caller's route; some versions misbehave on one route only. */
+  readonly route?: string;
 }
 
 /** Why a generation ended. */
--- a/packages/standins/src/http_server.ts
+++ b/packages/standins/src/http_server.ts
@@ -56,9 +56,14 @@
     return this;
   }
 
+  /** Answers one request. */
+  lookup(req: IncomingMessage, res: ServerResponse): void {
+    this.#router.lookup(req, res);
+  }
+
   /** Starts listening. */
   async listen(options: ListenOptions = {}): Promise<RunningServer> {
-    const server = createServer((req, res) => this.#router.lookup(req, res));
+    const server = createServer((req, res) => this.lookup(req, res));
     return listen(server, options);
   }
 }
