--- /dev/null
+++ b/packages/daemon/src/directory.ts
@@ -0,0 +1,110 @@
+/**
+ * Which endpoints there are and at which address their sides listen.
+ *
+ * @module
+ */
+import {
+  type Clock,
+  type DataCentreId,
+  type EndpointId,
+  type HostId,
+  type ServiceId,
+  type Table,
+  type Undo,
+  type World,
+} from "@wisteriapick/core";
+import type { HostList, HostSnapshot } from "@wisteriapick/platform";
+
+/** One endpoint that has a side. */
+export interface DirectoryEntry {
+  readonly endpoint: EndpointId;
+  readonly service: ServiceId;
+  readonly host: HostId;
+  readonly dataCentre: DataCentreId;
+  /** Link address of the side. */
+  readonly side: string;
+  /** The platform says that the host will be gone soon. */
+  readonly leaving: boolean;
+}
+
+/** What changed in a directory. */
+export interface DirectoryChange {
+  readonly set: readonly DirectoryEntry[];
+  readonly removed: readonly EndpointId[];
+}
+
+/** Endpoints by id, written in one update for each snapshot of the host list. */
+export class Directory {
+  readonly #world: World;
+  readonly #table: Table<EndpointId, DirectoryEntry>;
+  readonly #listeners = new Set<(change: DirectoryChange) => void>();
+  #index = -1;
+
+  constructor(world: World) {
+    this.#world = world;
+    this.#table = world.registerTable<EndpointId, DirectoryEntry>("directory").table;
+  }
+
+  get(endpoint: EndpointId): DirectoryEntry | undefined {
+    return this.#table.get(endpoint);
+  }
+
+  rows(): IterableIterator<DirectoryEntry> {
+    return this.#table.rows();
+  }
+
+  registerListener(fn: (change: DirectoryChange) => void): Undo {
+    this.#listeners.add(fn);
+    return () => void this.#listeners.delete(fn);
+  }
+
+  /** Takes over a snapshot. One that is older than the last is ignored. */
+  apply(snapshot: HostSnapshot): void {
+    if (snapshot.index < this.#index) return;
+    this.#index = snapshot.index;
+    const change = this.#world.update(() => this.#replace(snapshot));
+    if (change.set.length + change.removed.length === 0) return;
+    for (const fn of this.#listeners) fn(change);
+  }
+
+  #replace(snapshot: HostSnapshot): DirectoryChange {
+    const next = new Map<EndpointId, DirectoryEntry>();
+    for (const host of snapshot.hosts) {
+      if (host.endpoint === undefined || host.side === undefined) continue;
+      next.set(host.endpoint.id, {
+        endpoint: host.endpoint.id,
+        service: host.endpoint.service,
+        host: host.host,
+        dataCentre: host.dataCentre,
+        side: host.side,
+        leaving: host.state === "leaving",
+      });
+    }
+    const removed = [...this.#table.ids()].filter((id) => !next.has(id));
+    const set = [...next.values()].filter((row) => !sameEntry(row, this.#table.get(row.endpoint)));
+    for (const id of removed) this.#table.delete(id);
+    for (const row of set) this.#table.set(row.endpoint, row);
+    return { set, removed };
+  }
+}
+
+function sameEntry(a: DirectoryEntry, b: DirectoryEntry | undefined): boolean {
+  return b !== undefined && a.side === b.side && a.leaving === b.leaving && a.host === b.host &&
+    a.service === b.service && a.dataCentre === b.dataCentre;
+}
+
+/** Reads the host list into a directory at intervals. A failed read keeps what is known. */
+export function followHostList(
+  list: HostList,
+  directory: Directory,
+  { clock, intervalMs = 1_000 }: { clock: Clock; intervalMs?: number },
+): { first: Promise<void>; undo: Undo } {
+  const read = async () => {
+    try {
+      directory.apply(await list.read());
+    } catch {
+      // The list is advisory and lags anyway; the next read follows in an interval.
+    }
+  };
+  return { first: read(), undo: clock.setRepeating(intervalMs, () => void read()) };
+}
--- /dev/null
+++ b/packages/daemon/src/entry_follower.ts
@@ -0,0 +1,136 @@
+/**
+ * Follows one generation at its side across broken links, until it ends or the side cannot be reached.
+ *
+ * @module
+ */
+import type { Clock, Refusal, RefusalReason } from "@wisteriapick/core";
+import type { TokenCursor } from "@wisteriapick/delivery";
+import type { End, EndpointLoad, Link, NotRunReply, Resume, Run } from "@wisteriapick/wire";
+import { Follow, type FollowResult } from "./entry_follow.ts";
+import type { AnswerSink } from "./entry_sinks.ts";
+import type { LinkSource } from "./link_source.ts";
+
+/** How a generation ended for this entry. */
+export type FollowerResult =
+  | { readonly type: "end"; readonly end: End }
+  | { readonly type: "not_run"; readonly reply: NotRunReply }
+  /** The request never left this process. */
+  | { readonly type: "not_sent" }
+  | { readonly type: "fail"; readonly refusal: Refusal; readonly load?: EndpointLoad }
+  /** The side could not be reached within the window. */
+  | { readonly type: "lost" }
+  | { readonly type: "caller_gone" };
+
+/** Bounds of {@link followGeneration}. */
+export interface FollowLimits {
+  /** How long a broken generation is asked for again at its side. */
+  readonly resumeWindowMs: number;
+  /** The same where nothing has been delivered and another endpoint can run it. */
+  readonly undeliveredWindowMs: number;
+  readonly resumeBackoffMs: number;
+  /** Silence on a stream after which the rest is asked for again. */
+  readonly silenceMs: number;
+}
+
+/** What one generation is followed with. */
+export interface FollowOptions {
+  readonly clock: Clock;
+  readonly links: LinkSource;
+  readonly limits: FollowLimits;
+  readonly sink: AnswerSink;
+  readonly cursor: TokenCursor;
+  /** Aborted when the caller is gone. */
+  readonly gone: AbortSignal;
+  onAdmitted?(load: EndpointLoad): void;
+  onTokens?(offset: number, count: number): void;
+  /** Called each time the rest is asked for again. */
+  onResume?(why: string): void;
+}
+
+/** Failures of a resume after which asking again may still help. */
+const TRANSIENT: ReadonlySet<RefusalReason> = new Set(["side_not_ready", "not_ready"]);
+
+/** Opens `opening` at the side and resumes it as often as needed. */
+export async function followGeneration(
+  side: string,
+  opening: Run | Resume,
+  options: FollowOptions,
+): Promise<FollowerResult> {
+  const { clock, limits, sink, cursor, gone } = options;
+  let sent = opening.kind === "resume";
+  let next = opening;
+  let brokenSinceMs: number | null = null;
+  for (;;) {
+    if (gone.aborted) return { type: "caller_gone" };
+    const before = cursor.next;
+    const link = await connect(options.links, side);
+    if (link === null && !sent) return { type: "not_sent" };
+    sent = true;
+    const res = link === null ? null : await followOnce(link, next, options);
+    if (gone.aborted) return { type: "caller_gone" };
+    if (res !== null && isFinal(res, next)) return res;
+    next = { kind: "resume", gen: opening.gen, account: opening.account, offset: cursor.next };
+    if (res?.type === "detached") {
+      await sink.drained();
+      continue;
+    }
+    options.onResume?.(describe(res));
+    const now = clock.now();
+    if (brokenSinceMs === null || cursor.next > before) brokenSinceMs = now;
+    const windowMs = sink.committed ? limits.resumeWindowMs : limits.undeliveredWindowMs;
+    if (now - brokenSinceMs >= windowMs) return { type: "lost" };
+    await clock.sleep(limits.resumeBackoffMs);
+  }
+}
+
+type OnceResult = FollowerResult | Exclude<FollowResult, { type: "fail" }>;
+
+function isFinal(res: OnceResult, opening: Run | Resume): res is FollowerResult {
+  if (res.type === "broken" || res.type === "detached") return false;
+  return !(res.type === "fail" && opening.kind === "resume" && TRANSIENT.has(res.refusal.type));
+}
+
+function describe(res: OnceResult | null): string {
+  if (res === null) return "connect";
+  return res.type === "broken" ? res.why : res.type;
+}
+
+async function connect(links: LinkSource, side: string): Promise<Link | null> {
+  try {
+    return await links.get(side);
+  } catch {
+    return null;
+  }
+}
+
+async function followOnce(
+  link: Link,
+  opening: Run | Resume,
+  options: FollowOptions,
+): Promise<OnceResult> {
+  const { clock, limits, sink, cursor, gone } = options;
+  let heard = clock.now();
+  const follow = new Follow(link, opening, cursor, {
+    onAdmitted: (load) => {
+      heard = clock.now();
+      options.onAdmitted?.(load);
+    },
+    onTokens: (offset, items) => {
+      heard = clock.now();
+      sink.tokens(offset, items);
+      options.onTokens?.(offset, items.length);
+      // A slow caller's tokens wait at the side, not in this process.
+      if (sink.full) follow.detach();
+    },
+  });
+  const onGone = () => follow.detach();
+  gone.addEventListener("abort", onGone, { once: true });
+  const undo = clock.setRepeating(limits.silenceMs / 2, () => {
+    if (clock.now() - heard >= limits.silenceMs) follow.giveUp("silent");
+  });
+  const res = await follow.done;
+  undo();
+  gone.removeEventListener("abort", onGone);
+  if (res.type !== "fail") return res;
+  return { type: "fail", refusal: res.fail.refusal, load: res.fail.load };
+}
--- /dev/null
+++ b/packages/daemon/src/entry_versions.ts
@@ -0,0 +1,33 @@
+/**
+ * Which version of a service a request goes to.
+ *
+ * @module
+ */
+import { createHash } from "node:crypto";
+import type { RequestId, VersionId } from "@wisteriapick/core";
+import type { ConfigView, Service } from "@wisteriapick/control";
+
+/** Chooses versions; the control package's moves plug in here. */
+export abstract class VersionChooser {
+  /** Versions for one request, the preferred first. Empty where none may serve. */
+  abstract choose(view: ConfigView, service: Service, req: RequestId): readonly VersionId[];
+}
+
+/** Follows the configuration: the open move's share goes to its new version, the rest to the active one. */
+export class ConfiguredVersions extends VersionChooser {
+  choose(view: ConfigView, service: Service, req: RequestId): readonly VersionId[] {
+    const usable = new Set(service.versions.filter((v) => !v.withdrawn).map((v) => v.id));
+    let chosen = service.activeVersion;
+    for (const move of view.moves.values()) {
+      if (move.state !== "open" || move.service !== service.id || !usable.has(move.to)) continue;
+      if (fraction(`${move.id}/${req}`) < move.share) chosen = move.to;
+    }
+    const order = [chosen, service.activeVersion].filter((v) => usable.has(v));
+    return [...new Set(order)];
+  }
+}
+
+/** A number in [0, 1) that depends only on the text. */
+function fraction(text: string): number {
+  return createHash("sha256").update(text).digest().readUInt32BE(0) / 2 ** 32;
+}
--- /dev/null
+++ b/packages/daemon/src/http_server.ts
@@ -0,0 +1,62 @@
+/**
+ * An HTTP or HTTPS server around a `find-my-way` router.
+ *
+ * @module
+ */
+import { readFileSync } from "node:fs";
+import {
+  createServer,
+  type IncomingMessage,
+  type RequestListener,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import { createServer as createTlsServer } from "node:https";
+import type { AddressInfo } from "node:net";
+import { refuse } from "@wisteriapick/core";
+
+/** Where a server listens. TLS is used when key and certificate files are named. */
+export interface HttpListenOptions {
+  readonly host: string;
+  readonly port: number;
+  readonly tls?: { readonly key: string; readonly cert: string };
+}
+
+/** Makes a server; TLS files are read once. */
+export function makeHttpServer(listener: RequestListener, tls: HttpListenOptions["tls"]): Server {
+  if (tls === undefined) return createServer(listener);
+  const key = readFileSync(tls.key);
+  const cert = readFileSync(tls.cert);
+  return createTlsServer({ key, cert }, listener) as unknown as Server;
+}
+
+/** Listens and resolves with the `ip:port` that was bound. */
+export async function listenHttp(server: Server, options: HttpListenOptions): Promise<string> {
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(options.port, options.host, resolve);
+  });
+  const { address, port, family } = server.address() as AddressInfo;
+  return family === "IPv6" ? `[${address}]:${port}` : `${address}:${port}`;
+}
+
+/** Reads a whole request body of at most `maxBytes`. Refuses a larger one with `request_too_large`. */
+export async function readBody(req: IncomingMessage, maxBytes: number): Promise<Buffer> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of req as AsyncIterable<Buffer>) {
+    size += chunk.length;
+    if (size > maxBytes) {
+      const message = `the request body is larger than ${maxBytes} bytes`;
+      refuse({ type: "request_too_large", message, notRun: true });
+    }
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks);
+}
+
+/** Answers with JSON. */
+export function sendJson(res: ServerResponse, status: number, body: unknown): void {
+  res.writeHead(status, { "content-type": "application/json" });
+  res.end(typeof body === "string" ? body : JSON.stringify(body));
+}
--- /dev/null
+++ b/packages/daemon/src/link_router.ts
@@ -0,0 +1,76 @@
+/**
+ * Hands what peers start on a link to the part of the process that registered for its kind.
+ *
+ * @module
+ */
+import { raise, type Undo } from "@wisteriapick/core";
+import type { Link, LinkAcceptor, LinkStream, Message, StreamHandler } from "@wisteriapick/wire";
+
+/** Handles streams that open with one kind of message. */
+export type StreamOpener<K extends Message["kind"]> = (
+  link: Link,
+  msg: Extract<Message, { kind: K }>,
+  stream: LinkStream,
+) => StreamHandler;
+
+/** Handles one kind of message outside streams. */
+export type NotifyHandler<K extends Message["kind"]> = (
+  link: Link,
+  msg: Extract<Message, { kind: K }>,
+) => void;
+
+const IGNORE: StreamHandler = { onMessage() {}, onClose() {} };
+
+/**
+ * A link acceptor made of handlers for each kind of message.
+ *
+ * @example
+ * ```ts
+ * const router = new LinkRouter();
+ * const undo = router.registerStream("run", (link, run, stream) => side.onRun(link, run, stream));
+ * ```
+ */
+export class LinkRouter implements LinkAcceptor {
+  readonly #streams = new Map<string, StreamOpener<Message["kind"]>>();
+  readonly #notifies = new Map<string, NotifyHandler<Message["kind"]>>();
+  readonly #links = new Set<Link>();
+
+  /** The open links that peers made. */
+  get links(): ReadonlySet<Link> {
+    return this.#links;
+  }
+
+  registerStream<K extends Message["kind"]>(kind: K, opener: StreamOpener<K>): Undo {
+    this.#assertFree(this.#streams, kind);
+    this.#streams.set(kind, opener as unknown as StreamOpener<Message["kind"]>);
+    return () => void this.#streams.delete(kind);
+  }
+
+  registerNotify<K extends Message["kind"]>(kind: K, handler: NotifyHandler<K>): Undo {
+    this.#assertFree(this.#notifies, kind);
+    this.#notifies.set(kind, handler as unknown as NotifyHandler<Message["kind"]>);
+    return () => void this.#notifies.delete(kind);
+  }
+
+  onLink(link: Link): void {
+    this.#links.add(link);
+    link.registerCloseListener(() => void this.#links.delete(link));
+  }
+
+  onStream(link: Link, msg: Message, stream: LinkStream): StreamHandler {
+    const opener = this.#streams.get(msg.kind);
+    if (opener !== undefined) return opener(link, msg, stream);
+    stream.abort();
+    return IGNORE;
+  }
+
+  onNotify(link: Link, msg: Message): void {
+    this.#notifies.get(msg.kind)?.(link, msg);
+  }
+
+  #assertFree(map: ReadonlyMap<string, unknown>, kind: string): void {
+    if (map.has(kind)) {
+      raise({ type: "duplicate_registration", message: `${kind} is already handled` });
+    }
+  }
+}
--- a/packages/daemon/src/mod.ts
+++ b/packages/daemon/src/mod.ts
@@ -1,1 +1,16 @@
-export {};
+/**
+ * The processes: entry and side.
+ *
+ * @module
+ */
+export * from "./directory.ts";
+export * from "./entry.ts";
+export * from "./entry_auth.ts";
+export * from "./entry_versions.ts";
+export * from "./fixed_admission.ts";
+export * from "./http_server.ts";
+export * from "./least_in_flight_placement.ts";
+export * from "./link_router.ts";
+export * from "./link_source.ts";
+export * from "./side.ts";
+export { GENERATION_TIMES, type GenerationTimes } from "./side_generation.ts";
--- /dev/null
+++ b/packages/daemon/src/prompt_shape.ts
@@ -0,0 +1,45 @@
+/**
+ * What placement and quarantine need to know of a prompt, without its text.
+ *
+ * @module
+ */
+import { createHash } from "node:crypto";
+
+/** Characters of each further prefix; engines cache prompts in blocks, so finer steps gain nothing. */
+export const PREFIX_BLOCK_CHARS = 256;
+/** Prefixes of one prompt at most; keeps the message small for long prompts. */
+export const MAX_PREFIXES = 16;
+/** Average characters of a token of English text; the engine counts exactly. */
+const CHARS_PER_TOKEN = 4;
+
+/** Facts about a prompt. */
+export interface PromptShape {
+  readonly promptTokens: number;
+  /** Hashes of growing prefixes, shortest first. */
+  readonly prefixes: readonly string[];
+  readonly digest: string;
+}
+
+/**
+ * Computes the facts about a prompt; the digest also covers `route` and `service`.
+ *
+ * @example
+ * ```ts
+ * const { promptTokens, prefixes, digest } = promptShape("chat", "scribe", prompt);
+ * ```
+ */
+export function promptShape(route: string, service: string, prompt: string): PromptShape {
+  const prefixes: string[] = [];
+  const running = createHash("sha256").update(service);
+  const blocks = Math.min(MAX_PREFIXES, Math.floor(prompt.length / PREFIX_BLOCK_CHARS));
+  for (let i = 0; i < blocks; i++) {
+    running.update(prompt.slice(i * PREFIX_BLOCK_CHARS, (i + 1) * PREFIX_BLOCK_CHARS));
+    prefixes.push(running.copy().digest("base64url").slice(0, 16));
+  }
+  const digest = createHash("sha256").update(`${route}\0${service}\0${prompt}`);
+  return {
+    promptTokens: Math.ceil(prompt.length / CHARS_PER_TOKEN),
+    prefixes,
+    digest: digest.digest("base64url").slice(0, 22),
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/turn_batch.ts
@@ -0,0 +1,21 @@
+/**
+ * Gathers work within one turn of the event loop.
+ *
+ * @module
+ */
+
+/** Runs each added job once at the end of the turn, however often it was added. */
+export class TurnBatch {
+  readonly #jobs = new Set<() => void>();
+
+  add(job: () => void): void {
+    if (this.#jobs.size === 0) setImmediate(() => this.#run());
+    this.#jobs.add(job);
+  }
+
+  #run(): void {
+    const jobs = [...this.#jobs];
+    this.#jobs.clear();
+    for (const job of jobs) job();
+  }
+}
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -88,6 +88,8 @@
 export interface Admitted {
   readonly kind: "admitted";
   readonly load: EndpointLoad;
+  /** The generation or request answered; an answer about another one is dropped by the receiver. */
+  readonly about?: string;
 }
 
 /** The request did not run here. */
@@ -96,6 +98,7 @@
   readonly reason: RefusalReason;
   readonly retryAfterMs?: number;
   readonly load: EndpointLoad;
+  readonly about?: string;
 }
 
 /** Tokens from `offset` on. */
@@ -103,6 +106,7 @@
   readonly kind: "tokens";
   readonly offset: number;
   readonly items: readonly string[];
+  readonly about?: string;
 }
 
 /** A generation ended normally. */
@@ -113,6 +117,7 @@
   readonly cachedTokens: number;
   readonly completionTokens: number;
   readonly load: EndpointLoad;
+  readonly about?: string;
 }
 
 /** A generation or call failed. */
@@ -120,6 +125,7 @@
   readonly kind: "fail";
   readonly refusal: Refusal;
   readonly load?: EndpointLoad;
+  readonly about?: string;
 }
 
 /** Asks for the rest of a generation from `offset` on. */
@@ -160,6 +166,9 @@
   readonly kind: "body";
   readonly bytes: Uint8Array;
   readonly last: boolean;
+  /** Position of the first byte in the whole body, so that a missing or repeated chunk is seen. */
+  readonly offset?: number;
+  readonly about?: string;
 }
 
 /** Status line and headers of a plain service's answer. */
@@ -168,6 +177,7 @@
   readonly status: number;
   readonly headers: readonly (readonly [string, string])[];
   readonly load: EndpointLoad;
+  readonly about?: string;
 }
 
 /** An unasked load report. */
