--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -14,8 +14,8 @@
   type Logger,
   type Metrics,
   refuse,
-  requestId,
   type RequestId,
+  requestId,
   toRefusal,
   type Undo,
   type VersionId,
@@ -34,10 +34,21 @@
 import type { Directory } from "./directory.ts";
 import { authenticate, authorizeService } from "./entry_auth.ts";
 import { followGeneration } from "./entry_follower.ts";
-import { GenerationRelay, RELAY_LIMITS, type RelayLimits, type RelayRequest } from "./entry_relay.ts";
+import {
+  GenerationRelay,
+  RELAY_LIMITS,
+  type RelayLimits,
+  type RelayRequest,
+} from "./entry_relay.ts";
 import { type AnswerSink, sendProblem, StreamSink, WholeSink } from "./entry_sinks.ts";
 import { ConfiguredVersions, type VersionChooser } from "./entry_versions.ts";
-import { type HttpListenOptions, listenHttp, makeHttpServer, readBody, sendJson } from "./http_server.ts";
+import {
+  type HttpListenOptions,
+  listenHttp,
+  makeHttpServer,
+  readBody,
+  sendJson,
+} from "./http_server.ts";
 import type { LinkRouter } from "./link_router.ts";
 import type { LinkSource } from "./link_source.ts";
 import { promptShape } from "./prompt_shape.ts";
@@ -188,7 +199,11 @@
       const method = req.method as "GET";
       const route = this.#router.find(method, (req.url ?? "/").split("?", 1)[0]!);
       if (route === null) {
-        refuse({ type: "unknown_route", message: `there is no ${req.method} ${req.url}`, notRun: true });
+        refuse({
+          type: "unknown_route",
+          message: `there is no ${req.method} ${req.url}`,
+          notRun: true,
+        });
       }
       const handler = route.handler as unknown as (...args: unknown[]) => Promise<void>;
       await handler(req, res, route.params, route.store, route.searchParams);
@@ -222,7 +237,12 @@
 
   #assertServing(): void {
     if (this.#draining) {
-      refuse({ type: "draining", message: "this entry is stopping", notRun: true, retryAfterMs: 1_000 });
+      refuse({
+        type: "draining",
+        message: "this entry is stopping",
+        notRun: true,
+        retryAfterMs: 1_000,
+      });
     }
     if (!this.#o.config.ready()) {
       const message = "this entry does not have a recent configuration yet";
@@ -300,7 +320,12 @@
     const head = { format: ref.format, gen: ref.gen, model: ref.service, created: ref.created };
     sink.begin(head, signed);
     const cursor = new TokenCursor(offset + 1);
-    const opening = { kind: "resume", gen: ref.gen, account: account.id, offset: offset + 1 } as const;
+    const opening = {
+      kind: "resume",
+      gen: ref.gen,
+      account: account.id,
+      offset: offset + 1,
+    } as const;
     const { links } = this.#o;
     const gone = goneSignal(res);
     const options = { clock, links, limits: this.#limits, sink, cursor, gone };
--- a/packages/daemon/src/entry_follow.ts
+++ b/packages/daemon/src/entry_follow.ts
@@ -5,8 +5,8 @@
  */
 import type { TokenCursor } from "@wisteriapick/delivery";
 import type {
-  EndpointLoad,
   End,
+  EndpointLoad,
   Fail,
   Link,
   LinkStream,
--- a/packages/daemon/src/entry_relay.ts
+++ b/packages/daemon/src/entry_relay.ts
@@ -22,7 +22,7 @@
 import type { AttemptOutcome, Placement, PlacementRequest } from "@wisteriapick/policy";
 import type { End, Run } from "@wisteriapick/wire";
 import type { Directory, DirectoryEntry } from "./directory.ts";
-import { followGeneration, type FollowerResult, type FollowLimits } from "./entry_follower.ts";
+import { type FollowerResult, followGeneration, type FollowLimits } from "./entry_follower.ts";
 import type { AnswerSink } from "./entry_sinks.ts";
 import type { LinkSource } from "./link_source.ts";
 
--- a/packages/daemon/src/side.ts
+++ b/packages/daemon/src/side.ts
@@ -13,8 +13,8 @@
   type RefusalReason,
   type ServiceId,
   type Undo,
-  versionId,
   type VersionId,
+  versionId,
   type World,
 } from "@wisteriapick/core";
 import type { ConfigSource } from "@wisteriapick/control";
