Add the configuration log and a configuration source over the store

Change N is accepted exactly when the object of entry N was created by a conditional create. A lost answer is resolved by repeating the create: once the key is taken, its change id tells whose write it was.

--- /dev/null
+++ b/packages/control/src/changes.ts
@@ -0,0 +1,270 @@
+/**
+ * Typed changes of the configuration and their validation against the document they apply to.
+ *
+ * @module
+ */
+import {
+  type DataCentreId,
+  dataCentreId,
+  type MoveId,
+  moveId,
+  raise,
+  type ServiceId,
+  type VersionId,
+} from "@wisteriapick/core";
+import { z } from "zod";
+import {
+  type Account,
+  AccountSchema,
+  type ConfigView,
+  DataCentreSchema,
+  EndpointSchema,
+  type Move,
+  MoveSchema,
+  type Service,
+  ServiceSchema,
+} from "./config_document.ts";
+
+const moveKey = z.string().transform((s) => moveId(s));
+const centreKey = z.string().transform((s) => dataCentreId(s));
+const plainId = z.string().min(1);
+
+/** One typed change. Times are Unix ms; `share` is 0 to 1. */
+export const ChangeSchema = z.discriminatedUnion("type", [
+  z.object({ type: z.literal("put_service"), service: ServiceSchema }).strict(),
+  z.object({ type: z.literal("remove_service"), id: plainId }).strict(),
+  z.object({ type: z.literal("put_account"), account: AccountSchema }).strict(),
+  z.object({ type: z.literal("remove_account"), id: plainId }).strict(),
+  z.object({ type: z.literal("put_endpoint"), endpoint: EndpointSchema }).strict(),
+  z.object({ type: z.literal("remove_endpoint"), id: plainId }).strict(),
+  z.object({ type: z.literal("put_data_centre"), dataCentre: DataCentreSchema }).strict(),
+  z.object({ type: z.literal("remove_data_centre"), id: plainId }).strict(),
+  z.object({
+    type: z.literal("set_data_centre_state"),
+    id: centreKey,
+    state: z.enum(["in", "out", "returning"]),
+    atMs: z.number(),
+  }).strict(),
+  z.object({ type: z.literal("open_move"), move: MoveSchema }).strict(),
+  z.object({
+    type: z.literal("advance_move"),
+    id: moveKey,
+    share: z.number().min(0).max(1),
+  }).strict(),
+  z.object({ type: z.literal("finish_move"), id: moveKey, reason: z.string() }).strict(),
+  z.object({ type: z.literal("take_back_move"), id: moveKey, reason: z.string() }).strict(),
+  z.object({
+    type: z.literal("settle_move"),
+    id: moveKey,
+    outcome: z.enum(["finished", "taken_back"]),
+    reason: z.string(),
+  }).strict(),
+]);
+
+/** See {@link ChangeSchema}. */
+export type Change = z.output<typeof ChangeSchema>;
+
+function invalid(message: string): never {
+  raise({ type: "invalid_change", message });
+}
+
+function put<K, V>(map: ReadonlyMap<K, V>, key: K, value: V): ReadonlyMap<K, V> {
+  return new Map(map).set(key, value);
+}
+
+function remove<K extends string, V>(
+  map: ReadonlyMap<K, V>,
+  key: string,
+  kind: string,
+): ReadonlyMap<K, V> {
+  const next = new Map(map);
+  if (!next.delete(key as K)) invalid(`there is no ${kind} ${key}`);
+  return next;
+}
+
+function openMoveOf(view: ConfigView, service: string): Move | undefined {
+  for (const move of view.moves.values()) {
+    if (move.service === service && !move.settled) return move;
+  }
+  return undefined;
+}
+
+function checkService(view: ConfigView, service: Service): void {
+  const versions = new Set<string>(service.versions.map((v) => v.id));
+  if (versions.size !== service.versions.length) {
+    invalid(`service ${service.id} names a version twice`);
+  }
+  if (!versions.has(service.activeVersion)) {
+    invalid(`service ${service.id} has no version ${service.activeVersion}`);
+  }
+  const active = service.versions.find((v) => v.id === service.activeVersion)!;
+  if (active.withdrawn) invalid(`the active version of service ${service.id} is withdrawn`);
+  const move = openMoveOf(view, service.id);
+  if (move !== undefined) {
+    if (!versions.has(move.from) || !versions.has(move.to)) {
+      invalid(`move ${move.id} of service ${service.id} is open and needs both of its versions`);
+    }
+    if (view.services.get(service.id)!.activeVersion !== service.activeVersion) {
+      invalid(`move ${move.id} is open; the active version changes when it ends`);
+    }
+  }
+  for (const e of view.endpoints.values()) {
+    if (e.service === service.id && !versions.has(e.version)) {
+      invalid(`endpoint ${e.id} runs version ${e.version}, which service ${service.id} lacks`);
+    }
+  }
+}
+
+function checkAccount(view: ConfigView, account: Account): void {
+  for (const hash of account.keyHashes) {
+    const other = view.accountsByKeyHash.get(hash);
+    if (other !== undefined && other.id !== account.id) {
+      invalid(`a key of account ${account.id} belongs to account ${other.id}`);
+    }
+  }
+}
+
+function requireVersion(view: ConfigView, service: ServiceId, version: VersionId): void {
+  const found = view.services.get(service);
+  if (found === undefined) invalid(`there is no service ${service}`);
+  if (!found.versions.some((v) => v.id === version)) {
+    invalid(`service ${service} has no version ${version}`);
+  }
+}
+
+function indexKeys(accounts: ReadonlyMap<string, Account>): ReadonlyMap<string, Account> {
+  const keys = new Map<string, Account>();
+  for (const account of accounts.values()) {
+    for (const hash of account.keyHashes) keys.set(hash, account);
+  }
+  return keys;
+}
+
+function withAccounts(view: ConfigView, accounts: ConfigView["accounts"]): ConfigView {
+  return { ...view, accounts, accountsByKeyHash: indexKeys(accounts) };
+}
+
+function requireOpen(view: ConfigView, id: MoveId): Move {
+  const move = view.moves.get(id);
+  if (move === undefined) invalid(`there is no move ${id}`);
+  if (move.state !== "open") invalid(`move ${id} is ${move.state}`);
+  return move;
+}
+
+function endMove(
+  view: ConfigView,
+  move: Move,
+  end: Pick<Move, "state" | "reason" | "settled">,
+): ConfigView {
+  const service = view.services.get(move.service);
+  const share = end.state === "finished" ? 1 : 0;
+  const moves = put(view.moves, move.id, { ...move, ...end, share });
+  if (service === undefined) return { ...view, moves };
+  const activeVersion = end.state === "finished" ? move.to : move.from;
+  return {
+    ...view,
+    moves,
+    services: put(view.services, service.id, { ...service, activeVersion }),
+  };
+}
+
+function openMove(view: ConfigView, move: Move): ConfigView {
+  if (view.moves.has(move.id)) invalid(`there is already a move ${move.id}`);
+  requireVersion(view, move.service, move.from);
+  requireVersion(view, move.service, move.to);
+  const service = view.services.get(move.service)!;
+  const other = openMoveOf(view, move.service);
+  if (other !== undefined) invalid(`move ${other.id} of service ${move.service} has not ended`);
+  if (move.from === move.to) invalid(`move ${move.id} goes from ${move.from} to itself`);
+  if (service.activeVersion !== move.from) {
+    invalid(`service ${service.id} is at version ${service.activeVersion}, not ${move.from}`);
+  }
+  if (service.versions.find((v) => v.id === move.to)!.withdrawn) {
+    invalid(`version ${move.to} is withdrawn`);
+  }
+  if (move.deadlineMs <= move.startMs) invalid(`move ${move.id} ends before it starts`);
+  if (move.state !== "open" || move.settled) invalid(`a new move must be open`);
+  return { ...view, moves: put(view.moves, move.id, move) };
+}
+
+function setCentreState(
+  view: ConfigView,
+  change: { id: DataCentreId; state: "in" | "out" | "returning"; atMs: number },
+): ConfigView {
+  const dc = view.dataCentres.get(change.id);
+  if (dc === undefined) invalid(`there is no data centre ${change.id}`);
+  if (change.state === "returning" && dc.state === "in") {
+    invalid(`data centre ${change.id} is in already`);
+  }
+  const next = { ...dc, state: change.state, sinceMs: change.atMs };
+  return { ...view, dataCentres: put(view.dataCentres, dc.id, next) };
+}
+
+/**
+ * Applies one change and returns the new view with the same revision. Raises `invalid_change` and leaves the
+ * given view as it is when the change does not fit.
+ *
+ * @example
+ * ```ts
+ * const next = applyChange(view, { type: "remove_account", id: "museum-shop" });
+ * ```
+ */
+export function applyChange(view: ConfigView, change: Change): ConfigView {
+  switch (change.type) {
+    case "put_service":
+      checkService(view, change.service);
+      return { ...view, services: put(view.services, change.service.id, change.service) };
+    case "remove_service":
+      for (const e of view.endpoints.values()) {
+        if (e.service === change.id) invalid(`endpoint ${e.id} serves ${change.id}`);
+      }
+      if (openMoveOf(view, change.id)) invalid(`a move of service ${change.id} has not ended`);
+      return { ...view, services: remove(view.services, change.id, "service") };
+    case "put_account":
+      checkAccount(view, change.account);
+      return withAccounts(view, put(view.accounts, change.account.id, change.account));
+    case "remove_account":
+      return withAccounts(view, remove(view.accounts, change.id, "client account"));
+    case "put_endpoint":
+      requireVersion(view, change.endpoint.service, change.endpoint.version);
+      return { ...view, endpoints: put(view.endpoints, change.endpoint.id, change.endpoint) };
+    case "remove_endpoint":
+      return { ...view, endpoints: remove(view.endpoints, change.id, "endpoint") };
+    case "put_data_centre":
+      return {
+        ...view,
+        dataCentres: put(view.dataCentres, change.dataCentre.id, change.dataCentre),
+      };
+    case "remove_data_centre": {
+      const dc = [...view.dataCentres.values()].find((d) => d.id === change.id);
+      if (dc !== undefined && dc.state !== "out") invalid(`take data centre ${dc.id} out first`);
+      return { ...view, dataCentres: remove(view.dataCentres, change.id, "data centre") };
+    }
+    case "set_data_centre_state":
+      return setCentreState(view, change);
+    case "open_move":
+      return openMove(view, change.move);
+    case "advance_move": {
+      const move = requireOpen(view, change.id);
+      return { ...view, moves: put(view.moves, move.id, { ...move, share: change.share }) };
+    }
+    case "finish_move":
+      return endMove(view, requireOpen(view, change.id), {
+        state: "finished",
+        reason: change.reason,
+        settled: false,
+      });
+    case "take_back_move":
+      return endMove(view, requireOpen(view, change.id), {
+        state: "taken_back",
+        reason: change.reason,
+        settled: true,
+      });
+    case "settle_move": {
+      const move = view.moves.get(change.id);
+      if (move === undefined) invalid(`there is no move ${change.id}`);
+      if (move.settled) invalid(`move ${change.id} is settled already`);
+      return endMove(view, move, { state: change.outcome, reason: change.reason, settled: true });
+    }
+  }
+}
--- /dev/null
+++ b/packages/control/src/config_state.ts
@@ -0,0 +1,108 @@
+/**
+ * The configuration in force at one process. Revisions only rise.
+ *
+ * @module
+ */
+import { type Clock, raise, type Revision, type Undo } from "@wisteriapick/core";
+import { ConfigSource, type ConfigView } from "./config_document.ts";
+import { applyEntry, decodeSnapshot, emptyView, type EncodedEntry } from "./log_entry.ts";
+
+/** Entries kept to bring peers up to date without a snapshot. */
+export const RECENT_ENTRIES = 1_024;
+/** A configuration proved to be newer than this makes a process ready. */
+export const READY_AS_OF_MS = 5_000;
+
+/** The state and a {@link ConfigSource} over it. */
+export class ConfigState extends ConfigSource {
+  #view: ConfigView = emptyView();
+  #ready = false;
+  #provenAt: number | null = null;
+  #recent: EncodedEntry[] = [];
+  readonly #clock: Clock;
+  readonly #listeners = new Set<(view: ConfigView) => void>();
+
+  constructor(clock: Clock) {
+    super();
+    this.#clock = clock;
+  }
+
+  current(): ConfigView {
+    return this.#view;
+  }
+
+  ready(): boolean {
+    return this.#ready;
+  }
+
+  registerListener(fn: (view: ConfigView) => void): Undo {
+    this.#listeners.add(fn);
+    return () => void this.#listeners.delete(fn);
+  }
+
+  /** Age of the last proof of freshness, or `null` without one. */
+  asOfMs(): number | null {
+    return this.#provenAt === null ? null : this.#clock.now() - this.#provenAt;
+  }
+
+  /** Records that the configuration in force was the newest at monotonic time `at`. */
+  recordProof(at: number): void {
+    if (this.#provenAt === null || at > this.#provenAt) this.#provenAt = at;
+    if (this.#clock.now() - at <= READY_AS_OF_MS) this.#ready = true;
+  }
+
+  /** Makes the process ready without a proof, by the start-up rule for a store that is down. */
+  recordReadyWithoutProof(): void {
+    this.#ready = true;
+  }
+
+  /** Applies the entry that follows; ignores older ones; returns false when entries are missing. */
+  applyEntry(encoded: EncodedEntry): boolean {
+    const next = encoded.entry.revision;
+    if (next <= this.#view.revision) return true;
+    if (next !== this.#view.revision + 1) return false;
+    this.#view = applyEntry(this.#view, encoded.entry);
+    this.#recent.push(encoded);
+    // Trimmed in bulk, so that the copy costs little per entry.
+    if (this.#recent.length >= 2 * RECENT_ENTRIES) {
+      this.#recent = this.#recent.slice(-RECENT_ENTRIES);
+    }
+    this.#notify();
+    return true;
+  }
+
+  /** Takes over a snapshot when it is newer. */
+  applySnapshot(bytes: Uint8Array): void {
+    const view = decodeSnapshot(bytes);
+    if (view.revision <= this.#view.revision) return;
+    this.#view = view;
+    this.#recent = [];
+    this.#notify();
+  }
+
+  /** Entries after `from`, or `null` when some are no longer held. */
+  entriesAfter(from: Revision): readonly EncodedEntry[] | null {
+    if (from >= this.#view.revision) return [];
+    const first = this.#recent[0]?.entry.revision;
+    if (first === undefined || first > from + 1) return null;
+    return this.#recent.slice(from + 1 - first);
+  }
+
+  /** The revision at which a change id was accepted, among the entries held. */
+  findChange(id: string): Revision | null {
+    for (let i = this.#recent.length - 1; i >= 0; i--) {
+      const entry = this.#recent[i]!.entry;
+      if (entry.id === id) return entry.revision;
+    }
+    return null;
+  }
+
+  #notify(): void {
+    for (const fn of this.#listeners) fn(this.#view);
+  }
+
+  /** Raises when the state is not at `expected`. */
+  requireRevision(expected: Revision): void {
+    if (this.#view.revision === expected) return;
+    raise({ type: "invariant", message: `at ${this.#view.revision}, expected ${expected}` });
+  }
+}
--- a/packages/control/src/mod.ts
+++ b/packages/control/src/mod.ts
@@ -3,4 +3,11 @@
  *
  * @module
  */
+export * from "./changes.ts";
 export * from "./config_document.ts";
+export * from "./config_log.ts";
+export * from "./config_state.ts";
+export * from "./log_entry.ts";
+export * from "./snapshot_store.ts";
+export * from "./store_calls.ts";
+export * from "./store_watcher.ts";
--- /dev/null
+++ b/packages/control/src/snapshot_store.ts
@@ -0,0 +1,130 @@
+/**
+ * Snapshots of the configuration in the object API, and deletion of old log entries.
+ *
+ * @module
+ */
+import { createHash } from "node:crypto";
+import { type Revision, revision, toWpError } from "@wisteriapick/core";
+import type { ObjectStore } from "@wisteriapick/platform";
+import { decode, encode } from "cbor-x";
+import type { ConfigView } from "./config_document.ts";
+import { encodeSnapshot } from "./log_entry.ts";
+
+export const SNAPSHOT_POINTER_KEY = "config/snapshot";
+const CHUNK_PREFIX = "config/snapshots/";
+/** A snapshot is written for every so many changes. */
+export const SNAPSHOT_EVERY = 256;
+/** Below the store's limit of 1 MB per value. */
+export const SNAPSHOT_CHUNK_BYTES = 900_000;
+/** Log entries kept as history: one day at the design size. */
+export const KEPT_ENTRIES = 100_000;
+const LOG_PREFIX = "config/log/";
+
+/** The newest snapshot. `digest` names its chunks, so that chunks of two writers are never mixed. */
+export interface SnapshotPointer {
+  readonly revision: Revision;
+  readonly digest: string;
+  readonly chunks: number;
+  readonly version: number;
+}
+
+function revisionPrefix(r: number): string {
+  return CHUNK_PREFIX + String(r).padStart(12, "0");
+}
+
+function chunkKey(r: Revision, digest: string, i: number): string {
+  return `${revisionPrefix(r)}/${digest}/${String(i).padStart(4, "0")}`;
+}
+
+function digestOf(bytes: Uint8Array): string {
+  return createHash("sha256").update(bytes).digest("hex").slice(0, 16);
+}
+
+async function ignoreConflict(work: Promise<unknown>): Promise<void> {
+  try {
+    await work;
+  } catch (e) {
+    if (toWpError(e).type !== "store_conflict") throw e;
+  }
+}
+
+/** Writes and reads snapshots. Several writers at once do no harm. */
+export class SnapshotStore {
+  readonly #store: ObjectStore;
+  readonly #every: number;
+  readonly #kept: number;
+  readonly #chunkBytes: number;
+
+  constructor(
+    store: ObjectStore,
+    { every = SNAPSHOT_EVERY, kept = KEPT_ENTRIES, chunkBytes = SNAPSHOT_CHUNK_BYTES } = {},
+  ) {
+    this.#store = store;
+    this.#every = every;
+    this.#kept = kept;
+    this.#chunkBytes = chunkBytes;
+  }
+
+  async pointer(): Promise<SnapshotPointer | null> {
+    const obj = await this.#store.get(SNAPSHOT_POINTER_KEY);
+    if (obj === null) return null;
+    const raw = decode(obj.value) as { revision: number; digest: string; chunks: number };
+    return { ...raw, revision: revision(raw.revision), version: obj.version };
+  }
+
+  /** Bytes of the newest snapshot, or `null` when there is none. */
+  async readNewest(): Promise<Uint8Array | null> {
+    const pointer = await this.pointer();
+    if (pointer === null) return null;
+    const parts: Uint8Array[] = [];
+    for (let i = 0; i < pointer.chunks; i++) {
+      const obj = await this.#store.get(chunkKey(pointer.revision, pointer.digest, i));
+      // Deleted while it was read: a newer one exists.
+      if (obj === null) return this.readNewest();
+      parts.push(obj.value);
+    }
+    return Buffer.concat(parts);
+  }
+
+  /** Writes a snapshot when the revision is a multiple of the interval. */
+  async writeIfDue(view: ConfigView): Promise<void> {
+    if (view.revision % this.#every === 0) await this.write(view);
+  }
+
+  /** Writes a snapshot of `view` unless a newer one exists, and deletes what it replaces. */
+  async write(view: ConfigView): Promise<void> {
+    const old = await this.pointer();
+    if (old !== null && old.revision >= view.revision) return;
+    const bytes = encodeSnapshot(view);
+    const digest = digestOf(bytes);
+    const chunks = Math.max(1, Math.ceil(bytes.length / this.#chunkBytes));
+    for (let i = 0; i < chunks; i++) {
+      const part = bytes.subarray(i * this.#chunkBytes, (i + 1) * this.#chunkBytes);
+      const key = chunkKey(view.revision, digest, i);
+      await ignoreConflict(this.#store.put(key, part, { ifVersion: 0 }));
+    }
+    const pointer = encode({ revision: view.revision, digest, chunks });
+    await this.#store.put(SNAPSHOT_POINTER_KEY, pointer, { ifVersion: old?.version ?? 0 });
+    await this.#deleteOld(view.revision);
+  }
+
+  /** Keeps the newest two snapshots, so that a reader of the one before can finish. */
+  async #deleteOld(newest: Revision): Promise<void> {
+    const chunks = await this.#store.list(CHUNK_PREFIX);
+    const keepFrom = revisionPrefix(Math.max(0, newest - 2 * this.#every));
+    for (const obj of chunks.objects) {
+      if (obj.key < keepFrom) await this.#deleteOne(obj.key, obj.version);
+    }
+    const firstKept = newest - this.#kept;
+    if (firstKept <= 0) return;
+    const page = await this.#store.list(LOG_PREFIX, { limit: 2 * this.#every });
+    for (const obj of page.objects) {
+      if (Number(obj.key.slice(LOG_PREFIX.length)) >= firstKept) return;
+      await this.#deleteOne(obj.key, obj.version);
+    }
+  }
+
+  async #deleteOne(key: string, version: number): Promise<void> {
+    await ignoreConflict(this.#store.delete(key, { ifVersion: version }));
+  }
+}
