Add propagation of the configuration by a tree in each data centre

SpreadNode pulls from a parent chosen by rendezvous hashing and pushes to its children; it knows no sockets and no store. A process switches when its proof of freshness is over 2 s old, probing the next candidate before it leaves the old. The start-up rule decides when a process may serve while the store is down. config_push gains optional fields full, watcher and ready.

--- a/packages/control/src/config_log.ts
+++ b/packages/control/src/config_log.ts
@@ -155,7 +155,8 @@
     if (pointer === null || pointer.revision <= r) return;
     const after = await this.#store.get(logKey(revision(r + 1)));
     if (after !== null) return;
-    await this.#store.delete(logKey(r), { ifVersion: 1 });
+    const late = await this.#store.get(logKey(r));
+    if (late !== null) await this.#store.delete(logKey(r), { ifVersion: late.version });
     raise({ type: "store_conflict", message: `revision ${r} is long past`, currentVersion: null });
   }
 
--- a/packages/control/src/mod.ts
+++ b/packages/control/src/mod.ts
@@ -11,3 +11,7 @@
 export * from "./snapshot_store.ts";
 export * from "./store_calls.ts";
 export * from "./store_watcher.ts";
+export * from "./spread_node.ts";
+export * from "./spread_push.ts";
+export * from "./startup_rule.ts";
+export * from "./tree.ts";
--- /dev/null
+++ b/packages/control/tests/spread_fixtures.ts
@@ -0,0 +1,169 @@
+import { dataCentreId, ManualClock, Rng, type Undo } from "@wisteriapick/core";
+import type { ConfigPush } from "@wisteriapick/wire";
+import { rankMembers, type SpreadMember, SpreadNode } from "../src/mod.ts";
+import { decodeEntry } from "../src/mod.ts";
+import { makeLog, MemoryStore, putAccount, write } from "./fixtures.ts";
+
+interface Running {
+  node: SpreadNode;
+  stop: Undo;
+}
+
+const DELAY_MS = 2;
+
+/** Many spread nodes that talk through delayed calls on one manual clock; the test plays the watchers. */
+export class SpreadCluster {
+  readonly clock = new ManualClock();
+  readonly store = new MemoryStore(this.clock);
+  readonly log = makeLog(this.store, this.clock);
+  readonly members: SpreadMember[] = [];
+  readonly nodes = new Map<string, Running>();
+  readonly cutCentres = new Set<string>();
+  readonly highest = new Map<string, number>();
+  pulls = 0;
+  reverted = 0;
+  storeUp = true;
+  #streams = new Map<number, { child: string; parent: string }>();
+  #nextStream = 0;
+  #rng = new Rng(11);
+
+  constructor(sizes: Record<string, number>) {
+    for (const [dc, size] of Object.entries(sizes)) {
+      for (let i = 0; i < size; i++) {
+        const key = `${dc}-${i}`;
+        this.members.push({ key, dataCentre: dataCentreId(dc), address: key });
+      }
+    }
+  }
+
+  startAll(): void {
+    for (const m of this.members) this.startNode(m);
+  }
+
+  startNode(self: SpreadMember): SpreadNode {
+    const rng = this.#rng.fork(`${self.key}/${this.clock.now()}`);
+    const node: SpreadNode = new SpreadNode({
+      self,
+      clock: this.clock,
+      rng,
+      ports: {
+        pull: (peer, from) => this.#open(self, peer, from),
+        drop: (peer) => this.#close(self.key, peer),
+        push: (stream, msg) => this.#push(stream, msg),
+      },
+    });
+    node.setMembers(this.members);
+    node.state.registerListener((view) => {
+      if (view.revision < (this.highest.get(self.key) ?? 0)) this.reverted++;
+      this.highest.set(self.key, view.revision);
+    });
+    this.highest.delete(self.key);
+    this.nodes.set(self.key, { node, stop: node.start() });
+    return node;
+  }
+
+  stopNode(key: string): void {
+    this.nodes.get(key)?.stop();
+    this.nodes.delete(key);
+    for (const [id, s] of [...this.#streams]) {
+      if (s.child !== key && s.parent !== key) continue;
+      this.#streams.delete(id);
+      if (s.parent === key) this.#later(() => this.nodes.get(s.child)?.node.onPeerLost(key));
+      else this.#later(() => this.nodes.get(s.parent)?.node.onChildLost(id));
+    }
+  }
+
+  /** Cuts the links of a data centre to the others. */
+  cut(dc: string): void {
+    this.cutCentres.add(dc);
+    for (const [id, s] of [...this.#streams]) {
+      if (!this.#cutBetween(s.child, s.parent)) continue;
+      this.#streams.delete(id);
+      this.nodes.get(s.child)?.node.onPeerLost(s.parent);
+      this.nodes.get(s.parent)?.node.onChildLost(id);
+    }
+  }
+
+  heal(): void {
+    this.cutCentres.clear();
+  }
+
+  watchers(dc: string): string[] {
+    return rankMembers(this.members, dataCentreId(dc)).slice(0, 3).map((m) => m.key);
+  }
+
+  /** Plays one round of store answers at every running watcher. */
+  storeRound(centres: readonly string[]): void {
+    for (const key of centres.flatMap((dc) => this.watchers(dc))) {
+      const node = this.nodes.get(key)?.node;
+      if (node === undefined) continue;
+      node.setWatching(true);
+      if (this.storeUp) this.#feed(node);
+      node.onStoreAnswer(this.storeUp);
+    }
+  }
+
+  #feed(node: SpreadNode): void {
+    for (const e of this.log.state.entriesAfter(node.state.current().revision) ?? []) {
+      node.state.applyEntry(decodeEntry(e.bytes));
+    }
+    node.state.recordProof(this.clock.now());
+  }
+
+  /** Lets time pass, with a store answer at the watchers of `centres` every 500 ms. */
+  pass(ms: number, centres: readonly string[]): void {
+    for (let t = 0; t < ms; t += 50) {
+      if (this.clock.now() % 500 === 0) this.storeRound(centres);
+      this.clock.advance(50);
+    }
+  }
+
+  async change(id: string): Promise<number> {
+    return write(this.log, id, [putAccount(id)]);
+  }
+
+  behind(revision: number): string[] {
+    const late = [...this.nodes].filter(([, r]) => r.node.state.current().revision < revision);
+    return late.map(([key]) => key);
+  }
+
+  #cutBetween(a: string, b: string): boolean {
+    const dc = (key: string) => key.slice(0, key.lastIndexOf("-"));
+    if (dc(a) === dc(b)) return false;
+    return this.cutCentres.has(dc(a)) || this.cutCentres.has(dc(b));
+  }
+
+  #later(fn: () => void): void {
+    this.clock.setTimer(DELAY_MS, fn);
+  }
+
+  #open(self: SpreadMember, peer: SpreadMember, from: Parameters<SpreadNode["onPull"]>[1]): void {
+    this.pulls++;
+    this.#later(() => {
+      const parent = this.nodes.get(peer.key)?.node;
+      if (parent === undefined || this.#cutBetween(self.key, peer.key)) {
+        return this.nodes.get(self.key)?.node.onPeerLost(peer.key);
+      }
+      const id = this.#nextStream++;
+      this.#streams.set(id, { child: self.key, parent: peer.key });
+      parent.onPull(id, from);
+    });
+  }
+
+  #close(child: string, parent: string): void {
+    for (const [id, s] of [...this.#streams]) {
+      if (s.child !== child || s.parent !== parent) continue;
+      this.#streams.delete(id);
+      this.#later(() => this.nodes.get(parent)?.node.onChildLost(id));
+    }
+  }
+
+  #push(id: number, msg: ConfigPush): boolean {
+    const s = this.#streams.get(id);
+    if (s === undefined) return true;
+    this.#later(() => {
+      if (this.#streams.has(id)) this.nodes.get(s.child)?.node.onPush(s.parent, msg);
+    });
+    return true;
+  }
+}
--- a/packages/wire/src/message_codec.ts
+++ b/packages/wire/src/message_codec.ts
@@ -177,6 +177,9 @@
     snapshot: optional(bytes),
     asOfMs: nullable(real),
     storeUp: flag,
+    full: optional(flag),
+    watcher: optional(flag),
+    ready: optional(flag),
   }),
   evidence: record<Body<"evidence">>({
     process: id(processId),
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -194,6 +194,12 @@
   readonly asOfMs: number | null;
   /** Whether the store could be reached at that proof's origin. */
   readonly storeUp: boolean;
+  /** The sender takes no more children: this is its only answer. */
+  readonly full?: boolean;
+  /** The sender holds a watcher lease. */
+  readonly watcher?: boolean;
+  /** The sender may serve. Answers of starting processes do not count in the start-up rule. */
+  readonly ready?: boolean;
 }
 
 /** Counts of one cell of a move's evidence. Times are sums in milliseconds. */
