--- a/packages/control/src/mod.ts
+++ b/packages/control/src/mod.ts
@@ -3,4 +3,15 @@
  *
  * @module
  */
+export * from "./changes.ts";
 export * from "./config_document.ts";
+export * from "./config_log.ts";
+export * from "./config_state.ts";
+export * from "./log_entry.ts";
+export * from "./snapshot_store.ts";
+export * from "./store_calls.ts";
+export * from "./store_watcher.ts";
+export * from "./spread_node.ts";
+export * from "./spread_push.ts";
+export * from "./startup_rule.ts";
+export * from "./tree.ts";
