--- a/packages/wire/src/frame_socket.ts
+++ b/packages/wire/src/frame_socket.ts
@@ -60,6 +60,10 @@
     return this.#socket.writableLength + this.#batched > CONGESTED_BYTES;
   }
 
+  get bytesReceived(): number {
+    return this.#socket.bytesRead;
+  }
+
   get open(): boolean {
     return this.#open;
   }
--- a/packages/wire/src/socket_link.ts
+++ b/packages/wire/src/socket_link.ts
@@ -95,6 +95,11 @@
     return this.#lastReceivedMs;
   }
 
+  /** Bytes received so far, with those of TLS. */
+  get bytesReceived(): number {
+    return this.#socket.bytesReceived;
+  }
+
   override openStream(msg: Message, handler: StreamHandler): SocketStream {
     if (this.#closed !== null) throw new WpFailure(linkError("closed", "link is closed"));
     const id = this.#nextId;
