Measure a whole entry in the relay benchmark

Side stand-ins and HTTP callers run in one worker thread each; the entry has the main thread to itself. Callers count token events and check that each answer is whole.

--- a/packages/bench/src/load_thread.ts
+++ b/packages/bench/src/load_thread.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { Worker } from "node:worker_threads";
-import type { Ask, Tell } from "./relay_setup.ts";
+import type { Ask, Tell, ThreadCount } from "./relay_setup.ts";
 
 /** One worker and what it tells. */
 export class LoadThread {
@@ -36,11 +36,16 @@
     });
   }
 
-  /** CPU microseconds of the thread so far. */
-  async cpuUs(): Promise<number> {
+  /** What the thread has used and received so far. */
+  async count(): Promise<ThreadCount> {
     const answer = this.next("cpu");
     this.send({ kind: "cpu" });
-    return (await answer).us;
+    return await answer;
+  }
+
+  /** CPU microseconds of the thread so far. */
+  async cpuUs(): Promise<number> {
+    return (await this.count()).us;
   }
 
   async close(): Promise<void> {
--- a/packages/bench/src/relay.ts
+++ b/packages/bench/src/relay.ts
@@ -6,6 +6,7 @@
 import { parseArgs } from "node:util";
 import { CPU_METHOD } from "./cpu.ts";
 import type { LoadShape } from "./relay_load.ts";
+import { measureEntryLoad, measureEntryMemory } from "./relay_entry.ts";
 import {
   measureLinkLimit,
   measureLinkLoad,
@@ -52,6 +53,9 @@
   if (values.part === "all" || values.part === "link") {
     report.link = await measureLink({ sides, seed, ms });
   }
+  if (values.part === "all" || values.part === "entry") {
+    report.entry = await measureEntry({ sides, seed, ms });
+  }
   if (values.json) console.log(JSON.stringify(report));
   else printReport(report);
 }
@@ -70,6 +74,16 @@
   };
 }
 
+async function measureEntry(options: { sides: number; seed: number; ms: number }) {
+  const design = await measureEntryLoad(DESIGN, options);
+  const short = await measureEntryLoad(SHORT, options);
+  return {
+    ...cost(design, short),
+    incompleteAnswers: design.incomplete + short.incomplete,
+    memoryBytesPerStream: await measureEntryMemory(),
+  };
+}
+
 /** Splits the cost of two loads with the same token rate into that of a token and that of a request. */
 export function cost(design: RelaySample, short: RelaySample): RelayCost {
   const rate = (s: RelaySample) => s.threadUs / s.wallMs;
--- /dev/null
+++ b/packages/bench/src/relay_entry.ts
@@ -0,0 +1,186 @@
+/**
+ * The relay benchmark's second part: a whole entry between side stand-ins and HTTP callers.
+ *
+ * @module
+ */
+import {
+  createLogger,
+  endpointId,
+  revision,
+  Rng,
+  serviceId,
+  SystemClock,
+  World,
+} from "@wisteriapick/core";
+import { ConfigDocumentSchema, indexConfig, StaticConfigSource } from "@wisteriapick/control";
+import {
+  Directory,
+  Entry,
+  formatAddress,
+  hashKey,
+  LeastInFlightPlacement,
+  LinkRouter,
+  PooledLinks,
+} from "@wisteriapick/daemon";
+import type { HostRecord } from "@wisteriapick/platform";
+import { type Address, LinkPool } from "@wisteriapick/wire";
+import { CpuMeter } from "./cpu.ts";
+import { LoadThread } from "./load_thread.ts";
+import { liveBytes } from "./memory.ts";
+import type { RelaySample } from "./relay_link.ts";
+import { type LoadShape, pause, startLoad } from "./relay_load.ts";
+import {
+  benchIdentity,
+  CLIENT_KEY,
+  CLUSTER_KEY,
+  type SidesData,
+  TOKEN_INTERVAL_MS,
+} from "./relay_setup.ts";
+
+const WARM_UP_MS = 3_000;
+const IDLE_STREAMS = 1_000;
+
+/** A measured interval of a whole entry. */
+export interface EntrySample extends RelaySample {
+  /** Answers that were cut short or failed, in the whole run. */
+  readonly incomplete: number;
+}
+
+/** An entry in this thread with its load threads. */
+class Scene {
+  readonly entry: Entry;
+  readonly pool: LinkPool;
+  readonly sides: LoadThread;
+  readonly callers: LoadThread;
+  requests = 0;
+  incomplete = 0;
+
+  private constructor(entry: Entry, pool: LinkPool, sides: LoadThread, callers: LoadThread) {
+    this.entry = entry;
+    this.pool = pool;
+    this.sides = sides;
+    this.callers = callers;
+    callers.onEnded(({ complete }) => {
+      if (!complete) this.incomplete++;
+    });
+  }
+
+  static async open(data: SidesData): Promise<Scene> {
+    const sides = new LoadThread("./relay_sides.js", data);
+    const { addresses } = await sides.next("listening");
+    const { entry, pool } = makeEntry(addresses);
+    const url = `http://${await entry.listen()}`;
+    const callers = new LoadThread("./relay_callers.js", { url });
+    await callers.next("listening");
+    return new Scene(entry, pool, sides, callers);
+  }
+
+  call(maxTokens: number): void {
+    this.requests++;
+    this.callers.send({ kind: "call", maxTokens });
+  }
+
+  async workersUs(): Promise<number> {
+    return await this.sides.cpuUs() + await this.callers.cpuUs();
+  }
+
+  async close(): Promise<void> {
+    this.entry.close();
+    this.pool.close();
+    await this.sides.close();
+    await this.callers.close();
+  }
+}
+
+function makeEntry(addresses: readonly Address[]) {
+  const clock = new SystemClock();
+  const world = new World({ clock });
+  const directory = new Directory(world);
+  directory.apply({ index: 1, hosts: addresses.map(makeHost) });
+  const router = new LinkRouter();
+  const identity = benchIdentity("entry", 0);
+  const pool = new LinkPool({
+    identity,
+    clusterKey: CLUSTER_KEY,
+    acceptor: router,
+    clock,
+    rng: new Rng(1),
+  });
+  const entry = new Entry({
+    identity,
+    clusterKey: CLUSTER_KEY,
+    listen: { host: "127.0.0.1", port: 0 },
+    config: new StaticConfigSource(makeConfig()),
+    directory,
+    links: new PooledLinks(pool),
+    router,
+    placement: new LeastInFlightPlacement(),
+    world,
+    log: createLogger("bench", { level: "silent" }),
+  });
+  return { entry, pool };
+}
+
+function makeHost(address: Address, side: number): HostRecord {
+  const { host, dataCentre } = benchIdentity("side", side);
+  return {
+    host,
+    dataCentre,
+    region: "r-1" as HostRecord["region"],
+    state: "live",
+    side: formatAddress(address),
+    endpoint: {
+      id: endpointId(`scribe-${side}`),
+      service: serviceId("scribe"),
+      address: "127.0.0.1:1",
+    },
+  };
+}
+
+function makeConfig() {
+  const doc = ConfigDocumentSchema.parse({
+    services: [{ id: "scribe", kind: "model", versions: [{ id: "v1" }], activeVersion: "v1" }],
+    accounts: [{ id: "shop", keyHashes: [hashKey(CLIENT_KEY)] }],
+    dataCentres: [{ id: "dc-1", region: "r-1" }],
+  });
+  return indexConfig(doc, revision(1));
+}
+
+/** A steady load through a whole entry. */
+export async function measureEntryLoad(
+  shape: LoadShape,
+  { sides, seed, ms }: { sides: number; seed: number; ms: number },
+): Promise<EntrySample> {
+  const scene = await Scene.open({ sides, intervalMs: TOKEN_INTERVAL_MS });
+  const stop = startLoad(shape, seed, (tokens) => scene.call(tokens));
+  await pause(WARM_UP_MS);
+  const meter = new CpuMeter(() => scene.workersUs());
+  await meter.start();
+  const requests = scene.requests;
+  const before = await scene.callers.count();
+  await pause(ms);
+  const after = await scene.callers.count();
+  const counts = {
+    tokens: after.tokens - before.tokens,
+    bytes: after.bytes - before.bytes,
+    requests: scene.requests - requests,
+  };
+  const use = await meter.stop();
+  stop();
+  const { incomplete } = scene;
+  await scene.close();
+  return { ...counts, ...use, incomplete };
+}
+
+/** Bytes that one open stream holds in the entry, from the caller's socket to the link. */
+export async function measureEntryMemory(): Promise<number> {
+  const scene = await Scene.open({ sides: 8, intervalMs: 3_600_000 });
+  scene.call(1);
+  await pause(500);
+  const before = liveBytes();
+  for (let i = 0; i < IDLE_STREAMS; i++) scene.call(1);
+  await pause(2_000);
+  const bytes = (liveBytes() - before) / IDLE_STREAMS;
+  await scene.close();
+  return bytes;
+}
--- a/packages/bench/src/relay_setup.ts
+++ b/packages/bench/src/relay_setup.ts
@@ -40,9 +40,16 @@
   | { readonly kind: "exit" }
   | { readonly kind: "call"; readonly maxTokens: number };
 
+/** What a load thread has used and received so far. */
+export interface ThreadCount {
+  readonly us: number;
+  readonly tokens: number;
+  readonly bytes: number;
+}
+
 /** What a load thread tells. */
 export type Tell =
-  | { readonly kind: "cpu"; readonly us: number }
+  | ({ readonly kind: "cpu" } & ThreadCount)
   | { readonly kind: "listening"; readonly addresses: readonly Address[] }
   | { readonly kind: "ended"; readonly tokens: number; readonly complete: boolean };
 
--- a/packages/bench/src/relay_sides.ts
+++ b/packages/bench/src/relay_sides.ts
@@ -122,7 +122,7 @@
   addresses.push(listener.address);
 }
 port.on("message", (msg: Ask) => {
-  if (msg.kind === "cpu") tell({ kind: "cpu", us: threadCpuUs() });
+  if (msg.kind === "cpu") tell({ kind: "cpu", us: threadCpuUs(), tokens: 0, bytes: 0 });
   if (msg.kind === "exit") process.exit();
 });
 tell({ kind: "listening", addresses });
