--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -9,49 +9,35 @@
   createMetrics,
   type DataCentreId,
   type EndpointId,
-  type GenerationId,
   generationId,
   type Logger,
   type Metrics,
   refuse,
   type RequestId,
-  requestId,
   toRefusal,
   type Undo,
   type VersionId,
   type World,
 } from "@wisteriapick/core";
 import type { Account, ConfigSource, ConfigView } from "@wisteriapick/control";
-import {
-  encodeModelList,
-  parseCompletionRequest,
-  ResumeSigner,
-  TokenCursor,
-} from "@wisteriapick/delivery";
+import { encodeModelList, ResumeSigner } from "@wisteriapick/delivery";
+import type { ObjectStore } from "@wisteriapick/platform";
 import type { Placement } from "@wisteriapick/policy";
-import type { Identity } from "@wisteriapick/wire";
-import findMyWay from "find-my-way";
-import type { Directory } from "./directory.ts";
-import { authenticate, authorizeService } from "./entry_auth.ts";
-import { followGeneration } from "./entry_follower.ts";
-import {
-  GenerationRelay,
-  RELAY_LIMITS,
-  type RelayLimits,
-  type RelayRequest,
-} from "./entry_relay.ts";
-import { type AnswerSink, sendProblem, StreamSink, WholeSink } from "./entry_sinks.ts";
+import type { EndpointLoad, Identity } from "@wisteriapick/wire";
+import findMyWay, { type HTTPMethod } from "find-my-way";
+import { CallRelay } from "./call_relay.ts";
+import type { Directory, DirectoryEntry } from "./directory.ts";
+import { authenticate } from "./entry_auth.ts";
+import { PlainCalls } from "./entry_calls.ts";
+import { Completions } from "./entry_completions.ts";
+import type { EntryContext, RequestRow } from "./entry_context.ts";
+import { GenerationRelay, RELAY_LIMITS, type RelayLimits } from "./entry_relay.ts";
+import { sendProblem } from "./entry_sinks.ts";
 import { ConfiguredVersions, type VersionChooser } from "./entry_versions.ts";
-import {
-  type HttpListenOptions,
-  listenHttp,
-  makeHttpServer,
-  readBody,
-  sendJson,
-} from "./http_server.ts";
+import { type HttpListenOptions, listenHttp, makeHttpServer, sendJson } from "./http_server.ts";
+import { IdempotencyClaims, type IdempotencyOptions } from "./idempotency.ts";
 import type { LinkRouter } from "./link_router.ts";
 import type { LinkSource } from "./link_source.ts";
-import { promptShape } from "./prompt_shape.ts";
 
 /** What an entry is made of. */
 export interface EntryOptions {
@@ -65,11 +51,16 @@
   readonly placement: Placement;
   readonly world: World;
   readonly log: Logger;
+  /** Holds idempotency keys; without it, calls with a key are refused. */
+  readonly store?: ObjectStore;
+  readonly idempotency?: Partial<Omit<IdempotencyOptions, "store" | "clock">>;
   readonly versions?: VersionChooser;
   readonly metrics?: Metrics;
   readonly limits?: Partial<RelayLimits>;
-  /** Largest body of a completion request. */
+  /** Largest body of a completion request; it must fit into one frame. */
   readonly maxBodyBytes?: number;
+  /** Silence of a plain service's answer that ends a call. */
+  readonly callSilenceMs?: number;
   /** Makes ids; random by default. */
   readonly makeId?: (prefix: string) => string;
 }
@@ -88,70 +79,74 @@
   params: Record<string, string | undefined>,
 ) => Promise<void> | void;
 
+const MAX_BODY_BYTES = 512 << 10;
+/** Longer than a side waits for its endpoint, so that the side's own verdict arrives first. */
+const CALL_SILENCE_MS = 45_000;
+/** Time in which load balancers notice the failing health check before work is refused. */
+const ANNOUNCE_MS = 3_000;
+const DRAIN_POLL_MS = 20;
+const ANY_METHOD: HTTPMethod[] = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"];
+
 function randomId(prefix: string): string {
   return `${prefix}-${randomBytes(12).toString("base64url")}`;
 }
 
-/** One entry. */
+/**
+ * One entry.
+ *
+ * @example
+ * ```ts
+ * const entry = new Entry(options);
+ * const address = await entry.listen();
+ * await entry.drain();
+ * ```
+ */
 export class Entry {
   readonly metrics: Metrics;
   readonly #o: EntryOptions;
-  readonly #limits: RelayLimits;
-  readonly #relay: GenerationRelay;
-  readonly #signer: ResumeSigner;
   readonly #router = findMyWay({ ignoreTrailingSlash: true });
   readonly #server: Server;
-  readonly #versions: VersionChooser;
   readonly #endpointVersions = new Map<EndpointId, VersionId>();
   readonly #undos: Undo[] = [];
-  readonly #makeId: (prefix: string) => string;
   #draining = false;
+  #refusing = false;
   #open = 0;
 
   constructor(options: EntryOptions) {
     this.#o = options;
     this.metrics = options.metrics ?? createMetrics();
-    this.#limits = { ...RELAY_LIMITS, ...options.limits };
-    this.#signer = new ResumeSigner(options.clusterKey);
-    this.#versions = options.versions ?? new ConfiguredVersions();
-    this.#makeId = options.makeId ?? randomId;
-    this.#relay = new GenerationRelay({
-      clock: options.world.clock,
-      directory: options.directory,
-      links: options.links,
-      placement: options.placement,
-      signer: this.#signer,
-      metrics: this.metrics,
-      log: options.log,
-      limits: this.#limits,
-      makeGenerationId: () => generationId(this.#makeId("g")),
-      versionOf: (endpoint) => this.#versionOf(endpoint),
-    });
-    this.#server = makeHttpServer((req, res) => void this.#handle(req, res), options.listen.tls);
-    this.#registerRoutes();
+    const { tls } = options.listen;
+    this.#server = makeHttpServer((req, res) => void this.#handle(req, res), tls);
+    this.#registerRoutes(this.#makeContext());
+  }
+
+  /** Whether the health check succeeds. */
+  get healthy(): boolean {
+    return !this.#draining && this.#o.config.ready();
   }
 
   /** Starts to serve; resolves with the bound `ip:port`. */
   async listen(): Promise<string> {
-    const { directory, config, router, placement, world } = this.#o;
-    for (const row of directory.rows()) placement.setEndpoint(row);
+    const { directory, config, router } = this.#o;
+    for (const row of directory.rows()) this.#place(row);
     this.#undos.push(
       directory.registerListener((change) => {
-        for (const row of change.set) placement.setEndpoint(row);
-        for (const id of change.removed) placement.removeEndpoint(id);
+        for (const row of change.set) this.#place(row);
+        for (const id of change.removed) this.#o.placement.removeEndpoint(id);
       }),
       config.registerListener((view) => this.#applyConfig(view)),
-      router.registerNotify("load", (_link, msg) => {
-        this.#endpointVersions.set(msg.load.endpoint, msg.load.version);
-        placement.recordLoad(msg.load, world.clock.now());
-      }),
+      router.registerNotify("load", (_link, msg) => this.#onLoad(msg.load)),
     );
     this.#applyConfig(config.current());
     return await listenHttp(this.#server, this.#o.listen);
   }
 
   /** Adds an operator route, for example `registerAdminRoute("GET", "/admin/status", handler)`. */
-  registerAdminRoute(method: "GET" | "POST" | "DELETE", path: string, handler: AdminHandler): Undo {
+  registerAdminRoute(
+    method: "GET" | "POST" | "PUT" | "DELETE",
+    path: string,
+    handler: AdminHandler,
+  ): Undo {
     this.#on(method, path, async (req, res, params) => {
       const account = authenticate(this.#o.config.current(), req.headers.authorization);
       if (account.role !== "operator") {
@@ -162,6 +157,23 @@
     return () => this.#router.off(method, path);
   }
 
+  /**
+   * Planned stop: the health check goes down first, new work is refused after `announceMs`, and the promise
+   * resolves when every running request has been answered.
+   */
+  async drain({ announceMs = ANNOUNCE_MS }: { announceMs?: number } = {}): Promise<void> {
+    const { clock } = this.#o.world;
+    this.#draining = true;
+    await clock.sleep(announceMs);
+    this.#refusing = true;
+    this.#server.close();
+    while (this.#open > 0) {
+      this.#server.closeIdleConnections();
+      await clock.sleep(DRAIN_POLL_MS);
+    }
+    this.close();
+  }
+
   /** Stops at once, as when the process dies. */
   close(): void {
     for (const undo of this.#undos.splice(0)) undo();
@@ -169,7 +181,25 @@
     this.#server.closeAllConnections();
   }
 
-  #registerRoutes(): void {
+  #makeContext(): EntryContext {
+    const { config, world, log, versions = new ConfiguredVersions(), makeId = randomId } = this.#o;
+    const { table } = world.registerTable<RequestId, RequestRow>("requests");
+    return {
+      config,
+      world,
+      log,
+      metrics: this.metrics,
+      versions,
+      requests: table,
+      makeId,
+      versionOf: (endpoint) => this.#versionOf(endpoint),
+      assertServing: () => this.#assertServing(),
+    };
+  }
+
+  #registerRoutes(ctx: EntryContext): void {
+    const completions = this.#makeCompletions(ctx);
+    const calls = this.#makeCalls(ctx);
     this.#on("GET", "/healthz", (_req, res) => this.#health(res));
     this.#on("GET", "/metrics", async (_req, res) => {
       const { registry } = this.metrics;
@@ -177,16 +207,59 @@
       res.end(await registry.metrics());
     });
     this.#on("GET", "/v1/models", (req, res) => this.#models(req, res));
-    this.#on("POST", "/v1/chat/completions", (req, res) => this.#complete("chat", req, res));
-    this.#on("POST", "/v1/completions", (req, res) => this.#complete("text", req, res));
-    this.#on("GET", "/v1/chat/completions", (req, res) => this.#resume(req, res));
-    this.#on("GET", "/v1/completions", (req, res) => this.#resume(req, res));
+    for (const [path, format] of [["chat/completions", "chat"], ["completions", "text"]] as const) {
+      this.#on("POST", `/v1/${path}`, (req, res) => completions.complete(format, req, res));
+      this.#on("GET", `/v1/${path}`, (req, res) => completions.resume(req, res));
+    }
+    for (const path of ["/services/:service", "/services/:service/*"]) {
+      this.#on(ANY_METHOD, path, (req, res, params) => calls.handle(req, res, params.service!));
+    }
     this.registerAdminRoute("GET", "/admin/dump", (_req, res) => {
       sendJson(res, 200, this.#o.world.dump());
     });
   }
 
-  #on(method: "GET" | "POST" | "DELETE", path: string, handler: Handler): void {
+  #makeCompletions(ctx: EntryContext): Completions {
+    const { world, directory, links, placement, clusterKey, maxBodyBytes } = this.#o;
+    const limits = { ...RELAY_LIMITS, ...this.#o.limits };
+    const signer = new ResumeSigner(clusterKey);
+    const relay = new GenerationRelay({
+      clock: world.clock,
+      directory,
+      links,
+      placement,
+      signer,
+      metrics: this.metrics,
+      limits,
+      makeGenerationId: () => generationId(ctx.makeId("g")),
+      versionOf: ctx.versionOf,
+      noteLoad: (load) => this.#endpointVersions.set(load.endpoint, load.version),
+    });
+    const options = { relay, signer, links, limits, maxBodyBytes: maxBodyBytes ?? MAX_BODY_BYTES };
+    return new Completions(ctx, options);
+  }
+
+  #makeCalls(ctx: EntryContext): PlainCalls {
+    const { world, directory, links, placement, store, limits, idempotency } = this.#o;
+    const { clock } = world;
+    const relay = new CallRelay({
+      clock,
+      directory,
+      links,
+      placement,
+      metrics: this.metrics,
+      maxHops: limits?.maxHops ?? RELAY_LIMITS.maxHops,
+      silenceMs: this.#o.callSilenceMs ?? CALL_SILENCE_MS,
+      versionOf: ctx.versionOf,
+      noteLoad: (load) => this.#endpointVersions.set(load.endpoint, load.version),
+    });
+    const claims = store === undefined
+      ? null
+      : new IdempotencyClaims({ store, clock, ...idempotency });
+    return new PlainCalls(ctx, { relay, claims });
+  }
+
+  #on(method: HTTPMethod | HTTPMethod[], path: string, handler: Handler): void {
     this.#router.on(method, path, (req, res, params) => {
       return handler(req as IncomingMessage, res as ServerResponse, params);
     });
@@ -195,150 +268,62 @@
   async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
     this.#open++;
     res.once("close", () => void this.#open--);
+    if (this.#draining) res.setHeader("connection", "close");
     try {
-      const method = req.method as "GET";
-      const route = this.#router.find(method, (req.url ?? "/").split("?", 1)[0]!);
+      const path = (req.url ?? "/").split("?", 1)[0]!;
+      const route = this.#router.find(req.method as HTTPMethod, path);
       if (route === null) {
-        refuse({
-          type: "unknown_route",
-          message: `there is no ${req.method} ${req.url}`,
-          notRun: true,
-        });
+        const message = `there is no route ${req.method} ${path.slice(0, 200)}`;
+        refuse({ type: "unknown_route", message, notRun: true });
       }
-      const handler = route.handler as unknown as (...args: unknown[]) => Promise<void>;
-      await handler(req, res, route.params, route.store, route.searchParams);
+      await (route.handler as unknown as Handler)(req, res, route.params);
     } catch (e) {
-      this.#fail(res, e);
+      this.#fail(req, res, e);
     }
   }
 
-  #fail(res: ServerResponse, e: unknown): void {
+  #fail(req: IncomingMessage, res: ServerResponse, e: unknown): void {
     const refusal = toRefusal(e, "unknown");
     this.metrics.countRefusal(refusal.type);
     if (refusal.type === "internal") this.#o.log.error({ err: e }, "request handler failed");
-    if (res.headersSent) res.destroy();
-    else sendProblem(res, refusal);
+    if (res.headersSent) return void res.destroy();
+    if (!req.complete) res.setHeader("connection", "close");
+    sendProblem(res, refusal);
   }
 
   #health(res: ServerResponse): void {
-    const up = !this.#draining && this.#o.config.ready();
-    const state = this.#draining ? "draining" : up ? "up" : "not_ready";
-    sendJson(res, up ? 200 : 503, { state, revision: this.#o.config.current().revision });
+    const state = this.#draining ? "draining" : this.healthy ? "up" : "not_ready";
+    const { revision } = this.#o.config.current();
+    sendJson(res, this.healthy ? 200 : 503, { state, revision });
   }
 
   #models(req: IncomingMessage, res: ServerResponse): void {
     const view = this.#o.config.current();
     const account = authenticate(view, req.headers.authorization);
-    const models = [...view.services.values()].filter((s) =>
-      s.kind === "model" && (account.services?.includes(s.id) ?? true)
+    const models = [...view.services.values()].filter((service) =>
+      service.kind === "model" && (account.services?.includes(service.id) ?? true)
     );
-    sendJson(res, 200, encodeModelList(models.map((s) => s.id)));
+    sendJson(res, 200, encodeModelList(models.map((service) => service.id)));
   }
 
   #assertServing(): void {
-    if (this.#draining) {
-      refuse({
-        type: "draining",
-        message: "this entry is stopping",
-        notRun: true,
-        retryAfterMs: 1_000,
-      });
-    }
-    if (!this.#o.config.ready()) {
-      const message = "this entry does not have a recent configuration yet";
-      refuse({ type: "not_ready", message, notRun: true, retryAfterMs: 1_000 });
+    if (this.#refusing) {
+      const message = "this entry is stopping";
+      refuse({ type: "draining", message, notRun: true, retryAfterMs: 1_000 });
     }
+    if (this.#o.config.ready()) return;
+    const message = "this entry does not have a recent configuration yet";
+    refuse({ type: "not_ready", message, notRun: true, retryAfterMs: 1_000 });
   }
 
-  async #complete(
-    format: "chat" | "text",
-    req: IncomingMessage,
-    res: ServerResponse,
-  ): Promise<void> {
-    if (req.headers["last-event-id"] !== undefined) return await this.#resume(req, res);
-    this.#assertServing();
-    const view = this.#o.config.current();
-    const account = authenticate(view, req.headers.authorization);
-    const body = await readBody(req, this.#o.maxBodyBytes ?? 512 << 10);
-    const completion = parseCompletionRequest(format, body.toString("utf8"));
-    const service = authorizeService(view, account, completion.model, "model");
-    const id = requestId(this.#makeId("r"));
-    res.setHeader("x-request-id", id);
-    const now = this.#o.world.clock.now();
-    const relayReq: RelayRequest = {
-      run: {
-        req: id,
-        service: service.id,
-        account: account.id,
-        weight: account.weight,
-        route: format,
-        priority: 0,
-        revision: view.revision,
-        prompt: completion.prompt,
-        maxTokens: completion.maxTokens,
-        stop: completion.stop,
-        temperature: completion.temperature,
-        ...promptShape(format, service.id, completion.prompt),
-      },
-      versions: this.#chooseVersions(view, service, id),
-      completion,
-      expectedTokens: Math.min(completion.maxTokens, 256),
-      deadlineMs: now + startDeadline(req, service.startDeadlineMs),
-      gone: goneSignal(res),
-    };
-    const sink = completion.stream
-      ? new StreamSink(res, { includeUsage: completion.includeUsage, resumed: false })
-      : new WholeSink(res);
-    const outcome = await this.#relay.run(relayReq, sink);
-    const { gen, endpoint, attempts, result, refusal } = outcome;
-    const reason = refusal?.type;
-    this.#o.log.info(
-      { req: id, gen, account: account.id, endpoint, attempts, result, reason },
-      "generation request ended",
-    );
+  #place(row: DirectoryEntry): void {
+    if (row.leaving) this.#o.placement.removeEndpoint(row.endpoint);
+    else this.#o.placement.setEndpoint(row);
   }
 
-  #chooseVersions(
-    view: ConfigView,
-    service: Parameters<VersionChooser["choose"]>[1],
-    id: RequestId,
-  ): readonly VersionId[] {
-    const versions = this.#versions.choose(view, service, id);
-    if (versions.length > 0) return versions;
-    const message = `no version of ${service.id} may serve at present`;
-    refuse({ type: "version_withdrawn", message, notRun: true, retryAfterMs: 5_000 });
-  }
-
-  async #resume(req: IncomingMessage, res: ServerResponse): Promise<void> {
-    const view = this.#o.config.current();
-    const account = authenticate(view, req.headers.authorization);
-    const id = String(req.headers["last-event-id"] ?? "");
-    const { clock } = this.#o.world;
-    const point = this.#signer.verify(id, { account: account.id, wallMs: clock.wall() });
-    const { ref, signed, offset } = point;
-    const sink: AnswerSink = new StreamSink(res, { includeUsage: ref.includeUsage, resumed: true });
-    const head = { format: ref.format, gen: ref.gen, model: ref.service, created: ref.created };
-    sink.begin(head, signed);
-    const cursor = new TokenCursor(offset + 1);
-    const opening = {
-      kind: "resume",
-      gen: ref.gen,
-      account: account.id,
-      offset: offset + 1,
-    } as const;
-    const { links } = this.#o;
-    const gone = goneSignal(res);
-    const options = { clock, links, limits: this.#limits, sink, cursor, gone };
-    const end = await followGeneration(ref.side, opening, options);
-    if (end.type === "caller_gone") return;
-    if (end.type === "end" && end.end.reason !== "cancelled") {
-      return sink.end(end.end.reason, end.end);
-    }
-    const refusal = end.type === "fail"
-      ? end.refusal
-      : { type: "side_lost", message: "the side cannot be reached", notRun: false } as const;
-    this.metrics.countRefusal(refusal.type);
-    sink.fail(refusal);
+  #onLoad(load: EndpointLoad): void {
+    this.#endpointVersions.set(load.endpoint, load.version);
+    this.#o.placement.recordLoad(load, this.#o.world.clock.now());
   }
 
   #applyConfig(view: ConfigView): void {
@@ -348,30 +333,7 @@
   }
 
   #versionOf(endpoint: EndpointId): VersionId | null {
-    const { config } = this.#o;
     return this.#endpointVersions.get(endpoint) ??
-      config.current().endpoints.get(endpoint)?.version ?? null;
+      this.#o.config.current().endpoints.get(endpoint)?.version ?? null;
   }
 }
-
-/** Milliseconds within which a request must start: the caller's or the service's, whichever is less. */
-function startDeadline(req: IncomingMessage, serviceMs: number): number {
-  const header = req.headers["x-deadline-ms"];
-  if (header === undefined) return serviceMs;
-  const ms = Number(header);
-  if (!Number.isFinite(ms) || ms < 0) {
-    const message = "x-deadline-ms: expected milliseconds from now";
-    refuse({ type: "invalid_request", message, notRun: true });
-  }
-  return Math.min(ms, serviceMs);
-}
-
-/** Aborted when the caller's connection closes before the answer has been sent. */
-function goneSignal(res: ServerResponse): AbortSignal {
-  const abort = new AbortController();
-  res.once("close", () => abort.abort());
-  if (res.destroyed) abort.abort();
-  return abort.signal;
-}
-
-export type { GenerationId };
--- /dev/null
+++ b/packages/daemon/src/entry_completions.ts
@@ -0,0 +1,158 @@
+/**
+ * The OpenAI-compatible routes of the entry.
+ *
+ * @module
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { type Refusal, refuse, requestId } from "@wisteriapick/core";
+import { parseCompletionRequest, type ResumeSigner, TokenCursor } from "@wisteriapick/delivery";
+import type { Resume } from "@wisteriapick/wire";
+import { authenticate, authorizeService } from "./entry_auth.ts";
+import {
+  chooseVersions,
+  type EntryContext,
+  goneSignal,
+  startDeadline,
+  trackRequest,
+} from "./entry_context.ts";
+import { type FollowerResult, followGeneration } from "./entry_follower.ts";
+import type { GenerationRelay, RelayLimits, RelayOutcome, RelayRequest } from "./entry_relay.ts";
+import { StreamSink, WholeSink } from "./entry_sinks.ts";
+import { readBody } from "./http_server.ts";
+import type { LinkSource } from "./link_source.ts";
+import { promptShape } from "./prompt_shape.ts";
+
+/** Expected length of an answer where nothing better is known. */
+const EXPECTED_TOKENS = 256;
+
+/** Parts of {@link Completions}. */
+export interface CompletionsOptions {
+  readonly relay: GenerationRelay;
+  readonly signer: ResumeSigner;
+  readonly links: LinkSource;
+  readonly limits: RelayLimits;
+  readonly maxBodyBytes: number;
+}
+
+/** Serves completions and their resumption. */
+export class Completions {
+  readonly #ctx: EntryContext;
+  readonly #o: CompletionsOptions;
+
+  constructor(ctx: EntryContext, options: CompletionsOptions) {
+    this.#ctx = ctx;
+    this.#o = options;
+  }
+
+  /** `POST /v1/chat/completions` and `POST /v1/completions`. */
+  async complete(
+    format: "chat" | "text",
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    // A caller that repeats its request with the last event id wants the rest of the same answer.
+    if (req.headers["last-event-id"] !== undefined) return await this.resume(req, res);
+    this.#ctx.assertServing();
+    const relayReq = await this.#parse(format, req, res);
+    const { run, completion } = relayReq;
+    const { req: id, account, service } = run;
+    const sink = completion.stream
+      ? new StreamSink(res, { includeUsage: completion.includeUsage, resumed: false })
+      : new WholeSink(res);
+    const outcome = await trackRequest(
+      this.#ctx,
+      id,
+      { account, service },
+      () => this.#o.relay.run(relayReq, sink),
+    );
+    this.#logOutcome(relayReq, outcome);
+  }
+
+  /** Sends the rest of a streamed answer after the event that `Last-Event-ID` names. */
+  async resume(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const account = authenticate(this.#ctx.config.current(), req.headers.authorization);
+    const id = req.headers["last-event-id"];
+    if (typeof id !== "string") {
+      refuse({ type: "invalid_request", message: "Last-Event-ID is required", notRun: true });
+    }
+    const { clock } = this.#ctx.world;
+    const point = this.#o.signer.verify(id, { account: account.id, wallMs: clock.wall() });
+    const { ref } = point;
+    const offset = point.offset + 1;
+    const sink = new StreamSink(res, { includeUsage: ref.includeUsage, resumed: true });
+    const head = { format: ref.format, gen: ref.gen, model: ref.service, created: ref.created };
+    sink.begin(head, point.signed);
+    const opening: Resume = { kind: "resume", gen: ref.gen, account: account.id, offset };
+    const end = await followGeneration(ref.side, opening, {
+      clock,
+      links: this.#o.links,
+      limits: this.#o.limits,
+      sink,
+      cursor: new TokenCursor(offset),
+      gone: goneSignal(res),
+    });
+    this.#ctx.log.info({ gen: ref.gen, account: account.id, result: end.type }, "resume ended");
+    this.#finishResume(sink, end);
+  }
+
+  #finishResume(sink: StreamSink, end: FollowerResult): void {
+    if (end.type === "caller_gone") return;
+    if (end.type === "end" && end.end.reason !== "cancelled") {
+      return sink.end(end.end.reason, end.end);
+    }
+    const refusal = resumeRefusal(end);
+    this.#ctx.metrics.countRefusal(refusal.type);
+    sink.fail(refusal);
+  }
+
+  async #parse(
+    format: "chat" | "text",
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<RelayRequest> {
+    const view = this.#ctx.config.current();
+    const account = authenticate(view, req.headers.authorization);
+    const body = await readBody(req, this.#o.maxBodyBytes);
+    const completion = parseCompletionRequest(format, body.toString("utf8"));
+    const service = authorizeService(view, account, completion.model, "model");
+    const id = requestId(this.#ctx.makeId("r"));
+    res.setHeader("x-request-id", id);
+    const startMs = startDeadline(req, service.startDeadlineMs);
+    return {
+      run: {
+        req: id,
+        service: service.id,
+        account: account.id,
+        weight: account.weight,
+        route: format,
+        priority: 0,
+        revision: view.revision,
+        prompt: completion.prompt,
+        maxTokens: completion.maxTokens,
+        stop: completion.stop,
+        temperature: completion.temperature,
+        ...promptShape(format, service.id, completion.prompt),
+      },
+      versions: chooseVersions(this.#ctx, view, service, id),
+      completion,
+      expectedTokens: Math.min(completion.maxTokens, EXPECTED_TOKENS),
+      deadlineMs: this.#ctx.world.clock.now() + startMs,
+      gone: goneSignal(res),
+    };
+  }
+
+  #logOutcome(req: RelayRequest, outcome: RelayOutcome): void {
+    const { gen, endpoint, attempts, result, refusal } = outcome;
+    const ids = { req: req.run.req, gen, account: req.run.account, endpoint };
+    const reason = refusal?.type;
+    this.#ctx.log.info({ ...ids, attempts, result, reason }, "generation request ended");
+  }
+}
+
+function resumeRefusal(end: FollowerResult): Refusal {
+  if (end.type === "fail") return end.refusal;
+  if (end.type === "end") {
+    return { type: "cancelled", message: "the generation was cancelled", notRun: false };
+  }
+  return { type: "side_lost", message: "the side cannot be reached", notRun: false };
+}
--- /dev/null
+++ b/packages/daemon/src/entry_context.ts
@@ -0,0 +1,90 @@
+/**
+ * What the parts of an entry share.
+ *
+ * @module
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import {
+  type EndpointId,
+  type Logger,
+  type Metrics,
+  refuse,
+  type RequestId,
+  type Table,
+  type VersionId,
+  type World,
+} from "@wisteriapick/core";
+import type { ConfigSource, ConfigView, Service } from "@wisteriapick/control";
+import type { VersionChooser } from "./entry_versions.ts";
+
+/** One row of the `requests` table, for operators. */
+export interface RequestRow {
+  readonly account: string;
+  readonly service: string;
+  readonly sinceMs: number;
+}
+
+/** Shared parts and questions of one entry. */
+export interface EntryContext {
+  readonly config: ConfigSource;
+  readonly world: World;
+  readonly log: Logger;
+  readonly metrics: Metrics;
+  readonly versions: VersionChooser;
+  readonly requests: Table<RequestId, RequestRow>;
+  readonly makeId: (prefix: string) => string;
+  /** The version that an endpoint is known to run. */
+  versionOf(endpoint: EndpointId): VersionId | null;
+  /** Refuses new work while the entry is stopping or has no recent configuration. */
+  assertServing(): void;
+}
+
+/** Versions that may serve a request; refuses where there is none. */
+export function chooseVersions(
+  ctx: EntryContext,
+  view: ConfigView,
+  service: Service,
+  id: RequestId,
+): readonly VersionId[] {
+  const versions = ctx.versions.choose(view, service, id);
+  if (versions.length > 0) return versions;
+  const message = `no version of ${service.id} may serve at present`;
+  refuse({ type: "version_withdrawn", message, notRun: true, retryAfterMs: 5_000 });
+}
+
+/** Keeps a row in the `requests` table while `fn` runs. */
+export async function trackRequest<T>(
+  ctx: EntryContext,
+  id: RequestId,
+  row: Omit<RequestRow, "sinceMs">,
+  fn: () => Promise<T>,
+): Promise<T> {
+  ctx.world.update((now) => ctx.requests.set(id, { ...row, sinceMs: Math.round(now) }));
+  try {
+    return await fn();
+  } finally {
+    ctx.world.update(() => ctx.requests.delete(id));
+  }
+}
+
+/** Milliseconds within which a request must start: the caller's or the service's, whichever is less. */
+export function startDeadline(req: IncomingMessage, serviceMs: number): number {
+  const header = req.headers["x-deadline-ms"];
+  if (header === undefined) return serviceMs;
+  const ms = Number(header);
+  if (!Number.isFinite(ms) || ms < 0) {
+    const message = "x-deadline-ms: expected milliseconds from now";
+    refuse({ type: "invalid_request", message, notRun: true });
+  }
+  return Math.min(ms, serviceMs);
+}
+
+/** Aborted when the caller's connection closes before the answer has been sent. */
+export function goneSignal(res: ServerResponse): AbortSignal {
+  const abort = new AbortController();
+  res.once("close", () => {
+    if (!res.writableFinished) abort.abort();
+  });
+  if (res.destroyed) abort.abort();
+  return abort.signal;
+}
--- a/packages/daemon/src/entry_relay.ts
+++ b/packages/daemon/src/entry_relay.ts
@@ -7,7 +7,6 @@
   Clock,
   EndpointId,
   GenerationId,
-  Logger,
   Metrics,
   Refusal,
   RefusalReason,
@@ -20,7 +19,7 @@
   TokenCursor,
 } from "@wisteriapick/delivery";
 import type { AttemptOutcome, Placement, PlacementRequest } from "@wisteriapick/policy";
-import type { End, Run } from "@wisteriapick/wire";
+import type { End, EndpointLoad, NotRunReply, Run } from "@wisteriapick/wire";
 import type { Directory, DirectoryEntry } from "./directory.ts";
 import { type FollowerResult, followGeneration, type FollowLimits } from "./entry_follower.ts";
 import type { AnswerSink } from "./entry_sinks.ts";
@@ -52,11 +51,12 @@
   readonly placement: Placement;
   readonly signer: ResumeSigner;
   readonly metrics: Metrics;
-  readonly log: Logger;
   readonly limits: RelayLimits;
   readonly makeGenerationId: () => GenerationId;
   /** The version that an endpoint is known to run. */
   readonly versionOf: (endpoint: EndpointId) => VersionId | null;
+  /** Told of each load that an answer carries. */
+  readonly noteLoad: (load: EndpointLoad) => void;
 }
 
 /** One request. */
@@ -97,7 +97,7 @@
       if (req.gone.aborted) return hops.outcome("caller_gone", null);
       const now = this.#deps.clock.now();
       if (now >= req.deadlineMs) return hops.refuse(sink, "deadline_exceeded", this.#deps);
-      const place = hops.placement(now);
+      const place = hops.placement();
       const endpoint = this.#deps.placement.choose(place, now);
       const target = endpoint === null ? undefined : this.#deps.directory.get(endpoint);
       if (target === undefined) return hops.refuse(sink, "no_endpoint", this.#deps);
@@ -140,7 +140,10 @@
       sink,
       cursor: new TokenCursor(0),
       gone: req.gone,
-      onAdmitted: (load) => record({ type: "admitted", load }),
+      onAdmitted: (load) => {
+        this.#deps.noteLoad(load);
+        record({ type: "admitted", load });
+      },
       onTokens: (offset) => {
         const now = clock.now();
         if (offset === 0) record({ type: "first_token", waitMs: now - startMs });
@@ -149,9 +152,23 @@
       },
     });
     record(attemptOutcome(res));
+    if (res.type === "not_run") this.#noteMismatch(req, hops, target.endpoint, res.reply);
     return this.#settle(req, sink, hops, target, res);
   }
 
+  /** An endpoint that was asked for the wrong version may be asked again for the one it runs. */
+  #noteMismatch(
+    req: RelayRequest,
+    hops: Hops,
+    endpoint: EndpointId,
+    { reason, load }: NotRunReply,
+  ): void {
+    this.#deps.noteLoad(load);
+    if (reason === "version_mismatch" && req.versions.includes(load.version)) {
+      hops.allow(endpoint);
+    }
+  }
+
   /** Ends the request, or returns `null` where the next endpoint is to be tried. */
   #settle(
     req: RelayRequest,
@@ -268,7 +285,7 @@
     this.#req = req;
   }
 
-  placement(_nowMs: number): PlacementRequest {
+  placement(): PlacementRequest {
     const { run, versions, expectedTokens } = this.#req;
     return {
       service: run.service,
@@ -289,6 +306,11 @@
     this.#excluded.add(endpoint);
   }
 
+  /** Lets an endpoint be tried again. */
+  allow(endpoint: EndpointId): void {
+    this.#excluded.delete(endpoint);
+  }
+
   failed(refusal: Refusal): void {
     this.#last = refusal;
     if (refusal.notRun === false) this.#notRun = false;
--- a/packages/daemon/src/side.ts
+++ b/packages/daemon/src/side.ts
@@ -7,7 +7,6 @@
   type Clock,
   createMetrics,
   type EndpointId,
-  type GenerationId,
   type Logger,
   type Metrics,
   type RefusalReason,
@@ -18,31 +17,26 @@
   type World,
 } from "@wisteriapick/core";
 import type { ConfigSource } from "@wisteriapick/control";
-import { GenerationLogStore } from "@wisteriapick/delivery";
+import type { GenerationLogStoreOptions } from "@wisteriapick/delivery";
 import type { ModelEngine } from "@wisteriapick/platform";
-import type { Admission } from "@wisteriapick/policy";
-import type {
-  EndpointLoad,
-  Identity,
-  Link,
-  LinkStream,
-  NotRunReply,
-  Resume,
-  Run,
-  StreamHandler,
-} from "@wisteriapick/wire";
+import type { Admission, AdmissionAction } from "@wisteriapick/policy";
+import type { EndpointLoad, Identity } from "@wisteriapick/wire";
 import type { LinkRouter } from "./link_router.ts";
-import type { GenerationEnd } from "./side_follower.ts";
-import { gateReason, type SideState } from "./side_gate.ts";
-import { GENERATION_TIMES, type GenerationTimes, SideGeneration } from "./side_generation.ts";
-import { TurnBatch } from "./turn_batch.ts";
+import { SideCalls } from "./side_calls.ts";
+import type { SideContext } from "./side_context.ts";
+import { gateReason } from "./side_gate.ts";
+import { GENERATION_TIMES, type GenerationTimes } from "./side_generation.ts";
+import { SideGenerations } from "./side_generations.ts";
+import { type LearnFence, SideOrders } from "./side_orders.ts";
 
-/** What a side is made of. */
+/** What a side is made of. It has an `engine` or, beside a plain service, an `origin`. */
 export interface SideOptions {
   readonly identity: Identity;
   readonly endpoint: EndpointId;
   readonly service: ServiceId;
-  readonly engine: ModelEngine;
+  readonly engine?: ModelEngine;
+  /** Base of a plain service's endpoint, for example `http://127.0.0.1:7300`. */
+  readonly origin?: string;
   readonly admission: Admission;
   readonly config: ConfigSource;
   readonly router: LinkRouter;
@@ -50,62 +44,146 @@
   readonly log: Logger;
   readonly metrics?: Metrics;
   readonly times?: Partial<GenerationTimes>;
+  readonly logs?: GenerationLogStoreOptions;
+  readonly learnFence?: LearnFence;
+  /** Interval of probes of the endpoint. */
   readonly probeMs?: number;
   readonly tickMs?: number;
+  /** Interval at which entries are told of a changed load. */
+  readonly loadMs?: number;
 }
 
-const IGNORE: StreamHandler = { onMessage() {}, onClose() {} };
+/** Probes in a row that must fail before the endpoint counts as down; one may be lost by chance. */
+const MAX_FAILED_PROBES = 3;
+const PROBE_TIMEOUT_MS = 1_000;
 
-interface Waiting {
-  readonly run: Run;
-  readonly stream: LinkStream;
-}
-
-/** One endpoint's side. */
+/**
+ * One endpoint's side.
+ *
+ * @example
+ * ```ts
+ * const side = new Side({ identity, endpoint, service, engine, admission, config, router, world, log });
+ * side.start();
+ * await side.drain();
+ * ```
+ */
 export class Side {
   readonly metrics: Metrics;
   readonly #o: SideOptions;
   readonly #clock: Clock;
-  readonly #times: GenerationTimes;
-  readonly #batch = new TurnBatch();
-  readonly #logs = new GenerationLogStore<GenerationId, GenerationEnd>();
-  readonly #running = new Map<GenerationId, SideGeneration>();
-  readonly #waiting = new Map<GenerationId, Waiting>();
+  readonly #ctx: SideContext;
+  readonly #generations: SideGenerations | null = null;
+  readonly #calls: SideCalls | null = null;
+  readonly #orders: SideOrders | null = null;
   readonly #undos: Undo[] = [];
   #ready = false;
+  #probing = false;
+  #failedProbes = 0;
   #leaving = false;
   #draining = false;
   #version: VersionId | null = null;
   #seq = 0;
+  #lastSent = "";
 
   constructor(options: SideOptions) {
     this.#o = options;
     this.#clock = options.world.clock;
-    this.#times = { ...GENERATION_TIMES, ...options.times };
     this.metrics = options.metrics ?? createMetrics();
+    this.#ctx = {
+      clock: this.#clock,
+      config: options.config,
+      admission: options.admission,
+      metrics: this.metrics,
+      log: options.log,
+      load: () => this.load(),
+      gate: (req) => this.#gate(req),
+      runAdmission: () => this.#runAdmission(),
+    };
+    const { engine, origin, endpoint, learnFence, world, logs } = options;
+    if (engine !== undefined) {
+      const times = { ...GENERATION_TIMES, ...options.times };
+      const onEngineLost = () => this.#onEngineLost();
+      this.#generations = new SideGenerations(this.#ctx, {
+        engine,
+        times,
+        world,
+        logs,
+        onEngineLost,
+      });
+      const onOrdered = () => void this.#probe();
+      this.#orders = new SideOrders({
+        endpoint,
+        engine,
+        clock: this.#clock,
+        learnFence,
+        onOrdered,
+      });
+    }
+    if (origin !== undefined) this.#calls = new SideCalls(this.#ctx, { origin, world });
   }
 
-  /** Begins to answer entries and to probe the engine. */
+  /** Begins to answer entries and to probe the endpoint. */
   start(): void {
-    const { router, probeMs = 500, tickMs = 20 } = this.#o;
+    const { router, probeMs = 500, tickMs = 20, loadMs = 1_000 } = this.#o;
+    const generations = this.#generations;
+    if (generations !== null) {
+      this.#undos.push(
+        router.registerStream("run", (_link, msg, stream) => generations.onRun(msg, stream)),
+        router.registerStream(
+          "resume",
+          (_link, msg, stream) => generations.onResume(msg, stream, this.#ready),
+        ),
+        router.registerNotify("cancel", (_link, msg) => generations.cancel(msg.gen)),
+      );
+    }
+    const calls = this.#calls;
+    if (calls !== null) {
+      this.#undos.push(
+        router.registerStream("call", (_link, msg, stream) => calls.onCall(msg, stream)),
+      );
+    }
+    const orders = this.#orders;
+    if (orders !== null) {
+      this.#undos.push(
+        router.registerStream("order", (_link, msg, stream) => orders.onOrder(msg, stream)),
+        () => orders.stop(),
+      );
+      void orders.learn();
+    }
     this.#undos.push(
-      router.registerStream("run", (link, msg, stream) => this.#onRun(link, msg, stream)),
-      router.registerStream("resume", (link, msg, stream) => this.#onResume(link, msg, stream)),
-      router.registerNotify("cancel", (_link, msg) => this.#running.get(msg.gen)?.cancel()),
       this.#clock.setRepeating(probeMs, () => void this.#probe()),
       this.#clock.setRepeating(tickMs, () => this.#tick()),
+      this.#clock.setRepeating(loadMs, () => this.#sendLoad()),
+      this.#o.config.registerListener(() => this.#sendLoad()),
     );
     void this.#probe();
   }
 
+  /** Whether new work is taken, apart from what configuration and admission say. */
   get ready(): boolean {
-    return this.#ready;
+    return this.#ready && !this.#draining;
+  }
+
+  /** Says whether the platform will take the host away soon. Entries are told at once. */
+  setLeaving(leaving: boolean): void {
+    if (this.#leaving === leaving) return;
+    this.#leaving = leaving;
+    this.#sendLoad();
+  }
+
+  /** Planned stop: refuses new work and resolves when all running work has been delivered. */
+  async drain({ pollMs = 20 }: { pollMs?: number } = {}): Promise<void> {
+    this.#draining = true;
+    this.#sendLoad();
+    while (!this.#idle()) await this.#clock.sleep(pollMs);
+    this.close();
   }
 
   /** Stops at once, as when the process dies. */
   close(): void {
     for (const undo of this.#undos.splice(0)) undo();
-    for (const generation of this.#running.values()) generation.release();
+    this.#generations?.release();
+    void this.#calls?.close();
   }
 
   /** Present load, with the next report number. */
@@ -122,177 +200,80 @@
     };
   }
 
-  #state(): SideState {
-    return {
+  #idle(): boolean {
+    return (this.#generations?.idle ?? true) && (this.#calls?.idle ?? true);
+  }
+
+  #gate(req: { service: ServiceId; version: VersionId }): RefusalReason | null {
+    const state = {
       service: this.#o.service,
       dataCentre: this.#o.identity.dataCentre,
       version: this.#version,
-      ready: this.#ready,
+      ready: this.#ready && this.#o.config.ready(),
       leaving: this.#leaving,
       draining: this.#draining,
     };
-  }
-
-  #onRun(_link: Link, run: Run, stream: LinkStream): StreamHandler {
-    const known = this.#running.get(run.gen);
-    if (known !== undefined) return known.attach(stream, 0);
-    if (this.#logs.seen(run.gen)) return this.#attachEnded(run.gen, stream, 0);
-    const gate = gateReason(this.#state(), this.#o.config.current(), run);
-    if (gate !== null) return this.#refuse(run, stream, gate);
-    const now = this.#clock.now();
-    const decision = this.#o.admission.offer({ ...run, deadlineMs: now + run.remainingMs }, now);
-    if (decision.type === "not_run") {
-      return this.#refuse(run, stream, decision.reason, decision.retryAfterMs);
-    }
-    stream.send({ kind: "admitted", load: this.load(), about: run.gen });
-    const generation = this.#create(run);
-    this.#waiting.set(run.gen, { run, stream });
-    if (decision.type === "start") this.#startGeneration(run.gen);
-    return generation.attach(stream, 0);
-  }
-
-  #create(run: Pick<Run, "gen"> & { account: Run["account"] | null }): SideGeneration {
-    const { engine } = this.#o;
-    const log = this.#logs.create(run.gen)!;
-    const generation = new SideGeneration(run.gen, log, {
-      engine,
-      clock: this.#clock,
-      batch: this.#batch,
-      times: this.#times,
-      hooks: {
-        onToken: (gen, offset, gapMs) => this.#onToken(gen, offset, gapMs),
-        onEnd: (gen, how, end) => this.#onEnd(gen, how, end),
-        makeEnd: (ev) => ({ ...ev, kind: "end", load: this.load() }),
-        makeFail: (refusal) => ({ kind: "fail", refusal, load: this.load() }),
-      },
-    }, { account: run.account });
-    this.#running.set(run.gen, generation);
-    return generation;
-  }
-
-  #startGeneration(gen: GenerationId): void {
-    const waiting = this.#waiting.get(gen);
-    if (waiting === undefined) return;
-    this.#waiting.delete(gen);
-    const { run } = waiting;
-    const version = this.#o.config.current().services.get(run.service)?.versions.find((v) =>
-      v.id === run.version
-    );
-    this.#running.get(gen)?.start({ ...run, model: version?.model ?? "", version: run.version });
-  }
-
-  #onToken(gen: GenerationId, offset: number, gapMs: number): void {
-    const { admission } = this.#o;
-    const now = this.#clock.now();
-    if (offset === 0) admission.recordFirstToken(gen, gapMs, now);
-    admission.recordTokens(gen, 1, offset === 0 ? 0 : gapMs, now);
-  }
-
-  #onEnd(gen: GenerationId, how: "done" | "failed" | "cancelled", end: GenerationEnd): void {
-    const now = this.#clock.now();
-    this.#o.admission.recordEnd(gen, how, now);
-    this.#running.delete(gen);
-    this.#waiting.delete(gen);
-    this.#logs.finish(gen, end, now);
-    if (end.kind === "fail") this.metrics.countRefusal(end.refusal.type);
-    if (end.kind === "fail" && end.refusal.type === "engine_lost") {
-      this.#o.admission.recordEngineCrash(now);
-    }
-    this.#runAdmission();
+    return gateReason(state, this.#o.config.current(), req);
   }
 
   #runAdmission(): void {
-    for (const action of this.#o.admission.tick(this.#clock.now())) {
-      if (action.type === "start") this.#startGeneration(action.gen);
-      else this.#expire(action.gen, action.reason, action.retryAfterMs);
-    }
+    for (const action of this.#o.admission.tick(this.#clock.now())) this.#perform(action);
   }
 
-  #expire(gen: GenerationId, reason: RefusalReason, retryAfterMs?: number): void {
-    const message = "the request expired in the queue";
-    const refusal = { type: reason, message, notRun: true, retryAfterMs } as const;
-    this.#running.get(gen)?.finish("failed", { kind: "fail", refusal, load: this.load() });
+  #perform(action: AdmissionAction): void {
+    if (this.#generations?.perform(action)) return;
+    this.#calls?.perform(action);
   }
 
-  #refuse(
-    run: Run,
-    stream: LinkStream,
-    reason: RefusalReason,
-    retryAfterMs?: number,
-  ): StreamHandler {
-    this.metrics.countRefusal(reason);
-    const reply: NotRunReply = { kind: "not_run", reason, retryAfterMs, load: this.load() };
-    stream.send({ ...reply, about: run.gen });
-    stream.end();
-    return IGNORE;
+  #tick(): void {
+    this.#generations?.sweep();
+    this.#runAdmission();
   }
 
-  #onResume(_link: Link, msg: Resume, stream: LinkStream): StreamHandler {
-    const generation = this.#running.get(msg.gen);
-    if (generation !== undefined) {
-      if (generation.account !== null && generation.account !== msg.account) {
-        return this.#failResume(msg.gen, stream, "resume_forbidden");
-      }
-      generation.account = msg.account;
-      return generation.attach(stream, msg.offset);
+  /** Tells the entries that are connected, if anything but the report number changed. */
+  #sendLoad(): void {
+    const load = this.load();
+    const text = JSON.stringify({ ...load, seq: 0 });
+    if (text === this.#lastSent) return;
+    this.#lastSent = text;
+    for (const link of this.#o.router.links) {
+      if (link.peer.role === "entry") link.notify({ kind: "load", load });
     }
-    if (this.#logs.seen(msg.gen)) return this.#attachEnded(msg.gen, stream, msg.offset);
-    if (!this.#ready) return this.#failResume(msg.gen, stream, "side_not_ready");
-    const adopted = this.#create(msg);
-    const handler = adopted.attach(stream, msg.offset);
-    adopted.adopt();
-    return handler;
-  }
-
-  #attachEnded(gen: GenerationId, stream: LinkStream, offset: number): StreamHandler {
-    const log = this.#logs.get(gen);
-    if (log === null) return this.#failResume(gen, stream, "resume_expired");
-    const ended = new SideGeneration(gen, log, {
-      engine: this.#o.engine,
-      clock: this.#clock,
-      batch: this.#batch,
-      times: this.#times,
-      hooks: {
-        onToken() {},
-        onEnd() {},
-        makeEnd: (ev) => ({ ...ev, kind: "end", load: this.load() }),
-        makeFail: (refusal) => ({ kind: "fail", refusal }),
-      },
-    }, { account: null });
-    return ended.attach(stream, offset);
-  }
-
-  #failResume(gen: GenerationId, stream: LinkStream, type: RefusalReason): StreamHandler {
-    this.metrics.countRefusal(type);
-    const refusal = { type, message: "the generation cannot be resumed here", notRun: false };
-    stream.send({ kind: "fail", refusal, load: this.load(), about: gen });
-    stream.end();
-    return IGNORE;
   }
 
-  #tick(): void {
-    this.#logs.sweep(this.#clock.now());
-    this.#runAdmission();
+  async #probe(): Promise<void> {
+    if (this.#probing) return;
+    this.#probing = true;
+    const up = await this.#probeOnce().catch(() => false);
+    this.#probing = false;
+    this.#failedProbes = up ? 0 : this.#failedProbes + 1;
+    if (this.#failedProbes === MAX_FAILED_PROBES && this.#ready) this.#onEngineLost();
   }
 
-  async #probe(): Promise<void> {
-    const { engine, admission } = this.#o;
-    try {
-      const [load, state] = await Promise.all([engine.load(), engine.state()]);
-      admission.recordEngineLoad(load, load.ageMs, this.#clock.now());
-      this.#version = versionId(state.version);
-      if (!this.#ready) await this.#learn();
-      this.#ready = state.ready;
-    } catch {
-      this.#ready = false;
+  async #probeOnce(): Promise<boolean> {
+    const { engine, config, endpoint, service } = this.#o;
+    if (engine === undefined) {
+      const view = config.current();
+      this.#version = view.endpoints.get(endpoint)?.version ??
+        view.services.get(service)?.activeVersion ?? null;
+      const up = await this.#calls!.probe(PROBE_TIMEOUT_MS);
+      if (up) this.#ready = true;
+      return up;
     }
+    const [load, state] = await Promise.all([engine.load(), engine.state()]);
+    this.#o.admission.recordEngineLoad(load, load.ageMs, this.#clock.now());
+    this.#version = versionId(state.version);
+    // What the engine already runs counts before any new work is taken.
+    if (!this.#ready) await this.#generations!.adoptAll();
+    this.#ready = state.ready;
+    return true;
   }
 
-  /** Adopts the generations that the engine runs, so that a restarted side counts them. */
-  async #learn(): Promise<void> {
-    for (const held of await this.#o.engine.generations()) {
-      if (held.done || this.#logs.seen(held.gen)) continue;
-      this.#create({ gen: held.gen, account: null }).adopt();
-    }
+  #onEngineLost(): void {
+    if (!this.#ready) return;
+    this.#ready = false;
+    this.#o.log.warn({ endpoint: this.#o.endpoint }, "endpoint lost");
+    this.#o.admission.recordEngineCrash(this.#clock.now());
+    this.#sendLoad();
   }
 }
--- /dev/null
+++ b/packages/daemon/src/side_calls.ts
@@ -0,0 +1,143 @@
+/**
+ * The calls of one side beside a plain service.
+ *
+ * @module
+ */
+import type { GenerationId, Table, World } from "@wisteriapick/core";
+import type { AdmissionAction } from "@wisteriapick/policy";
+import type { Call, LinkStream, StreamHandler } from "@wisteriapick/wire";
+import { Agent } from "undici";
+import { RecentIds } from "./recent_ids.ts";
+import { SideCall } from "./side_call.ts";
+import { IGNORE_STREAM, refuseRun, type SideContext } from "./side_context.ts";
+
+/** One row of the `calls` table, for operators. */
+export interface CallRow {
+  readonly account: string;
+  readonly method: string;
+  readonly sinceMs: number;
+}
+
+/** Parts of {@link SideCalls}. */
+export interface SideCallsOptions {
+  /** Base of the endpoint, for example `http://127.0.0.1:7300`. */
+  readonly origin: string;
+  readonly world: World;
+  /** Silence of the endpoint after which a call fails. */
+  readonly silenceMs?: number;
+  /** Call ids that are remembered, so that a repeated message does not run a call again. */
+  readonly maxRecent?: number;
+}
+
+const DEFAULT_SILENCE_MS = 30_000;
+const CONNECT_TIMEOUT_MS = 1_000;
+
+/** Relays calls to one endpoint. */
+export class SideCalls {
+  readonly #ctx: SideContext;
+  readonly #o: SideCallsOptions;
+  readonly #calls = new Map<string, SideCall>();
+  readonly #recent: RecentIds;
+  readonly #table: Table<GenerationId, CallRow>;
+  readonly #reusing: Agent;
+  readonly #fresh: Agent;
+
+  constructor(ctx: SideContext, options: SideCallsOptions) {
+    this.#ctx = ctx;
+    this.#o = options;
+    this.#recent = new RecentIds(options.maxRecent ?? 50_000);
+    this.#table = options.world.registerTable<GenerationId, CallRow>("calls").table;
+    const { silenceMs = DEFAULT_SILENCE_MS } = options;
+    const timeouts = {
+      headersTimeout: silenceMs,
+      bodyTimeout: silenceMs,
+      connect: { timeout: CONNECT_TIMEOUT_MS },
+    };
+    this.#reusing = new Agent(timeouts);
+    // A kept connection may be closed by the endpoint while a request is on its way, which leaves open whether
+    // the request ran. Calls that may not be repeated get a connection of their own.
+    this.#fresh = new Agent({ ...timeouts, pipelining: 0 });
+  }
+
+  get idle(): boolean {
+    return this.#calls.size === 0;
+  }
+
+  onCall(call: Call, stream: LinkStream): StreamHandler {
+    const gate = this.#ctx.gate(call);
+    if (gate !== null) return refuseRun(this.#ctx, stream, call.req, gate);
+    if (!this.#recent.add(`${call.req}/${call.attempt}`)) {
+      stream.abort();
+      return IGNORE_STREAM;
+    }
+    const now = this.#ctx.clock.now();
+    const id = call.req as string as GenerationId;
+    const decision = this.#ctx.admission.offer({
+      gen: id,
+      service: call.service,
+      account: call.account,
+      weight: call.weight,
+      promptTokens: 0,
+      maxTokens: 1,
+      priority: 0,
+      deadlineMs: now + call.remainingMs,
+      digest: call.digest,
+      attempt: call.attempt,
+    }, now);
+    if (decision.type === "not_run") {
+      return refuseRun(this.#ctx, stream, call.req, decision.reason, decision.retryAfterMs);
+    }
+    const sideCall = this.#create(id, call, stream);
+    stream.send({ kind: "admitted", load: this.#ctx.load(), about: call.req });
+    if (decision.type === "start") sideCall.start();
+    return sideCall.handler;
+  }
+
+  /** Carries out one action of admission. Returns false where it is not about a call. */
+  perform(action: AdmissionAction): boolean {
+    const call = this.#calls.get(action.gen);
+    if (call === undefined) return false;
+    if (action.type === "start") call.start();
+    else {
+      const message = "the request did not start in time";
+      const { reason: type, retryAfterMs } = action;
+      call.expire({ type, message, notRun: true, retryAfterMs });
+    }
+    return true;
+  }
+
+  /** Whether the endpoint answers HTTP at all. */
+  async probe(timeoutMs: number): Promise<boolean> {
+    try {
+      const signal = AbortSignal.timeout(timeoutMs);
+      const { origin } = this.#o;
+      const res = await this.#fresh.request({ origin, path: "/healthz", method: "GET", signal });
+      await res.body.dump();
+      return res.statusCode < 500;
+    } catch {
+      return false;
+    }
+  }
+
+  async close(): Promise<void> {
+    await Promise.all([this.#reusing.destroy(), this.#fresh.destroy()]);
+  }
+
+  #create(id: GenerationId, call: Call, stream: LinkStream): SideCall {
+    const sideCall = new SideCall(call, stream, {
+      ctx: this.#ctx,
+      dispatcher: call.repeatable ? this.#reusing : this.#fresh,
+      origin: this.#o.origin,
+      onEnd: (how) => {
+        this.#calls.delete(id);
+        this.#o.world.update(() => this.#table.delete(id));
+        this.#ctx.admission.recordEnd(id, how, this.#ctx.clock.now());
+        this.#ctx.runAdmission();
+      },
+    });
+    this.#calls.set(id, sideCall);
+    const { account, method } = call;
+    this.#o.world.update((now) => this.#table.set(id, { account, method, sinceMs: now }));
+    return sideCall;
+  }
+}
--- a/packages/daemon/src/side_follower.ts
+++ b/packages/daemon/src/side_follower.ts
@@ -9,6 +9,9 @@
 /** The message that ends a generation. */
 export type GenerationEnd = End | Fail;
 
+/** Tokens of one message at most; keeps a message far below the size of a frame. */
+const MAX_BATCH_TOKENS = 1_024;
+
 /** Sends a log from an offset on, as fast as the entry's credit allows. */
 export class Follower {
   readonly #stream: LinkStream;
@@ -32,8 +35,8 @@
   /** Sends what is new. Returns true once everything including the end has been sent. */
   flush(): boolean {
     if (this.#done || this.#blocked) return this.#done;
-    if (this.#next < this.#log.length) {
-      const items = this.#log.read(this.#next);
+    while (this.#next < this.#log.length && !this.#blocked) {
+      const items = this.#log.read(this.#next, MAX_BATCH_TOKENS);
       const offset = this.#next;
       this.#next += items.length;
       this.#blocked = !this.#stream.send({ kind: "tokens", offset, items, about: this.#about });
--- a/packages/daemon/src/side_generation.ts
+++ b/packages/daemon/src/side_generation.ts
@@ -13,7 +13,7 @@
 } from "@wisteriapick/core";
 import type { GenerationLog } from "@wisteriapick/delivery";
 import type { EngineEvent, EngineRequest, ModelEngine } from "@wisteriapick/platform";
-import type { LinkStream, StreamHandler } from "@wisteriapick/wire";
+import type { EndpointLoad, LinkStream, StreamHandler } from "@wisteriapick/wire";
 import { Follower, type GenerationEnd } from "./side_follower.ts";
 import { failOnSilence } from "./silence.ts";
 import type { TurnBatch } from "./turn_batch.ts";
@@ -24,9 +24,8 @@
   onToken(gen: GenerationId, offset: number, gapMs: number): void;
   /** The generation ended; called once. */
   onEnd(gen: GenerationId, how: "done" | "failed" | "cancelled", end: GenerationEnd): void;
-  /** Builds the message that ends the generation, with present load. */
-  makeEnd(ev: Extract<EngineEvent, { type: "end" }>): GenerationEnd;
-  makeFail(refusal: Refusal): GenerationEnd;
+  /** Present load, for the message that ends the generation. */
+  load(): EndpointLoad;
 }
 
 /** Times of {@link SideGeneration}. */
@@ -138,7 +137,7 @@
       message: "the generation was cancelled",
       notRun: !this.#started,
     };
-    this.finish("cancelled", this.#deps.hooks.makeFail(refusal));
+    this.finish("cancelled", this.#makeFail(refusal));
     if (this.#started) void this.#deps.engine.cancel(this.gen).catch(() => {});
   }
 
@@ -156,7 +155,7 @@
     this.#undoGrace?.();
     this.#abort.abort();
     this.log.finish(
-      this.#deps.hooks.makeFail({ type: "side_lost", message: "side stopped", notRun: false }),
+      this.#makeFail({ type: "side_lost", message: "side stopped", notRun: false }),
       this.#deps.clock.now(),
     );
   }
@@ -182,7 +181,7 @@
       } catch (e) {
         if (this.ended) return;
         const verdict = this.#classify(e, req !== null);
-        if (verdict !== null) return this.finish("failed", this.#deps.hooks.makeFail(verdict));
+        if (verdict !== null) return this.finish("failed", this.#makeFail(verdict));
         const silent = toWpError(e).type === "timeout";
         if (this.log.length > before || silent) failures = 0;
         else failures++;
@@ -233,7 +232,14 @@
     // An end that counts more tokens than arrived is a gap: the rest is asked for.
     if (ev.reason !== "cancelled" && ev.completionTokens > this.log.length) return;
     const how = ev.reason === "cancelled" ? "cancelled" : "done";
-    this.finish(how, this.#deps.hooks.makeEnd(ev));
+    const { reason, promptTokens, cachedTokens, completionTokens } = ev;
+    const load = this.#deps.hooks.load();
+    const usage = { promptTokens, cachedTokens, completionTokens };
+    this.finish(how, { kind: "end", reason, ...usage, load });
+  }
+
+  #makeFail(refusal: Refusal): GenerationEnd {
+    return { kind: "fail", refusal, load: this.#deps.hooks.load() };
   }
 
   /** Returns the refusal with which the generation ends, or `null` where the engine is asked again. */
@@ -250,7 +256,7 @@
   }
 
   #finishLost(): void {
-    this.finish("failed", this.#deps.hooks.makeFail(lost()));
+    this.finish("failed", this.#makeFail(lost()));
   }
 }
 
--- /dev/null
+++ b/packages/daemon/src/side_generations.ts
@@ -0,0 +1,220 @@
+/**
+ * The generations of one side: each id runs at most once, and each can be followed from any offset.
+ *
+ * @module
+ */
+import type { GenerationId, RefusalReason, Table, World } from "@wisteriapick/core";
+import { GenerationLogStore, type GenerationLogStoreOptions } from "@wisteriapick/delivery";
+import type { ModelEngine } from "@wisteriapick/platform";
+import type { AdmissionAction } from "@wisteriapick/policy";
+import type { LinkStream, Resume, Run, StreamHandler } from "@wisteriapick/wire";
+import { IGNORE_STREAM, refuseRun, type SideContext } from "./side_context.ts";
+import type { GenerationEnd } from "./side_follower.ts";
+import { type GenerationTimes, SideGeneration } from "./side_generation.ts";
+import { TurnBatch } from "./turn_batch.ts";
+
+/** One row of the `generations` table, for operators. */
+export interface GenerationRow {
+  readonly account: string | null;
+  readonly sinceMs: number;
+}
+
+/** Parts of {@link SideGenerations}. */
+export interface SideGenerationsOptions {
+  readonly engine: ModelEngine;
+  readonly times: GenerationTimes;
+  readonly world: World;
+  readonly logs?: GenerationLogStoreOptions;
+  /** Called when a generation ended because its engine was lost, before admission hears of the end. */
+  onEngineLost(): void;
+}
+
+/** Running and ended generations. */
+export class SideGenerations {
+  readonly #ctx: SideContext;
+  readonly #o: SideGenerationsOptions;
+  readonly #batch = new TurnBatch();
+  readonly #logs: GenerationLogStore<GenerationId, GenerationEnd>;
+  readonly #running = new Map<GenerationId, SideGeneration>();
+  readonly #waiting = new Map<GenerationId, Run>();
+  readonly #table: Table<GenerationId, GenerationRow>;
+  #streams = 0;
+
+  constructor(ctx: SideContext, options: SideGenerationsOptions) {
+    this.#ctx = ctx;
+    this.#o = options;
+    this.#logs = new GenerationLogStore(options.logs);
+    this.#table = options.world.registerTable<GenerationId, GenerationRow>("generations").table;
+  }
+
+  /** Whether nothing runs and every entry has received what it follows. */
+  get idle(): boolean {
+    return this.#running.size === 0 && this.#streams === 0;
+  }
+
+  onRun(run: Run, stream: LinkStream): StreamHandler {
+    const known = this.#running.get(run.gen);
+    if (known !== undefined) return this.#attach(known, stream, 0);
+    if (this.#logs.seen(run.gen)) return this.#attachEnded(run.gen, stream, 0);
+    const gate = this.#ctx.gate(run);
+    if (gate !== null) return refuseRun(this.#ctx, stream, run.gen, gate);
+    const now = this.#ctx.clock.now();
+    const decision = this.#ctx.admission.offer({ ...run, deadlineMs: now + run.remainingMs }, now);
+    if (decision.type === "not_run") {
+      return refuseRun(this.#ctx, stream, run.gen, decision.reason, decision.retryAfterMs);
+    }
+    const generation = this.#create(run);
+    this.#waiting.set(run.gen, run);
+    stream.send({ kind: "admitted", load: this.#ctx.load(), about: run.gen });
+    if (decision.type === "start") this.#start(run.gen);
+    return this.#attach(generation, stream, 0);
+  }
+
+  onResume(msg: Resume, stream: LinkStream, ready: boolean): StreamHandler {
+    const generation = this.#running.get(msg.gen);
+    if (generation !== undefined) {
+      if (generation.account !== null && generation.account !== msg.account) {
+        return this.#failResume(msg.gen, stream, "resume_forbidden");
+      }
+      generation.account = msg.account;
+      return this.#attach(generation, stream, msg.offset);
+    }
+    if (this.#logs.seen(msg.gen)) return this.#attachEnded(msg.gen, stream, msg.offset);
+    if (!ready) return this.#failResume(msg.gen, stream, "side_not_ready");
+    // The engine may hold it from before this process started.
+    const adopted = this.#create(msg);
+    const handler = this.#attach(adopted, stream, msg.offset);
+    adopted.adopt();
+    return handler;
+  }
+
+  cancel(gen: GenerationId): void {
+    this.#running.get(gen)?.cancel();
+  }
+
+  /** Follows the generations that the engine runs, so that a restarted side counts and ends them. */
+  async adoptAll(): Promise<void> {
+    for (const held of await this.#o.engine.generations()) {
+      if (held.done || this.#logs.seen(held.gen)) continue;
+      this.#create({ gen: held.gen, account: null }).adopt();
+    }
+  }
+
+  /** Carries out one action of admission. Returns false where it is not about a generation. */
+  perform(action: AdmissionAction): boolean {
+    const generation = this.#running.get(action.gen);
+    if (generation === undefined) return false;
+    if (action.type === "start") this.#start(action.gen);
+    else this.#expire(generation, action.reason, action.retryAfterMs);
+    return true;
+  }
+
+  sweep(): void {
+    this.#logs.sweep(this.#ctx.clock.now());
+  }
+
+  /** Drops everything, as when the process dies. */
+  release(): void {
+    for (const generation of this.#running.values()) generation.release();
+  }
+
+  #create(run: { gen: GenerationId; account: Run["account"] | null }): SideGeneration {
+    const log = this.#logs.create(run.gen)!;
+    const generation = new SideGeneration(run.gen, log, {
+      engine: this.#o.engine,
+      clock: this.#ctx.clock,
+      batch: this.#batch,
+      times: this.#o.times,
+      hooks: {
+        onToken: (gen, offset, gapMs) => this.#onToken(gen, offset, gapMs),
+        onEnd: (gen, how, end) => this.#onEnd(gen, how, end),
+        load: () => this.#ctx.load(),
+      },
+    }, { account: run.account });
+    this.#running.set(run.gen, generation);
+    this.#o.world.update((sinceMs) =>
+      this.#table.set(run.gen, { account: run.account, sinceMs: Math.round(sinceMs) })
+    );
+    return generation;
+  }
+
+  #start(gen: GenerationId): void {
+    const run = this.#waiting.get(gen);
+    if (run === undefined) return;
+    this.#waiting.delete(gen);
+    const service = this.#ctx.config.current().services.get(run.service);
+    const version = service?.versions.find((v) => v.id === run.version);
+    const { prompt, maxTokens, priority, stop, temperature } = run;
+    this.#running.get(gen)?.start({
+      gen,
+      model: version?.model ?? "",
+      version: run.version,
+      prompt,
+      maxTokens,
+      priority,
+      stop,
+      temperature,
+    });
+  }
+
+  #attach(generation: SideGeneration, stream: LinkStream, offset: number): StreamHandler {
+    this.#streams++;
+    const handler = generation.attach(stream, offset);
+    return {
+      ...handler,
+      onClose: (err) => {
+        this.#streams--;
+        handler.onClose(err);
+      },
+    };
+  }
+
+  #attachEnded(gen: GenerationId, stream: LinkStream, offset: number): StreamHandler {
+    const log = this.#logs.get(gen);
+    if (log === null) return this.#failResume(gen, stream, "resume_expired");
+    const ended = new SideGeneration(gen, log, {
+      engine: this.#o.engine,
+      clock: this.#ctx.clock,
+      batch: this.#batch,
+      times: this.#o.times,
+      hooks: { onToken() {}, onEnd() {}, load: () => this.#ctx.load() },
+    }, { account: null });
+    return this.#attach(ended, stream, offset);
+  }
+
+  #failResume(gen: GenerationId, stream: LinkStream, type: RefusalReason): StreamHandler {
+    this.#ctx.metrics.countRefusal(type);
+    const refusal = { type, message: "the generation cannot be resumed here", notRun: false };
+    stream.send({ kind: "fail", refusal, load: this.#ctx.load(), about: gen });
+    stream.end();
+    return IGNORE_STREAM;
+  }
+
+  #onToken(gen: GenerationId, offset: number, gapMs: number): void {
+    const { admission, clock } = this.#ctx;
+    const now = clock.now();
+    if (offset === 0) admission.recordFirstToken(gen, gapMs, now);
+    admission.recordTokens(gen, 1, offset === 0 ? 0 : gapMs, now);
+  }
+
+  #onEnd(gen: GenerationId, how: "done" | "failed" | "cancelled", end: GenerationEnd): void {
+    const now = this.#ctx.clock.now();
+    const reason = end.kind === "fail" ? end.refusal.type : undefined;
+    if (reason !== undefined) this.#ctx.metrics.countRefusal(reason);
+    if (reason === "engine_lost") this.#o.onEngineLost();
+    this.#ctx.admission.recordEnd(gen, how, now);
+    const account = this.#running.get(gen)?.account;
+    this.#ctx.log.info({ gen, account, endpoint: this.#ctx.load().endpoint, how, reason }, "ended");
+    this.#running.delete(gen);
+    this.#waiting.delete(gen);
+    this.#logs.finish(gen, end, now);
+    this.#o.world.update(() => this.#table.delete(gen));
+    this.#ctx.runAdmission();
+  }
+
+  #expire(generation: SideGeneration, type: RefusalReason, retryAfterMs?: number): void {
+    const message = "the request did not start in time";
+    const refusal = { type, message, notRun: true, retryAfterMs };
+    generation.finish("failed", { kind: "fail", refusal, load: this.#ctx.load() });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/side_orders.ts
@@ -0,0 +1,131 @@
+/**
+ * Orders to the endpoint. A paused lease holder's late order is refused by its fencing number.
+ *
+ * @module
+ */
+import {
+  type Clock,
+  type EndpointId,
+  type Fence,
+  fence,
+  type Refusal,
+  type RefusalReason,
+  toWpError,
+  versionId,
+} from "@wisteriapick/core";
+import type { ModelEngine } from "@wisteriapick/platform";
+import type { LinkStream, Message, Order, StreamHandler } from "@wisteriapick/wire";
+import { IGNORE_STREAM } from "./side_context.ts";
+
+/** Reads the highest fencing number ever given out for this endpoint, for example from the lease object. */
+export type LearnFence = () => Promise<Fence>;
+
+/** Parts of {@link SideOrders}. */
+export interface SideOrdersOptions {
+  readonly endpoint: EndpointId;
+  readonly engine: ModelEngine;
+  readonly clock: Clock;
+  readonly learnFence?: LearnFence;
+  /** Wait before the fencing number is asked for again. */
+  readonly retryMs?: number;
+  /** Called after each order that the engine took. */
+  onOrdered?(): void;
+}
+
+/** Takes orders for one endpoint, one at a time. */
+export class SideOrders {
+  readonly #o: SideOrdersOptions;
+  #highest: Fence | null = null;
+  #last: Promise<void> = Promise.resolve();
+  #stopped = false;
+
+  constructor(options: SideOrdersOptions) {
+    this.#o = options;
+  }
+
+  /** The highest fencing number seen; `null` until it has been learned. */
+  get highest(): Fence | null {
+    return this.#highest;
+  }
+
+  /** Learns the fencing number; no order is accepted before. */
+  async learn(): Promise<void> {
+    while (!this.#stopped && this.#highest === null) {
+      try {
+        const known = await this.#askFence();
+        if (known !== null) return this.#raiseTo(known);
+      } catch {
+        // Neither source answers at present; both are asked again.
+      }
+      await this.#o.clock.sleep(this.#o.retryMs ?? 500);
+    }
+  }
+
+  stop(): void {
+    this.#stopped = true;
+  }
+
+  onOrder(order: Order, stream: LinkStream): StreamHandler {
+    this.#last = this.#last.then(() => this.#answer(order, stream));
+    return IGNORE_STREAM;
+  }
+
+  async #askFence(): Promise<Fence | null> {
+    const [learned, state] = await Promise.all([
+      this.#o.learnFence?.() ?? null,
+      this.#o.engine.state(),
+    ]);
+    if (learned === null && state.highestFence === undefined) return null;
+    return fence(Math.max(learned ?? 0, state.highestFence ?? 0));
+  }
+
+  #raiseTo(seen: Fence): void {
+    if (this.#highest === null || seen > this.#highest) this.#highest = seen;
+  }
+
+  async #answer(order: Order, stream: LinkStream): Promise<void> {
+    stream.send(await this.#carryOut(order));
+    stream.end();
+  }
+
+  async #carryOut(order: Order): Promise<Message> {
+    if (order.endpoint !== this.#o.endpoint) {
+      return fail("invalid_request", `this side owns ${this.#o.endpoint}`);
+    }
+    if (this.#highest === null) {
+      return fail("side_not_ready", "the highest fencing number is not known yet");
+    }
+    if (order.fence < this.#highest) {
+      return fail("fenced", `a holder with fencing number ${this.#highest} has given orders`);
+    }
+    this.#raiseTo(order.fence);
+    const { version, model, adapters, role } = order;
+    try {
+      const state = await this.#o.engine.order({
+        fence: order.fence,
+        version,
+        model,
+        adapters,
+        role,
+      });
+      this.#o.onOrdered?.();
+      return {
+        kind: "order_done",
+        endpoint: order.endpoint,
+        version: versionId(state.version),
+        ready: state.ready,
+        highestFence: this.#highest,
+      };
+    } catch (e) {
+      const err = toWpError(e);
+      if (err.type !== "fenced") return fail("engine_failed", "the engine did not take the order");
+      this.#raiseTo(fence(err.highest));
+      return fail("fenced", `the engine has seen fencing number ${err.highest}`);
+    }
+  }
+}
+
+function fail(type: RefusalReason, message: string): Message {
+  const refusal: Refusal = { type, message, notRun: type === "engine_failed" ? "unknown" : true };
+  return { kind: "fail", refusal };
+}
--- a/packages/wire/src/message_codec.ts
+++ b/packages/wire/src/message_codec.ts
@@ -172,6 +172,7 @@
     attempt: count,
     revision: rev,
     digest: text,
+    hasBody: optional(flag),
   }),
   body: record<Body<"body">>({
     bytes: bytesView,
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -159,6 +159,8 @@
   readonly attempt: number;
   readonly revision: Revision;
   readonly digest: string;
+  /** Whether body bytes follow. The endpoint is asked only after the first body message, which is always sent. */
+  readonly hasBody?: boolean;
 }
 
 /** Bytes of a body; an empty chunk with `last` ends it. */
