--- a/packages/policy/src/interfaces.ts
+++ b/packages/policy/src/interfaces.ts
@@ -90,6 +90,8 @@
   /** Stable digest of the request's content, for quarantine. */
   readonly digest: string;
   readonly attempt: number;
+  /** Crashes of endpoints at which this digest ran, as far as the entry knows. */
+  readonly suspectCrashes?: number;
 }
 
 /** The answer of admission. A queued request has a place and starts later, or expires. */
--- /dev/null
+++ b/packages/policy/src/memory_forecast.ts
@@ -0,0 +1,78 @@
+/**
+ * Whether a batch will outgrow KV memory: expected memory and its spread at several points ahead, from the
+ * chance that each generation is still running then.
+ *
+ * @module
+ */
+import { conditional } from "./length_estimator.ts";
+
+/** Steps ahead at which memory is forecast; the last covers the longest drafts. */
+export const HORIZONS_TOKENS: readonly number[] = [
+  0,
+  32,
+  128,
+  512,
+  1_024,
+  2_048,
+  4_096,
+  8_192,
+  16_384,
+];
+
+/** One generation of the batch. */
+export interface ForecastItem {
+  readonly curve: Float64Array;
+  readonly promptTokens: number;
+  readonly produced: number;
+  readonly maxTokens: number;
+}
+
+/** Mean and variance of memory per horizon. */
+export class MemoryForecast {
+  readonly #mean = new Float64Array(HORIZONS_TOKENS.length);
+  readonly #variance = new Float64Array(HORIZONS_TOKENS.length);
+
+  clear(): void {
+    this.#mean.fill(0);
+    this.#variance.fill(0);
+  }
+
+  /** Adds a generation, or takes it out with `sign` -1. */
+  add(item: ForecastItem, sign = 1): void {
+    for (let i = 0; i < HORIZONS_TOKENS.length; i++) {
+      const ahead = HORIZONS_TOKENS[i]!;
+      const { alive, tokens } = project(item, ahead);
+      this.#mean[i]! += sign * alive * tokens;
+      this.#variance[i]! += sign * alive * (1 - alive) * tokens * tokens;
+    }
+  }
+
+  /** The largest memory over all horizons that is exceeded only with the chance that `z` stands for. */
+  peakTokens(z: number): number {
+    let peak = 0;
+    for (let i = 0; i < HORIZONS_TOKENS.length; i++) {
+      peak = Math.max(peak, this.#mean[i]! + z * Math.sqrt(Math.max(0, this.#variance[i]!)));
+    }
+    return peak;
+  }
+
+  /** {@link peakTokens} with one more generation. */
+  peakWith(item: ForecastItem, z: number): number {
+    let peak = 0;
+    for (let i = 0; i < HORIZONS_TOKENS.length; i++) {
+      const { alive, tokens } = project(item, HORIZONS_TOKENS[i]!);
+      const mean = this.#mean[i]! + alive * tokens;
+      const variance = this.#variance[i]! + alive * (1 - alive) * tokens * tokens;
+      peak = Math.max(peak, mean + z * Math.sqrt(Math.max(0, variance)));
+    }
+    return peak;
+  }
+}
+
+function project(item: ForecastItem, ahead: number): { alive: number; tokens: number } {
+  const left = item.maxTokens - item.produced;
+  const tokens = item.promptTokens + item.produced + ahead;
+  if (ahead === 0) return { alive: 1, tokens };
+  if (ahead > left) return { alive: 0, tokens };
+  return { alive: conditional(item.curve, item.produced, ahead), tokens };
+}
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -3,4 +3,11 @@
  *
  * @module
  */
+export * from "./cold_start.ts";
+export * from "./fair_queue.ts";
 export * from "./interfaces.ts";
+export * from "./length_estimator.ts";
+export * from "./memory_forecast.ts";
+export * from "./quarantine.ts";
+export * from "./side_admission.ts";
+export * from "./subset_placement.ts";
--- /dev/null
+++ b/packages/policy/src/side_admission.ts
@@ -0,0 +1,350 @@
+/**
+ * Admission at one side: what starts, waits or is refused.
+ *
+ * @module
+ */
+import type { GenerationId, RefusalReason } from "@wisteriapick/core";
+import { ColdStart, type ColdStartOptions } from "./cold_start.ts";
+import { FairQueue, type Queued } from "./fair_queue.ts";
+import {
+  Admission,
+  type AdmissionAction,
+  type AdmissionDecision,
+  type AdmissionRequest,
+  type LoadView,
+} from "./interfaces.ts";
+import { LengthEstimator } from "./length_estimator.ts";
+import { MemoryForecast } from "./memory_forecast.ts";
+import { Quarantine } from "./quarantine.ts";
+
+/** Options of {@link SideAdmission}. */
+export interface SideAdmissionOptions {
+  /** KV memory of the engine until its first load report. */
+  readonly kvTotalTokens?: number;
+  /** Share of KV memory that is filled at most. */
+  readonly memoryShare?: number;
+  /** Standard deviations kept free: 1.28 stands for a chance of 10%, 2.33 for 1%. */
+  readonly memoryZ?: number;
+  /** Longest expected wait in the queue; what would wait longer is refused at once. */
+  readonly maxWaitMs?: number;
+  readonly maxQueue?: number;
+  /** Expected lengths up to this run ahead of longer ones. */
+  readonly shortTokens?: number;
+  /** Waiting this long moves work up by one rank. */
+  readonly agingMs?: number;
+  /** Tokens after which a suspect is cleared. */
+  readonly clearTokens?: number;
+  readonly cold?: ColdStartOptions;
+  readonly lengths?: LengthEstimator;
+  readonly quarantine?: Quarantine;
+  /** Name of this endpoint, for the names of its crashes. */
+  readonly name?: string;
+}
+
+interface Waiting extends Queued {
+  readonly req: AdmissionRequest;
+}
+
+interface Running {
+  readonly req: AdmissionRequest;
+  readonly curve: Float64Array;
+  readonly charged: number;
+  produced: number;
+  /** Tokens up to which the length estimate knows of this generation. */
+  recorded: number;
+  nextRecord: number;
+  suspect: boolean;
+}
+
+type Blocked = "cold_start" | "memory_pressure" | "overloaded";
+
+// Progress is recorded each time a generation has grown by this factor.
+const RECORD_GROWTH = 1.25;
+const WAIT_SMOOTHING = 0.1;
+const MIN_RETRY_AFTER_MS = 50;
+const MAX_RETRY_AFTER_MS = 10_000;
+
+/**
+ * Admission by learned concurrency and forecast memory.
+ *
+ * @example
+ * ```ts
+ * const admission = new SideAdmission({ kvTotalTokens: 60_000 });
+ * const decision = admission.offer(req, clock.now());
+ * ```
+ */
+export class SideAdmission extends Admission {
+  readonly #cfg: Required<Omit<SideAdmissionOptions, "cold" | "lengths" | "quarantine">>;
+  readonly lengths: LengthEstimator;
+  readonly quarantine: Quarantine;
+  readonly cold: ColdStart;
+  readonly #queue: FairQueue<Waiting>;
+  readonly #running = new Map<GenerationId, Running>();
+  readonly #waiting = new Map<GenerationId, Waiting>();
+  readonly #forecast = new MemoryForecast();
+  #kvTotal: number;
+  #crashes = 0;
+  #draining = false;
+  /** Refused at the next tick because the engine died before they ran. */
+  #dropped: GenerationId[] = [];
+  #startIntervalMs = 200;
+  #lastStartMs = -Infinity;
+  #meanTokens = 500;
+
+  constructor(options: SideAdmissionOptions = {}) {
+    super();
+    this.#cfg = {
+      kvTotalTokens: options.kvTotalTokens ?? 60_000,
+      memoryShare: options.memoryShare ?? 0.97,
+      memoryZ: options.memoryZ ?? 1,
+      maxWaitMs: options.maxWaitMs ?? 400,
+      maxQueue: options.maxQueue ?? 16,
+      shortTokens: options.shortTokens ?? 96,
+      agingMs: options.agingMs ?? 1_000,
+      clearTokens: options.clearTokens ?? 8,
+      name: options.name ?? "endpoint",
+    };
+    this.lengths = options.lengths ?? new LengthEstimator();
+    this.quarantine = options.quarantine ?? new Quarantine();
+    this.cold = new ColdStart(options.cold);
+    this.#queue = new FairQueue({ agingMs: this.#cfg.agingMs });
+    this.#kvTotal = this.#cfg.kvTotalTokens;
+  }
+
+  /** Refuses all new work while set. */
+  setDraining(draining: boolean): void {
+    this.#draining = draining;
+  }
+
+  /** Takes over a generation that the engine already runs, after a restart of the side. */
+  adopt(req: AdmissionRequest, produced: number, nowMs: number): void {
+    this.#start(req, nowMs);
+    const run = this.#running.get(req.gen)!;
+    run.produced = produced;
+    run.recorded = produced;
+    run.nextRecord = Math.max(1, produced * RECORD_GROWTH);
+  }
+
+  offer(req: AdmissionRequest, nowMs: number): AdmissionDecision {
+    const refusal = this.#refusal(req, nowMs);
+    if (refusal !== null) return refusal;
+    const item = this.#enqueue(req, nowMs);
+    this.#prepare();
+    const blocked = this.#blocked(req, nowMs);
+    // Work that fits may pass a head that does not; aging bounds how often.
+    if (blocked === null && this.#mayPass(item, nowMs)) {
+      this.#unqueue(item);
+      this.#start(req, nowMs);
+      return { type: "start" };
+    }
+    const waitMs = this.#expectedWaitMs();
+    if (waitMs <= this.#cfg.maxWaitMs && nowMs + waitMs < req.deadlineMs) return { type: "queued" };
+    this.#unqueue(item);
+    return {
+      type: "not_run",
+      reason: blocked ?? "overloaded",
+      retryAfterMs: this.#retryAfterMs(waitMs),
+    };
+  }
+
+  recordTokens(gen: GenerationId, count: number, gapMs: number, nowMs: number): void {
+    const run = this.#running.get(gen);
+    if (run === undefined) return;
+    // The wait for the first token is not a gap.
+    if (run.produced > 0) this.cold.recordGap(gapMs, count, this.#running.size, nowMs);
+    run.produced += count;
+    if (run.suspect && run.produced >= this.#cfg.clearTokens) {
+      run.suspect = false;
+      this.quarantine.recordCleared(run.req.digest, nowMs);
+    }
+    if (run.produced < run.nextRecord) return;
+    this.lengths.recordProgress(run.req.service, run.req.account, run.recorded, run.produced);
+    run.recorded = run.produced;
+    run.nextRecord = run.produced * RECORD_GROWTH;
+  }
+
+  recordFirstToken(_gen: GenerationId, _waitMs: number, _nowMs: number): void {}
+
+  recordEnd(gen: GenerationId, how: "done" | "failed" | "cancelled", _nowMs: number): void {
+    const waiting = this.#waiting.get(gen);
+    if (waiting !== undefined) this.#unqueue(waiting);
+    const run = this.#running.get(gen);
+    if (run === undefined) return;
+    this.#running.delete(gen);
+    const { service, account, weight, promptTokens } = run.req;
+    this.#queue.charge(account, promptTokens + run.produced - run.charged, weight);
+    if (how !== "done") return;
+    this.lengths.recordEnd(service, account, run.produced, run.recorded);
+    this.#meanTokens += 0.02 * (promptTokens + run.produced - this.#meanTokens);
+  }
+
+  recordEngineLoad(load: { kvTotalTokens: number }, _ageMs: number, _nowMs: number): void {
+    if (load.kvTotalTokens > 0) this.#kvTotal = load.kvTotalTokens;
+  }
+
+  recordEngineCrash(nowMs: number): void {
+    this.#crashes++;
+    const crashId = `${this.#cfg.name}#${this.#crashes}@${Math.round(nowMs)}`;
+    for (const run of this.#running.values()) {
+      this.quarantine.recordCrash(run.req.digest, crashId, nowMs);
+    }
+    this.#running.clear();
+    this.#dropped.push(...this.#waiting.keys());
+    for (const item of [...this.#waiting.values()]) this.#unqueue(item);
+    this.cold.reset();
+  }
+
+  tick(nowMs: number): AdmissionAction[] {
+    const actions: AdmissionAction[] = this.#dropped.map((gen) => ({
+      type: "not_run",
+      gen,
+      reason: "engine_failed",
+    }));
+    this.#dropped = [];
+    for (const item of [...this.#waiting.values()]) {
+      const reason = this.#expiry(item, nowMs);
+      if (reason === null) continue;
+      this.#unqueue(item);
+      actions.push({ type: "not_run", gen: item.req.gen, reason });
+    }
+    if (this.#waiting.size > 0) this.#startWaiting(nowMs, actions);
+    return actions;
+  }
+
+  load(nowMs: number): Pick<
+    LoadView,
+    "running" | "queued" | "allowance" | "kvUsedTokens" | "kvTotalTokens" | "expectedWaitMs"
+  > {
+    this.#prepare();
+    let used = 0;
+    for (const run of this.#running.values()) used += run.req.promptTokens + run.produced;
+    const running = this.#running.size;
+    const room = this.#limitTokens() - this.#forecast.peakTokens(this.#cfg.memoryZ);
+    const fits = Math.max(0, Math.floor(room / this.#meanTokens));
+    return {
+      running,
+      queued: this.#waiting.size,
+      allowance: Math.min(this.cold.allowance(running, nowMs), running + fits),
+      kvUsedTokens: used,
+      kvTotalTokens: this.#kvTotal,
+      expectedWaitMs: this.#waiting.size === 0 && fits > 0 ? 0 : this.#expectedWaitMs(),
+    };
+  }
+
+  #refusal(req: AdmissionRequest, nowMs: number): AdmissionDecision | null {
+    if (nowMs >= req.deadlineMs) return { type: "not_run", reason: "deadline_exceeded" };
+    if (this.#draining) return { type: "not_run", reason: "endpoint_leaving" };
+    const quarantinedMs = this.quarantine.remainingMs(req.digest, nowMs);
+    if (quarantinedMs > 0) {
+      return { type: "not_run", reason: "quarantined", retryAfterMs: quarantinedMs };
+    }
+    if (this.#waiting.size < this.#cfg.maxQueue) return null;
+    const retryAfterMs = this.#retryAfterMs(this.#expectedWaitMs());
+    return { type: "not_run", reason: "queue_full", retryAfterMs };
+  }
+
+  #enqueue(req: AdmissionRequest, nowMs: number): Waiting {
+    const expected = this.lengths.expectedRemaining(req.service, req.account, 0, req.maxTokens);
+    const item: Waiting = {
+      req,
+      account: req.account,
+      weight: req.weight,
+      rank: req.priority + (expected <= this.#cfg.shortTokens ? 0 : 1),
+      cost: req.promptTokens + expected,
+      queuedAtMs: nowMs,
+    };
+    this.#queue.push(item);
+    this.#waiting.set(req.gen, item);
+    return item;
+  }
+
+  #unqueue(item: Waiting): void {
+    this.#queue.remove(item);
+    this.#waiting.delete(item.req.gen);
+  }
+
+  #start(req: AdmissionRequest, nowMs: number): void {
+    const charged = req.promptTokens +
+      this.lengths.expectedRemaining(req.service, req.account, 0, req.maxTokens);
+    const run: Running = {
+      req,
+      curve: this.lengths.curve(req.service, req.account),
+      charged,
+      produced: 0,
+      recorded: 0,
+      nextRecord: 1,
+      suspect: this.#isSuspect(req, nowMs),
+    };
+    this.#running.set(req.gen, run);
+    this.#queue.charge(req.account, charged, req.weight);
+    if (Number.isFinite(this.#lastStartMs)) {
+      const interval = Math.min(5_000, nowMs - this.#lastStartMs);
+      this.#startIntervalMs += WAIT_SMOOTHING * (interval - this.#startIntervalMs);
+    }
+    this.#lastStartMs = nowMs;
+  }
+
+  #isSuspect(req: AdmissionRequest, nowMs: number): boolean {
+    return (req.suspectCrashes ?? 0) > 0 || this.quarantine.crashes(req.digest, nowMs) > 0;
+  }
+
+  #limitTokens(): number {
+    return this.#kvTotal * this.#cfg.memoryShare;
+  }
+
+  #prepare(): void {
+    this.#forecast.clear();
+    for (const run of this.#running.values()) this.#forecast.add(this.#item(run));
+  }
+
+  #item(run: Running) {
+    const { promptTokens, maxTokens } = run.req;
+    return { curve: run.curve, promptTokens, produced: run.produced, maxTokens };
+  }
+
+  /** Why a request cannot start now. Needs a prepared forecast. */
+  #blocked(req: AdmissionRequest, nowMs: number): Blocked | null {
+    const running = this.#running.size;
+    if (running >= this.cold.allowance(running, nowMs)) return "cold_start";
+    if (this.#isSuspect(req, nowMs) && [...this.#running.values()].some((r) => r.suspect)) {
+      return "overloaded";
+    }
+    // An empty engine takes anything: nothing else would ever run it.
+    if (running === 0) return null;
+    const curve = this.lengths.curve(req.service, req.account);
+    const item = { curve, promptTokens: req.promptTokens, produced: 0, maxTokens: req.maxTokens };
+    const peak = this.#forecast.peakWith(item, this.#cfg.memoryZ);
+    return peak > this.#limitTokens() ? "memory_pressure" : null;
+  }
+
+  #mayPass(item: Waiting, nowMs: number): boolean {
+    const head = this.#queue.peek(nowMs);
+    return head === item || head === null || nowMs - head.queuedAtMs < this.#cfg.agingMs;
+  }
+
+  #startWaiting(nowMs: number, actions: AdmissionAction[]): void {
+    this.#prepare();
+    for (let item = this.#queue.peek(nowMs); item !== null; item = this.#queue.peek(nowMs)) {
+      if (this.#blocked(item.req, nowMs) !== null) return;
+      this.#unqueue(item);
+      this.#start(item.req, nowMs);
+      this.#forecast.add(this.#item(this.#running.get(item.req.gen)!));
+      actions.push({ type: "start", gen: item.req.gen });
+    }
+  }
+
+  #expiry(item: Waiting, nowMs: number): RefusalReason | null {
+    if (nowMs >= item.req.deadlineMs) return "deadline_exceeded";
+    if (this.quarantine.remainingMs(item.req.digest, nowMs) > 0) return "quarantined";
+    // Twice the longest expected wait: the estimate was wrong, and another endpoint may be better.
+    return nowMs - item.queuedAtMs > 2 * this.#cfg.maxWaitMs ? "overloaded" : null;
+  }
+
+  #expectedWaitMs(): number {
+    return this.#startIntervalMs * Math.max(1, this.#waiting.size);
+  }
+
+  #retryAfterMs(waitMs: number): number {
+    return Math.round(Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, waitMs)));
+  }
+}
