Propagate requests that crash endpoints and adopt running generations

A side names the requests that ran at a crash in its failures and load reports; entries merge them into their quarantine and refuse a named request. Engine refusals before the first token (loading, wrong version) are proved not run. Admission.adopt is a new method with an empty default.

--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -22,8 +22,8 @@
 import type { Account, ConfigSource, ConfigView } from "@wisteriapick/control";
 import { encodeModelList, ResumeSigner } from "@wisteriapick/delivery";
 import type { ObjectStore } from "@wisteriapick/platform";
-import type { Placement } from "@wisteriapick/policy";
-import type { EndpointLoad, Identity } from "@wisteriapick/wire";
+import { LengthEstimator, type Placement, Quarantine } from "@wisteriapick/policy";
+import type { Identity, LoadReport } from "@wisteriapick/wire";
 import findMyWay, { type HTTPMethod } from "find-my-way";
 import { CallRelay } from "./call_relay.ts";
 import type { Directory, DirectoryEntry } from "./directory.ts";
@@ -56,6 +56,8 @@
   readonly idempotency?: Partial<Omit<IdempotencyOptions, "store" | "clock">>;
   readonly versions?: VersionChooser;
   readonly metrics?: Metrics;
+  readonly quarantine?: Quarantine;
+  readonly lengths?: LengthEstimator;
   readonly limits?: Partial<RelayLimits>;
   /** Largest body of a completion request; it must fit into one frame. */
   readonly maxBodyBytes?: number;
@@ -108,6 +110,7 @@
   readonly #server: Server;
   readonly #endpointVersions = new Map<EndpointId, VersionId>();
   readonly #undos: Undo[] = [];
+  readonly #quarantine: Quarantine;
   #draining = false;
   #refusing = false;
   #open = 0;
@@ -115,6 +118,7 @@
   constructor(options: EntryOptions) {
     this.#o = options;
     this.metrics = options.metrics ?? createMetrics();
+    this.#quarantine = options.quarantine ?? new Quarantine();
     const { tls } = options.listen;
     this.#server = makeHttpServer((req, res) => void this.#handle(req, res), tls);
     this.#registerRoutes(this.#makeContext());
@@ -135,7 +139,7 @@
         for (const id of change.removed) this.#o.placement.removeEndpoint(id);
       }),
       config.registerListener((view) => this.#applyConfig(view)),
-      router.registerNotify("load", (_link, msg) => this.#onLoad(msg.load)),
+      router.registerNotify("load", (_link, msg) => this.#onLoad(msg)),
     );
     this.#applyConfig(config.current());
     return await listenHttp(this.#server, this.#o.listen);
@@ -229,13 +233,21 @@
       links,
       placement,
       signer,
+      quarantine: this.#quarantine,
       metrics: this.metrics,
       limits,
       makeGenerationId: () => generationId(ctx.makeId("g")),
       versionOf: ctx.versionOf,
       noteLoad: (load) => this.#endpointVersions.set(load.endpoint, load.version),
     });
-    const options = { relay, signer, links, limits, maxBodyBytes: maxBodyBytes ?? MAX_BODY_BYTES };
+    const options = {
+      relay,
+      signer,
+      links,
+      limits,
+      lengths: this.#o.lengths ?? new LengthEstimator(),
+      maxBodyBytes: maxBodyBytes ?? MAX_BODY_BYTES,
+    };
     return new Completions(ctx, options);
   }
 
@@ -321,9 +333,11 @@
     else this.#o.placement.setEndpoint(row);
   }
 
-  #onLoad(load: EndpointLoad): void {
+  #onLoad({ load, suspects }: LoadReport): void {
+    const now = this.#o.world.clock.now();
     this.#endpointVersions.set(load.endpoint, load.version);
-    this.#o.placement.recordLoad(load, this.#o.world.clock.now());
+    this.#o.placement.recordLoad(load, now);
+    if (suspects !== undefined) this.#quarantine.merge(suspects, now);
   }
 
   #applyConfig(view: ConfigView): void {
--- a/packages/daemon/src/entry_completions.ts
+++ b/packages/daemon/src/entry_completions.ts
@@ -6,6 +6,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { type Refusal, refuse, requestId } from "@wisteriapick/core";
 import { parseCompletionRequest, type ResumeSigner, TokenCursor } from "@wisteriapick/delivery";
+import type { LengthEstimator } from "@wisteriapick/policy";
 import type { Resume } from "@wisteriapick/wire";
 import { authenticate, authorizeService } from "./entry_auth.ts";
 import {
@@ -22,15 +23,13 @@
 import type { LinkSource } from "./link_source.ts";
 import { promptShape } from "./prompt_shape.ts";
 
-/** Expected length of an answer where nothing better is known. */
-const EXPECTED_TOKENS = 256;
-
 /** Parts of {@link Completions}. */
 export interface CompletionsOptions {
   readonly relay: GenerationRelay;
   readonly signer: ResumeSigner;
   readonly links: LinkSource;
   readonly limits: RelayLimits;
+  readonly lengths: LengthEstimator;
   readonly maxBodyBytes: number;
 }
 
@@ -135,14 +134,21 @@
       },
       versions: chooseVersions(this.#ctx, view, service, id),
       completion,
-      expectedTokens: Math.min(completion.maxTokens, EXPECTED_TOKENS),
+      expectedTokens: this.#o.lengths.expectedRemaining(
+        service.id,
+        account.id,
+        0,
+        completion.maxTokens,
+      ),
       deadlineMs: this.#ctx.world.clock.now() + startMs,
       gone: goneSignal(res),
     };
   }
 
   #logOutcome(req: RelayRequest, outcome: RelayOutcome): void {
-    const { gen, endpoint, attempts, result, refusal } = outcome;
+    const { gen, endpoint, attempts, result, refusal, tokens } = outcome;
+    const { service, account } = req.run;
+    if (result === "end") this.#o.lengths.recordEnd(service, account, tokens, 0);
     const ids = { req: req.run.req, gen, account: req.run.account, endpoint };
     const reason = refusal?.type;
     this.#ctx.log.info({ ...ids, attempts, result, reason }, "generation request ended");
--- a/packages/daemon/src/entry_follower.ts
+++ b/packages/daemon/src/entry_follower.ts
@@ -5,7 +5,15 @@
  */
 import type { Clock, Refusal, RefusalReason } from "@wisteriapick/core";
 import type { TokenCursor } from "@wisteriapick/delivery";
-import type { End, EndpointLoad, Link, NotRunReply, Resume, Run } from "@wisteriapick/wire";
+import type {
+  End,
+  EndpointLoad,
+  Link,
+  NotRunReply,
+  Resume,
+  Run,
+  SuspectReport,
+} from "@wisteriapick/wire";
 import { Follow, type FollowResult } from "./entry_follow.ts";
 import type { AnswerSink } from "./entry_sinks.ts";
 import type { LinkSource } from "./link_source.ts";
@@ -16,7 +24,11 @@
   | { readonly type: "not_run"; readonly reply: NotRunReply }
   /** The request never left this process. */
   | { readonly type: "not_sent" }
-  | { readonly type: "fail"; readonly refusal: Refusal; readonly load?: EndpointLoad }
+  | {
+    readonly type: "fail";
+    readonly refusal: Refusal;
+    readonly suspects?: readonly SuspectReport[];
+  }
   /** The side could not be reached within the window. */
   | { readonly type: "lost" }
   | { readonly type: "caller_gone" };
@@ -132,5 +144,5 @@
   undo();
   gone.removeEventListener("abort", onGone);
   if (res.type !== "fail") return res;
-  return { type: "fail", refusal: res.fail.refusal, load: res.fail.load };
+  return { type: "fail", refusal: res.fail.refusal, suspects: res.fail.suspects };
 }
--- a/packages/daemon/src/entry_relay.ts
+++ b/packages/daemon/src/entry_relay.ts
@@ -18,7 +18,7 @@
   type ResumeSigner,
   TokenCursor,
 } from "@wisteriapick/delivery";
-import type { AttemptOutcome, Placement, PlacementRequest } from "@wisteriapick/policy";
+import type { AttemptOutcome, Placement, PlacementRequest, Quarantine } from "@wisteriapick/policy";
 import type { End, EndpointLoad, NotRunReply, Run } from "@wisteriapick/wire";
 import type { Directory, DirectoryEntry } from "./directory.ts";
 import { type FollowerResult, followGeneration, type FollowLimits } from "./entry_follower.ts";
@@ -55,6 +55,8 @@
   readonly makeGenerationId: () => GenerationId;
   /** The version that an endpoint is known to run. */
   readonly versionOf: (endpoint: EndpointId) => VersionId | null;
+  /** Requests that crash endpoints, as far as this entry knows. */
+  readonly quarantine: Quarantine;
   /** Told of each load that an answer carries. */
   readonly noteLoad: (load: EndpointLoad) => void;
 }
@@ -78,6 +80,8 @@
   readonly endpoint: EndpointId | null;
   readonly version: VersionId | null;
   readonly attempts: number;
+  /** Tokens of a whole answer; 0 otherwise. */
+  readonly tokens: number;
   readonly result: "end" | "refused" | "failed" | "caller_gone";
   readonly refusal: Refusal | null;
 }
@@ -97,6 +101,8 @@
       if (req.gone.aborted) return hops.outcome("caller_gone", null);
       const now = this.#deps.clock.now();
       if (now >= req.deadlineMs) return hops.refuse(sink, "deadline_exceeded", this.#deps);
+      const quarantinedMs = this.#deps.quarantine.remainingMs(req.run.digest, now);
+      if (quarantinedMs > 0) return hops.fail(sink, quarantined(hops, quarantinedMs), this.#deps);
       const place = hops.placement();
       const endpoint = this.#deps.placement.choose(place, now);
       const target = endpoint === null ? undefined : this.#deps.directory.get(endpoint);
@@ -131,6 +137,7 @@
       gen,
       version,
       attempt: hops.attempts,
+      suspectCrashes: this.#deps.quarantine.crashes(req.run.digest, startMs),
       remainingMs: Math.max(0, req.deadlineMs - startMs),
     };
     const res = await followGeneration(target.side, run, {
@@ -152,6 +159,9 @@
       },
     });
     record(attemptOutcome(res));
+    if (res.type === "fail" && res.suspects !== undefined) {
+      this.#deps.quarantine.merge(res.suspects, clock.now());
+    }
     if (res.type === "not_run") this.#noteMismatch(req, hops, target.endpoint, res.reply);
     return this.#settle(req, sink, hops, target, res);
   }
@@ -198,7 +208,7 @@
       return hops.fail(sink, { type: "cancelled", message, notRun: false }, this.#deps);
     }
     sink.end(end.reason, end);
-    return hops.outcome("end", null);
+    return { ...hops.outcome("end", null), tokens: end.completionTokens };
   }
 
   #cancel(req: RelayRequest, hops: Hops, target: DirectoryEntry): void {
@@ -235,6 +245,11 @@
   "cancelled",
 ]);
 
+function quarantined(hops: Hops, retryAfterMs: number): Refusal {
+  const message = "this request crashed the endpoints that ran it";
+  return { type: "quarantined", message, notRun: hops.notRun, retryAfterMs };
+}
+
 function mayRunElsewhere(refusal: Refusal): boolean {
   return !FINAL.has(refusal.type);
 }
@@ -279,7 +294,8 @@
   #endpoint: EndpointId | null = null;
   #version: VersionId | null = null;
   #last: Refusal | null = null;
-  #notRun: Refusal["notRun"] = true;
+  /** What is known of all attempts together. */
+  notRun: Refusal["notRun"] = true;
 
   constructor(req: RelayRequest) {
     this.#req = req;
@@ -313,8 +329,8 @@
 
   failed(refusal: Refusal): void {
     this.#last = refusal;
-    if (refusal.notRun === false) this.#notRun = false;
-    else if (refusal.notRun === "unknown" && this.#notRun === true) this.#notRun = "unknown";
+    if (refusal.notRun === false) this.notRun = false;
+    else if (refusal.notRun === "unknown" && this.notRun === true) this.notRun = "unknown";
   }
 
   /** Ends the request because no further endpoint is tried; says why the last one did not answer. */
@@ -323,7 +339,7 @@
     const message = last === null ? MESSAGES[type] ?? type : `${MESSAGES[type]}: ${last.message}`;
     const reason = last !== null && type !== "deadline_exceeded" ? last.type : type;
     const retryAfterMs = last?.retryAfterMs ?? (type === "no_endpoint" ? 1_000 : undefined);
-    return this.fail(sink, { type: reason, message, notRun: this.#notRun, retryAfterMs }, deps);
+    return this.fail(sink, { type: reason, message, notRun: this.notRun, retryAfterMs }, deps);
   }
 
   fail(sink: AnswerSink, refusal: Refusal, deps: RelayDeps): RelayOutcome {
@@ -338,6 +354,7 @@
       endpoint: this.#endpoint,
       version: this.#version,
       attempts: this.attempts,
+      tokens: 0,
       result,
       refusal,
     };
--- a/packages/daemon/src/prompt_shape.ts
+++ b/packages/daemon/src/prompt_shape.ts
@@ -11,6 +11,8 @@
 export const MAX_PREFIXES = 16;
 /** Average characters of a token of English text; the engine counts exactly. */
 const CHARS_PER_TOKEN = 4;
+/** Estimated tokens of each further prefix. */
+export const PREFIX_BLOCK_TOKENS = PREFIX_BLOCK_CHARS / CHARS_PER_TOKEN;
 
 /** Facts about a prompt. */
 export interface PromptShape {
--- a/packages/daemon/src/side.ts
+++ b/packages/daemon/src/side.ts
@@ -19,8 +19,8 @@
 import type { ConfigSource } from "@wisteriapick/control";
 import type { GenerationLogStoreOptions } from "@wisteriapick/delivery";
 import type { ModelEngine } from "@wisteriapick/platform";
-import type { Admission, AdmissionAction } from "@wisteriapick/policy";
-import type { EndpointLoad, Identity } from "@wisteriapick/wire";
+import type { Admission, AdmissionAction, Quarantine } from "@wisteriapick/policy";
+import type { EndpointLoad, Identity, SuspectReport } from "@wisteriapick/wire";
 import type { LinkRouter } from "./link_router.ts";
 import { SideCalls } from "./side_calls.ts";
 import type { SideContext } from "./side_context.ts";
@@ -46,6 +46,8 @@
   readonly times?: Partial<GenerationTimes>;
   readonly logs?: GenerationLogStoreOptions;
   readonly learnFence?: LearnFence;
+  /** The admission's record of requests that crash endpoints, which entries are told of after a crash. */
+  readonly quarantine?: Quarantine;
   /** Interval of probes of the endpoint. */
   readonly probeMs?: number;
   readonly tickMs?: number;
@@ -56,6 +58,8 @@
 /** Probes in a row that must fail before the endpoint counts as down; one may be lost by chance. */
 const MAX_FAILED_PROBES = 3;
 const PROBE_TIMEOUT_MS = 1_000;
+/** Suspects of one message at most; those of the latest crash are the last. */
+const MAX_SUSPECTS = 256;
 
 /**
  * One endpoint's side.
@@ -103,12 +107,15 @@
     if (engine !== undefined) {
       const times = { ...GENERATION_TIMES, ...options.times };
       const onEngineLost = () => this.#onEngineLost();
+      const suspects = () => this.#suspects();
       this.#generations = new SideGenerations(this.#ctx, {
         engine,
         times,
         world,
+        service: options.service,
         logs,
         onEngineLost,
+        suspects,
       });
       const onOrdered = () => void this.#probe();
       this.#orders = new SideOrders({
@@ -231,13 +238,13 @@
   }
 
   /** Tells the entries that are connected, if anything but the report number changed. */
-  #sendLoad(): void {
+  #sendLoad(suspects?: readonly SuspectReport[]): void {
     const load = this.load();
     const text = JSON.stringify({ ...load, seq: 0 });
-    if (text === this.#lastSent) return;
+    if (text === this.#lastSent && suspects === undefined) return;
     this.#lastSent = text;
     for (const link of this.#o.router.links) {
-      if (link.peer.role === "entry") link.notify({ kind: "load", load });
+      if (link.peer.role === "entry") link.notify({ kind: "load", load, suspects });
     }
   }
 
@@ -274,6 +281,10 @@
     this.#ready = false;
     this.#o.log.warn({ endpoint: this.#o.endpoint }, "endpoint lost");
     this.#o.admission.recordEngineCrash(this.#clock.now());
-    this.#sendLoad();
+    this.#sendLoad(this.#suspects());
+  }
+
+  #suspects(): readonly SuspectReport[] | undefined {
+    return this.#o.quarantine?.entries(this.#clock.now()).slice(-MAX_SUSPECTS);
   }
 }
--- a/packages/daemon/src/side_generation.ts
+++ b/packages/daemon/src/side_generation.ts
@@ -8,12 +8,13 @@
   type Clock,
   type GenerationId,
   type Refusal,
+  type RefusalReason,
   toWpError,
   type Undo,
 } from "@wisteriapick/core";
 import type { GenerationLog } from "@wisteriapick/delivery";
 import type { EngineEvent, EngineRequest, ModelEngine } from "@wisteriapick/platform";
-import type { EndpointLoad, LinkStream, StreamHandler } from "@wisteriapick/wire";
+import type { EndpointLoad, Fail, LinkStream, StreamHandler } from "@wisteriapick/wire";
 import { Follower, type GenerationEnd } from "./side_follower.ts";
 import { failOnSilence } from "./silence.ts";
 import type { TurnBatch } from "./turn_batch.ts";
@@ -26,6 +27,7 @@
   onEnd(gen: GenerationId, how: "done" | "failed" | "cancelled", end: GenerationEnd): void;
   /** Present load, for the message that ends the generation. */
   load(): EndpointLoad;
+  makeFail(refusal: Refusal): Fail;
 }
 
 /** Times of {@link SideGeneration}. */
@@ -57,6 +59,14 @@
   readonly times: GenerationTimes;
 }
 
+/** Statuses with which an engine refuses a generation before it starts. */
+const REFUSED_BY_ENGINE: Readonly<Record<number, RefusalReason>> = {
+  400: "invalid_request",
+  422: "version_mismatch",
+  429: "overloaded",
+  503: "side_not_ready",
+};
+
 const STATUS_NOT_FOUND = 404;
 const STATUS_CONFLICT = 409;
 
@@ -239,7 +249,7 @@
   }
 
   #makeFail(refusal: Refusal): GenerationEnd {
-    return { kind: "fail", refusal, load: this.#deps.hooks.load() };
+    return this.#deps.hooks.makeFail(refusal);
   }
 
   /** Returns the refusal with which the generation ends, or `null` where the engine is asked again. */
@@ -248,8 +258,13 @@
     if (err.type === "invariant") {
       return { type: "internal", message: "internal error at the side", notRun: false };
     }
+    if (err.type === "unreachable" && wasRun && err.sent === false) return lost(true);
     if (err.type !== "engine") return null;
     if (wasRun && err.status === STATUS_CONFLICT) return null;
+    const refused = REFUSED_BY_ENGINE[err.status];
+    if (wasRun && refused !== undefined && this.log.length === 0) {
+      return { type: refused, message: "the model engine refused", notRun: true };
+    }
     if (!wasRun && err.status === STATUS_NOT_FOUND) return lost();
     if (!wasRun && err.status >= 500) return null;
     return { type: "engine_failed", message: "the model engine failed", notRun: false };
@@ -260,6 +275,6 @@
   }
 }
 
-function lost(): Refusal {
-  return { type: "engine_lost", message: "the model engine was lost", notRun: false };
+function lost(notRun = false): Refusal {
+  return { type: "engine_lost", message: "the model engine was lost", notRun };
 }
--- a/packages/daemon/src/side_generations.ts
+++ b/packages/daemon/src/side_generations.ts
@@ -3,11 +3,31 @@
  *
  * @module
  */
-import type { GenerationId, RefusalReason, Table, World } from "@wisteriapick/core";
-import { GenerationLogStore, type GenerationLogStoreOptions } from "@wisteriapick/delivery";
+import {
+  accountId,
+  type GenerationId,
+  type Refusal,
+  type RefusalReason,
+  type ServiceId,
+  type Table,
+  type World,
+} from "@wisteriapick/core";
+import {
+  DEFAULT_MAX_TOKENS,
+  GenerationLogStore,
+  type GenerationLogStoreOptions,
+} from "@wisteriapick/delivery";
 import type { ModelEngine } from "@wisteriapick/platform";
-import type { AdmissionAction } from "@wisteriapick/policy";
-import type { LinkStream, Resume, Run, StreamHandler } from "@wisteriapick/wire";
+import type { AdmissionAction, AdmissionRequest } from "@wisteriapick/policy";
+import type {
+  Fail,
+  LinkStream,
+  Resume,
+  Run,
+  StreamHandler,
+  SuspectReport,
+} from "@wisteriapick/wire";
+import { PREFIX_BLOCK_TOKENS } from "./prompt_shape.ts";
 import { IGNORE_STREAM, refuseRun, type SideContext } from "./side_context.ts";
 import type { GenerationEnd } from "./side_follower.ts";
 import { type GenerationTimes, SideGeneration } from "./side_generation.ts";
@@ -24,11 +44,16 @@
   readonly engine: ModelEngine;
   readonly times: GenerationTimes;
   readonly world: World;
+  readonly service: ServiceId;
   readonly logs?: GenerationLogStoreOptions;
   /** Called when a generation ended because its engine was lost, before admission hears of the end. */
   onEngineLost(): void;
+  /** Requests suspected of crashing endpoints. */
+  suspects(): readonly SuspectReport[] | undefined;
 }
 
+const ADOPTED_ACCOUNT = accountId("adopted");
+
 /** Running and ended generations. */
 export class SideGenerations {
   readonly #ctx: SideContext;
@@ -96,7 +121,13 @@
   async adoptAll(): Promise<void> {
     for (const held of await this.#o.engine.generations()) {
       if (held.done || this.#logs.seen(held.gen)) continue;
-      this.#create({ gen: held.gen, account: null }).adopt();
+      const adopted = this.#create({ gen: held.gen, account: null });
+      this.#ctx.admission.adopt(
+        this.#adoptionRequest(held.gen),
+        held.produced,
+        this.#ctx.clock.now(),
+      );
+      adopted.adopt();
     }
   }
 
@@ -129,6 +160,7 @@
         onToken: (gen, offset, gapMs) => this.#onToken(gen, offset, gapMs),
         onEnd: (gen, how, end) => this.#onEnd(gen, how, end),
         load: () => this.#ctx.load(),
+        makeFail: (refusal) => this.#makeFail(refusal),
       },
     }, { account: run.account });
     this.#running.set(run.gen, generation);
@@ -138,13 +170,37 @@
     return generation;
   }
 
+  /** What admission learns of a generation whose request this process has never seen. */
+  #adoptionRequest(gen: GenerationId): AdmissionRequest {
+    return {
+      gen,
+      service: this.#o.service,
+      account: ADOPTED_ACCOUNT,
+      weight: 1,
+      promptTokens: 0,
+      maxTokens: DEFAULT_MAX_TOKENS,
+      priority: 0,
+      deadlineMs: Infinity,
+      digest: gen,
+      attempt: 1,
+    };
+  }
+
+  #makeFail(refusal: Refusal): Fail {
+    const crashed = refusal.type === "engine_lost" && refusal.notRun !== true;
+    // The crash is recorded first, so that the message names the requests that ran.
+    if (crashed) this.#o.onEngineLost();
+    const suspects = crashed ? this.#o.suspects() : undefined;
+    return { kind: "fail", refusal, load: this.#ctx.load(), suspects };
+  }
+
   #start(gen: GenerationId): void {
     const run = this.#waiting.get(gen);
     if (run === undefined) return;
     this.#waiting.delete(gen);
     const service = this.#ctx.config.current().services.get(run.service);
     const version = service?.versions.find((v) => v.id === run.version);
-    const { prompt, maxTokens, priority, stop, temperature } = run;
+    const { prompt, maxTokens, priority, stop, temperature, route, prefixes } = run;
     this.#running.get(gen)?.start({
       gen,
       model: version?.model ?? "",
@@ -154,6 +210,9 @@
       priority,
       stop,
       temperature,
+      route,
+      prefixes,
+      prefixTokens: PREFIX_BLOCK_TOKENS,
     });
   }
 
@@ -177,7 +236,12 @@
       clock: this.#ctx.clock,
       batch: this.#batch,
       times: this.#o.times,
-      hooks: { onToken() {}, onEnd() {}, load: () => this.#ctx.load() },
+      hooks: {
+        onToken() {},
+        onEnd() {},
+        load: () => this.#ctx.load(),
+        makeFail: (refusal) => this.#makeFail(refusal),
+      },
     }, { account: null });
     return this.#attach(ended, stream, offset);
   }
@@ -201,7 +265,6 @@
     const now = this.#ctx.clock.now();
     const reason = end.kind === "fail" ? end.refusal.type : undefined;
     if (reason !== undefined) this.#ctx.metrics.countRefusal(reason);
-    if (reason === "engine_lost") this.#o.onEngineLost();
     this.#ctx.admission.recordEnd(gen, how, now);
     const account = this.#running.get(gen)?.account;
     this.#ctx.log.info({ gen, account, endpoint: this.#ctx.load().endpoint, how, reason }, "ended");
--- a/packages/policy/src/interfaces.ts
+++ b/packages/policy/src/interfaces.ts
@@ -113,6 +113,8 @@
 /** Decides at one side what starts, waits or is refused. */
 export abstract class Admission {
   abstract offer(req: AdmissionRequest, nowMs: number): AdmissionDecision;
+  /** Takes over a generation that the engine already runs, after a restart of the side. */
+  adopt(_req: AdmissionRequest, _produced: number, _nowMs: number): void {}
   /** Records `count` more tokens of a running generation; `gapMs` is the time since the one before. */
   abstract recordTokens(gen: GenerationId, count: number, gapMs: number, nowMs: number): void;
   abstract recordFirstToken(gen: GenerationId, waitMs: number, nowMs: number): void;
--- a/packages/policy/src/side_admission.ts
+++ b/packages/policy/src/side_admission.ts
@@ -117,7 +117,7 @@
   }
 
   /** Takes over a generation that the engine already runs, after a restart of the side. */
-  adopt(req: AdmissionRequest, produced: number, nowMs: number): void {
+  override adopt(req: AdmissionRequest, produced: number, nowMs: number): void {
     this.#start(req, nowMs);
     const run = this.#running.get(req.gen)!;
     run.produced = produced;
--- a/packages/wire/src/message_codec.ts
+++ b/packages/wire/src/message_codec.ts
@@ -37,7 +37,7 @@
   text,
   textPair,
 } from "./fields.ts";
-import type { EndpointLoad, EvidenceCell, Hello, Message } from "./messages.ts";
+import type { EndpointLoad, EvidenceCell, Hello, Message, SuspectReport } from "./messages.ts";
 
 /** Numbers of frames that belong to the link itself. Messages start at {@link FIRST_MESSAGE_KIND}. */
 export const FRAME = {
@@ -94,6 +94,13 @@
   retryAfterMs: optional(real),
 });
 
+const suspects = optional(list(record<SuspectReport>({
+  digest: text,
+  crashIds: list(text),
+  remainingMs: real,
+  quarantined: flag,
+})));
+
 const evidenceCell = record<EvidenceCell>({
   move: id(moveId),
   version,
@@ -138,6 +145,7 @@
     maxTokens: count,
     stop: optional(list(text)),
     temperature: optional(real),
+    suspectCrashes: optional(count),
   }),
   admitted: record<Body<"admitted">>({ load, about: optional(text) }),
   not_run: record<Body<"not_run">>({
@@ -155,7 +163,7 @@
     load,
     about: optional(text),
   }),
-  fail: record<Body<"fail">>({ refusal, load: optional(load), about: optional(text) }),
+  fail: record<Body<"fail">>({ refusal, load: optional(load), about: optional(text), suspects }),
   resume: record<Body<"resume">>({ gen, account, offset: count }),
   cancel: record<Body<"cancel">>({ gen, account }),
   call: record<Body<"call">>({
@@ -186,7 +194,7 @@
     load,
     about: optional(text),
   }),
-  load: record<Body<"load">>({ load }),
+  load: record<Body<"load">>({ load, suspects }),
   config_pull: record<Body<"config_pull">>({ from: rev }),
   config_push: record<Body<"config_push">>({
     revision: rev,
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -57,6 +57,15 @@
   readonly seq: number;
 }
 
+/** A request that is suspected of crashing endpoints. Times are relative, so that clocks are never compared. */
+export interface SuspectReport {
+  readonly digest: string;
+  /** Names of crashes, so that news of one crash over two ways counts once. */
+  readonly crashIds: readonly string[];
+  readonly remainingMs: number;
+  readonly quarantined: boolean;
+}
+
 /** A generation request. */
 export interface Run {
   readonly kind: "run";
@@ -82,6 +91,8 @@
   readonly maxTokens: number;
   readonly stop?: readonly string[];
   readonly temperature?: number;
+  /** Crashes of endpoints at which this request ran, as far as the entry knows. */
+  readonly suspectCrashes?: number;
 }
 
 /** The side started the generation, or holds it in its queue with a place reserved. */
@@ -126,6 +137,7 @@
   readonly refusal: Refusal;
   readonly load?: EndpointLoad;
   readonly about?: string;
+  readonly suspects?: readonly SuspectReport[];
 }
 
 /** Asks for the rest of a generation from `offset` on. */
@@ -186,6 +198,8 @@
 export interface LoadReport {
   readonly kind: "load";
   readonly load: EndpointLoad;
+  /** After a crash of the endpoint: the requests that ran there. */
+  readonly suspects?: readonly SuspectReport[];
 }
 
 /** Subscribes to configuration after `from`. */
