--- a/packages/daemon/src/side_generation.ts
+++ b/packages/daemon/src/side_generation.ts
@@ -83,6 +83,8 @@
   #undoGrace: Undo | null = null;
   #lastEventMs = 0;
   #started = false;
+  // A generation that was asked for by id only may never have existed, which is no sign of a crash.
+  #known = true;
 
   constructor(
     gen: GenerationId,
@@ -111,9 +113,10 @@
     void this.#follow(req);
   }
 
-  /** Follows a generation that the engine already has. */
-  adopt(): void {
+  /** Follows a generation that the engine has, or with `known: false` may have. */
+  adopt({ known }: { known: boolean }): void {
     this.#started = true;
+    this.#known = known;
     this.#lastEventMs = this.#deps.clock.now();
     if (this.#followers.size === 0) this.#armGrace();
     void this.#follow(null);
@@ -233,6 +236,7 @@
     const now = this.#deps.clock.now();
     const gapMs = now - this.#lastEventMs;
     this.#lastEventMs = now;
+    this.#known = true;
     this.#deps.hooks.onToken(this.gen, offset, gapMs);
     this.#deps.batch.add(this.#flush);
     return true;
@@ -265,7 +269,13 @@
     if (wasRun && refused !== undefined && this.log.length === 0) {
       return { type: refused, message: "the model engine refused", notRun: true };
     }
-    if (!wasRun && err.status === STATUS_NOT_FOUND) return lost();
+    if (!wasRun && err.status === STATUS_NOT_FOUND) {
+      return this.#known ? lost() : {
+        type: "generation_unknown",
+        message: "neither this side nor its engine knows the generation",
+        notRun: false,
+      };
+    }
     if (!wasRun && err.status >= 500) return null;
     return { type: "engine_failed", message: "the model engine failed", notRun: false };
   }
--- a/packages/daemon/src/side_generations.ts
+++ b/packages/daemon/src/side_generations.ts
@@ -109,7 +109,7 @@
     // The engine may hold it from before this process started.
     const adopted = this.#create(msg);
     const handler = this.#attach(adopted, stream, msg.offset);
-    adopted.adopt();
+    adopted.adopt({ known: false });
     return handler;
   }
 
@@ -127,7 +127,7 @@
         held.produced,
         this.#ctx.clock.now(),
       );
-      adopted.adopt();
+      adopted.adopt({ known: true });
     }
   }
 
--- /dev/null
+++ b/packages/daemon/tests/resume_test.ts
@@ -0,0 +1,156 @@
+import assert from "node:assert/strict";
+import { after, test } from "node:test";
+import { CLUSTER_KEY, FakeEngine, Fleet, OTHER_KEY, SHOP, tokensText, until } from "./fixtures.ts";
+import { range, resumeChat, streamChat } from "./sse_client.ts";
+import { dataCentreId, generationId, serviceId } from "@wisteriapick/core";
+import { ResumeSigner } from "@wisteriapick/delivery";
+
+async function makeFleet(entries = 2) {
+  const fleet = new Fleet();
+  after(() => fleet.close());
+  const engine = new FakeEngine();
+  const side = await fleet.side("scribe-1", engine);
+  const all = [];
+  for (let i = 1; i <= entries; i++) all.push(await fleet.entry(String(i)));
+  return { fleet, engine, side, entries: all };
+}
+
+test("an answer goes on at another entry after the first entry died, with no token lost or repeated", async () => {
+  const { engine, entries } = await makeFleet();
+  engine.total = 8;
+  engine.release(3);
+  const first = streamChat(entries[0]!.url, { tokens: 100 });
+  await first.tokens(3);
+  entries[0]!.kill();
+  await first.finished();
+  assert.equal(first.broken, true);
+  const second = resumeChat(entries[1]!.url, first.lastId);
+  engine.release(8);
+  await second.finished();
+  assert.deepEqual([...first.offsets, ...second.offsets], range(8));
+  assert.equal(first.text + second.text, tokensText(8));
+  assert.equal(second.done, true);
+  assert.equal(engine.runs.length, 1);
+});
+
+test("a repeated request with the last event id resumes instead of running again", async () => {
+  const { engine, entries } = await makeFleet(1);
+  engine.release(2);
+  const first = streamChat(entries[0]!.url);
+  await first.tokens(2);
+  first.abort();
+  const second = resumeChat(entries[0]!.url, first.lastId, { method: "POST" });
+  engine.release(5);
+  await second.finished();
+  assert.deepEqual([...first.offsets, ...second.offsets], range(5));
+  assert.equal(engine.runs.length, 1);
+});
+
+test("an answer that ended while its caller was away is still delivered", async () => {
+  const { engine, entries, side } = await makeFleet();
+  engine.release(2);
+  const first = streamChat(entries[0]!.url);
+  await first.tokens(2);
+  first.abort();
+  engine.release(5);
+  await until(() => side.side.load().running === 0);
+  const second = await resumeChat(entries[1]!.url, first.lastId).finished();
+  assert.deepEqual(second.offsets, [2, 3, 4]);
+  assert.equal(second.done, true);
+});
+
+test("two callers that resume the same answer each get the whole rest", async () => {
+  const { engine, entries } = await makeFleet();
+  engine.release(2);
+  const first = streamChat(entries[0]!.url);
+  await first.tokens(2);
+  const id = first.lastId;
+  const others = entries.map((e) => resumeChat(e.url, id));
+  engine.release(5);
+  for (const other of others) assert.deepEqual((await other.finished()).offsets, [2, 3, 4]);
+  assert.deepEqual((await first.finished()).offsets, range(5));
+});
+
+test("an event id with a changed signature, payload or account is refused", async () => {
+  const { engine, entries } = await makeFleet(1);
+  const { url } = entries[0]!;
+  engine.release(5);
+  const first = await streamChat(url).finished();
+  const [payload, mac] = first.lastId.split(".") as [string, string];
+  const flipped = mac.startsWith("A") ? `B${mac.slice(1)}` : `A${mac.slice(1)}`;
+  const forged = Buffer.from(payload, "base64url").toString().replace('"shop"', '"other"');
+  const cases: [string, string | undefined, string][] = [
+    [`${payload}.${flipped}.0`, undefined, "resume_forbidden"],
+    [`${Buffer.from(forged).toString("base64url")}.${mac}.0`, OTHER_KEY, "resume_forbidden"],
+    [first.lastId, OTHER_KEY, "resume_forbidden"],
+    [`${payload}.${mac}.-2`, undefined, "invalid_request"],
+    [`${payload}.${mac}`, undefined, "invalid_request"],
+    ["nonsense", undefined, "invalid_request"],
+  ];
+  for (const [id, key, type] of cases) {
+    const res = await resumeChat(url, id, { key }).finished();
+    assert.equal(JSON.parse(res.body).type, type, id);
+    assert.equal(JSON.parse(res.body).not_run, true);
+  }
+});
+
+test("an expired event id and one of an unknown generation are refused by type", async () => {
+  const { entries, side } = await makeFleet(1);
+  const { url } = entries[0]!;
+  const ref = {
+    dataCentre: dataCentreId("dc-1"),
+    side: side.address,
+    gen: generationId("g-unknown"),
+    account: SHOP,
+    service: serviceId("scribe"),
+    format: "chat" as const,
+    created: 0,
+    includeUsage: false,
+    expiresMs: Date.now() + 60_000,
+  };
+  const signer = new ResumeSigner(CLUSTER_KEY);
+  const expired = `${signer.sign({ ...ref, expiresMs: 1 })}.0`;
+  const first = await resumeChat(url, expired).finished();
+  assert.equal(first.status, 410);
+  assert.equal(JSON.parse(first.body).type, "resume_expired");
+  const unknown = await resumeChat(url, `${signer.sign(ref)}.0`).finished();
+  assert.equal(unknown.status, 404);
+  assert.equal(JSON.parse(unknown.body).type, "generation_unknown");
+});
+
+test("a generation whose caller stays away is cancelled at the engine after the grace time", async () => {
+  const fleet = new Fleet();
+  after(() => fleet.close());
+  const engine = new FakeEngine();
+  const { side } = await fleet.side("scribe-1", engine, { times: { graceMs: 30 } });
+  const { url } = await fleet.entry("1");
+  engine.release(2);
+  const caller = streamChat(url);
+  await caller.tokens(2);
+  caller.abort();
+  await until(() => engine.cancelled.length === 1);
+  assert.equal(side.load().running, 0);
+});
+
+test("a generation that no token of was delivered is cancelled at once when its caller leaves", async () => {
+  const { engine, entries } = await makeFleet(1);
+  const caller = streamChat(entries[0]!.url);
+  await until(() => engine.runs.length === 1);
+  caller.abort();
+  await until(() => engine.cancelled.length === 1);
+});
+
+test("a slow caller gets every token once it reads again", async () => {
+  const { engine, entries } = await makeFleet(1);
+  engine.total = 20_000;
+  engine.release(1);
+  const caller = streamChat(entries[0]!.url, { tokens: 20_000 });
+  await caller.tokens(1);
+  caller.pause();
+  engine.release(20_000);
+  await until(() => engine.finished >= 1);
+  caller.resume();
+  await caller.finished();
+  assert.deepEqual(caller.offsets, range(20_000));
+  assert.equal(caller.done, true);
+});
--- /dev/null
+++ b/packages/daemon/tests/sse_client.ts
@@ -0,0 +1,157 @@
+/**
+ * A caller's end of an event stream, as a test drives it.
+ *
+ * @module
+ */
+import { once } from "node:events";
+import { type ClientRequest, type IncomingMessage, request } from "node:http";
+import { CLIENT_KEY, until } from "./fixtures.ts";
+
+/** One server-sent event. */
+export interface SseEvent {
+  readonly id: string | null;
+  readonly event: string | null;
+  readonly data: string;
+}
+
+/** What a caller has received so far. */
+export class SseClient {
+  status = 0;
+  headers: IncomingMessage["headers"] = {};
+  /** Set when the connection has ended, in whatever way. */
+  ended = false;
+  broken = false;
+  readonly events: SseEvent[] = [];
+  body = "";
+  readonly #req: ClientRequest;
+  #rest = "";
+  #res: IncomingMessage | null = null;
+
+  constructor(
+    url: string,
+    options: { method?: string; body?: unknown; key?: string; lastEventId?: string } = {},
+  ) {
+    const { method = "POST", body, key = CLIENT_KEY, lastEventId } = options;
+    this.#req = request(url, {
+      method,
+      headers: {
+        authorization: `Bearer ${key}`,
+        "content-type": "application/json",
+        ...(lastEventId === undefined ? {} : { "last-event-id": lastEventId }),
+      },
+    });
+    this.#req.on("response", (res) => this.#onResponse(res));
+    this.#req.on("error", () => this.#onEnd(true));
+    this.#req.end(body === undefined ? undefined : JSON.stringify(body));
+  }
+
+  /** Offsets of the tokens received, as their event ids say. */
+  get offsets(): number[] {
+    const ids = this.events.filter((e) => e.id !== null).map((e) => Number(e.id!.split(".")[2]));
+    return ids.filter((n) => n >= 0);
+  }
+
+  /** The text of the tokens received. */
+  get text(): string {
+    const chunks = this.events.filter((e) => e.data.startsWith("{")).map((e) => JSON.parse(e.data));
+    return chunks.map((c) => c.choices?.[0]?.delta?.content ?? c.choices?.[0]?.text ?? "").join("");
+  }
+
+  get lastId(): string {
+    return this.events.filter((e) => e.id !== null).at(-1)!.id!;
+  }
+
+  /** Whether the stream ended as a whole answer does. */
+  get done(): boolean {
+    return this.events.at(-1)?.data === "[DONE]";
+  }
+
+  /** The typed error event that ended the stream, if one did. */
+  get error(): { type: string; not_run: unknown } | null {
+    const event = this.events.find((e) => e.event === "error");
+    return event === undefined ? null : JSON.parse(event.data);
+  }
+
+  /** Waits until `n` tokens have arrived. */
+  async tokens(n: number): Promise<void> {
+    await until(() => this.offsets.length >= n || this.ended);
+  }
+
+  async finished(): Promise<this> {
+    await until(() => this.ended);
+    return this;
+  }
+
+  /** Closes the caller's connection. */
+  abort(): void {
+    this.#req.destroy();
+  }
+
+  pause(): void {
+    this.#res!.pause();
+  }
+
+  resume(): void {
+    this.#res!.resume();
+  }
+
+  #onResponse(res: IncomingMessage): void {
+    this.#res = res;
+    this.status = res.statusCode!;
+    this.headers = res.headers;
+    res.setEncoding("utf8");
+    res.on("data", (text: string) => this.#onText(text));
+    res.on("end", () => this.#onEnd(false));
+    res.on("error", () => this.#onEnd(true));
+    void once(res, "close").then(() => this.#onEnd(!res.complete)).catch(() => {});
+  }
+
+  #onText(text: string): void {
+    this.body += text;
+    const parts = (this.#rest + text).split("\n\n");
+    this.#rest = parts.pop()!;
+    for (const part of parts) this.events.push(parseEvent(part));
+  }
+
+  #onEnd(broken: boolean): void {
+    if (this.ended) return;
+    this.ended = true;
+    this.broken = broken;
+  }
+}
+
+function parseEvent(text: string): SseEvent {
+  const field = (name: string) => {
+    const line = text.split("\n").find((l) => l.startsWith(`${name}: `));
+    return line === undefined ? null : line.slice(name.length + 2);
+  };
+  return { id: field("id"), event: field("event"), data: field("data") ?? "" };
+}
+
+/** Asks for a streamed chat answer. */
+export function streamChat(
+  url: string,
+  { tokens = 5, key, prompt = "Describe the bowl" }: {
+    tokens?: number;
+    key?: string;
+    prompt?: string;
+  } = {},
+): SseClient {
+  const messages = [{ role: "user", content: prompt }];
+  const body = { model: "scribe", stream: true, max_tokens: tokens, messages };
+  return new SseClient(`${url}/v1/chat/completions`, { body, key });
+}
+
+/** Asks for the rest of an answer. */
+export function resumeChat(
+  url: string,
+  lastEventId: string,
+  { key, method = "GET" }: { key?: string; method?: string } = {},
+): SseClient {
+  return new SseClient(`${url}/v1/chat/completions`, { method, lastEventId, key });
+}
+
+/** The offsets 0 to n - 1. */
+export function range(n: number): number[] {
+  return Array.from({ length: n }, (_, i) => i);
+}
