--- /dev/null
+++ b/packages/check/src/check_config.ts
@@ -0,0 +1,108 @@
+/**
+ * The configuration of a run and its operator.
+ *
+ * @module
+ */
+import { createHash } from "node:crypto";
+import {
+  accountId,
+  type DataCentreId,
+  type ProcessId,
+  type Revision,
+  serviceId,
+  type Undo,
+  versionId,
+} from "@wisteriapick/core";
+import {
+  type Change,
+  ConfigDocumentSchema,
+  ConfigLog,
+  type ConfigSource,
+  type ConfigView,
+} from "@wisteriapick/control";
+import type { RunContext } from "./context.ts";
+
+/** The model service of every run. */
+export const CHECK_SERVICE = serviceId("scribe");
+/** The client account of every run. */
+export const CHECK_ACCOUNT = accountId("museum-shop");
+
+function digestOf(view: ConfigView): string {
+  const states = [...view.dataCentres.values()].map((d) => `${d.id}=${d.state}/${d.sinceMs}`);
+  const moves = [...view.moves.values()].map((m) => `${m.id}=${m.state}/${m.share}`);
+  const text = [...states, ...moves, ...view.services.keys(), ...view.accounts.keys()].join(",");
+  return createHash("sha256").update(text).digest("hex").slice(0, 12);
+}
+
+/** Records each revision that a process puts in force. */
+export function watchRevisions(ctx: RunContext, process: ProcessId, config: ConfigSource): Undo {
+  return config.registerListener((view) =>
+    ctx.recorder.record({
+      atMs: ctx.clock.now(),
+      type: "revision_in_force",
+      process,
+      revision: view.revision,
+      digest: digestOf(view),
+    })
+  );
+}
+
+/** Changes the configuration as an operator's client does. */
+export class CheckOperator {
+  readonly #ctx: RunContext;
+  readonly #log: ConfigLog;
+  #changes = 0;
+
+  constructor(ctx: RunContext) {
+    this.#ctx = ctx;
+    this.#log = new ConfigLog(ctx.store, ctx.clock, ctx.rng.fork("operator"));
+  }
+
+  /** Writes the configuration that the run starts with. */
+  async setUp(dataCentres: readonly DataCentreId[]): Promise<void> {
+    const doc = ConfigDocumentSchema.parse({
+      services: [{
+        id: CHECK_SERVICE,
+        kind: "model",
+        versions: [{ id: "v1" }, { id: "v2" }],
+        activeVersion: versionId("v1"),
+      }],
+      accounts: [{ id: CHECK_ACCOUNT }],
+      dataCentres: dataCentres.map((id) => ({ id, region: "accra" })),
+    });
+    await this.apply([
+      ...doc.services.map((service): Change => ({ type: "put_service", service })),
+      ...doc.accounts.map((account): Change => ({ type: "put_account", account })),
+      ...doc.dataCentres.map((dataCentre): Change => ({ type: "put_data_centre", dataCentre })),
+    ]);
+  }
+
+  /** Sets a data centre's state; does nothing where the store does not accept it. */
+  async setDataCentre(id: DataCentreId, state: "in" | "out"): Promise<void> {
+    const { clock, recorder } = this.#ctx;
+    const change: Change = { type: "set_data_centre_state", id, state, atMs: clock.wall() };
+    // A data centre must count as in from before the change can be in force anywhere.
+    if (state === "in") {
+      recorder.record({ atMs: clock.now(), type: "data_centre_in", dataCentre: id });
+    }
+    const accepted = await this.apply([change]);
+    if (state === "out" && accepted !== null) {
+      recorder.record({ atMs: clock.now(), type: "data_centre_out", dataCentre: id });
+    }
+  }
+
+  /** Appends one entry; `null` where the store did not take it. */
+  async apply(changes: readonly Change[]): Promise<Revision | null> {
+    const { clock, recorder } = this.#ctx;
+    const id = `change-${++this.#changes}`;
+    const note = { who: "operator", atMs: clock.wall(), why: "run" };
+    try {
+      const revision = await this.#log.append({ id, note, build: () => changes });
+      const digest = digestOf(this.#log.state.current());
+      recorder.record({ atMs: clock.now(), type: "change_accepted", revision, digest });
+      return revision;
+    } catch {
+      return null;
+    }
+  }
+}
--- a/packages/check/src/memory_network.ts
+++ b/packages/check/src/memory_network.ts
@@ -27,6 +27,8 @@
 const STREAM_CREDIT = 256;
 /** A link on which nothing arrives for this long is dead, as on real links. */
 const SILENCE_TIMEOUT_MS = 2_000;
+/** Share of the answers that go astray while crossing is on. */
+const CROSSING_SHARE = 0.05;
 const DEFAULT_REQUEST_TIMEOUT_MS = 5_000;
 
 function linkError(reason: LinkReason): WpError {
@@ -56,6 +58,8 @@
   readonly #links = new Set<MemoryLink>();
   readonly #frozen = new Set<ProcessId>();
   #extraDelayMs = 0;
+  #duplicates = false;
+  #crossing = false;
 
   constructor({ clock, rng, delayMs = 0.5, jitterMs = 0.5 }: MemoryNetworkOptions) {
     this.clock = clock;
@@ -105,6 +109,25 @@
     this.#extraDelayMs = ms;
   }
 
+  /** Delivers answers on streams twice while set. */
+  setDuplicates(on: boolean): void {
+    this.#duplicates = on;
+  }
+
+  /** Delivers some answers on another stream of the same link while set. */
+  setCrossing(on: boolean): void {
+    this.#crossing = on;
+  }
+
+  get duplicates(): boolean {
+    return this.#duplicates;
+  }
+
+  /** Whether the next answer goes astray. */
+  drawCrossing(): boolean {
+    return this.#crossing && this.#rng.chance(CROSSING_SHARE);
+  }
+
   /** Stops a process's traffic as a paused process does; messages are delivered after it goes on. */
   setFrozen(process: ProcessId, frozen: boolean): void {
     if (frozen) this.#frozen.add(process);
@@ -229,6 +252,15 @@
     return this.#streams.get(id);
   }
 
+  /** Hands a message to its stream, or to another one while messages cross. */
+  receive(id: number, msg: Message): void {
+    const ids = [...this.#streams.keys()];
+    const astray = ids.length > 1 && this.#network.drawCrossing();
+    const target = astray ? ids.find((other) => other !== id)! : id;
+    this.stream(target)?.receive(msg);
+    if (this.#network.duplicates) this.stream(target)?.receive(msg);
+  }
+
   drop(id: number): void {
     this.#streams.delete(id);
   }
@@ -293,7 +325,7 @@
     if (this.#ended || this.#finished) return false;
     this.#inFlight++;
     this.#link.deliver((other) => {
-      other.stream(this.#id)?.receive(msg);
+      other.receive(this.#id, msg);
       other.deliver((back) => back.stream(this.#id)?.credit());
     });
     this.#blocked = this.#inFlight >= STREAM_CREDIT;
--- /dev/null
+++ b/packages/check/src/system_run.ts
@@ -0,0 +1,213 @@
+/**
+ * One run: the real entry and side code on an injected clock, under load and faults.
+ *
+ * @module
+ */
+import {
+  dataCentreId,
+  endpointId,
+  hostId,
+  ManualClock,
+  regionId,
+  requestId,
+  Rng,
+} from "@wisteriapick/core";
+import { ResumeSigner } from "@wisteriapick/delivery";
+import { MemoryHostList, MemoryObjectStore } from "@wisteriapick/standins";
+import { Callers } from "./caller.ts";
+import { CHECK_SERVICE, CheckOperator } from "./check_config.ts";
+import { CheckEntry } from "./check_entry.ts";
+import { CheckSide } from "./check_side.ts";
+import { type Overrides, RunContext } from "./context.ts";
+import { type Fault, LOAD_MS, type RunPlan } from "./faults.ts";
+import { type HistoryEvent, Recorder } from "./history.ts";
+import { POISON_WORD } from "./memory_engine.ts";
+import { MemoryNetwork } from "./memory_network.ts";
+
+const CENTRES = ["accra-osu", "accra-tema"].map(dataCentreId);
+const ENDPOINTS = 6;
+const ENTRIES = 3;
+/** Time for processes to start and endpoints to become ready before the load. */
+const START_MS = 3_000;
+/** Time after the load and all faults for requests to end and configuration to arrive. */
+const SETTLE_MS = 40_000;
+const REQUEST_EVERY_MS = 150;
+const RESTART_MS = 500;
+/** Added to the time that a data centre or host is out, so that late work would show. */
+const OUT_MIN_MS = 6_000;
+
+/** Lets every promise that can settle do so. Two turns: work batched for the end of one turn starts more. */
+async function drainTasks(): Promise<void> {
+  await new Promise(setImmediate);
+  await new Promise(setImmediate);
+}
+
+/** See the module comment. */
+export class SystemRun {
+  readonly #plan: RunPlan;
+  readonly #ctx: RunContext;
+  readonly #operator: CheckOperator;
+  readonly #sides: CheckSide[];
+  readonly #entries: CheckEntry[];
+  readonly #callers: Callers;
+  #requests = 0;
+
+  constructor(plan: RunPlan, overrides: Overrides = {}) {
+    this.#plan = plan;
+    const clock = new ManualClock();
+    const rng = new Rng(plan.seed);
+    this.#ctx = new RunContext({
+      clock,
+      rng,
+      recorder: new Recorder(),
+      network: new MemoryNetwork({ clock, rng: rng.fork("network") }),
+      store: new MemoryObjectStore({ clock }),
+      hosts: new MemoryHostList({ clock }),
+      overrides,
+    });
+    const ctx = this.#ctx;
+    this.#operator = new CheckOperator(ctx);
+    this.#sides = Array.from({ length: ENDPOINTS }, (_, i) =>
+      new CheckSide(ctx, {
+        endpoint: endpointId(`scribe-${i}`),
+        service: CHECK_SERVICE,
+        dataCentre: CENTRES[i % CENTRES.length]!,
+        address: `10.0.0.${i + 1}:7000`,
+      }));
+    const signer = new ResumeSigner("check");
+    this.#entries = Array.from({ length: ENTRIES }, (_, i) => {
+      const dataCentre = CENTRES[i % CENTRES.length]!;
+      return new CheckEntry(ctx, { name: `entry-${i}`, dataCentre, signer });
+    });
+    this.#callers = new Callers(ctx, this.#entries);
+  }
+
+  /** Runs the plan and returns the history. */
+  async execute(): Promise<readonly HistoryEvent[]> {
+    await this.#setUp();
+    await this.#advance(START_MS);
+    const { clock } = this.#ctx;
+    for (const fault of this.#plan.faults) clock.setTimer(fault.atMs, () => this.#inject(fault));
+    const stopLoad = clock.setRepeating(REQUEST_EVERY_MS, () => this.#sendRequest());
+    await this.#advance(LOAD_MS);
+    stopLoad();
+    await this.#advance(SETTLE_MS);
+    return this.#ctx.recorder.events;
+  }
+
+  async #setUp(): Promise<void> {
+    const ready = this.#operator.setUp(CENTRES);
+    await this.#advance(50);
+    await ready;
+    for (const side of this.#sides) {
+      this.#listHost(side, "live");
+      side.start();
+    }
+    for (const entry of this.#entries) entry.start();
+  }
+
+  #listHost(side: CheckSide, state: "live" | "leaving"): void {
+    const { endpoint, service, dataCentre, address } = side.options;
+    this.#ctx.hosts.set({
+      host: hostId(`h-${endpoint}`),
+      dataCentre,
+      region: regionId("accra"),
+      state,
+      side: address,
+      endpoint: { id: endpoint, service, address },
+    });
+  }
+
+  #leave(side: CheckSide, leaving: boolean): void {
+    const { clock, recorder } = this.#ctx;
+    const { endpoint } = side.options;
+    const type = leaving ? "endpoint_leaving" : "endpoint_returned";
+    recorder.record({ atMs: clock.now(), type, endpoint });
+    this.#listHost(side, leaving ? "leaving" : "live");
+  }
+
+  /** Moves the clock, letting promises settle between any two times at which something happens. */
+  async #advance(ms: number): Promise<void> {
+    const { clock } = this.#ctx;
+    const until = clock.now() + ms;
+    while (clock.now() < until) {
+      await drainTasks();
+      clock.advance(Math.min(1, until - clock.now()));
+    }
+    await drainTasks();
+  }
+
+  #sendRequest(): void {
+    const { rng } = this.#ctx;
+    const req = requestId(`r${++this.#requests}`);
+    const tokens = rng.chance(0.3) ? 200 + rng.int(300) : 2 + rng.int(40);
+    this.#send(req, `req=${req} [tokens=${tokens}]`, rng.chance(0.7));
+  }
+
+  #send(req: ReturnType<typeof requestId>, prompt: string, streamed: boolean): void {
+    void this.#callers.send({ req, prompt, streamed });
+  }
+
+  #inject(fault: Fault): void {
+    const side = this.#sides[fault.target % this.#sides.length]!;
+    const entry = this.#entries[fault.target % this.#entries.length]!;
+    const { clock, network, store } = this.#ctx;
+    const later = (fn: () => void) => clock.setTimer(fault.durationMs, fn);
+    const outLater = (fn: () => void) => clock.setTimer(fault.durationMs + OUT_MIN_MS, fn);
+    switch (fault.kind) {
+      case "kill_side":
+        side.kill();
+        return void later(() => side.start());
+      case "pause_side":
+        side.pause();
+        return void later(() => side.resume());
+      case "kill_entry":
+        entry.kill();
+        return void later(() => entry.start());
+      case "pause_entry":
+        entry.pause();
+        return void later(() => entry.resumeProcess());
+      case "stop_entry":
+        return void entry.stop().then(() => clock.setTimer(RESTART_MS, () => entry.start()));
+      case "crash_engine":
+        side.engine.model.crash();
+        return void later(() => side.engine.model.restart());
+      case "stall_engine":
+        return side.engine.model.stall(fault.durationMs);
+      case "turn_cold":
+        return side.engine.model.turnCold();
+      case "silence_links":
+        if (side.process !== null) network.silence(side.process);
+        return;
+      case "slow_links":
+        network.setExtraDelay(Math.min(fault.durationMs, 400));
+        return void later(() => network.setExtraDelay(0));
+      case "duplicate_messages":
+        network.setDuplicates(true);
+        return void later(() => network.setDuplicates(false));
+      case "cross_messages":
+        network.setCrossing(true);
+        return void later(() => network.setCrossing(false));
+      case "store_outage":
+        store.setFaults({ outage: true });
+        return void later(() => store.setFaults({ outage: false }));
+      case "store_slow":
+        store.setFaults({ slowMs: 300 });
+        return void later(() => store.setFaults({ slowMs: 0 }));
+      case "lose_store_answers":
+        return store.setFaults({ loseAnswers: 2 });
+      case "data_centre_out": {
+        const centre = side.options.dataCentre;
+        void this.#operator.setDataCentre(centre, "out");
+        return void outLater(() => void this.#operator.setDataCentre(centre, "in"));
+      }
+      case "host_leaving":
+        this.#leave(side, true);
+        return void outLater(() => this.#leave(side, false));
+      case "poison": {
+        const req = requestId(`p${++this.#requests}`);
+        return this.#send(req, `req=${req} [tokens=50] ${POISON_WORD}`, true);
+      }
+    }
+  }
+}
