--- a/packages/cli/src/mod.ts
+++ b/packages/cli/src/mod.ts
@@ -3,9 +3,20 @@
  *
  * @module
  */
-import { runMain } from "citty";
+import { defineCommand, runMain } from "citty";
+import { localCommand } from "./local_command.ts";
+
+const root = defineCommand({
+  meta: {
+    name: "wisteriapick",
+    description: "Serving system for generations of unknown length and plain services",
+  },
+  subCommands: {
+    local: localCommand,
+  },
+});
 
 /** Runs the command line with the given arguments. */
 export async function main(rawArgs: string[]): Promise<void> {
-  await runMain({ meta: { name: "wisteriapick" }, subCommands: {} }, { rawArgs });
+  await runMain(root, { rawArgs });
 }
--- a/packages/daemon/src/mod.ts
+++ b/packages/daemon/src/mod.ts
@@ -14,3 +14,5 @@
 export * from "./link_source.ts";
 export * from "./side.ts";
 export { GENERATION_TIMES, type GenerationTimes } from "./side_generation.ts";
+export * from "./local.ts";
+export * from "./local_deployment.ts";
