--- a/packages/check/src/check_entry.ts
+++ b/packages/check/src/check_entry.ts
@@ -4,7 +4,6 @@
  * @module
  */
 import {
-  createLogger,
   createMetrics,
   type DataCentreId,
   generationId,
@@ -106,10 +105,10 @@
       placement,
       signer: this.#signer,
       metrics: createMetrics(),
-      log: createLogger("entry", { level: "silent" }),
       limits: RELAY_LIMITS,
       makeGenerationId: () => generationId(`${process}-g${++made}`),
       versionOf: () => null,
+      noteLoad: (load) => placement.recordLoad(load, clock.now()),
     });
     recorder.record({ atMs: clock.now(), type: "process_started", process });
     const applyConfig = (view: ConfigView) =>
