--- /dev/null
+++ b/packages/control/src/control_process.ts
@@ -0,0 +1,98 @@
+/**
+ * Everything a process needs to have the configuration in force: membership, spread and watcher duty together.
+ *
+ * @module
+ */
+import type { Clock, ProcessId, Rng, Undo } from "@wisteriapick/core";
+import type { HostList, ObjectStore } from "@wisteriapick/platform";
+import type { LinkPool } from "@wisteriapick/wire";
+import { ConfigState } from "./config_state.ts";
+import { Membership } from "./membership.ts";
+import { SpreadLinks } from "./spread_links.ts";
+import { SpreadNode } from "./spread_node.ts";
+import type { SpreadMember } from "./tree.ts";
+import { WatcherDuty } from "./watcher_duty.ts";
+
+/** Time between two readings of the host list, spread by a random factor. */
+const HOST_LIST_EVERY_MS = 5_000;
+
+/** Options of {@link ControlProcess}. */
+export interface ControlProcessOptions {
+  readonly self: SpreadMember;
+  readonly process: ProcessId;
+  readonly store: ObjectStore;
+  readonly hostList: HostList;
+  readonly pool: LinkPool;
+  readonly clock: Clock;
+  readonly rng: Rng;
+}
+
+/**
+ * The control part of an entry or side. `state` is its `ConfigSource`; streams that open with `config_pull` go
+ * to `links.accept`.
+ *
+ * @example
+ * ```ts
+ * const control = new ControlProcess({ self, process, store, hostList, pool, clock, rng });
+ * const stop = control.start();
+ * control.state.registerListener((view) => apply(view));
+ * ```
+ */
+export class ControlProcess {
+  readonly state: ConfigState;
+  readonly membership: Membership;
+  readonly node: SpreadNode;
+  readonly links: SpreadLinks;
+  readonly duty: WatcherDuty;
+  readonly #options: ControlProcessOptions;
+
+  constructor(options: ControlProcessOptions) {
+    const { self, process, store, pool, clock, rng } = options;
+    this.#options = options;
+    this.state = new ConfigState(clock);
+    this.membership = new Membership(clock);
+    this.links = new SpreadLinks(pool, this.membership);
+    const ports = this.links;
+    this.node = new SpreadNode({ self, clock, rng: rng.fork("spread"), ports, state: this.state });
+    this.links.connect(this.node);
+    const dutyRng = rng.fork("watcher");
+    this.duty = new WatcherDuty(store, clock, dutyRng, { node: this.node, process });
+  }
+
+  start(): Undo {
+    const undo = [
+      this.membership.registerListener((members) => {
+        this.node.setMembers(members);
+        this.duty.setMembers(members);
+      }),
+      this.#options.clock.setRepeating(1_000, () => this.membership.tick()),
+    ];
+    let stopped = false;
+    void this.#readHosts().then(() => {
+      if (stopped) return;
+      undo.push(this.node.start(), this.duty.start());
+      void this.#pollHosts(() => stopped);
+    });
+    return () => {
+      stopped = true;
+      for (const fn of undo) fn();
+      this.links.close();
+    };
+  }
+
+  async #pollHosts(stopped: () => boolean): Promise<void> {
+    const { clock, rng } = this.#options;
+    while (!stopped()) {
+      await clock.sleep(HOST_LIST_EVERY_MS * (0.5 + rng.next()));
+      if (!stopped()) await this.#readHosts();
+    }
+  }
+
+  async #readHosts(): Promise<void> {
+    try {
+      this.membership.recordHosts(await this.#options.hostList.read());
+    } catch {
+      // The last list stays in use; links show who can be reached.
+    }
+  }
+}
--- /dev/null
+++ b/packages/control/src/membership.ts
@@ -0,0 +1,99 @@
+/**
+ * Which processes there are: the host list, which lags, corrected by what the links show.
+ *
+ * @module
+ */
+import type { Clock, Undo } from "@wisteriapick/core";
+import type { HostRecord, HostSnapshot } from "@wisteriapick/platform";
+import type { SpreadMember } from "./tree.ts";
+
+/** A process that cannot be reached is left out this long, unless it is heard from. */
+export const SUSPECT_MS = 15_000;
+
+/** Key of a process: stays the same when it restarts on its host. */
+export function memberKey(host: string, role: "entry" | "side"): string {
+  return `${host}/${role}`;
+}
+
+/** Processes of one host. Leaving hosts stay members until they are gone: they still relay. */
+export function membersOf(host: HostRecord): SpreadMember[] {
+  const { dataCentre } = host;
+  const members: SpreadMember[] = [];
+  if (host.entry) {
+    members.push({ key: memberKey(host.host, "entry"), dataCentre, address: host.entry });
+  }
+  if (host.side) {
+    members.push({ key: memberKey(host.host, "side"), dataCentre, address: host.side });
+  }
+  return members;
+}
+
+/** The present members. */
+export class Membership {
+  readonly #clock: Clock;
+  readonly #suspects = new Map<string, number>();
+  readonly #listeners = new Set<(members: readonly SpreadMember[]) => void>();
+  #index = -1;
+  #hosts: readonly HostRecord[] = [];
+  #members: readonly SpreadMember[] = [];
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  /** Hosts as last listed. */
+  get hosts(): readonly HostRecord[] {
+    return this.#hosts;
+  }
+
+  /** Members without those that cannot be reached. */
+  members(): readonly SpreadMember[] {
+    return this.#members;
+  }
+
+  registerListener(fn: (members: readonly SpreadMember[]) => void): Undo {
+    this.#listeners.add(fn);
+    return () => void this.#listeners.delete(fn);
+  }
+
+  /** Takes in a host list; an older one is ignored. */
+  recordHosts(snapshot: HostSnapshot): void {
+    if (snapshot.index < this.#index) return;
+    this.#index = snapshot.index;
+    this.#hosts = snapshot.hosts;
+    this.#refresh();
+  }
+
+  /** Records that no link to a member can be had, or that its heartbeats stopped. */
+  recordUnreachable(key: string): void {
+    this.#suspects.set(key, this.#clock.now() + SUSPECT_MS);
+    this.#refresh();
+  }
+
+  /** Records that a link to a member is open. */
+  recordReachable(key: string): void {
+    if (this.#suspects.delete(key)) this.#refresh();
+  }
+
+  /** Takes members back whose time as suspects is over. */
+  tick(): void {
+    const now = this.#clock.now();
+    let changed = false;
+    for (const [key, until] of this.#suspects) {
+      if (until <= now) changed = this.#suspects.delete(key);
+    }
+    if (changed) this.#refresh();
+  }
+
+  #refresh(): void {
+    const all = this.#hosts.flatMap(membersOf);
+    const next = all.filter((m) => !this.#suspects.has(m.key));
+    const same = next.length === this.#members.length &&
+      next.every((m, i) =>
+        m.key === this.#members[i]!.key && m.address === this.#members[i]!.address
+      );
+    if (same) return;
+    this.#members = next;
+    for (const fn of this.#listeners) fn(next);
+  }
+}
