--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -5,6 +5,7 @@
  */
 import { randomBytes } from "node:crypto";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Duplex } from "node:stream";
 import {
   createMetrics,
   type DataCentreId,
@@ -125,8 +126,19 @@
     return !this.#draining && this.#o.config.ready();
   }
 
-  /** Starts to serve; resolves with the bound `ip:port`. */
+  /** Starts to serve on the address of the settings; resolves with the bound `ip:port`. */
   async listen(): Promise<string> {
+    this.start();
+    return await listenHttp(this.#server, this.#o.listen);
+  }
+
+  /** Serves HTTP on a connection that the caller has made, for embedding and for tests without sockets. */
+  accept(connection: Duplex): void {
+    this.#server.emit("connection", connection);
+  }
+
+  /** Begins to follow configuration and endpoints. {@link Entry.listen} does this by itself. */
+  start(): void {
     const { directory, config, router } = this.#o;
     for (const row of directory.rows()) this.#place(row);
     this.#undos.push(
@@ -138,7 +150,6 @@
       router.registerNotify("load", (_link, msg) => this.#onLoad(msg.load)),
     );
     this.#applyConfig(config.current());
-    return await listenHttp(this.#server, this.#o.listen);
   }
 
   /** Adds an operator route, for example `registerAdminRoute("GET", "/admin/status", handler)`. */
--- a/packages/daemon/src/side.ts
+++ b/packages/daemon/src/side.ts
@@ -21,6 +21,7 @@
 import type { ModelEngine } from "@wisteriapick/platform";
 import type { Admission, AdmissionAction } from "@wisteriapick/policy";
 import type { EndpointLoad, Identity } from "@wisteriapick/wire";
+import type { Dispatcher } from "undici";
 import type { LinkRouter } from "./link_router.ts";
 import { SideCalls } from "./side_calls.ts";
 import type { SideContext } from "./side_context.ts";
@@ -37,6 +38,8 @@
   readonly engine?: ModelEngine;
   /** Base of a plain service's endpoint, for example `http://127.0.0.1:7300`. */
   readonly origin?: string;
+  /** What carries requests to a plain service; connections of `undici` by default. */
+  readonly dispatcher?: Dispatcher;
   readonly admission: Admission;
   readonly config: ConfigSource;
   readonly router: LinkRouter;
@@ -99,7 +102,7 @@
       gate: (req) => this.#gate(req),
       runAdmission: () => this.#runAdmission(),
     };
-    const { engine, origin, endpoint, learnFence, world, logs } = options;
+    const { engine, origin, dispatcher, endpoint, learnFence, world, logs } = options;
     if (engine !== undefined) {
       const times = { ...GENERATION_TIMES, ...options.times };
       const onEngineLost = () => this.#onEngineLost();
@@ -119,7 +122,7 @@
         onOrdered,
       });
     }
-    if (origin !== undefined) this.#calls = new SideCalls(this.#ctx, { origin, world });
+    if (origin !== undefined) this.#calls = new SideCalls(this.#ctx, { origin, world, dispatcher });
   }
 
   /** Begins to answer entries and to probe the endpoint. */
--- a/packages/daemon/src/side_calls.ts
+++ b/packages/daemon/src/side_calls.ts
@@ -6,7 +6,7 @@
 import type { GenerationId, Table, World } from "@wisteriapick/core";
 import type { AdmissionAction } from "@wisteriapick/policy";
 import type { Call, LinkStream, StreamHandler } from "@wisteriapick/wire";
-import { Agent } from "undici";
+import { Agent, type Dispatcher } from "undici";
 import { RecentIds } from "./recent_ids.ts";
 import { SideCall } from "./side_call.ts";
 import { IGNORE_STREAM, refuseRun, type SideContext } from "./side_context.ts";
@@ -27,6 +27,8 @@
   readonly silenceMs?: number;
   /** Call ids that are remembered, so that a repeated message does not run a call again. */
   readonly maxRecent?: number;
+  /** What carries requests to the endpoint; connections of `undici` by default. */
+  readonly dispatcher?: Dispatcher;
 }
 
 const DEFAULT_SILENCE_MS = 30_000;
@@ -39,8 +41,8 @@
   readonly #calls = new Map<string, SideCall>();
   readonly #recent: RecentIds;
   readonly #table: Table<GenerationId, CallRow>;
-  readonly #reusing: Agent;
-  readonly #fresh: Agent;
+  readonly #reusing: Dispatcher;
+  readonly #fresh: Dispatcher;
 
   constructor(ctx: SideContext, options: SideCallsOptions) {
     this.#ctx = ctx;
@@ -53,10 +55,10 @@
       bodyTimeout: silenceMs,
       connect: { timeout: CONNECT_TIMEOUT_MS },
     };
-    this.#reusing = new Agent(timeouts);
+    this.#reusing = options.dispatcher ?? new Agent(timeouts);
     // A kept connection may be closed by the endpoint while a request is on its way, which leaves open whether
     // the request ran. Calls that may not be repeated get a connection of their own.
-    this.#fresh = new Agent({ ...timeouts, pipelining: 0 });
+    this.#fresh = options.dispatcher ?? new Agent({ ...timeouts, pipelining: 0 });
   }
 
   get idle(): boolean {
