--- a/packages/daemon/src/entry_relay.ts
+++ b/packages/daemon/src/entry_relay.ts
@@ -18,7 +18,12 @@
   type ResumeSigner,
   TokenCursor,
 } from "@wisteriapick/delivery";
-import type { AttemptOutcome, Placement, PlacementRequest, Quarantine } from "@wisteriapick/policy";
+import {
+  type AttemptOutcome,
+  type Placement,
+  type PlacementRequest,
+  Quarantine,
+} from "@wisteriapick/policy";
 import type { End, EndpointLoad, NotRunReply, Run } from "@wisteriapick/wire";
 import type { Directory, DirectoryEntry } from "./directory.ts";
 import { type FollowerResult, followGeneration, type FollowLimits } from "./entry_follower.ts";
@@ -56,7 +61,7 @@
   /** The version that an endpoint is known to run. */
   readonly versionOf: (endpoint: EndpointId) => VersionId | null;
   /** Requests that crash endpoints, as far as this entry knows. */
-  readonly quarantine: Quarantine;
+  readonly quarantine?: Quarantine;
   /** Told of each load that an answer carries. */
   readonly noteLoad: (load: EndpointLoad) => void;
 }
@@ -89,9 +94,11 @@
 /** Relays generations for one entry. */
 export class GenerationRelay {
   readonly #deps: RelayDeps;
+  readonly #quarantine: Quarantine;
 
   constructor(deps: RelayDeps) {
     this.#deps = deps;
+    this.#quarantine = deps.quarantine ?? new Quarantine();
   }
 
   /** Runs a request and gives its answer to the sink. */
@@ -101,7 +108,7 @@
       if (req.gone.aborted) return hops.outcome("caller_gone", null);
       const now = this.#deps.clock.now();
       if (now >= req.deadlineMs) return hops.refuse(sink, "deadline_exceeded", this.#deps);
-      const quarantinedMs = this.#deps.quarantine.remainingMs(req.run.digest, now);
+      const quarantinedMs = this.#quarantine.remainingMs(req.run.digest, now);
       if (quarantinedMs > 0) return hops.fail(sink, quarantined(hops, quarantinedMs), this.#deps);
       const place = hops.placement();
       const endpoint = this.#deps.placement.choose(place, now);
@@ -137,7 +144,7 @@
       gen,
       version,
       attempt: hops.attempts,
-      suspectCrashes: this.#deps.quarantine.crashes(req.run.digest, startMs),
+      suspectCrashes: this.#quarantine.crashes(req.run.digest, startMs),
       remainingMs: Math.max(0, req.deadlineMs - startMs),
     };
     const res = await followGeneration(target.side, run, {
@@ -160,7 +167,7 @@
     });
     record(attemptOutcome(res));
     if (res.type === "fail" && res.suspects !== undefined) {
-      this.#deps.quarantine.merge(res.suspects, clock.now());
+      this.#quarantine.merge(res.suspects, clock.now());
     }
     if (res.type === "not_run") this.#noteMismatch(req, hops, target.endpoint, res.reply);
     return this.#settle(req, sink, hops, target, res);
--- /dev/null
+++ b/packages/daemon/tests/calls_test.ts
@@ -0,0 +1,246 @@
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { type IncomingMessage, request as httpRequest } from "node:http";
+import { Readable } from "node:stream";
+import { after, test } from "node:test";
+import { request } from "undici";
+import { CLIENT_KEY, Fleet, until } from "./fixtures.ts";
+import { dropConnection, TestService } from "./plain_service.ts";
+import { type Script, ScriptedSide } from "./scripted_side.ts";
+
+const AUTH = { authorization: `Bearer ${CLIENT_KEY}` };
+
+async function makeCounter(sides = 1) {
+  const fleet = new Fleet();
+  after(() => fleet.close());
+  const service = new TestService();
+  const origin = await service.listen();
+  after(() => service.close());
+  for (let i = 1; i <= sides; i++) {
+    await fleet.side(`counter-${i}`, null, { service: "counter", origin });
+  }
+  const { url, entry } = await fleet.entry("1");
+  return { fleet, service, entry, url: `${url}/services/counter` };
+}
+
+/** A fleet with two scripted sides that share a script. */
+async function makeScripted(script: (side: () => ScriptedSide) => Script) {
+  const fleet = new Fleet();
+  after(() => fleet.close());
+  const sides: ScriptedSide[] = [];
+  for (let i = 0; i < 2; i++) {
+    sides.push(new ScriptedSide(`counter-${i}`, script(() => sides[i]!), { service: "counter" }));
+  }
+  for (const side of sides) await side.join(fleet);
+  const { url } = await fleet.entry("1");
+  const calls = () => sides.flatMap((side) => side.calls);
+  return { sides, calls, url: `${url}/services/counter` };
+}
+
+test("a call passes method, path, body and end-to-end headers, and not the caller's key", async () => {
+  const { service, url } = await makeCounter();
+  // undici does not send a Connection field of the caller's choice, so the plain client is used here.
+  const req = httpRequest(`${url}/orders?print=2`, {
+    method: "PUT",
+    headers: { ...AUTH, "x-till": "3", connection: "x-secret-hop", "x-secret-hop": "1" },
+  });
+  req.end("bowl");
+  const [res] = await once(req, "response") as [IncomingMessage];
+  let text = "";
+  for await (const chunk of res) text += chunk;
+  assert.equal(res.statusCode, 201);
+  assert.equal(res.headers["x-hop"], undefined);
+  assert.equal(JSON.parse(text).body, "bowl");
+  const { method, url: path, headers } = service.seen[0]!;
+  assert.deepEqual([method, path], ["PUT", "/orders?print=2"]);
+  assert.equal(headers["x-till"], "3");
+  assert.equal(headers["x-secret-hop"], undefined);
+  assert.equal(headers.authorization, undefined);
+  assert.equal(headers["x-client-account"], "shop");
+});
+
+test("a large body streams through in both directions unchanged", async () => {
+  const { url } = await makeCounter();
+  const body = Buffer.alloc(3 << 20, "0123456789abcdef");
+  const res = await request(`${url}/echo`, { method: "POST", headers: AUTH, body });
+  assert.ok(body.equals(Buffer.from(await res.body.arrayBuffer())));
+});
+
+test("a chunked body without a length streams through", async () => {
+  const { url } = await makeCounter();
+  const body = Readable.from(Array.from({ length: 50 }, (_, i) => Buffer.alloc(1_000, i)));
+  const res = await request(`${url}/echo`, { method: "POST", headers: AUTH, body });
+  assert.equal((await res.body.arrayBuffer()).byteLength, 50_000);
+});
+
+test("a caller that does not read holds the service back, and gets everything later", async () => {
+  const { service, url } = await makeCounter();
+  const total = 64 << 20;
+  let sent = 0;
+  service.onRequest = (_req, res) => {
+    const push = () => {
+      while (sent < total) {
+        sent += 65_536;
+        if (!res.write(Buffer.alloc(65_536))) return void res.once("drain", push);
+      }
+      res.end();
+    };
+    push();
+  };
+  const req = httpRequest(`${url}/blob`, { headers: AUTH });
+  req.end();
+  const [res] = await once(req, "response") as [IncomingMessage];
+  let before = -1;
+  // Buffers on the way fill up, and then the service cannot write any more.
+  while (before !== sent) {
+    before = sent;
+    await new Promise((resolve) => setTimeout(resolve, 100));
+  }
+  assert.ok(sent < total, `the service wrote ${sent} bytes`);
+  let received = 0;
+  for await (const chunk of res) received += chunk.length;
+  assert.equal(received, total);
+});
+
+test("a repeatable call whose connection breaks runs again; one that may not be repeated does not", async () => {
+  const { service, url } = await makeCounter(2);
+  let failures = 0;
+  service.onRequest = (req, res) => {
+    if (failures++ === 0) return dropConnection(req, res);
+    res.end("ok");
+  };
+  const search = await request(`${url}/search`, { method: "POST", headers: AUTH, body: "bowl" });
+  assert.equal(search.statusCode, 200);
+  assert.equal(service.count("/search"), 2);
+  service.onRequest = dropConnection;
+  const order = await request(`${url}/orders`, { method: "POST", headers: AUTH, body: "bowl" });
+  const problem = await order.body.json() as { type: string; not_run: unknown };
+  assert.equal(order.statusCode, 502);
+  assert.deepEqual([problem.type, problem.not_run], ["upstream_failed", "unknown"]);
+  assert.equal(order.headers["x-should-retry"], "false");
+  assert.equal(service.count("/orders"), 1);
+});
+
+test("an answer that breaks off is not ended as if it were whole", async () => {
+  const { service, url } = await makeCounter();
+  service.onRequest = (_req, res) => {
+    res.writeHead(200, { "content-length": "100" });
+    res.write("half", () => res.destroy());
+  };
+  const res = await request(`${url}/orders`, { method: "POST", headers: AUTH, body: "x" });
+  await assert.rejects(res.body.text());
+});
+
+const ORDER = { method: "POST", headers: AUTH, body: "bowl" } as const;
+
+test("a call that loses its link before the side was allowed to run it goes to another side", async () => {
+  const { calls, url } = await makeScripted((side) => ({
+    onCall: (call) => {
+      if (side().calls.length + call.msg.attempt === 2) call.link.close();
+      else side().admit(call);
+    },
+    onCallMessage: (call, msg) => {
+      if (msg.kind === "body" && msg.last) side().reply(call, "done");
+    },
+  }));
+  const res = await request(`${url}/orders`, ORDER);
+  assert.equal(await res.body.text(), "done");
+  assert.equal(calls().length, 2);
+  assert.deepEqual(calls().map((call) => call.received.length > 0).sort(), [false, true]);
+});
+
+test("a call that was refused as not run goes to another side", async () => {
+  const { calls, url } = await makeScripted((side) => ({
+    onCall: (call) => {
+      if (call.msg.attempt > 1) return side().admit(call);
+      const { load } = { load: side().load() };
+      call.stream.send({ kind: "not_run", reason: "overloaded", load, about: call.msg.req });
+      call.stream.end();
+    },
+    onCallMessage: (call, msg) => {
+      if (msg.kind === "body" && msg.last) side().reply(call, "done");
+    },
+  }));
+  const res = await request(`${url}/orders`, ORDER);
+  assert.equal(await res.body.text(), "done");
+  assert.equal(calls().length, 2);
+});
+
+for (const point of ["first body message", "last body message", "answer head"] as const) {
+  test(`a call that may not be repeated is not sent again when its link is lost after the ${point}`, async () => {
+    const { calls, url } = await makeScripted((side) => ({
+      onCall: (call) => side().admit(call),
+      onCallMessage: (call, msg) => {
+        if (msg.kind !== "body") return;
+        if (point === "first body message") return call.link.close();
+        if (!msg.last) return;
+        if (point === "last body message") return call.link.close();
+        const head = { kind: "reply_head", status: 200, headers: [], load: side().load() } as const;
+        call.stream.send({ ...head, about: call.msg.req });
+        setImmediate(() => call.link.close());
+      },
+    }));
+    // Where the head was on its way, the caller's connection breaks before or after it.
+    const res = await request(`${url}/orders`, ORDER).catch(() => null);
+    if (point === "answer head") {
+      if (res !== null) await assert.rejects(res.body.text());
+    } else {
+      const problem = await res!.body.json() as { type: string; not_run: unknown };
+      assert.deepEqual([problem.type, problem.not_run], ["link_lost", "unknown"]);
+    }
+    assert.equal(calls().length, 1);
+  });
+}
+
+test("an answer to another call on this call's stream is not delivered", async () => {
+  const { calls, url } = await makeScripted((side) => ({
+    onCall: (call) => side().admit(call),
+    onCallMessage: (call, msg) => {
+      if (msg.kind === "body" && msg.last) side().reply(call, "not yours", "r-other");
+    },
+  }));
+  const res = await request(`${url}/orders`, ORDER);
+  assert.equal(res.statusCode, 502);
+  assert.equal(((await res.body.json()) as { not_run: unknown }).not_run, "unknown");
+  assert.equal(calls().length, 1);
+});
+
+test("a repeated chunk of an answer is delivered once", async () => {
+  const { url } = await makeScripted((side) => ({
+    onCall: (call) => side().admit(call),
+    onCallMessage: ({ stream, msg: { req } }, msg) => {
+      if (msg.kind !== "body" || !msg.last) return;
+      const load = side().load();
+      stream.send({ kind: "reply_head", status: 200, headers: [], load, about: req });
+      const chunk = { kind: "body", last: false, about: req } as const;
+      stream.send({ ...chunk, bytes: Buffer.from("one "), offset: 0 });
+      stream.send({ ...chunk, bytes: Buffer.from("one "), offset: 0 });
+      stream.send({ ...chunk, bytes: Buffer.from("two"), offset: 4 });
+      stream.send({ ...chunk, bytes: Buffer.alloc(0), offset: 7, last: true });
+      stream.end();
+    },
+  }));
+  const res = await request(`${url}/orders`, ORDER);
+  assert.equal(await res.body.text(), "one two");
+});
+
+test("a call that a side received twice reaches its endpoint once", async () => {
+  const { fleet, service } = await makeCounter();
+  const opened: string[] = [];
+  const { pool } = await fleet.entry("2");
+  const address = fleet.sideAddress("counter-1");
+  pool.keep(address);
+  const link = await pool.ready(address);
+  const call = fleet.makeCall("/orders");
+  for (let i = 0; i < 2; i++) {
+    const stream = link.openStream(call, {
+      onMessage: (msg) => opened.push(msg.kind),
+      onClose: (err) => opened.push(err === null ? "closed" : "aborted"),
+    });
+    const body = { kind: "body", bytes: Buffer.alloc(0), last: true, offset: 0 } as const;
+    stream.send({ ...body, about: call.req });
+    stream.end();
+  }
+  await until(() => opened.includes("aborted") && opened.includes("closed"));
+  assert.equal(service.count("/orders"), 1);
+});
--- a/packages/daemon/tests/fixtures.ts
+++ b/packages/daemon/tests/fixtures.ts
@@ -12,10 +12,12 @@
   hostId,
   processId,
   raise,
+  requestId,
   revision,
   Rng,
   serviceId,
   SystemClock,
+  versionId,
   World,
 } from "@wisteriapick/core";
 import {
@@ -35,7 +37,14 @@
   type HostRecord,
   ModelEngine,
 } from "@wisteriapick/platform";
-import { type Identity, LinkPool, listenLinks, type Role } from "@wisteriapick/wire";
+import {
+  type Address,
+  type Call,
+  type Identity,
+  LinkPool,
+  listenLinks,
+  type Role,
+} from "@wisteriapick/wire";
 import {
   Directory,
   Entry,
@@ -45,6 +54,7 @@
   hashKey,
   LeastInFlightPlacement,
   LinkRouter,
+  parseAddress,
   PooledLinks,
   Side,
   type SideOptions,
@@ -294,7 +304,7 @@
   /** Starts a side for an endpoint; `port` restarts one at the same address. */
   async side(
     name: string,
-    engine: ModelEngine,
+    engine: ModelEngine | null,
     { port = 0, service = "scribe", ...parts }:
       & Omit<Partial<SideOptions>, "service">
       & { port?: number; service?: string } = {},
@@ -314,7 +324,7 @@
       identity,
       endpoint: endpointId(name),
       service: serviceId(service),
-      engine,
+      engine: engine ?? undefined,
       admission: new FixedAdmission(),
       config: this.config,
       router,
@@ -376,6 +386,31 @@
     return { entry, kill, url: `http://${address}`, pool, world };
   }
 
+  /** The address of a side. */
+  sideAddress(name: string): Address {
+    return parseAddress(this.#hosts.get(name)!.side!);
+  }
+
+  /** A call to the plain service that may not be repeated. */
+  makeCall(path: string): Call {
+    return {
+      kind: "call",
+      req: requestId("r-1"),
+      service: serviceId("counter"),
+      version: versionId("v1"),
+      account: SHOP,
+      weight: 1,
+      method: "POST",
+      path,
+      headers: [],
+      repeatable: false,
+      remainingMs: 5_000,
+      attempt: 1,
+      revision: revision(1),
+      digest: "d",
+    };
+  }
+
   /** Lists a side under another address, for example that of a relay. */
   setSideAddress(name: string, side: string): void {
     this.#hosts.set(name, { ...this.#hosts.get(name)!, side });
