--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -130,6 +130,11 @@
     return !this.#draining && this.#o.config.ready();
   }
 
+  /** Whether new work is refused because the entry is stopping. */
+  get refusing(): boolean {
+    return this.#refusing;
+  }
+
   /** Starts to serve on the address of the settings; resolves with the bound `ip:port`. */
   async listen(): Promise<string> {
     this.start();
@@ -173,13 +178,15 @@
   }
 
   /**
-   * Planned stop: the health check goes down first, new work is refused after `announceMs`, and the promise
-   * resolves when every running request has been answered.
+   * Planned stop: the health check goes down first, new work is refused after `announceMs` or when `announce`
+   * resolves, and the promise resolves when every running request has been answered.
    */
-  async drain({ announceMs = ANNOUNCE_MS }: { announceMs?: number } = {}): Promise<void> {
+  async drain(
+    { announceMs = ANNOUNCE_MS, announce }: { announceMs?: number; announce?: Promise<void> } = {},
+  ): Promise<void> {
     const { clock } = this.#o.world;
     this.#draining = true;
-    await clock.sleep(announceMs);
+    await (announce ?? clock.sleep(announceMs));
     this.#refusing = true;
     this.#server.close();
     while (this.#open > 0) {
--- a/packages/daemon/tests/fixtures.ts
+++ b/packages/daemon/tests/fixtures.ts
@@ -88,6 +88,8 @@
   version = "v1";
   ready = true;
   highestFence: number | undefined = undefined;
+  /** Called for each run before its first event. */
+  onRun: (req: EngineRequest) => void = () => {};
   /** While true, every call fails as if no process listened. */
   down = false;
   /** Generations that ended by themselves. */
@@ -128,7 +130,9 @@
     this.runs.push(req);
     if (this.#held.has(req.gen)) raise({ type: "engine", message: "known", status: 409 });
     this.#held.set(req.gen, { req, tokens: [], end: null });
-    yield* this.#events(req.gen, 0, options.signal);
+    const epoch = this.#epoch;
+    this.onRun(req);
+    yield* this.#events(req.gen, 0, { epoch, signal: options.signal });
   }
 
   async *resume(
@@ -137,7 +141,7 @@
   ): AsyncIterable<EngineEvent> {
     this.#assertUp();
     if (!this.#held.has(gen)) raise({ type: "engine", message: "unknown", status: 404 });
-    yield* this.#events(gen, options.offset, options.signal);
+    yield* this.#events(gen, options.offset, { epoch: this.#epoch, signal: options.signal });
   }
 
   async cancel(gen: GenerationId): Promise<void> {
@@ -191,9 +195,8 @@
   async *#events(
     gen: GenerationId,
     from: number,
-    signal?: AbortSignal,
+    { epoch, signal }: { epoch: number; signal?: AbortSignal },
   ): AsyncIterable<EngineEvent> {
-    const epoch = this.#epoch;
     const stream = ++this.#streamCount;
     let offset = from;
     for (;;) {
@@ -295,6 +298,8 @@
 /** Entries and sides on loopback ports that share a host list. */
 export class Fleet {
   readonly config = new StaticConfigSource(makeConfig());
+  /** A configuration that only sides see that are given it. */
+  readonly sideConfig = new StaticConfigSource(makeConfig());
   readonly clock = new SystemClock();
   readonly #hosts = new Map<string, HostRecord>();
   readonly #directories = new Set<Directory>();
--- a/packages/daemon/tests/openai_test.ts
+++ b/packages/daemon/tests/openai_test.ts
@@ -1,24 +1,38 @@
 import assert from "node:assert/strict";
 import { after, test } from "node:test";
 import OpenAI from "openai";
-import { CLIENT_KEY, FakeEngine, Fleet, tokensText } from "./fixtures.ts";
+import {
+  CLIENT_KEY,
+  FakeEngine,
+  Fleet,
+  makeConfig,
+  OTHER_KEY,
+  tokensText,
+  until,
+} from "./fixtures.ts";
+import { ScriptedSide } from "./scripted_side.ts";
 
-function makeClient(url: string, apiKey = CLIENT_KEY): OpenAI {
-  return new OpenAI({ baseURL: `${url}/v1`, apiKey, maxRetries: 0 });
+function makeClient(url: string, { apiKey = CLIENT_KEY, maxRetries = 0 } = {}): OpenAI {
+  return new OpenAI({ baseURL: `${url}/v1`, apiKey, maxRetries });
 }
 
 const MESSAGES = [{ role: "user" as const, content: "Describe the bowl" }];
+const CHAT = { model: "scribe", messages: MESSAGES };
 
-test("the official client gets a streamed answer with every token once", async () => {
+async function makeService() {
   const fleet = new Fleet();
   after(() => fleet.close());
   const engine = new FakeEngine();
   engine.release(5);
-  await fleet.side("scribe-1", engine);
-  const { url } = await fleet.entry("1");
+  const side = await fleet.side("scribe-1", engine);
+  const { url, entry } = await fleet.entry("1");
+  return { fleet, engine, side, url, entry };
+}
+
+test("the official client gets a streamed answer with every token once", async () => {
+  const { url } = await makeService();
   const stream = await makeClient(url).chat.completions.create({
-    model: "scribe",
-    messages: MESSAGES,
+    ...CHAT,
     stream: true,
     stream_options: { include_usage: true },
   });
@@ -36,18 +50,115 @@
 });
 
 test("the official client gets a whole answer", async () => {
+  const { url } = await makeService();
+  const answer = await makeClient(url).chat.completions.create({ ...CHAT, max_tokens: 3 });
+  assert.equal(answer.choices[0]!.message.content, tokensText(3));
+  assert.equal(answer.choices[0]!.finish_reason, "length");
+  assert.equal(answer.usage!.completion_tokens, 3);
+});
+
+test("the official client gets text completions, streamed and whole", async () => {
+  const { url } = await makeService();
+  const client = makeClient(url);
+  const prompt = "Describe";
+  const whole = await client.completions.create({ model: "scribe", prompt });
+  assert.equal(whole.choices[0]!.text, tokensText(5));
+  let text = "";
+  const stream = await client.completions.create({ model: "scribe", prompt, stream: true });
+  for await (const chunk of stream) text += chunk.choices[0]?.text ?? "";
+  assert.equal(text, tokensText(5));
+});
+
+test("the official client lists the model services that its account may use", async () => {
+  const { url } = await makeService();
+  const models = await makeClient(url).models.list();
+  assert.deepEqual(models.data.map((m) => m.id), ["scribe"]);
+  const none = await makeClient(url, { apiKey: OTHER_KEY }).models.list();
+  assert.deepEqual(none.data, []);
+});
+
+test("aborting a stream in the official client cancels the generation", async () => {
   const fleet = new Fleet();
   after(() => fleet.close());
   const engine = new FakeEngine();
-  engine.release(5);
-  await fleet.side("scribe-1", engine);
+  engine.release(2);
+  await fleet.side("scribe-1", engine, { times: { graceMs: 20 } });
+  const { url } = await fleet.entry("1");
+  const stream = await makeClient(url).chat.completions.create({ ...CHAT, stream: true });
+  for await (const chunk of stream) {
+    if (chunk.choices[0]?.delta.content === "t1 ") break;
+  }
+  stream.controller.abort();
+  await until(() => engine.cancelled.length === 1);
+});
+
+test("each refusal raises the error class that the official client has for it", async () => {
+  const { url, fleet } = await makeService();
+  const client = makeClient(url);
+  const create = (c: OpenAI, parts: object = {}) =>
+    c.chat.completions.create({ ...CHAT, ...parts } as typeof CHAT);
+  const cases: [Promise<unknown>, new (...args: never[]) => Error, string][] = [
+    [create(makeClient(url, { apiKey: "wrong" })), OpenAI.AuthenticationError, "unauthenticated"],
+    [
+      create(makeClient(url, { apiKey: OTHER_KEY })),
+      OpenAI.PermissionDeniedError,
+      "forbidden",
+    ],
+    [create(client, { model: "none" }), OpenAI.NotFoundError, "unknown_service"],
+    [create(client, { messages: [] }), OpenAI.BadRequestError, "invalid_request"],
+    [create(client, { temperature: 9 }), OpenAI.BadRequestError, "invalid_request"],
+  ];
+  for (const [promise, type, code] of cases) {
+    await assert.rejects(promise, (e) => e instanceof type && errorCode(e) === code, code);
+  }
+  fleet.config.set(makeConfig({ dataCentres: [{ id: "dc-1", region: "r-1", state: "out" }] }, 2));
+  await assert.rejects(create(client), (e) => {
+    return e instanceof OpenAI.InternalServerError && errorCode(e) === "no_endpoint";
+  });
+});
+
+test("an overloaded fleet raises an error that the official client retries", async () => {
+  const fleet = new Fleet();
+  after(() => fleet.close());
+  let refusals = 2;
+  const side: ScriptedSide = new ScriptedSide("scribe-1", {
+    onRun: (run) => {
+      if (refusals-- > 0) {
+        const load = side.load();
+        const about = run.msg.gen;
+        run.stream.send({ kind: "not_run", reason: "overloaded", retryAfterMs: 1, load, about });
+        return run.stream.end();
+      }
+      side.admit(run);
+      side.tokens(run.stream, run.msg.gen, 0, 2);
+      side.end(run.stream, run.msg.gen, 2);
+    },
+  });
+  await side.join(fleet);
+  const { url } = await fleet.entry("1");
+  const answer = await makeClient(url, { maxRetries: 2 }).chat.completions.create(CHAT);
+  assert.equal(answer.choices[0]!.message.content, tokensText(2));
+  assert.equal(side.runs.length, 3);
+});
+
+test("a stream that fails after its first token raises an error in the official client", async () => {
+  const fleet = new Fleet();
+  after(() => fleet.close());
+  const engine = new FakeEngine();
+  engine.release(2);
+  await fleet.side("scribe-1", engine, { times: { backoffMs: 1, maxFailures: 1 } });
   const { url } = await fleet.entry("1");
-  const answer = await makeClient(url).chat.completions.create({
-    model: "scribe",
-    messages: MESSAGES,
-    max_tokens: 3,
+  const stream = await makeClient(url).chat.completions.create({ ...CHAT, stream: true });
+  const read = async () => {
+    for await (const chunk of stream) {
+      if (chunk.choices[0]?.delta.content === "t1 ") engine.crash({ down: true });
+    }
+  };
+  await assert.rejects(read(), (e) => {
+    return e instanceof OpenAI.APIError && errorCode(e) === "engine_lost";
   });
-  assert.equal(answer.choices[0]!.message.content, tokensText(3));
-  assert.equal(answer.choices[0]!.finish_reason, "length");
-  assert.equal(answer.usage!.completion_tokens, 3);
 });
+
+function errorCode(e: unknown): string | null | undefined {
+  return (e as { code?: string | null }).code;
+}
