Serve the plain service in the local system and use the real policies

Cause: sides serve plain services now and placement and admission exist. Conclusion: node scripts/test.mjs local_test passes.

--- a/packages/daemon/src/local.ts
+++ b/packages/daemon/src/local.ts
@@ -17,7 +17,8 @@
   World,
 } from "@wisteriapick/core";
 import { indexConfig, StaticConfigSource } from "@wisteriapick/control";
-import { HttpHostList, HttpModelEngine } from "@wisteriapick/platform";
+import { HttpHostList, HttpModelEngine, HttpObjectStore } from "@wisteriapick/platform";
+import { SideAdmission, SubsetPlacement } from "@wisteriapick/policy";
 import {
   EngineStandin,
   MemoryHostList,
@@ -33,7 +34,6 @@
 import { Directory, followHostList } from "./directory.ts";
 import { Entry } from "./entry.ts";
 import { FixedAdmission } from "./fixed_admission.ts";
-import { LeastInFlightPlacement } from "./least_in_flight_placement.ts";
 import { LinkRouter } from "./link_router.ts";
 import { formatAddress, PooledLinks } from "./link_source.ts";
 import { kenteDocument, kenteHosts, type LocalHost, localKey } from "./local_deployment.ts";
@@ -66,7 +66,9 @@
 const DEFAULT_PORT = 8080;
 const CLUSTER_KEY = "local-cluster-key";
 const LOOPBACK = "127.0.0.1";
-// Long enough for the first probe of every engine and the first read of the host list.
+/** Calls at once that one instance of the plain service bears. */
+const COUNTER_SLOTS = 32;
+/** Interval at which the start looks whether every side has learned about its endpoint. */
 const READY_POLL_MS = 10;
 
 type Closer = () => void | Promise<void>;
@@ -108,11 +110,12 @@
     return running;
   }
 
-  async startPlatform(): Promise<{ hosts: RunningServer }> {
-    await this.serve(serveObjectStore(this.store));
+  async startPlatform(): Promise<{ hosts: RunningServer; store: RunningServer }> {
+    const store = await this.serve(serveObjectStore(this.store));
     const weights = new MemoryWeightStore({ clock: this.clock, weights: { "scribe-7b": 14e9 } });
     await this.serve(serveWeightStore(weights));
-    return { hosts: await this.serve(serveHostList(this.hostList)) };
+    const hosts = await this.serve(serveHostList(this.hostList));
+    return { hosts, store };
   }
 
   async startEndpoint(host: LocalHost, seed: number): Promise<RunningServer> {
@@ -129,7 +132,18 @@
     return this.serve(engine.listen());
   }
 
-  /** Starts the side of a model engine and enters it into the host list. */
+  /** How a side reaches its endpoint and what it admits. */
+  #endpointParts(host: LocalHost, endpoint: RunningServer) {
+    if (host.kind === "plain") {
+      const admission = new FixedAdmission({ slots: COUNTER_SLOTS });
+      return { origin: endpoint.origin, admission };
+    }
+    const engine = new HttpModelEngine(endpoint.origin, { clock: this.clock });
+    this.defer(() => engine.close());
+    return { engine, admission: new SideAdmission({ name: host.endpoint }) };
+  }
+
+  /** Starts the side of an endpoint and enters it into the host list. */
   async startSide(host: LocalHost, endpoint: RunningServer): Promise<void> {
     const { clock, log, config } = this;
     const identity = makeIdentity("side", host.endpoint, host);
@@ -142,14 +156,11 @@
       clock,
     });
     this.defer(() => listener.close());
-    const engine = new HttpModelEngine(endpoint.origin, { clock });
-    this.defer(() => engine.close());
     const side = new Side({
       identity,
       endpoint: host.endpoint,
       service: host.service,
-      engine,
-      admission: new FixedAdmission(),
+      ...this.#endpointParts(host, endpoint),
       config,
       router,
       world: new World({ clock }),
@@ -168,7 +179,10 @@
     });
   }
 
-  async startEntry(hosts: RunningServer, port: number): Promise<string> {
+  async startEntry(
+    { hosts, store }: { hosts: RunningServer; store: RunningServer },
+    port: number,
+  ): Promise<string> {
     const { clock, log, config } = this;
     const dataCentre = kenteHosts()[0]!.dataCentre;
     const identity = makeIdentity("entry", "entry-01", { host: hostId("entry-01"), dataCentre });
@@ -189,6 +203,8 @@
     const follow = followHostList(hostList, directory, { clock });
     this.defer(follow.undo);
     await follow.first;
+    const objects = new HttpObjectStore(store.origin, { clock });
+    this.defer(() => objects.close());
     const entry = new Entry({
       identity,
       clusterKey: CLUSTER_KEY,
@@ -197,7 +213,8 @@
       directory,
       links: new PooledLinks(pool),
       router,
-      placement: new LeastInFlightPlacement(),
+      placement: new SubsetPlacement({ entry: identity.process, dataCentre, rng }),
+      store: objects,
       world,
       log,
     });
@@ -269,11 +286,11 @@
 }
 
 async function startAll(builder: LocalBuilder, port: number): Promise<string> {
-  const { hosts } = await builder.startPlatform();
+  const platform = await builder.startPlatform();
   for (const [i, host] of kenteHosts().entries()) {
     const endpoint = await builder.startEndpoint(host, builder.seed * 1_000 + i);
-    if (host.kind === "model") await builder.startSide(host, endpoint);
+    await builder.startSide(host, endpoint);
   }
   while (!builder.sides.every((s) => s.ready)) await builder.clock.sleep(READY_POLL_MS);
-  return await builder.startEntry(hosts, await freePort(port));
+  return await builder.startEntry(platform, await freePort(port));
 }
