--- a/packages/cli/src/mod.ts
+++ b/packages/cli/src/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { defineCommand, runMain } from "citty";
+import { loadCommand } from "./load/load_command.ts";
 import { localCommand } from "./local_command.ts";
 
 const root = defineCommand({
@@ -13,6 +14,7 @@
   },
   subCommands: {
     local: localCommand,
+    load: loadCommand,
   },
 });
 
--- a/packages/cli/src/outcome.ts
+++ b/packages/cli/src/outcome.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { toWpError } from "@wisteriapick/core";
+import { raise, toWpError } from "@wisteriapick/core";
 
 /** The command did what it was asked for. */
 export const EXIT_OK = 0;
@@ -12,6 +12,11 @@
 /** Wrong use or wrong settings; nothing was started. */
 export const EXIT_USAGE = 2;
 
+/** Reports wrong use of the command line; the command exits with 2. */
+export function usage(message: string): never {
+  raise({ type: "settings", message, file: "command line", issues: [] });
+}
+
 /** Runs a command's work and sets the exit code. Errors go to standard error. */
 export async function runCommand(work: () => Promise<void | number>): Promise<void> {
   try {
