--- a/packages/daemon/src/side.ts
+++ b/packages/daemon/src/side.ts
@@ -19,9 +19,9 @@
 import type { ConfigSource } from "@wisteriapick/control";
 import type { GenerationLogStoreOptions } from "@wisteriapick/delivery";
 import type { ModelEngine } from "@wisteriapick/platform";
-import type { Dispatcher } from "undici";
 import type { Admission, AdmissionAction, Quarantine } from "@wisteriapick/policy";
 import type { EndpointLoad, Identity, SuspectReport } from "@wisteriapick/wire";
+import type { Dispatcher } from "undici";
 import type { LinkRouter } from "./link_router.ts";
 import { SideCalls } from "./side_calls.ts";
 import type { SideContext } from "./side_context.ts";
--- a/packages/daemon/tests/fixtures.ts
+++ b/packages/daemon/tests/fixtures.ts
@@ -12,10 +12,12 @@
   hostId,
   processId,
   raise,
+  requestId,
   revision,
   Rng,
   serviceId,
   SystemClock,
+  versionId,
   World,
 } from "@wisteriapick/core";
 import {
@@ -35,7 +37,14 @@
   type HostRecord,
   ModelEngine,
 } from "@wisteriapick/platform";
-import { type Identity, LinkPool, listenLinks, type Role } from "@wisteriapick/wire";
+import {
+  type Address,
+  type Call,
+  type Identity,
+  LinkPool,
+  listenLinks,
+  type Role,
+} from "@wisteriapick/wire";
 import {
   Directory,
   Entry,
@@ -45,6 +54,7 @@
   hashKey,
   LeastInFlightPlacement,
   LinkRouter,
+  parseAddress,
   PooledLinks,
   Side,
   type SideOptions,
@@ -78,10 +88,12 @@
   version = "v1";
   ready = true;
   highestFence: number | undefined = undefined;
+  /** Called for each run before its first event. */
+  onRun: (req: EngineRequest) => void = () => {};
   /** While true, every call fails as if no process listened. */
   down = false;
-  /** While true, open streams yield nothing more. */
-  silent = false;
+  /** Generations that ended by themselves. */
+  finished = 0;
   readonly #held = new Map<GenerationId, FakeGeneration>();
   #wake: (() => void)[] = [];
   #epoch = 0;
@@ -92,6 +104,11 @@
     this.#notify();
   }
 
+  /** Tokens that a generation has produced. */
+  produced(gen: GenerationId | undefined): number {
+    return gen === undefined ? 0 : this.#held.get(gen)?.tokens.length ?? 0;
+  }
+
   /** Ends every open stream and forgets every generation, as a crash does. */
   crash({ down = false }: { down?: boolean } = {}): void {
     this.down = down;
@@ -113,7 +130,9 @@
     this.runs.push(req);
     if (this.#held.has(req.gen)) raise({ type: "engine", message: "known", status: 409 });
     this.#held.set(req.gen, { req, tokens: [], end: null });
-    yield* this.#events(req.gen, 0, options.signal);
+    const epoch = this.#epoch;
+    this.onRun(req);
+    yield* this.#events(req.gen, 0, { epoch, signal: options.signal });
   }
 
   async *resume(
@@ -122,7 +141,7 @@
   ): AsyncIterable<EngineEvent> {
     this.#assertUp();
     if (!this.#held.has(gen)) raise({ type: "engine", message: "unknown", status: 404 });
-    yield* this.#events(gen, options.offset, options.signal);
+    yield* this.#events(gen, options.offset, { epoch: this.#epoch, signal: options.signal });
   }
 
   async cancel(gen: GenerationId): Promise<void> {
@@ -176,9 +195,8 @@
   async *#events(
     gen: GenerationId,
     from: number,
-    signal?: AbortSignal,
+    { epoch, signal }: { epoch: number; signal?: AbortSignal },
   ): AsyncIterable<EngineEvent> {
-    const epoch = this.#epoch;
     const stream = ++this.#streamCount;
     let offset = from;
     for (;;) {
@@ -205,6 +223,7 @@
     }
     if (held.tokens.length < total) return;
     held.end = this.#makeEnd(held, total < this.total ? "length" : "stop");
+    this.finished++;
   }
 
   #makeEnd(held: FakeGeneration, reason: "stop" | "length" | "cancelled") {
@@ -279,6 +298,8 @@
 /** Entries and sides on loopback ports that share a host list. */
 export class Fleet {
   readonly config = new StaticConfigSource(makeConfig());
+  /** A configuration that only sides see that are given it. */
+  readonly sideConfig = new StaticConfigSource(makeConfig());
   readonly clock = new SystemClock();
   readonly #hosts = new Map<string, HostRecord>();
   readonly #directories = new Set<Directory>();
@@ -288,7 +309,7 @@
   /** Starts a side for an endpoint; `port` restarts one at the same address. */
   async side(
     name: string,
-    engine: ModelEngine,
+    engine: ModelEngine | null,
     { port = 0, service = "scribe", ...parts }:
       & Omit<Partial<SideOptions>, "service">
       & { port?: number; service?: string } = {},
@@ -308,7 +329,7 @@
       identity,
       endpoint: endpointId(name),
       service: serviceId(service),
-      engine,
+      engine: engine ?? undefined,
       admission: new FixedAdmission(),
       config: this.config,
       router,
@@ -325,7 +346,7 @@
     };
     this.#closers.push(kill);
     const address = formatAddress(listener.address);
-    this.#setHost(name, service, address, identity);
+    this.setHost(name, service, address, identity);
     await until(() => side.ready);
     return { side, kill, address, port: listener.address.port, listener };
   }
@@ -370,17 +391,54 @@
     return { entry, kill, url: `http://${address}`, pool, world };
   }
 
+  /** The address of a side. */
+  sideAddress(name: string): Address {
+    return parseAddress(this.#hosts.get(name)!.side!);
+  }
+
+  /** A call to the plain service that may not be repeated. */
+  makeCall(path: string): Call {
+    return {
+      kind: "call",
+      req: requestId("r-1"),
+      service: serviceId("counter"),
+      version: versionId("v1"),
+      account: SHOP,
+      weight: 1,
+      method: "POST",
+      path,
+      headers: [],
+      repeatable: false,
+      remainingMs: 5_000,
+      attempt: 1,
+      revision: revision(1),
+      digest: "d",
+    };
+  }
+
+  /** Lists a side under another address, for example that of a relay. */
+  setSideAddress(name: string, side: string): void {
+    this.#hosts.set(name, { ...this.#hosts.get(name)!, side });
+    this.#publish();
+  }
+
   /** Marks a host as leaving or live. */
   setHostState(name: string, state: "live" | "leaving"): void {
     this.#hosts.set(name, { ...this.#hosts.get(name)!, state });
     this.#publish();
   }
 
+  /** Calls `fn` when the fleet is closed. */
+  onClose(fn: () => void | Promise<void>): void {
+    this.#closers.push(fn);
+  }
+
   async close(): Promise<void> {
     for (const closer of this.#closers.reverse()) await closer();
   }
 
-  #setHost(name: string, service: string, side: string, identity: Identity): void {
+  /** Lists a host. */
+  setHost(name: string, service: string, side: string, identity: Identity): void {
     this.#hosts.set(name, {
       host: identity.host,
       dataCentre: identity.dataCentre,
