--- a/packages/control/src/control_process.ts
+++ b/packages/control/src/control_process.ts
@@ -71,7 +71,7 @@
     void this.#readHosts().then(() => {
       if (stopped) return;
       undo.push(this.node.start(), this.duty.start());
-      void this.#pollHosts(() => stopped);
+      this.#pollHosts(undo);
     });
     return () => {
       stopped = true;
@@ -80,12 +80,10 @@
     };
   }
 
-  async #pollHosts(stopped: () => boolean): Promise<void> {
+  #pollHosts(undo: Undo[]): void {
     const { clock, rng } = this.#options;
-    while (!stopped()) {
-      await clock.sleep(HOST_LIST_EVERY_MS * (0.5 + rng.next()));
-      if (!stopped()) await this.#readHosts();
-    }
+    const everyMs = HOST_LIST_EVERY_MS * (0.5 + rng.next());
+    undo.push(clock.setRepeating(everyMs, () => void this.#readHosts()));
   }
 
   async #readHosts(): Promise<void> {
