--- /dev/null
+++ b/packages/daemon/src/entry.ts
@@ -0,0 +1,339 @@
+/**
+ * The entry process: terminates callers' HTTP and relays.
+ *
+ * @module
+ */
+import { randomBytes } from "node:crypto";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import {
+  createMetrics,
+  type DataCentreId,
+  type EndpointId,
+  generationId,
+  type Logger,
+  type Metrics,
+  refuse,
+  type RequestId,
+  toRefusal,
+  type Undo,
+  type VersionId,
+  type World,
+} from "@wisteriapick/core";
+import type { Account, ConfigSource, ConfigView } from "@wisteriapick/control";
+import { encodeModelList, ResumeSigner } from "@wisteriapick/delivery";
+import type { ObjectStore } from "@wisteriapick/platform";
+import type { Placement } from "@wisteriapick/policy";
+import type { EndpointLoad, Identity } from "@wisteriapick/wire";
+import findMyWay, { type HTTPMethod } from "find-my-way";
+import { CallRelay } from "./call_relay.ts";
+import type { Directory, DirectoryEntry } from "./directory.ts";
+import { authenticate } from "./entry_auth.ts";
+import { PlainCalls } from "./entry_calls.ts";
+import { Completions } from "./entry_completions.ts";
+import type { EntryContext, RequestRow } from "./entry_context.ts";
+import { GenerationRelay, RELAY_LIMITS, type RelayLimits } from "./entry_relay.ts";
+import { sendProblem } from "./entry_sinks.ts";
+import { ConfiguredVersions, type VersionChooser } from "./entry_versions.ts";
+import { type HttpListenOptions, listenHttp, makeHttpServer, sendJson } from "./http_server.ts";
+import { IdempotencyClaims, type IdempotencyOptions } from "./idempotency.ts";
+import type { LinkRouter } from "./link_router.ts";
+import type { LinkSource } from "./link_source.ts";
+
+/** What an entry is made of. */
+export interface EntryOptions {
+  readonly identity: Identity;
+  readonly clusterKey: Uint8Array | string;
+  readonly listen: HttpListenOptions;
+  readonly config: ConfigSource;
+  readonly directory: Directory;
+  readonly links: LinkSource;
+  readonly router: LinkRouter;
+  readonly placement: Placement;
+  readonly world: World;
+  readonly log: Logger;
+  /** Holds idempotency keys; without it, calls with a key are refused. */
+  readonly store?: ObjectStore;
+  readonly idempotency?: Partial<Omit<IdempotencyOptions, "store" | "clock">>;
+  readonly versions?: VersionChooser;
+  readonly metrics?: Metrics;
+  readonly limits?: Partial<RelayLimits>;
+  /** Largest body of a completion request; it must fit into one frame. */
+  readonly maxBodyBytes?: number;
+  /** Silence of a plain service's answer that ends a call. */
+  readonly callSilenceMs?: number;
+  /** Makes ids; random by default. */
+  readonly makeId?: (prefix: string) => string;
+}
+
+/** Handles one request under `/admin/` after the operator's key has been checked. */
+export type AdminHandler = (
+  req: IncomingMessage,
+  res: ServerResponse,
+  params: Readonly<Record<string, string | undefined>>,
+  operator: Account,
+) => Promise<void> | void;
+
+type Handler = (
+  req: IncomingMessage,
+  res: ServerResponse,
+  params: Record<string, string | undefined>,
+) => Promise<void> | void;
+
+const MAX_BODY_BYTES = 512 << 10;
+/** Longer than a side waits for its endpoint, so that the side's own verdict arrives first. */
+const CALL_SILENCE_MS = 45_000;
+/** Time in which load balancers notice the failing health check before work is refused. */
+const ANNOUNCE_MS = 3_000;
+const DRAIN_POLL_MS = 20;
+const ANY_METHOD: HTTPMethod[] = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"];
+
+function randomId(prefix: string): string {
+  return `${prefix}-${randomBytes(12).toString("base64url")}`;
+}
+
+/**
+ * One entry.
+ *
+ * @example
+ * ```ts
+ * const entry = new Entry(options);
+ * const address = await entry.listen();
+ * await entry.drain();
+ * ```
+ */
+export class Entry {
+  readonly metrics: Metrics;
+  readonly #o: EntryOptions;
+  readonly #router = findMyWay({ ignoreTrailingSlash: true });
+  readonly #server: Server;
+  readonly #endpointVersions = new Map<EndpointId, VersionId>();
+  readonly #undos: Undo[] = [];
+  #draining = false;
+  #refusing = false;
+  #open = 0;
+
+  constructor(options: EntryOptions) {
+    this.#o = options;
+    this.metrics = options.metrics ?? createMetrics();
+    const { tls } = options.listen;
+    this.#server = makeHttpServer((req, res) => void this.#handle(req, res), tls);
+    this.#registerRoutes(this.#makeContext());
+  }
+
+  /** Whether the health check succeeds. */
+  get healthy(): boolean {
+    return !this.#draining && this.#o.config.ready();
+  }
+
+  /** Starts to serve; resolves with the bound `ip:port`. */
+  async listen(): Promise<string> {
+    const { directory, config, router } = this.#o;
+    for (const row of directory.rows()) this.#place(row);
+    this.#undos.push(
+      directory.registerListener((change) => {
+        for (const row of change.set) this.#place(row);
+        for (const id of change.removed) this.#o.placement.removeEndpoint(id);
+      }),
+      config.registerListener((view) => this.#applyConfig(view)),
+      router.registerNotify("load", (_link, msg) => this.#onLoad(msg.load)),
+    );
+    this.#applyConfig(config.current());
+    return await listenHttp(this.#server, this.#o.listen);
+  }
+
+  /** Adds an operator route, for example `registerAdminRoute("GET", "/admin/status", handler)`. */
+  registerAdminRoute(
+    method: "GET" | "POST" | "PUT" | "DELETE",
+    path: string,
+    handler: AdminHandler,
+  ): Undo {
+    this.#on(method, path, async (req, res, params) => {
+      const account = authenticate(this.#o.config.current(), req.headers.authorization);
+      if (account.role !== "operator") {
+        refuse({ type: "forbidden", message: "an operator key is required", notRun: true });
+      }
+      await handler(req, res, params, account);
+    });
+    return () => this.#router.off(method, path);
+  }
+
+  /**
+   * Planned stop: the health check goes down first, new work is refused after `announceMs`, and the promise
+   * resolves when every running request has been answered.
+   */
+  async drain({ announceMs = ANNOUNCE_MS }: { announceMs?: number } = {}): Promise<void> {
+    const { clock } = this.#o.world;
+    this.#draining = true;
+    await clock.sleep(announceMs);
+    this.#refusing = true;
+    this.#server.close();
+    while (this.#open > 0) {
+      this.#server.closeIdleConnections();
+      await clock.sleep(DRAIN_POLL_MS);
+    }
+    this.close();
+  }
+
+  /** Stops at once, as when the process dies. */
+  close(): void {
+    for (const undo of this.#undos.splice(0)) undo();
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  #makeContext(): EntryContext {
+    const { config, world, log, versions = new ConfiguredVersions(), makeId = randomId } = this.#o;
+    const { table } = world.registerTable<RequestId, RequestRow>("requests");
+    return {
+      config,
+      world,
+      log,
+      metrics: this.metrics,
+      versions,
+      requests: table,
+      makeId,
+      versionOf: (endpoint) => this.#versionOf(endpoint),
+      assertServing: () => this.#assertServing(),
+    };
+  }
+
+  #registerRoutes(ctx: EntryContext): void {
+    const completions = this.#makeCompletions(ctx);
+    const calls = this.#makeCalls(ctx);
+    this.#on("GET", "/healthz", (_req, res) => this.#health(res));
+    this.#on("GET", "/metrics", async (_req, res) => {
+      const { registry } = this.metrics;
+      res.writeHead(200, { "content-type": registry.contentType });
+      res.end(await registry.metrics());
+    });
+    this.#on("GET", "/v1/models", (req, res) => this.#models(req, res));
+    for (const [path, format] of [["chat/completions", "chat"], ["completions", "text"]] as const) {
+      this.#on("POST", `/v1/${path}`, (req, res) => completions.complete(format, req, res));
+      this.#on("GET", `/v1/${path}`, (req, res) => completions.resume(req, res));
+    }
+    for (const path of ["/services/:service", "/services/:service/*"]) {
+      this.#on(ANY_METHOD, path, (req, res, params) => calls.handle(req, res, params.service!));
+    }
+    this.registerAdminRoute("GET", "/admin/dump", (_req, res) => {
+      sendJson(res, 200, this.#o.world.dump());
+    });
+  }
+
+  #makeCompletions(ctx: EntryContext): Completions {
+    const { world, directory, links, placement, clusterKey, maxBodyBytes } = this.#o;
+    const limits = { ...RELAY_LIMITS, ...this.#o.limits };
+    const signer = new ResumeSigner(clusterKey);
+    const relay = new GenerationRelay({
+      clock: world.clock,
+      directory,
+      links,
+      placement,
+      signer,
+      metrics: this.metrics,
+      limits,
+      makeGenerationId: () => generationId(ctx.makeId("g")),
+      versionOf: ctx.versionOf,
+      noteLoad: (load) => this.#endpointVersions.set(load.endpoint, load.version),
+    });
+    const options = { relay, signer, links, limits, maxBodyBytes: maxBodyBytes ?? MAX_BODY_BYTES };
+    return new Completions(ctx, options);
+  }
+
+  #makeCalls(ctx: EntryContext): PlainCalls {
+    const { world, directory, links, placement, store, limits, idempotency } = this.#o;
+    const { clock } = world;
+    const relay = new CallRelay({
+      clock,
+      directory,
+      links,
+      placement,
+      metrics: this.metrics,
+      maxHops: limits?.maxHops ?? RELAY_LIMITS.maxHops,
+      silenceMs: this.#o.callSilenceMs ?? CALL_SILENCE_MS,
+      versionOf: ctx.versionOf,
+      noteLoad: (load) => this.#endpointVersions.set(load.endpoint, load.version),
+    });
+    const claims = store === undefined
+      ? null
+      : new IdempotencyClaims({ store, clock, ...idempotency });
+    return new PlainCalls(ctx, { relay, claims });
+  }
+
+  #on(method: HTTPMethod | HTTPMethod[], path: string, handler: Handler): void {
+    this.#router.on(method, path, (req, res, params) => {
+      return handler(req as IncomingMessage, res as ServerResponse, params);
+    });
+  }
+
+  async #handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+    this.#open++;
+    res.once("close", () => void this.#open--);
+    if (this.#draining) res.setHeader("connection", "close");
+    try {
+      const path = (req.url ?? "/").split("?", 1)[0]!;
+      const route = this.#router.find(req.method as HTTPMethod, path);
+      if (route === null) {
+        const message = `there is no route ${req.method} ${path.slice(0, 200)}`;
+        refuse({ type: "unknown_route", message, notRun: true });
+      }
+      await (route.handler as unknown as Handler)(req, res, route.params);
+    } catch (e) {
+      this.#fail(req, res, e);
+    }
+  }
+
+  #fail(req: IncomingMessage, res: ServerResponse, e: unknown): void {
+    const refusal = toRefusal(e, "unknown");
+    this.metrics.countRefusal(refusal.type);
+    if (refusal.type === "internal") this.#o.log.error({ err: e }, "request handler failed");
+    if (res.headersSent) return void res.destroy();
+    if (!req.complete) res.setHeader("connection", "close");
+    sendProblem(res, refusal);
+  }
+
+  #health(res: ServerResponse): void {
+    const state = this.#draining ? "draining" : this.healthy ? "up" : "not_ready";
+    const { revision } = this.#o.config.current();
+    sendJson(res, this.healthy ? 200 : 503, { state, revision });
+  }
+
+  #models(req: IncomingMessage, res: ServerResponse): void {
+    const view = this.#o.config.current();
+    const account = authenticate(view, req.headers.authorization);
+    const models = [...view.services.values()].filter((service) =>
+      service.kind === "model" && (account.services?.includes(service.id) ?? true)
+    );
+    sendJson(res, 200, encodeModelList(models.map((service) => service.id)));
+  }
+
+  #assertServing(): void {
+    if (this.#refusing) {
+      const message = "this entry is stopping";
+      refuse({ type: "draining", message, notRun: true, retryAfterMs: 1_000 });
+    }
+    if (this.#o.config.ready()) return;
+    const message = "this entry does not have a recent configuration yet";
+    refuse({ type: "not_ready", message, notRun: true, retryAfterMs: 1_000 });
+  }
+
+  #place(row: DirectoryEntry): void {
+    if (row.leaving) this.#o.placement.removeEndpoint(row.endpoint);
+    else this.#o.placement.setEndpoint(row);
+  }
+
+  #onLoad(load: EndpointLoad): void {
+    this.#endpointVersions.set(load.endpoint, load.version);
+    this.#o.placement.recordLoad(load, this.#o.world.clock.now());
+  }
+
+  #applyConfig(view: ConfigView): void {
+    const usable = new Set<DataCentreId>();
+    for (const dc of view.dataCentres.values()) if (dc.state !== "out") usable.add(dc.id);
+    this.#o.placement.setDataCentres(usable);
+  }
+
+  #versionOf(endpoint: EndpointId): VersionId | null {
+    return this.#endpointVersions.get(endpoint) ??
+      this.#o.config.current().endpoints.get(endpoint)?.version ?? null;
+  }
+}
