Add plans, status, events and their HTTP interface, client and commands

A plan stores its base revision and the state it stands on; confirming builds the changes against the newest revision and refuses with what changed. A plan's change id makes confirming repeatable, also by two operators at once.

--- /dev/null
+++ b/packages/cli/src/operator_commands.ts
@@ -0,0 +1,231 @@
+/**
+ * The operators' commands: `plan`, `confirm`, `status`, `watch`.
+ *
+ * @module
+ */
+import { readFileSync } from "node:fs";
+import {
+  type IntentInput,
+  OperatorClient,
+  type OperatorEvent,
+  parseBy,
+  type Plan,
+  type SystemStatus,
+} from "@wisteriapick/control";
+import { raise } from "@wisteriapick/core";
+import Table from "cli-table3";
+import { type CommandDef, defineCommand } from "citty";
+import { parse } from "yaml";
+import { runCommand } from "./outcome.ts";
+
+const WATCH_WAIT_MS = 15_000;
+
+const common = {
+  url: { type: "string", description: "Address of an entry", default: "http://127.0.0.1:8080" },
+  key: { type: "string", description: "Operator key; WISTERIAPICK_KEY when absent" },
+  json: { type: "boolean", description: "Print JSON", default: false },
+} as const;
+
+interface CommonArgs {
+  readonly url: string;
+  readonly key?: string;
+  readonly json: boolean;
+}
+
+function makeClient({ url, key = process.env.WISTERIAPICK_KEY }: CommonArgs): OperatorClient {
+  if (key === undefined || key === "") {
+    raise({ type: "not_found", message: "no operator key: give --key or WISTERIAPICK_KEY" });
+  }
+  return new OperatorClient({ url, key });
+}
+
+function print(json: boolean, value: unknown, text: () => string): void {
+  process.stdout.write((json ? JSON.stringify(value) : text()) + "\n");
+}
+
+async function makePlan(args: CommonArgs, intent: IntentInput): Promise<void> {
+  const plan = await makeClient(args).plan(intent);
+  print(args.json, plan, () => describePlan(plan));
+}
+
+/** A plan as text for people. */
+export function describePlan(plan: Plan): string {
+  const section = (title: string, lines: readonly string[]) =>
+    lines.length === 0 ? [] : [`${title}:`, ...lines.map((l) => `  ${l}`)];
+  const load = plan.load.map((l) =>
+    `${l.service}: ${l.mustBear} concurrent requests on an allowance of ${l.canBear} ` +
+    `(${l.endpoints} endpoints)`
+  );
+  return [
+    `plan ${plan.id} on revision ${plan.baseRevision}`,
+    ...section("will change", plan.changes),
+    ...section("the rest must bear", load),
+    ...section("cannot be known", plan.unknown),
+    ...section("warnings", plan.warnings),
+    `nothing has changed yet; carry it out with: wisteriapick confirm ${plan.id}`,
+  ].join("\n");
+}
+
+const outCommand = defineCommand({
+  meta: { name: "out", description: "Plan to take a data centre out" },
+  args: { ...common, dc: { type: "positional", description: "Data centre", required: true } },
+  run: ({ args }) => runCommand(() => makePlan(args, { type: "out", dataCentre: args.dc })),
+});
+
+const inCommand = defineCommand({
+  meta: { name: "in", description: "Plan to take a data centre back in" },
+  args: { ...common, dc: { type: "positional", description: "Data centre", required: true } },
+  run: ({ args }) => runCommand(() => makePlan(args, { type: "in", dataCentre: args.dc })),
+});
+
+const moveCommand = defineCommand({
+  meta: { name: "move", description: "Plan to move a service to another version" },
+  args: {
+    ...common,
+    service: { type: "positional", description: "Service", required: true },
+    from: { type: "positional", description: "Present version", required: true },
+    to: { type: "positional", description: "New version", required: true },
+    by: { type: "string", description: "Deadline: HH:MM or a date and time", required: true },
+  },
+  run: ({ args }) =>
+    runCommand(() => {
+      const { service, from, to } = args;
+      return makePlan(args, {
+        type: "move",
+        service,
+        from,
+        to,
+        byMs: parseBy(args.by, Date.now()),
+      });
+    }),
+});
+
+const applyCommand = defineCommand({
+  meta: { name: "apply", description: "Plan to put what a YAML file names" },
+  args: { ...common, file: { type: "positional", description: "YAML file", required: true } },
+  run: ({ args }) =>
+    runCommand(() =>
+      makePlan(args, { type: "apply", file: parse(readFileSync(args.file, "utf8")) })
+    ),
+});
+
+const takeBackCommand = defineCommand({
+  meta: { name: "take-back", description: "Plan to take a move back" },
+  args: { ...common, move: { type: "positional", description: "Move", required: true } },
+  run: ({ args }) => runCommand(() => makePlan(args, { type: "take_back", move: args.move })),
+});
+
+export const planCommand = defineCommand({
+  meta: { name: "plan", description: "Make a plan; nothing changes until it is confirmed" },
+  subCommands: {
+    out: outCommand as CommandDef,
+    in: inCommand as CommandDef,
+    move: moveCommand as CommandDef,
+    apply: applyCommand as CommandDef,
+    "take-back": takeBackCommand as CommandDef,
+  },
+});
+
+export const confirmCommand = defineCommand({
+  meta: { name: "confirm", description: "Carry a plan out" },
+  args: { ...common, plan: { type: "positional", description: "Plan", required: true } },
+  run: ({ args }) =>
+    runCommand(async () => {
+      const done = await makeClient(args).confirm(args.plan);
+      print(args.json, done, () => `plan ${done.plan} accepted as revision ${done.revision}`);
+    }),
+});
+
+export const statusCommand = defineCommand({
+  meta: { name: "status", description: "Show the state of the system" },
+  args: common,
+  run: ({ args }) =>
+    runCommand(async () => {
+      const status = await makeClient(args).status();
+      print(args.json, status, () => describeStatus(status));
+    }),
+});
+
+export const watchCommand = defineCommand({
+  meta: { name: "watch", description: "Follow changes; says when a move is done or taken back" },
+  args: common,
+  run: ({ args }) =>
+    runCommand(async () => {
+      const client = makeClient(args);
+      let after = (await client.status()).revision;
+      for (;;) {
+        for (const event of await client.events({ after, waitMs: WATCH_WAIT_MS })) {
+          after = event.revision;
+          print(args.json, event, () => describeEvent(event));
+        }
+      }
+    }),
+});
+
+/** All operator commands by name, to be added to the root command. */
+export const operatorCommands: Readonly<Record<string, CommandDef>> = {
+  plan: planCommand as CommandDef,
+  confirm: confirmCommand as CommandDef,
+  status: statusCommand as CommandDef,
+  watch: watchCommand as CommandDef,
+};
+
+/** An event as text for people. */
+export function describeEvent(event: OperatorEvent): string {
+  const at = new Date(event.atMs).toISOString();
+  return `${at} revision ${event.revision} ${event.who}: ${
+    event.changes.join("; ")
+  } (${event.why})`;
+}
+
+function table(head: string[], rows: readonly (readonly unknown[])[]): string {
+  const out = new Table({ head, style: { head: [], border: [] } });
+  for (const row of rows) out.push(row.map((cell) => String(cell ?? "?")));
+  return out.toString();
+}
+
+/** The status as text for people. */
+export function describeStatus(s: SystemStatus): string {
+  const behind = s.processes.filter((p) => p.behind);
+  const late = behind.map((p) => `  ${p.process}: ${p.revision ?? "no answer"}`);
+  return [
+    `revision ${s.revision}, known to be the newest ${Math.round(s.asOfMs ?? NaN)} ms ago, ` +
+    `store ${s.storeUp ? "up" : "down"}`,
+    table(
+      ["service", "version", "endpoints", "running", "allowance"],
+      s.services.map((x) => [x.id, x.activeVersion, x.endpoints, x.running, x.allowance]),
+    ),
+    table(
+      ["data centre", "state", "endpoints", "running"],
+      s.dataCentres.map((x) => [x.id, x.state, x.endpoints, x.running]),
+    ),
+    table(
+      ["endpoint", "data centre", "version", "wanted", "running", "allowance", "owned"],
+      s.endpoints.map((e) => [
+        e.endpoint,
+        e.dataCentre,
+        e.version,
+        e.wantedVersion,
+        e.running,
+        e.allowance,
+        e.owned,
+      ]),
+    ),
+    table(
+      ["move", "service", "from", "to", "state", "share", "left s", "reason"],
+      s.moves.map((m) => [
+        m.id,
+        m.service,
+        m.from,
+        m.to,
+        m.state,
+        m.share,
+        Math.round(m.leftMs / 1_000),
+        m.reason,
+      ]),
+    ),
+    table(["lease", "holder", "fence"], s.leases.map((l) => [l.duty, l.holder, l.fence])),
+    `${s.processes.length} processes, ${behind.length} behind`,
+    ...late,
+  ].join("\n");
+}
--- a/packages/control/src/config_state.ts
+++ b/packages/control/src/config_state.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { type Clock, raise, type Revision, type Undo } from "@wisteriapick/core";
+import { type Clock, type Revision, revision, type Undo } from "@wisteriapick/core";
 import { ConfigSource, type ConfigView } from "./config_document.ts";
 import { applyEntry, decodeSnapshot, emptyView, type EncodedEntry } from "./log_entry.ts";
 
@@ -87,6 +87,12 @@
     return this.#recent.slice(from + 1 - first);
   }
 
+  /** Revision before the oldest entry held, or `null` when none is held. */
+  oldestHeld(): Revision | null {
+    const first = this.#recent[0]?.entry.revision;
+    return first === undefined ? null : revision(first - 1);
+  }
+
   /** The revision at which a change id was accepted, among the entries held. */
   findChange(id: string): Revision | null {
     for (let i = this.#recent.length - 1; i >= 0; i--) {
@@ -99,10 +105,4 @@
   #notify(): void {
     for (const fn of this.#listeners) fn(this.#view);
   }
-
-  /** Raises when the state is not at `expected`. */
-  requireRevision(expected: Revision): void {
-    if (this.#view.revision === expected) return;
-    raise({ type: "invariant", message: `at ${this.#view.revision}, expected ${expected}` });
-  }
 }
