Add the ramp of returning data centres and offers of urgent changes

A writer offers an accepted data centre or move change to the watchers of all data centres, so that it spreads although the store fails right after taking it. A process that hears of a newer revision fetches it from that peer at once.

Conclusion: node scripts/test.mjs control passes; new tests cover out and back twice in a row and a store that goes down in the turn of the acceptance.

--- a/packages/control/src/config_log.ts
+++ b/packages/control/src/config_log.ts
@@ -45,6 +45,15 @@
   readonly build: (state: ConfigState) => readonly Change[];
 }
 
+/** Options of {@link ConfigLog}. */
+export interface ConfigLogOptions {
+  /** State to keep up to date; a new one by default. */
+  readonly state?: ConfigState;
+  readonly retry?: RetryOptions;
+  /** Called when a change of this writer was accepted and is in its state. */
+  readonly onAccepted?: (entry: LogEntry) => void;
+}
+
 /** Reads and extends the log. Every process that changes the configuration has its own instance. */
 export class ConfigLog {
   readonly state: ConfigState;
@@ -53,13 +62,15 @@
   readonly #rng: Rng;
   readonly #snapshots: SnapshotStore;
   readonly #retry: RetryOptions;
+  readonly #onAccepted: (entry: LogEntry) => void;
 
   constructor(
     store: ObjectStore,
     clock: Clock,
     rng: Rng,
-    { state, retry = {} }: { state?: ConfigState; retry?: RetryOptions } = {},
+    { state, retry = {}, onAccepted = () => {} }: ConfigLogOptions = {},
   ) {
+    this.#onAccepted = onAccepted;
     this.state = state ?? new ConfigState(clock);
     this.#store = store;
     this.#clock = clock;
@@ -113,6 +124,7 @@
     if (this.#clock.now() - startedAt > RECHECK_AFTER_MS) await this.#requireNotTrimmed(next);
     // The decoded form, so that every process holds exactly what the bytes say.
     this.state.applyEntry(decodeEntry(encoded.bytes));
+    this.#onAccepted(entry);
     await this.#snapshots.writeIfDue(this.state.current()).catch(() => {});
     return next;
   }
--- a/packages/control/src/control_process.ts
+++ b/packages/control/src/control_process.ts
@@ -3,19 +3,33 @@
  *
  * @module
  */
-import type { Clock, ProcessId, Rng, Undo } from "@wisteriapick/core";
+import { type Clock, type ProcessId, revision, type Rng, type Undo } from "@wisteriapick/core";
 import type { HostList, ObjectStore } from "@wisteriapick/platform";
 import type { LinkPool } from "@wisteriapick/wire";
+import type { Change } from "./changes.ts";
+import { ConfigLog } from "./config_log.ts";
 import { ConfigState } from "./config_state.ts";
+import type { LogEntry } from "./log_entry.ts";
 import { Membership } from "./membership.ts";
 import { SpreadLinks } from "./spread_links.ts";
 import { SpreadNode } from "./spread_node.ts";
-import type { SpreadMember } from "./tree.ts";
+import { buildPushes } from "./spread_push.ts";
+import { rankMembers, type SpreadMember, WATCHERS_PER_DATA_CENTRE } from "./tree.ts";
 import { WatcherDuty } from "./watcher_duty.ts";
 
 /** Time between two readings of the host list, spread by a random factor. */
 const HOST_LIST_EVERY_MS = 5_000;
 
+/** Changes that must reach every process within seconds whatever the store does. */
+const URGENT_CHANGES: ReadonlySet<Change["type"]> = new Set([
+  "set_data_centre_state",
+  "finish_move",
+  "take_back_move",
+  "settle_move",
+]);
+/** Entries in an offer, so that a watcher that is a little behind can take it in. */
+const OFFERED_ENTRIES = 16;
+
 /** Options of {@link ControlProcess}. */
 export interface ControlProcessOptions {
   readonly self: SpreadMember;
@@ -44,6 +58,8 @@
   readonly node: SpreadNode;
   readonly links: SpreadLinks;
   readonly duty: WatcherDuty;
+  /** Writes changes; what it accepts is in force here at once. */
+  readonly log: ConfigLog;
   readonly #options: ControlProcessOptions;
 
   constructor(options: ControlProcessOptions) {
@@ -55,6 +71,10 @@
     const ports = this.links;
     this.node = new SpreadNode({ self, clock, rng: rng.fork("spread"), ports, state: this.state });
     this.links.connect(this.node);
+    this.log = new ConfigLog(store, clock, rng.fork("log"), {
+      state: this.state,
+      onAccepted: (entry) => this.#offer(entry),
+    });
     const dutyRng = rng.fork("watcher");
     this.duty = new WatcherDuty(store, clock, dutyRng, { node: this.node, process });
   }
@@ -80,6 +100,24 @@
     };
   }
 
+  /** Sends an urgent change to the watchers of all data centres: the store may fail right after it took it. */
+  #offer(entry: LogEntry): void {
+    if (!entry.changes.some((c) => URGENT_CHANGES.has(c.type))) return;
+    const members = this.membership.members();
+    const centres = [...new Set(members.map((m) => m.dataCentre))];
+    const tops = centres.flatMap((dc) =>
+      rankMembers(members, dc).slice(0, WATCHERS_PER_DATA_CENTRE)
+    );
+    const from = revision(Math.max(0, entry.revision - OFFERED_ENTRIES));
+    const head = { asOfMs: null, storeUp: this.node.storeUp };
+    const [push] = buildPushes(
+      this.state,
+      this.state.entriesAfter(from) ? from : revision(entry.revision - 1),
+      head,
+    );
+    this.links.offer(tops.filter((m) => m.key !== this.node.self.key), push!);
+  }
+
   #pollHosts(undo: Undo[]): void {
     const { clock, rng } = this.#options;
     const everyMs = HOST_LIST_EVERY_MS * (0.5 + rng.next());
--- /dev/null
+++ b/packages/control/src/data_centre_gate.ts
@@ -0,0 +1,99 @@
+/**
+ * Which data centres may get new work, and how much of it while one returns.
+ *
+ * @module
+ */
+import { createHash } from "node:crypto";
+import type { DataCentreId, Rng } from "@wisteriapick/core";
+import type { Clock, Undo } from "@wisteriapick/core";
+import type { ConfigView, DataCentre } from "./config_document.ts";
+import type { ConfigLog } from "./config_log.ts";
+import type { Lease } from "./lease.ts";
+
+/** A returning data centre takes this long to its whole share. Its cold endpoints set their own pace besides. */
+export const RETURN_RAMP_MS = 120_000;
+/** Share of requests that may go to a data centre at the start of its return. */
+export const RETURN_FIRST_SHARE = 0.02;
+
+/**
+ * Share of requests, 0 to 1, that may be sent to a data centre at Unix time `wallMs`. Grows by a constant
+ * factor, because cold endpoints learn what they bear in steps of their present load.
+ */
+export function admittedShare(dc: DataCentre, wallMs: number): number {
+  if (dc.state === "in") return 1;
+  if (dc.state === "out") return 0;
+  const part = Math.min(1, Math.max(0, (wallMs - dc.sinceMs) / RETURN_RAMP_MS));
+  return RETURN_FIRST_SHARE ** (1 - part);
+}
+
+/**
+ * Data centres that one request must not go to. The choice depends on the request's id, so that its retries
+ * stay out of the same data centres.
+ *
+ * @example
+ * ```ts
+ * const closed = closedTo(view, req, clock.wall());
+ * ```
+ */
+export function closedTo(view: ConfigView, req: string, wallMs: number): Set<DataCentreId> {
+  const closed = new Set<DataCentreId>();
+  for (const dc of view.dataCentres.values()) {
+    const share = admittedShare(dc, wallMs);
+    if (share === 1) continue;
+    if (share === 0 || fraction(`${dc.id}/${req}`) >= share) closed.add(dc.id);
+  }
+  return closed;
+}
+
+function fraction(text: string): number {
+  return createHash("sha256").update(text).digest().readUInt32BE(0) / 2 ** 32;
+}
+
+/** Data centres whose return is over and that should be set to `in`. */
+export function returnedCentres(view: ConfigView, wallMs: number): DataCentre[] {
+  return [...view.dataCentres.values()].filter((dc) =>
+    dc.state === "returning" && wallMs >= dc.sinceMs + RETURN_RAMP_MS
+  );
+}
+
+/** Lease duty of {@link ReturnDuty}. */
+export const RETURN_DUTY = "data-centre-returns";
+
+/** Options of {@link ReturnDuty}. */
+export interface ReturnDutyOptions {
+  readonly lease: Pick<Lease, "fence">;
+  readonly log: ConfigLog;
+  readonly clock: Clock;
+  readonly rng: Rng;
+  readonly who: string;
+}
+
+/** Writes the end of returns into the log. Traffic does not depend on it: the ramp ends by time. */
+export class ReturnDuty {
+  readonly #o: ReturnDutyOptions;
+
+  constructor(options: ReturnDutyOptions) {
+    this.#o = options;
+  }
+
+  start(): Undo {
+    const everyMs = 5_000 * (0.8 + 0.4 * this.#o.rng.next());
+    return this.#o.clock.setRepeating(everyMs, () => void this.tick().catch(() => {}));
+  }
+
+  async tick(): Promise<void> {
+    const { lease, log, clock, who } = this.#o;
+    if (lease.fence() === null) return;
+    for (const dc of returnedCentres(log.state.current(), clock.wall())) {
+      await log.append({
+        id: `returned/${dc.id}/${dc.sinceMs}`,
+        note: { who, atMs: clock.wall(), why: "the return is complete" },
+        build: (state) => {
+          const due = returnedCentres(state.current(), clock.wall()).some((d) => d.id === dc.id);
+          if (!due) return [];
+          return [{ type: "set_data_centre_state", id: dc.id, state: "in", atMs: clock.wall() }];
+        },
+      });
+    }
+  }
+}
--- a/packages/control/src/mod.ts
+++ b/packages/control/src/mod.ts
@@ -37,3 +37,4 @@
 export * from "./plan_preview.ts";
 export * from "./plan_types.ts";
 export * from "./revision_survey.ts";
+export * from "./data_centre_gate.ts";
--- a/packages/control/src/spread_links.ts
+++ b/packages/control/src/spread_links.ts
@@ -24,6 +24,7 @@
   onPull(child: number, from: Revision): void;
   onChildLost(child: number): void;
   onChildDrained(child: number): void;
+  onOffer(push: ConfigPush): void;
 }
 
 interface Subscription {
@@ -97,6 +98,20 @@
     return stream.send(msg);
   }
 
+  /** Offers just accepted entries to peers, without waiting for the store to tell them. */
+  offer(peers: readonly SpreadMember[], push: ConfigPush): void {
+    for (const peer of peers) {
+      const address = parseAddress(peer.address);
+      const release = this.#pool.keep(address);
+      this.#pool.ready(address).then((link) => link.notify(push)).catch(() => {}).finally(release);
+    }
+  }
+
+  /** Takes in an offer that came outside of a stream. */
+  acceptOffer(push: ConfigPush): void {
+    this.#node?.onOffer(push);
+  }
+
   /** Handles a stream that a child opened. */
   accept(msg: ConfigPull, stream: LinkStream): StreamHandler {
     const child = this.#nextChild++;
--- a/packages/control/src/spread_node.ts
+++ b/packages/control/src/spread_node.ts
@@ -73,6 +73,8 @@
   #candidates: SpreadMember[] = [];
   #parent: Source | null = null;
   #probe: Source | null = null;
+  /** A peer known to have a newer revision, asked once besides the parent. */
+  #helper: Source | null = null;
   #next = 0;
   #rounds = 0;
   #waitUntil = 0;
@@ -103,6 +105,7 @@
       this.#flushTimer?.();
       this.#drop("parent");
       this.#drop("probe");
+      this.#drop("helper");
     };
   }
 
@@ -155,6 +158,10 @@
       source.asOfAt = this.#clock.now() - push.asOfMs;
       this.state.recordProof(source.asOfAt);
     }
+    if (source === this.#helper) {
+      if (caughtUp) this.#drop("helper");
+      return;
+    }
     this.#startup.record(peer, push);
     if (!(this.#watching && this.#storeUp)) this.#storeUp = push.storeUp;
     this.#judge(source, push);
@@ -165,10 +172,32 @@
     if (after !== null && (before === null || after < before)) this.#flush();
   }
 
+  /**
+   * Records that a peer has a revision, as carried by a request or an answer. A newer one is fetched from that
+   * peer at once.
+   */
+  onHeardRevision(peer: SpreadMember, heard: Revision): void {
+    if (heard <= this.state.current().revision || this.#helper !== null) return;
+    if (this.#sourceOf(peer.key) !== null || peer.key === this.self.key) return;
+    this.#helper = {
+      member: peer,
+      receiver: new PushReceiver(),
+      sinceMs: this.#clock.now(),
+      asOfAt: null,
+    };
+    this.#ports.pull(peer, this.state.current().revision);
+  }
+
+  /** Takes in entries that a writer offers right after they were accepted. */
+  onOffer(push: ConfigPush): void {
+    new PushReceiver().receive(this.state, { ...push, asOfMs: null });
+  }
+
   /** Records that a subscription failed or its link broke. */
   onPeerLost(peer: string): void {
     if (this.#parent?.member.key === peer) this.#parent = null;
     if (this.#probe?.member.key === peer) this.#probe = null;
+    if (this.#helper?.member.key === peer) this.#helper = null;
     this.#advance();
   }
 
@@ -204,6 +233,7 @@
     for (const [id, row] of this.#children) {
       if (!row.blocked && now - row.lastPushMs >= PUSH_EVERY_MS + TICK_MS) this.#pushTo(id, row);
     }
+    if (this.#helper !== null && now - this.#helper.sinceMs > PROBE_MS) this.#drop("helper");
     if (this.#watching && this.#storeUp) return;
     if (this.#probe !== null && now - this.#probe.sinceMs > PROBE_MS) {
       this.#drop("probe");
@@ -236,6 +266,8 @@
   }
 
   #startProbe(member: SpreadMember): void {
+    // Subscriptions are one per peer.
+    if (this.#helper?.member.key === member.key) this.#drop("helper");
     const sinceMs = this.#clock.now();
     this.#probe = { member, receiver: new PushReceiver(), sinceMs, asOfAt: null };
     this.#ports.pull(member, this.state.current().revision);
@@ -283,13 +315,15 @@
   #sourceOf(peer: string): Source | null {
     if (this.#parent?.member.key === peer) return this.#parent;
     if (this.#probe?.member.key === peer) return this.#probe;
+    if (this.#helper?.member.key === peer) return this.#helper;
     return null;
   }
 
-  #drop(which: "parent" | "probe"): void {
-    const source = which === "parent" ? this.#parent : this.#probe;
+  #drop(which: "parent" | "probe" | "helper"): void {
+    const source = { parent: this.#parent, probe: this.#probe, helper: this.#helper }[which];
     if (which === "parent") this.#parent = null;
-    else this.#probe = null;
+    else if (which === "probe") this.#probe = null;
+    else this.#helper = null;
     if (source !== null) this.#ports.drop(source.member.key);
   }
 
--- a/packages/control/tests/control_process_test.ts
+++ b/packages/control/tests/control_process_test.ts
@@ -1,8 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { SystemClock } from "@wisteriapick/core";
-import type { ConfigSource } from "../src/mod.ts";
-import { makeLog, MemoryStore, putAccount, write } from "./fixtures.ts";
+import type { Change, ConfigSource } from "../src/mod.ts";
+import { baseChanges, makeLog, MemoryStore, putAccount, TEMA, write } from "./fixtures.ts";
 import { FixedHostList, startControl } from "./link_fixtures.ts";
 
 /** Resolves when the source is ready and at least at `revision`. */
@@ -42,3 +42,32 @@
   await Promise.all(alive.map((p) => reached(p.control.state, 3)));
   for (const p of alive) await p.stop();
 });
+
+test("an accepted out reaches every process although the store goes down right after", async () => {
+  const clock = new SystemClock();
+  const store = new MemoryStore(clock);
+  const hostList = new FixedHostList();
+  const all = [];
+  for (let i = 0; i < 9; i++) {
+    const dc = ["osu", "tema", "legon"][i % 3]!;
+    all.push(await startControl(`host-${i}`, dc, { store, hostList, seed: i }));
+  }
+  for (const p of all) p.start();
+  const operator = all[0]!.control;
+  await write(operator.log, "base", baseChanges());
+  await Promise.all(all.map((p) => reached(p.control.state, 1)));
+  // Watchers see nothing from the moment of acceptance on: the store fails in the same turn.
+  const put = store.put.bind(store);
+  store.put = async (...args) => {
+    const wakes = [...store.waiting];
+    store.waiting.clear();
+    const version = await put(...args);
+    store.up = false;
+    for (const wake of wakes) wake();
+    return version;
+  };
+  const out: Change = { type: "set_data_centre_state", id: TEMA, state: "out", atMs: 0 };
+  assert.equal(await write(operator.log, "out", [out]), 2);
+  await Promise.all(all.map((p) => reached(p.control.state, 2)));
+  for (const p of all) await p.stop();
+});
--- /dev/null
+++ b/packages/control/tests/data_centre_test.ts
@@ -0,0 +1,86 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { dataCentreId, ManualClock, Rng } from "@wisteriapick/core";
+import { admittedShare, closedTo, RETURN_RAMP_MS, ReturnDuty } from "../src/mod.ts";
+import { baseChanges, makeLog, MemoryStore, TEMA, write } from "./fixtures.ts";
+import { SpreadCluster } from "./spread_fixtures.ts";
+
+async function makeCentres() {
+  const clock = new ManualClock({ wallStart: 0 });
+  const store = new MemoryStore(clock);
+  const log = makeLog(store, clock);
+  await write(log, "base", baseChanges());
+  let n = 0;
+  const set = (state: "in" | "out" | "returning") =>
+    write(log, `s${n++}`, [{ type: "set_data_centre_state", id: TEMA, state, atMs: clock.wall() }]);
+  const share = () => {
+    const reqs = Array.from({ length: 2_000 }, (_, i) => `r${i}`);
+    const open = reqs.filter((r) => !closedTo(log.state.current(), r, clock.wall()).has(TEMA));
+    return open.length / reqs.length;
+  };
+  return { clock, log, set, share };
+}
+
+test("a data centre that is out gets nothing, and one that returns gets a growing share", async () => {
+  const { clock, set, share } = await makeCentres();
+  assert.equal(share(), 1);
+  await set("out");
+  assert.equal(share(), 0);
+  clock.advance(60_000);
+  await set("returning");
+  const shares = [share()];
+  for (let i = 0; i < 4; i++) {
+    clock.advance(RETURN_RAMP_MS / 4);
+    shares.push(share());
+  }
+  assert.ok(shares[0]! < 0.05, "no herd at the start");
+  assert.deepEqual([...shares].sort((a, b) => a - b), shares);
+  assert.equal(shares.at(-1), 1);
+});
+
+test("out and back twice in a row starts the ramp anew each time", async () => {
+  const { clock, set, share } = await makeCentres();
+  for (let i = 0; i < 2; i++) {
+    await set("out");
+    assert.equal(share(), 0);
+    await set("returning");
+    assert.ok(share() < 0.05);
+    clock.advance(RETURN_RAMP_MS / 2);
+    assert.ok(share() > 0.05);
+  }
+});
+
+test("the end of a return is written once, and not when the data centre went out again", async () => {
+  const { clock, log, set } = await makeCentres();
+  await set("out");
+  await set("returning");
+  const lease = { fence: () => 1 as never };
+  const duty = new ReturnDuty({ lease, log, clock, rng: new Rng(1), who: "host-1" });
+  await duty.tick();
+  assert.equal(log.state.current().dataCentres.get(TEMA)!.state, "returning");
+  clock.advance(RETURN_RAMP_MS);
+  await duty.tick();
+  await duty.tick();
+  assert.equal(log.state.current().dataCentres.get(TEMA)!.state, "in");
+  const before = await log.catchUp();
+  await set("out");
+  await duty.tick();
+  assert.equal(await log.catchUp(), before + 1);
+  assert.equal(admittedShare(log.state.current().dataCentres.get(TEMA)!, clock.wall()), 0);
+});
+
+test("a process that hears of a newer revision fetches it from that peer at once", async () => {
+  const c = new SpreadCluster({ osu: 6, tema: 6 });
+  c.startAll();
+  c.pass(5_000, ["osu", "tema"]);
+  // Tema's watchers get no answer from the store, and nobody there is stale enough to look elsewhere yet.
+  const r = await c.change("a");
+  c.pass(1_000, ["osu"]);
+  const late = c.members.find((m) => m.dataCentre === dataCentreId("tema"))!;
+  const ahead = c.members.find((m) => m.dataCentre === dataCentreId("osu"))!;
+  const node = c.nodes.get(late.key)!.node;
+  assert.ok(node.state.current().revision < r);
+  node.onHeardRevision(ahead, c.nodes.get(ahead.key)!.node.state.current().revision);
+  c.pass(50, []);
+  assert.equal(node.state.current().revision, r);
+});
--- a/packages/control/tests/link_fixtures.ts
+++ b/packages/control/tests/link_fixtures.ts
@@ -54,7 +54,7 @@
       stream.abort();
       return { onMessage: () => {}, onClose: () => {} };
     },
-    onNotify: () => {},
+    onNotify: (_link, msg) => msg.kind === "config_push" && control.links.acceptOffer(msg),
   };
   const common = { identity, clusterKey: "test-cluster-key", acceptor, clock };
   const listener = await listenLinks({ ...common, address: { host: "127.0.0.1", port: 0 } });
