--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -9,5 +9,6 @@
 export * from "./length_estimator.ts";
 export * from "./memory_forecast.ts";
 export * from "./quarantine.ts";
+export * from "./retry_policy.ts";
 export * from "./side_admission.ts";
 export * from "./subset_placement.ts";
