Learn an endpoint's concurrency from flat gaps instead of a fixed slope

Cause: the expected gap ignored KV memory, so warm endpoints were judged cold and stayed small. Change: grow fast while added work leaves the gap flat, slowly on tokens otherwise; doubt an endpoint on a sudden rise or after idle time and restore it once its gap is as before.

--- a/packages/policy/src/cold_start.ts
+++ b/packages/policy/src/cold_start.ts
@@ -1,6 +1,10 @@
 /**
  * What an endpoint bears, learned from the gaps between its tokens. Nothing announces a cold start.
  *
+ * The allowance starts at one. It grows quickly while more work leaves the gaps as they were, which shows that
+ * the endpoint is far from its limit, and slowly by tokens otherwise. A sudden rise of the gaps, or an idle
+ * time, takes it back to one until the gaps show the endpoint to be as fast as before.
+ *
  * @module
  */
 
@@ -10,50 +14,61 @@
   readonly initial?: number;
   /** Largest concurrency ever allowed. */
   readonly max?: number;
-  /** Factor by which the allowance grows on one unit of evidence. */
-  readonly growth?: number;
-  /** Tokens that make one unit of evidence. */
-  readonly evidenceTokens?: number;
-  /** Gap relative to the expected one beyond which the endpoint is taken to turn cold. */
+  /** Growth while more work leaves the gaps as they were, and the tokens needed for each step. */
+  readonly fastGrowth?: number;
+  readonly fastTokens?: number;
+  /** Growth on tokens alone, and the tokens needed for each step. */
+  readonly slowGrowth?: number;
+  readonly slowTokens?: number;
+  /** Rise of the gap over its recent mean that counts as turning cold. */
   readonly coldFactor?: number;
-  /** Idle time after which warmth has to be shown again. */
+  /** Idle time after which the endpoint has to show again that it is warm. */
   readonly idleMs?: number;
-  /** Gaps longer than this are never taken as a healthy step. */
+  /** Longest gap that is acceptable; beyond it the allowance shrinks. */
   readonly targetGapMs?: number;
 }
 
-// The least of this many gaps ignores steps lengthened by a prompt.
-const WINDOW = 6;
+// The least of this many steps ignores those lengthened by a prompt.
+const WINDOW = 8;
 // Tokens that arrive closer together than this belong to the same step.
 const SAME_STEP_MS = 1;
-// Relative growth of a healthy step per further generation, from the batch itself and its KV memory.
-const SLOPE_PER_GEN = 0.05;
-// While growing, the gap may exceed its least value by the slope and this share.
-const GROWTH_TOLERANCE = 1.08;
-// Slow upward drift lets a floor recover that was learned from an unusual moment.
-const FLOOR_DRIFT = 1.0005;
+// A level is flat when the gap rose by no more than this, plus a share per generation added.
+const FLAT_TOLERANCE = 0.03;
+const FLAT_PER_GEN = 0.012;
+// A gap within this factor of the warm one shows that the endpoint is warm; cold ones are far slower.
+const WARM_FACTOR = 1.15;
+const MEAN_WEIGHT = 0.02;
+const LIGHT_RUNNING = 3;
+const LIGHT_LEARN_ALLOWANCE = 12;
+const SHRINK = 0.95;
+const SHRINK_TOKENS = 200;
 
 /** Learns the concurrency of one endpoint. */
 export class ColdStart {
   readonly #cfg: Required<ColdStartOptions>;
   #allowance: number;
-  /** Step time with a single generation, as inferred from the best windows seen. */
-  #floorMs = Infinity;
-  /** Floor of the warm state; infinite until a full growth was seen. */
-  #warmFloorMs = Infinity;
   #tokens = 0;
   #window: number[] = [];
-  #lastAt = -Infinity;
-  #lastActiveAt = -Infinity;
-  #checkWarm = false;
-  #beforeIdle = 0;
+  #lastAtMs = -Infinity;
+  #lastActiveMs = -Infinity;
+  /** Mean of the windows' least gaps. */
+  #meanMs = 0;
+  /** Gap and running generations when the allowance last grew. */
+  #levelMs = Infinity;
+  #levelRunning = 0;
+  /** Gap of the warm endpoint under light load; infinite until known. */
+  #lightMs = Infinity;
+  /** What is restored once a gap of at most `ms` is seen again. */
+  #doubt: { readonly allowance: number; readonly ms: number } | null = null;
 
   constructor(options: ColdStartOptions = {}) {
     this.#cfg = {
       initial: options.initial ?? 1,
       max: options.max ?? 512,
-      growth: options.growth ?? 1.4,
-      evidenceTokens: options.evidenceTokens ?? 320,
+      fastGrowth: options.fastGrowth ?? 1.5,
+      fastTokens: options.fastTokens ?? 60,
+      slowGrowth: options.slowGrowth ?? 1.25,
+      slowTokens: options.slowTokens ?? 400,
       coldFactor: options.coldFactor ?? 1.45,
       idleMs: options.idleMs ?? 1_000,
       targetGapMs: options.targetGapMs ?? 46,
@@ -63,89 +78,107 @@
 
   /** Generations that may run now. `running` is the present number. */
   allowance(running: number, nowMs: number): number {
-    if (running > 0) this.#lastActiveAt = nowMs;
-    else this.#expireWarmth(nowMs);
+    if (running > 0) this.#lastActiveMs = nowMs;
+    else if (nowMs - this.#lastActiveMs >= this.#cfg.idleMs) this.#doubtAfterIdle();
     return Math.max(1, Math.floor(this.#allowance));
   }
 
-  get warm(): boolean {
-    return Number.isFinite(this.#warmFloorMs);
+  /** Whether the endpoint has to show that it is warm. */
+  get doubted(): boolean {
+    return this.#doubt !== null;
   }
 
-  /** Records that a generation waited `gapMs` for its latest token while `running` were running. */
+  /** Records that a generation waited `gapMs` for its latest `count` tokens while `running` ran. */
   recordGap(gapMs: number, count: number, running: number, nowMs: number): void {
-    this.#lastActiveAt = nowMs;
+    this.#lastActiveMs = nowMs;
     this.#tokens += count;
-    if (nowMs - this.#lastAt < SAME_STEP_MS) {
-      const last = this.#window.length - 1;
-      if (last >= 0) this.#window[last] = Math.min(this.#window[last]!, gapMs);
-      return;
-    }
-    this.#lastAt = nowMs;
-    this.#window.push(gapMs);
+    if (nowMs - this.#lastAtMs < SAME_STEP_MS) return;
+    this.#lastAtMs = nowMs;
+    this.#window.push(gapMs / count);
     if (this.#window.length < WINDOW) return;
     if (this.#window.length > WINDOW) this.#window.shift();
-    this.#judge(running);
+    this.#judge(Math.min(...this.#window), running);
   }
 
-  /** Falls back to the smallest allowance, for example after a crash or a failed start. */
+  /** Falls back to the smallest allowance, for example after a crash. */
   reset(): void {
     this.#allowance = this.#cfg.initial;
-    this.#floorMs = Infinity;
+    this.#levelMs = Infinity;
+    this.#levelRunning = 0;
+    this.#meanMs = 0;
+    this.#lightMs = Infinity;
+    this.#doubt = null;
     this.#forgetEvidence();
-    this.#checkWarm = false;
   }
 
-  #judge(running: number): void {
-    const gap = Math.min(...this.#window);
-    const load = 1 + SLOPE_PER_GEN * Math.max(0, running - 1);
-    this.#floorMs = Math.min(this.#floorMs * FLOOR_DRIFT, gap / load);
-    const expected = Math.min(this.#floorMs, this.#warmFloorMs) * load;
-    if (gap > expected * this.#cfg.coldFactor && this.warm) {
+  #judge(gapMs: number, running: number): void {
+    if (this.#doubt !== null && gapMs <= this.#doubt.ms) this.#restore();
+    if (this.#meanMs > 0 && gapMs > this.#meanMs * this.#cfg.coldFactor) {
       this.#turnCold();
       return;
     }
-    if (this.#checkWarm && gap <= this.#warmFloorMs * load * GROWTH_TOLERANCE) this.#restore();
-    if (gap > this.#cfg.targetGapMs) this.#shrink(running);
-    else if (gap <= expected * GROWTH_TOLERANCE) this.#grow(running);
+    this.#meanMs = this.#meanMs === 0 ? gapMs : this.#meanMs + MEAN_WEIGHT * (gapMs - this.#meanMs);
+    if (running <= LIGHT_RUNNING && this.#allowance >= LIGHT_LEARN_ALLOWANCE) {
+      this.#lightMs = Math.min(this.#lightMs, gapMs);
+    }
+    if (gapMs > this.#cfg.targetGapMs) this.#shrink(running);
+    else this.#considerGrowth(gapMs, running);
   }
 
-  #turnCold(): void {
-    this.#allowance = this.#cfg.initial;
-    this.#checkWarm = true;
-    this.#beforeIdle = 0;
-    this.#forgetEvidence();
+  #considerGrowth(gapMs: number, running: number): void {
+    // Only what was really borne is evidence for more.
+    if (running < Math.floor(this.#allowance)) return;
+    const added = Math.max(0, running - this.#levelRunning);
+    const flatMs = this.#levelMs * (1 + FLAT_TOLERANCE + FLAT_PER_GEN * added);
+    const { fastGrowth, fastTokens, slowGrowth, slowTokens } = this.#cfg;
+    // The first level has nothing to compare with.
+    const flat = this.#levelRunning > 0 && gapMs <= flatMs;
+    if (flat && this.#tokens >= fastTokens) this.#grow(fastGrowth, gapMs, running);
+    else if (this.#levelRunning === 0 && this.#tokens >= fastTokens) {
+      this.#grow(fastGrowth, gapMs, running);
+    } else if (this.#tokens >= slowTokens) this.#grow(slowGrowth, gapMs, running);
   }
 
-  #shrink(running: number): void {
-    if (this.#tokens < this.#cfg.evidenceTokens) return;
-    this.#allowance = Math.max(1, Math.min(this.#allowance, running) * 0.95);
+  #grow(factor: number, gapMs: number, running: number): void {
+    this.#allowance = Math.min(this.#cfg.max, Math.max(this.#allowance * factor, 2));
+    this.#levelMs = gapMs;
+    this.#levelRunning = running;
     this.#forgetEvidence();
   }
 
-  #grow(running: number): void {
-    if (this.#tokens < this.#cfg.evidenceTokens) return;
-    // Only what was really borne is evidence for more.
-    if (running < Math.floor(this.#allowance) * 0.7) return;
-    this.#allowance = Math.min(this.#cfg.max, Math.max(2, this.#allowance * this.#cfg.growth));
-    if (this.#allowance >= 16) this.#warmFloorMs = Math.min(this.#warmFloorMs, this.#floorMs);
+  #shrink(running: number): void {
+    if (this.#tokens < SHRINK_TOKENS) return;
+    this.#allowance = Math.max(1, Math.min(this.#allowance, running) * SHRINK);
     this.#forgetEvidence();
   }
 
-  #restore(): void {
-    this.#allowance = Math.max(this.#allowance, this.#beforeIdle);
-    this.#checkWarm = false;
+  #turnCold(): void {
+    if (this.#doubt === null) {
+      this.#doubt = { allowance: this.#allowance, ms: this.#meanMs * WARM_FACTOR };
+    }
+    this.#startAgain();
   }
 
-  #expireWarmth(nowMs: number): void {
-    if (nowMs - this.#lastActiveAt < this.#cfg.idleMs) return;
+  #doubtAfterIdle(): void {
     if (this.#allowance <= this.#cfg.initial) return;
-    this.#beforeIdle = this.#allowance;
+    this.#doubt = { allowance: this.#allowance, ms: this.#lightMs * WARM_FACTOR };
+    if (!Number.isFinite(this.#lightMs)) this.#doubt = null;
+    this.#startAgain();
+  }
+
+  #startAgain(): void {
     this.#allowance = this.#cfg.initial;
-    this.#checkWarm = true;
+    this.#levelMs = Infinity;
+    this.#levelRunning = 0;
+    this.#meanMs = 0;
     this.#forgetEvidence();
   }
 
+  #restore(): void {
+    this.#allowance = Math.max(this.#allowance, this.#doubt!.allowance);
+    this.#doubt = null;
+  }
+
   #forgetEvidence(): void {
     this.#tokens = 0;
     this.#window = [];
