--- a/packages/bench/src/mod.ts
+++ b/packages/bench/src/mod.ts
@@ -5,12 +5,13 @@
  */
 import { raise } from "@wisteriapick/core";
 import { runRelay } from "./relay.ts";
+import { runSpread } from "./spread.ts";
 
 /** A benchmark: takes its command-line arguments and prints its figures. */
 export type Bench = (args: readonly string[]) => Promise<void>;
 
 /** Benchmarks by name. */
-export const BENCHES: Readonly<Record<string, Bench>> = { relay: runRelay };
+export const BENCHES: Readonly<Record<string, Bench>> = { relay: runRelay, spread: runSpread };
 
 /**
  * Runs one benchmark.
--- a/packages/control/src/spread_node.ts
+++ b/packages/control/src/spread_node.ts
@@ -163,7 +163,7 @@
       return;
     }
     this.#startup.record(peer, push);
-    if (!(this.#watching && this.#storeUp)) this.#storeUp = push.storeUp;
+    if (!this.#fedByStore()) this.#storeUp = push.storeUp;
     this.#judge(source, push);
     if (this.#startup.satisfied(this.state.current().revision)) {
       this.state.recordReadyWithoutProof();
@@ -234,7 +234,7 @@
       if (!row.blocked && now - row.lastPushMs >= PUSH_EVERY_MS + TICK_MS) this.#pushTo(id, row);
     }
     if (this.#helper !== null && now - this.#helper.sinceMs > PROBE_MS) this.#drop("helper");
-    if (this.#watching && this.#storeUp) return;
+    if (this.#fedByStore()) return;
     if (this.#probe !== null && now - this.#probe.sinceMs > PROBE_MS) {
       this.#drop("probe");
       this.#advance();
@@ -243,6 +243,12 @@
     else this.#preferFirst(now);
   }
 
+  /** Whether the store answers this watcher. A call that hangs is no answer, whatever the last one said. */
+  #fedByStore(): boolean {
+    const asOf = this.state.asOfMs();
+    return this.#watching && this.#storeUp && asOf !== null && asOf <= STALE_AS_OF_MS;
+  }
+
   #isStale(): boolean {
     const asOf = this.state.asOfMs();
     return this.#parent === null || asOf === null || asOf > STALE_AS_OF_MS;
@@ -251,7 +257,7 @@
   /** Probes the next candidate, unless a probe runs or a whole round has just failed. */
   #advance(): void {
     const now = this.#clock.now();
-    if (this.#watching && this.#storeUp) return;
+    if (this.#fedByStore()) return;
     if (this.#probe !== null || this.#candidates.length === 0 || now < this.#waitUntil) return;
     if (this.#next >= this.#candidates.length) {
       this.#next = 0;
--- a/packages/control/tests/spread_test.ts
+++ b/packages/control/tests/spread_test.ts
@@ -47,6 +47,16 @@
   assert.deepEqual(c.behind(r).filter((k) => k !== silent), []);
 });
 
+test("a data centre whose calls to the store hang goes on through another data centre", async () => {
+  const c = new SpreadCluster({ osu: 20, tema: 20 });
+  c.startAll();
+  c.pass(5_000, ["osu", "tema"]);
+  const r = await c.change("a");
+  // From here on tema's watchers get neither answers nor failures.
+  c.pass(5_000, ["osu"]);
+  assert.deepEqual(c.behind(r), []);
+});
+
 test("a data centre cut off from the store and from the others keeps its configuration and catches up", async () => {
   const c = new SpreadCluster({ osu: 30, tema: 30 });
   c.startAll();
--- a/packages/experiment/src/sim_entry.ts
+++ b/packages/experiment/src/sim_entry.ts
@@ -37,6 +37,8 @@
   readonly retry?: RetryPolicyOptions;
   /** Time a caller gives its request to start. */
   readonly deadlineMs?: number;
+  /** Endpoints that a request must not go to by the configuration, besides those it has tried. */
+  readonly closed?: (job: Job) => ReadonlySet<EndpointId>;
 }
 
 interface Request {
@@ -66,6 +68,7 @@
   readonly #placement: SubsetPlacement;
   readonly #retry: RetryPolicy;
   readonly #deadlineMs: number;
+  readonly #closed: EntryOptions["closed"];
   readonly #lengths = new LengthEstimator();
   readonly #sides = new Map<EndpointId, { side: SimSide; link: SimLink }>();
   readonly #quarantine = new Quarantine();
@@ -87,6 +90,7 @@
     this.#recorder = recorder;
     this.#onSuspect = onSuspect;
     this.#deadlineMs = options.deadlineMs ?? START_DEADLINE_MS;
+    this.#closed = options.closed;
     this.#retry = new RetryPolicy(rng.fork("retry"), options.retry);
     this.#placement = new SubsetPlacement({
       entry: name,
@@ -184,10 +188,15 @@
       promptTokens,
       prefixes: prefixes.map((p) => p.hash),
       expectedTokens: this.#lengths.expectedRemaining(service, account),
-      excluded: req.excluded,
+      excluded: this.#excluded(req),
     };
   }
 
+  #excluded(req: Request): ReadonlySet<EndpointId> {
+    if (this.#closed === undefined) return req.excluded;
+    return new Set([...req.excluded, ...this.#closed(req.job)]);
+  }
+
   #admissionRequest(req: Request, gen: GenerationId) {
     const { service, account, promptTokens, digest } = req.job;
     return {
