Add the versions scenario

The real router, driver, log and sequential test move a service to a version that is good or bad in one of seven ways.

--- /dev/null
+++ b/packages/experiment/src/control_scenarios.ts
@@ -0,0 +1,38 @@
+/**
+ * The scenarios of the control package. They have drivers of their own and report their own figures.
+ *
+ * @module
+ */
+import { runVersions, VERSION_KINDS, type VersionsReport } from "./versions.ts";
+import { runZone, type ZoneFault, type ZoneReport } from "./zone.ts";
+
+const ZONE_FAULTS: readonly ZoneFault[] = ["none", "store_down", "silent_entry", "silent_centre"];
+
+/** What the experiment command passes on. */
+export interface ControlScenarioOptions {
+  readonly seed: number;
+  readonly load?: number;
+}
+
+/** Scenarios by name; each runs all its variants. */
+export const CONTROL_SCENARIOS: Readonly<
+  Record<
+    string,
+    (options: ControlScenarioOptions) => Promise<readonly (ZoneReport | VersionsReport)[]>
+  >
+> = {
+  zone: async ({ seed, load }) => {
+    const reports: ZoneReport[] = [];
+    for (const fault of ZONE_FAULTS) {
+      for (const revisionOnRequests of [true, false]) {
+        reports.push(runZone({ seed, load, fault, revisionOnRequests }));
+      }
+    }
+    return reports;
+  },
+  versions: async ({ seed }) => {
+    const reports: VersionsReport[] = [];
+    for (const kind of VERSION_KINDS) reports.push(await runVersions({ seed, kind }));
+    return reports;
+  },
+};
--- /dev/null
+++ b/packages/experiment/src/versions.ts
@@ -0,0 +1,302 @@
+/**
+ * Scenario `versions`: a service moves to a new version that is good or bad in one of several ways.
+ *
+ * Entries run the real move router, the driver the real sequential test and log; how a version answers is drawn
+ * from chances given by its kind.
+ *
+ * @module
+ */
+import {
+  type Change,
+  ChangeSchema,
+  ConfigLog,
+  ConfigState,
+  type Move,
+  MoveDriver,
+  MoveRouter,
+} from "@wisteriapick/control";
+import {
+  type Fence,
+  fence,
+  ManualClock,
+  moveId,
+  processId,
+  Rng,
+  serviceId,
+  versionId,
+} from "@wisteriapick/core";
+import { MemoryObjectStore } from "@wisteriapick/standins";
+
+/** Kinds of new version. */
+export const VERSION_KINDS = [
+  "good",
+  "bad_at_once",
+  "bad_later",
+  "bad_at_large_share",
+  "bad_under_load",
+  "bad_on_one_route",
+  "slow_first_token",
+  "slow_gaps",
+] as const;
+export type VersionKind = typeof VERSION_KINDS[number];
+
+/** Options of {@link runVersions}. */
+export interface VersionsOptions {
+  readonly seed: number;
+  readonly kind: VersionKind;
+  readonly entries?: number;
+  readonly requestsPerSecond?: number;
+  /** Time allowed for the move. */
+  readonly allowedMs?: number;
+  /** Time from acceptance of a change until it is in force at the entries. */
+  readonly spreadMs?: number;
+}
+
+/** Figures of one run. */
+export interface VersionsReport {
+  readonly scenario: "versions";
+  readonly kind: VersionKind;
+  readonly seed: number;
+  readonly entries: number;
+  readonly requests_per_s: number;
+  readonly allowed_s: number;
+  readonly outcome: Move["state"];
+  readonly reason: string;
+  readonly end_s: number;
+  /** End of the move as a part of the time allowed. */
+  readonly end_part: number;
+  readonly requests_to_new: number;
+  readonly bad_answers_of_new: number;
+  /** Requests to the new version after its first 50 bad answers, and all requests from then to the deadline. */
+  readonly new_after_50_bad: number;
+  readonly requests_after_50_bad: number;
+  /** Requests to the new version later than 5 s after the verdict; only for versions taken back. */
+  readonly new_5s_after_verdict: number;
+  /** Entries that had stopped on their own evidence before the verdict was in force. */
+  readonly entries_stopped: number;
+}
+
+interface Chances {
+  readonly failure: number;
+  readonly slowFirst: number;
+  readonly slowGap: number;
+}
+
+interface Served {
+  readonly atMs: number;
+  readonly isNew: boolean;
+  readonly bad: boolean;
+}
+
+const SERVICE = serviceId("scribe");
+const OLD = versionId("v1");
+const NEW = versionId("v2");
+const MOVE = moveId("scribe-v1-v2");
+const GOOD: Chances = { failure: 0.002, slowFirst: 0.03, slowGap: 0.02 };
+const BAD_LATER_MS = 240_000;
+/** By then a good version has nine tenths of the traffic. */
+const BAD_AT_LARGE_SHARE_MS = 450_000;
+const STEP_MS = 250;
+const GAPS = 20;
+/** Slow gaps in one answer from which on it counts as a bad answer. */
+const BAD_GAPS = 5;
+
+function chances(kind: VersionKind, at: { route: string; high: boolean; atMs: number }): Chances {
+  const failing = { ...GOOD, failure: 0.5 };
+  switch (kind) {
+    case "good":
+      return GOOD;
+    case "bad_at_once":
+      return failing;
+    case "bad_later":
+      return at.atMs > BAD_LATER_MS ? failing : GOOD;
+    case "bad_at_large_share":
+      return at.atMs > BAD_AT_LARGE_SHARE_MS ? failing : GOOD;
+    case "bad_under_load":
+      return at.high ? failing : GOOD;
+    case "bad_on_one_route":
+      return at.route === "/tags" ? failing : GOOD;
+    case "slow_first_token":
+      return { ...GOOD, slowFirst: 0.5 };
+    case "slow_gaps":
+      return { ...GOOD, slowGap: 0.4 };
+  }
+}
+
+class VersionsRun {
+  readonly #o: Required<VersionsOptions>;
+  readonly #clock = new ManualClock({ wallStart: 0 });
+  readonly #store = new MemoryObjectStore({ clock: this.#clock });
+  readonly #rng: Rng;
+  readonly #states: ConfigState[];
+  readonly #routers: MoveRouter[];
+  readonly #driverState = new ConfigState(this.#clock);
+  readonly #driverLog: ConfigLog;
+  readonly #driver: MoveDriver;
+  readonly #served: Served[] = [];
+  #requests = 0;
+  #owed = 0;
+  #stopped = 0;
+
+  constructor(options: VersionsOptions) {
+    this.#o = {
+      entries: 3,
+      requestsPerSecond: 40,
+      allowedMs: 1_200_000,
+      spreadMs: 300,
+      ...options,
+    };
+    this.#rng = new Rng(this.#o.seed).fork(`versions/${this.#o.kind}`);
+    this.#states = Array.from({ length: this.#o.entries }, () => new ConfigState(this.#clock));
+    this.#routers = this.#states.map((s, i) =>
+      new MoveRouter(s, this.#clock, processId(`entry-${i}`))
+    );
+    this.#driverLog = new ConfigLog(this.#store, this.#clock, this.#rng.fork("log"));
+    this.#driver = new MoveDriver({
+      service: SERVICE,
+      lease: { fence: (): Fence => fence(1) },
+      log: this.#driverLog,
+      clock: this.#clock,
+      who: "driver",
+    }, this.#driverState);
+  }
+
+  async run(): Promise<VersionsReport> {
+    await this.#driverLog.append({
+      id: "base",
+      note: { who: "experiment", atMs: 0, why: "base" },
+      build: () => this.#base(),
+    });
+    this.#spreadNow();
+    let ended: number | null = null;
+    while (this.#clock.now() < this.#o.allowedMs) {
+      await this.#step();
+      if (ended === null && this.#move().state !== "open") {
+        ended = this.#clock.now();
+        this.#stopped = this.#routers.filter((r) => r.stopped(SERVICE)).length;
+      }
+    }
+    return this.#report(ended ?? this.#clock.now());
+  }
+
+  #base(): Change[] {
+    const service = {
+      id: SERVICE,
+      kind: "model",
+      versions: [{ id: OLD }, { id: NEW }],
+      activeVersion: OLD,
+    };
+    const move = {
+      id: MOVE,
+      service: SERVICE,
+      from: OLD,
+      to: NEW,
+      startMs: 0,
+      deadlineMs: this.#o.allowedMs,
+      share: 0.01,
+      state: "open",
+    };
+    return [{ type: "put_service", service }, { type: "open_move", move }]
+      .map((raw) => ChangeSchema.parse(raw));
+  }
+
+  #move(): Move {
+    return this.#driverLog.state.current().moves.get(MOVE)!;
+  }
+
+  async #step(): Promise<void> {
+    this.#traffic();
+    if (this.#clock.now() % 500 === 0) {
+      for (const router of this.#routers) {
+        const report = router.takeEvidence();
+        if (report !== null) this.#driver.onEvidence(report);
+      }
+      const before = this.#driverLog.state.current().revision;
+      await this.#driver.tick();
+      if (this.#driverLog.state.current().revision > before) {
+        this.#clock.setTimer(this.#o.spreadMs, () => this.#spreadNow());
+      }
+    }
+    this.#clock.advance(STEP_MS);
+  }
+
+  #spreadNow(): void {
+    for (const state of [...this.#states, this.#driverState]) {
+      const from = state.current().revision;
+      for (const e of this.#driverLog.state.entriesAfter(from) ?? []) state.applyEntry(e);
+      state.recordProof(this.#clock.now());
+    }
+  }
+
+  #traffic(): void {
+    this.#owed += this.#o.requestsPerSecond * STEP_MS / 1_000;
+    for (; this.#owed >= 1; this.#owed--) this.#one();
+  }
+
+  #one(): void {
+    const rng = this.#rng;
+    const router = rng.pick(this.#routers);
+    const route = rng.chance(0.25) ? "/tags" : "/descriptions";
+    const high = rng.chance(0.3);
+    const atMs = this.#clock.now();
+    const version = router.versionFor(SERVICE, `r${this.#requests++}`)!;
+    const isNew = version === NEW;
+    const c = isNew ? chances(this.#o.kind, { route, high, atMs }) : GOOD;
+    const failed = rng.chance(c.failure);
+    const slow = rng.chance(c.slowFirst);
+    let slowGaps = 0;
+    for (let i = 0; i < GAPS; i++) if (rng.chance(c.slowGap)) slowGaps++;
+    router.record({
+      service: SERVICE,
+      version,
+      route,
+      loadLevel: high ? "high" : "low",
+      failed,
+      firstTokenMs: slow ? 900 : 120,
+      gaps: GAPS,
+      slowGaps,
+    });
+    this.#served.push({ atMs, isNew, bad: failed || slow || slowGaps >= BAD_GAPS });
+  }
+
+  #report(endMs: number): VersionsReport {
+    const { kind, seed, entries, requestsPerSecond, allowedMs } = this.#o;
+    const { state, reason } = this.#move();
+    const toNew = this.#served.filter((s) => s.isNew);
+    let bad = 0;
+    const at = this.#served.findIndex((s) => s.isNew && s.bad && ++bad === 50);
+    const rest = at < 0 ? [] : this.#served.slice(at + 1);
+    const late = toNew.filter((s) => s.atMs > endMs + 5_000).length;
+    return {
+      scenario: "versions",
+      kind,
+      seed,
+      entries,
+      requests_per_s: requestsPerSecond,
+      allowed_s: allowedMs / 1_000,
+      outcome: state,
+      reason,
+      end_s: endMs / 1_000,
+      end_part: Math.round(1_000 * endMs / allowedMs) / 1_000,
+      requests_to_new: toNew.length,
+      bad_answers_of_new: toNew.filter((s) => s.bad).length,
+      new_after_50_bad: rest.filter((s) => s.isNew).length,
+      requests_after_50_bad: rest.length,
+      new_5s_after_verdict: state === "taken_back" ? late : 0,
+      entries_stopped: this.#stopped,
+    };
+  }
+}
+
+/**
+ * Runs the scenario for one kind of version.
+ *
+ * @example
+ * ```ts
+ * const report = await runVersions({ seed: 1, kind: "bad_under_load" });
+ * console.log(report.outcome, report.requests_to_new);
+ * ```
+ */
+export function runVersions(options: VersionsOptions): Promise<VersionsReport> {
+  return new VersionsRun(options).run();
+}
