--- /dev/null
+++ b/packages/control/src/control_process.ts
@@ -0,0 +1,134 @@
+/**
+ * Everything a process needs to have the configuration in force: membership, spread and watcher duty together.
+ *
+ * @module
+ */
+import { type Clock, type ProcessId, revision, type Rng, type Undo } from "@wisteriapick/core";
+import type { HostList, ObjectStore } from "@wisteriapick/platform";
+import type { LinkPool } from "@wisteriapick/wire";
+import type { Change } from "./changes.ts";
+import { ConfigLog } from "./config_log.ts";
+import { ConfigState } from "./config_state.ts";
+import type { LogEntry } from "./log_entry.ts";
+import { Membership } from "./membership.ts";
+import { SpreadLinks } from "./spread_links.ts";
+import { SpreadNode } from "./spread_node.ts";
+import { buildPushes } from "./spread_push.ts";
+import { rankMembers, type SpreadMember, WATCHERS_PER_DATA_CENTRE } from "./tree.ts";
+import { WatcherDuty } from "./watcher_duty.ts";
+
+/** Time between two readings of the host list, spread by a random factor. */
+const HOST_LIST_EVERY_MS = 5_000;
+
+/** Changes that must reach every process within seconds whatever the store does. */
+const URGENT_CHANGES: ReadonlySet<Change["type"]> = new Set([
+  "set_data_centre_state",
+  "finish_move",
+  "take_back_move",
+  "settle_move",
+]);
+/** Entries in an offer, so that a watcher that is a little behind can take it in. */
+const OFFERED_ENTRIES = 16;
+
+/** Options of {@link ControlProcess}. */
+export interface ControlProcessOptions {
+  readonly self: SpreadMember;
+  readonly process: ProcessId;
+  readonly store: ObjectStore;
+  readonly hostList: HostList;
+  readonly pool: LinkPool;
+  readonly clock: Clock;
+  readonly rng: Rng;
+}
+
+/**
+ * The control part of an entry or side. `state` is its `ConfigSource`; streams that open with `config_pull` go
+ * to `links.accept`.
+ *
+ * @example
+ * ```ts
+ * const control = new ControlProcess({ self, process, store, hostList, pool, clock, rng });
+ * const stop = control.start();
+ * control.state.registerListener((view) => apply(view));
+ * ```
+ */
+export class ControlProcess {
+  readonly state: ConfigState;
+  readonly membership: Membership;
+  readonly node: SpreadNode;
+  readonly links: SpreadLinks;
+  readonly duty: WatcherDuty;
+  /** Writes changes; what it accepts is in force here at once. */
+  readonly log: ConfigLog;
+  readonly #options: ControlProcessOptions;
+
+  constructor(options: ControlProcessOptions) {
+    const { self, process, store, pool, clock, rng } = options;
+    this.#options = options;
+    this.state = new ConfigState(clock);
+    this.membership = new Membership(clock);
+    this.links = new SpreadLinks(pool, this.membership);
+    const ports = this.links;
+    this.node = new SpreadNode({ self, clock, rng: rng.fork("spread"), ports, state: this.state });
+    this.links.connect(this.node);
+    this.log = new ConfigLog(store, clock, rng.fork("log"), {
+      state: this.state,
+      onAccepted: (entry) => this.#offer(entry),
+    });
+    const dutyRng = rng.fork("watcher");
+    this.duty = new WatcherDuty(store, clock, dutyRng, { node: this.node, process });
+  }
+
+  start(): Undo {
+    const undo = [
+      this.membership.registerListener((members) => {
+        this.node.setMembers(members);
+        this.duty.setMembers(members);
+      }),
+      this.#options.clock.setRepeating(1_000, () => this.membership.tick()),
+    ];
+    let stopped = false;
+    void this.#readHosts().then(() => {
+      if (stopped) return;
+      undo.push(this.node.start(), this.duty.start());
+      this.#pollHosts(undo);
+    });
+    return () => {
+      stopped = true;
+      for (const fn of undo) fn();
+      this.links.close();
+    };
+  }
+
+  /** Sends an urgent change to the watchers of all data centres: the store may fail right after it took it. */
+  #offer(entry: LogEntry): void {
+    if (!entry.changes.some((c) => URGENT_CHANGES.has(c.type))) return;
+    const members = this.membership.members();
+    const centres = [...new Set(members.map((m) => m.dataCentre))];
+    const tops = centres.flatMap((dc) =>
+      rankMembers(members, dc).slice(0, WATCHERS_PER_DATA_CENTRE)
+    );
+    const from = revision(Math.max(0, entry.revision - OFFERED_ENTRIES));
+    const head = { asOfMs: null, storeUp: this.node.storeUp };
+    const [push] = buildPushes(
+      this.state,
+      this.state.entriesAfter(from) ? from : revision(entry.revision - 1),
+      head,
+    );
+    this.links.offer(tops.filter((m) => m.key !== this.node.self.key), push!);
+  }
+
+  #pollHosts(undo: Undo[]): void {
+    const { clock, rng } = this.#options;
+    const everyMs = HOST_LIST_EVERY_MS * (0.5 + rng.next());
+    undo.push(clock.setRepeating(everyMs, () => void this.#readHosts()));
+  }
+
+  async #readHosts(): Promise<void> {
+    try {
+      this.membership.recordHosts(await this.#options.hostList.read());
+    } catch {
+      // The last list stays in use; links show who can be reached.
+    }
+  }
+}
--- /dev/null
+++ b/packages/control/tests/control_process_test.ts
@@ -0,0 +1,73 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { SystemClock } from "@wisteriapick/core";
+import type { Change, ConfigSource } from "../src/mod.ts";
+import { baseChanges, makeLog, MemoryStore, putAccount, TEMA, write } from "./fixtures.ts";
+import { FixedHostList, startControl } from "./link_fixtures.ts";
+
+/** Resolves when the source is ready and at least at `revision`. */
+function reached(source: ConfigSource, revision: number): Promise<void> {
+  return new Promise((resolve) => {
+    const clock = new SystemClock();
+    const stop = clock.setRepeating(10, () => {
+      if (!source.ready() || source.current().revision < revision) return;
+      stop();
+      resolve();
+    });
+  });
+}
+
+test("processes of two data centres follow the log over real links, with few of them at the store", async () => {
+  const clock = new SystemClock();
+  const store = new MemoryStore(clock);
+  const hostList = new FixedHostList();
+  const names = Array.from({ length: 10 }, (_, i) => `host-${i}`);
+  const all = [];
+  for (const [i, name] of names.entries()) {
+    all.push(await startControl(name, i < 7 ? "osu" : "tema", { store, hostList, seed: i }));
+  }
+  for (const p of all) p.start();
+  const log = makeLog(store, clock);
+  await write(log, "a", [putAccount("a")]);
+  await Promise.all(all.map((p) => reached(p.control.state, 1)));
+  await write(log, "b", [putAccount("b")]);
+  await Promise.all(all.map((p) => reached(p.control.state, 2)));
+  const watching = all.filter((p) => p.control.duty.watching);
+  assert.equal(watching.length, 6);
+  // The death of a watcher leaves its children and the log's followers intact.
+  const dead = watching[0]!;
+  await dead.stop();
+  await write(log, "c", [putAccount("c")]);
+  const alive = all.filter((p) => p !== dead);
+  await Promise.all(alive.map((p) => reached(p.control.state, 3)));
+  for (const p of alive) await p.stop();
+});
+
+test("an accepted out reaches every process although the store goes down right after", async () => {
+  const clock = new SystemClock();
+  const store = new MemoryStore(clock);
+  const hostList = new FixedHostList();
+  const all = [];
+  for (let i = 0; i < 9; i++) {
+    const dc = ["osu", "tema", "legon"][i % 3]!;
+    all.push(await startControl(`host-${i}`, dc, { store, hostList, seed: i }));
+  }
+  for (const p of all) p.start();
+  const operator = all[0]!.control;
+  await write(operator.log, "base", baseChanges());
+  await Promise.all(all.map((p) => reached(p.control.state, 1)));
+  // Watchers see nothing from the moment of acceptance on: the store fails in the same turn.
+  const put = store.put.bind(store);
+  store.put = async (...args) => {
+    const wakes = [...store.waiting];
+    store.waiting.clear();
+    const version = await put(...args);
+    store.up = false;
+    for (const wake of wakes) wake();
+    return version;
+  };
+  const out: Change = { type: "set_data_centre_state", id: TEMA, state: "out", atMs: 0 };
+  assert.equal(await write(operator.log, "out", [out]), 2);
+  await Promise.all(all.map((p) => reached(p.control.state, 2)));
+  for (const p of all) await p.stop();
+});
--- a/packages/daemon/src/entry_relay.ts
+++ b/packages/daemon/src/entry_relay.ts
@@ -7,7 +7,6 @@
   Clock,
   EndpointId,
   GenerationId,
-  Logger,
   Metrics,
   Refusal,
   RefusalReason,
@@ -19,8 +18,13 @@
   type ResumeSigner,
   TokenCursor,
 } from "@wisteriapick/delivery";
-import type { AttemptOutcome, Placement, PlacementRequest } from "@wisteriapick/policy";
-import type { End, Run } from "@wisteriapick/wire";
+import {
+  type AttemptOutcome,
+  type Placement,
+  type PlacementRequest,
+  Quarantine,
+} from "@wisteriapick/policy";
+import type { End, EndpointLoad, NotRunReply, Run } from "@wisteriapick/wire";
 import type { Directory, DirectoryEntry } from "./directory.ts";
 import { type FollowerResult, followGeneration, type FollowLimits } from "./entry_follower.ts";
 import type { AnswerSink } from "./entry_sinks.ts";
@@ -52,11 +56,14 @@
   readonly placement: Placement;
   readonly signer: ResumeSigner;
   readonly metrics: Metrics;
-  readonly log: Logger;
   readonly limits: RelayLimits;
   readonly makeGenerationId: () => GenerationId;
   /** The version that an endpoint is known to run. */
   readonly versionOf: (endpoint: EndpointId) => VersionId | null;
+  /** Requests that crash endpoints, as far as this entry knows. */
+  readonly quarantine?: Quarantine;
+  /** Told of each load that an answer carries. */
+  readonly noteLoad: (load: EndpointLoad) => void;
 }
 
 /** One request. */
@@ -78,6 +85,8 @@
   readonly endpoint: EndpointId | null;
   readonly version: VersionId | null;
   readonly attempts: number;
+  /** Tokens of a whole answer; 0 otherwise. */
+  readonly tokens: number;
   readonly result: "end" | "refused" | "failed" | "caller_gone";
   readonly refusal: Refusal | null;
 }
@@ -85,9 +94,11 @@
 /** Relays generations for one entry. */
 export class GenerationRelay {
   readonly #deps: RelayDeps;
+  readonly #quarantine: Quarantine;
 
   constructor(deps: RelayDeps) {
     this.#deps = deps;
+    this.#quarantine = deps.quarantine ?? new Quarantine();
   }
 
   /** Runs a request and gives its answer to the sink. */
@@ -97,7 +108,9 @@
       if (req.gone.aborted) return hops.outcome("caller_gone", null);
       const now = this.#deps.clock.now();
       if (now >= req.deadlineMs) return hops.refuse(sink, "deadline_exceeded", this.#deps);
-      const place = hops.placement(now);
+      const quarantinedMs = this.#quarantine.remainingMs(req.run.digest, now);
+      if (quarantinedMs > 0) return hops.fail(sink, quarantined(hops, quarantinedMs), this.#deps);
+      const place = hops.placement();
       const endpoint = this.#deps.placement.choose(place, now);
       const target = endpoint === null ? undefined : this.#deps.directory.get(endpoint);
       if (target === undefined) return hops.refuse(sink, "no_endpoint", this.#deps);
@@ -131,6 +144,7 @@
       gen,
       version,
       attempt: hops.attempts,
+      suspectCrashes: this.#quarantine.crashes(req.run.digest, startMs),
       remainingMs: Math.max(0, req.deadlineMs - startMs),
     };
     const res = await followGeneration(target.side, run, {
@@ -140,7 +154,10 @@
       sink,
       cursor: new TokenCursor(0),
       gone: req.gone,
-      onAdmitted: (load) => record({ type: "admitted", load }),
+      onAdmitted: (load) => {
+        this.#deps.noteLoad(load);
+        record({ type: "admitted", load });
+      },
       onTokens: (offset) => {
         const now = clock.now();
         if (offset === 0) record({ type: "first_token", waitMs: now - startMs });
@@ -149,9 +166,26 @@
       },
     });
     record(attemptOutcome(res));
+    if (res.type === "fail" && res.suspects !== undefined) {
+      this.#quarantine.merge(res.suspects, clock.now());
+    }
+    if (res.type === "not_run") this.#noteMismatch(req, hops, target.endpoint, res.reply);
     return this.#settle(req, sink, hops, target, res);
   }
 
+  /** An endpoint that was asked for the wrong version may be asked again for the one it runs. */
+  #noteMismatch(
+    req: RelayRequest,
+    hops: Hops,
+    endpoint: EndpointId,
+    { reason, load }: NotRunReply,
+  ): void {
+    this.#deps.noteLoad(load);
+    if (reason === "version_mismatch" && req.versions.includes(load.version)) {
+      hops.allow(endpoint);
+    }
+  }
+
   /** Ends the request, or returns `null` where the next endpoint is to be tried. */
   #settle(
     req: RelayRequest,
@@ -181,7 +215,7 @@
       return hops.fail(sink, { type: "cancelled", message, notRun: false }, this.#deps);
     }
     sink.end(end.reason, end);
-    return hops.outcome("end", null);
+    return { ...hops.outcome("end", null), tokens: end.completionTokens };
   }
 
   #cancel(req: RelayRequest, hops: Hops, target: DirectoryEntry): void {
@@ -218,6 +252,11 @@
   "cancelled",
 ]);
 
+function quarantined(hops: Hops, retryAfterMs: number): Refusal {
+  const message = "this request crashed the endpoints that ran it";
+  return { type: "quarantined", message, notRun: hops.notRun, retryAfterMs };
+}
+
 function mayRunElsewhere(refusal: Refusal): boolean {
   return !FINAL.has(refusal.type);
 }
@@ -262,13 +301,14 @@
   #endpoint: EndpointId | null = null;
   #version: VersionId | null = null;
   #last: Refusal | null = null;
-  #notRun: Refusal["notRun"] = true;
+  /** What is known of all attempts together. */
+  notRun: Refusal["notRun"] = true;
 
   constructor(req: RelayRequest) {
     this.#req = req;
   }
 
-  placement(_nowMs: number): PlacementRequest {
+  placement(): PlacementRequest {
     const { run, versions, expectedTokens } = this.#req;
     return {
       service: run.service,
@@ -289,10 +329,15 @@
     this.#excluded.add(endpoint);
   }
 
+  /** Lets an endpoint be tried again. */
+  allow(endpoint: EndpointId): void {
+    this.#excluded.delete(endpoint);
+  }
+
   failed(refusal: Refusal): void {
     this.#last = refusal;
-    if (refusal.notRun === false) this.#notRun = false;
-    else if (refusal.notRun === "unknown" && this.#notRun === true) this.#notRun = "unknown";
+    if (refusal.notRun === false) this.notRun = false;
+    else if (refusal.notRun === "unknown" && this.notRun === true) this.notRun = "unknown";
   }
 
   /** Ends the request because no further endpoint is tried; says why the last one did not answer. */
@@ -301,7 +346,7 @@
     const message = last === null ? MESSAGES[type] ?? type : `${MESSAGES[type]}: ${last.message}`;
     const reason = last !== null && type !== "deadline_exceeded" ? last.type : type;
     const retryAfterMs = last?.retryAfterMs ?? (type === "no_endpoint" ? 1_000 : undefined);
-    return this.fail(sink, { type: reason, message, notRun: this.#notRun, retryAfterMs }, deps);
+    return this.fail(sink, { type: reason, message, notRun: this.notRun, retryAfterMs }, deps);
   }
 
   fail(sink: AnswerSink, refusal: Refusal, deps: RelayDeps): RelayOutcome {
@@ -316,6 +361,7 @@
       endpoint: this.#endpoint,
       version: this.#version,
       attempts: this.attempts,
+      tokens: 0,
       result,
       refusal,
     };
--- a/packages/daemon/src/side_generation.ts
+++ b/packages/daemon/src/side_generation.ts
@@ -8,12 +8,13 @@
   type Clock,
   type GenerationId,
   type Refusal,
+  type RefusalReason,
   toWpError,
   type Undo,
 } from "@wisteriapick/core";
 import type { GenerationLog } from "@wisteriapick/delivery";
 import type { EngineEvent, EngineRequest, ModelEngine } from "@wisteriapick/platform";
-import type { LinkStream, StreamHandler } from "@wisteriapick/wire";
+import type { EndpointLoad, Fail, LinkStream, StreamHandler } from "@wisteriapick/wire";
 import { Follower, type GenerationEnd } from "./side_follower.ts";
 import { failOnSilence } from "./silence.ts";
 import type { TurnBatch } from "./turn_batch.ts";
@@ -24,9 +25,9 @@
   onToken(gen: GenerationId, offset: number, gapMs: number): void;
   /** The generation ended; called once. */
   onEnd(gen: GenerationId, how: "done" | "failed" | "cancelled", end: GenerationEnd): void;
-  /** Builds the message that ends the generation, with present load. */
-  makeEnd(ev: Extract<EngineEvent, { type: "end" }>): GenerationEnd;
-  makeFail(refusal: Refusal): GenerationEnd;
+  /** Present load, for the message that ends the generation. */
+  load(): EndpointLoad;
+  makeFail(refusal: Refusal): Fail;
 }
 
 /** Times of {@link SideGeneration}. */
@@ -58,6 +59,14 @@
   readonly times: GenerationTimes;
 }
 
+/** Statuses with which an engine refuses a generation before it starts. */
+const REFUSED_BY_ENGINE: Readonly<Record<number, RefusalReason>> = {
+  400: "invalid_request",
+  422: "version_mismatch",
+  429: "overloaded",
+  503: "side_not_ready",
+};
+
 const STATUS_NOT_FOUND = 404;
 const STATUS_CONFLICT = 409;
 
@@ -74,6 +83,8 @@
   #undoGrace: Undo | null = null;
   #lastEventMs = 0;
   #started = false;
+  // A generation that was asked for by id only may never have existed, which is no sign of a crash.
+  #known = true;
 
   constructor(
     gen: GenerationId,
@@ -102,9 +113,10 @@
     void this.#follow(req);
   }
 
-  /** Follows a generation that the engine already has. */
-  adopt(): void {
+  /** Follows a generation that the engine has, or with `known: false` may have. */
+  adopt({ known }: { known: boolean }): void {
     this.#started = true;
+    this.#known = known;
     this.#lastEventMs = this.#deps.clock.now();
     if (this.#followers.size === 0) this.#armGrace();
     void this.#follow(null);
@@ -138,7 +150,7 @@
       message: "the generation was cancelled",
       notRun: !this.#started,
     };
-    this.finish("cancelled", this.#deps.hooks.makeFail(refusal));
+    this.finish("cancelled", this.#makeFail(refusal));
     if (this.#started) void this.#deps.engine.cancel(this.gen).catch(() => {});
   }
 
@@ -156,7 +168,7 @@
     this.#undoGrace?.();
     this.#abort.abort();
     this.log.finish(
-      this.#deps.hooks.makeFail({ type: "side_lost", message: "side stopped", notRun: false }),
+      this.#makeFail({ type: "side_lost", message: "side stopped", notRun: false }),
       this.#deps.clock.now(),
     );
   }
@@ -182,7 +194,7 @@
       } catch (e) {
         if (this.ended) return;
         const verdict = this.#classify(e, req !== null);
-        if (verdict !== null) return this.finish("failed", this.#deps.hooks.makeFail(verdict));
+        if (verdict !== null) return this.finish("failed", this.#makeFail(verdict));
         const silent = toWpError(e).type === "timeout";
         if (this.log.length > before || silent) failures = 0;
         else failures++;
@@ -224,6 +236,7 @@
     const now = this.#deps.clock.now();
     const gapMs = now - this.#lastEventMs;
     this.#lastEventMs = now;
+    this.#known = true;
     this.#deps.hooks.onToken(this.gen, offset, gapMs);
     this.#deps.batch.add(this.#flush);
     return true;
@@ -233,7 +246,14 @@
     // An end that counts more tokens than arrived is a gap: the rest is asked for.
     if (ev.reason !== "cancelled" && ev.completionTokens > this.log.length) return;
     const how = ev.reason === "cancelled" ? "cancelled" : "done";
-    this.finish(how, this.#deps.hooks.makeEnd(ev));
+    const { reason, promptTokens, cachedTokens, completionTokens } = ev;
+    const load = this.#deps.hooks.load();
+    const usage = { promptTokens, cachedTokens, completionTokens };
+    this.finish(how, { kind: "end", reason, ...usage, load });
+  }
+
+  #makeFail(refusal: Refusal): GenerationEnd {
+    return this.#deps.hooks.makeFail(refusal);
   }
 
   /** Returns the refusal with which the generation ends, or `null` where the engine is asked again. */
@@ -242,18 +262,29 @@
     if (err.type === "invariant") {
       return { type: "internal", message: "internal error at the side", notRun: false };
     }
+    if (err.type === "unreachable" && wasRun && err.sent === false) return lost(true);
     if (err.type !== "engine") return null;
     if (wasRun && err.status === STATUS_CONFLICT) return null;
-    if (!wasRun && err.status === STATUS_NOT_FOUND) return lost();
+    const refused = REFUSED_BY_ENGINE[err.status];
+    if (wasRun && refused !== undefined && this.log.length === 0) {
+      return { type: refused, message: "the model engine refused", notRun: true };
+    }
+    if (!wasRun && err.status === STATUS_NOT_FOUND) {
+      return this.#known ? lost() : {
+        type: "generation_unknown",
+        message: "neither this side nor its engine knows the generation",
+        notRun: false,
+      };
+    }
     if (!wasRun && err.status >= 500) return null;
     return { type: "engine_failed", message: "the model engine failed", notRun: false };
   }
 
   #finishLost(): void {
-    this.finish("failed", this.#deps.hooks.makeFail(lost()));
+    this.finish("failed", this.#makeFail(lost()));
   }
 }
 
-function lost(): Refusal {
-  return { type: "engine_lost", message: "the model engine was lost", notRun: false };
+function lost(notRun = false): Refusal {
+  return { type: "engine_lost", message: "the model engine was lost", notRun };
 }
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -3,4 +3,12 @@
  *
  * @module
  */
+export * from "./cold_start.ts";
+export * from "./fair_queue.ts";
 export * from "./interfaces.ts";
+export * from "./length_estimator.ts";
+export * from "./memory_forecast.ts";
+export * from "./quarantine.ts";
+export * from "./retry_policy.ts";
+export * from "./side_admission.ts";
+export * from "./subset_placement.ts";
