Measure both loads of the relay benchmark in turn

One sample of each load let a slow spell of the machine fall on one of them and gave a negative cost per request. The loads now alternate and their sums are compared.

--- a/packages/bench/src/relay.ts
+++ b/packages/bench/src/relay.ts
@@ -40,43 +40,49 @@
     args: [...args],
     options: {
       json: { type: "boolean", default: false },
-      seconds: { type: "string", default: "10" },
+      seconds: { type: "string", default: "5" },
+      rounds: { type: "string", default: "2" },
       seed: { type: "string", default: "1" },
       sides: { type: "string", default: "24" },
       part: { type: "string", default: "all" },
     },
   });
   const [seed, sides] = [Number(values.seed), Number(values.sides)];
-  const ms = Number(values.seconds) * 1_000;
-  const report: Record<string, unknown> = { bench: "relay", seed, sides, seconds: ms / 1_000 };
+  const [seconds, rounds] = [Number(values.seconds), Number(values.rounds)];
+  const options = { sides, seed, rounds, ms: seconds * 1_000 };
+  const report: Record<string, unknown> = { bench: "relay", seed, sides, seconds, rounds };
   report.method = CPU_METHOD;
   if (values.part === "all" || values.part === "link") {
-    report.link = await measureLink({ sides, seed, ms });
+    report.link = await measureLink(options);
   }
   if (values.part === "all" || values.part === "entry") {
-    report.entry = await measureEntry({ sides, seed, ms });
+    report.entry = await measureEntry(options);
   }
   if (values.json) console.log(JSON.stringify(report));
   else printReport(report);
 }
 
-async function measureLink(options: { sides: number; seed: number; ms: number }) {
+/** How the benchmark is run. */
+interface RelayOptions {
+  readonly sides: number;
+  readonly seed: number;
+  readonly ms: number;
+  readonly rounds: number;
+}
+
+async function measureLink(options: RelayOptions) {
   const limit = await measureLinkLimit(LIMIT_STREAMS, options.ms);
-  const load = cost(
-    await measureLinkLoad(DESIGN, options),
-    await measureLinkLoad(SHORT, options),
-  );
+  const [design, short] = await alternate(measureLinkLoad, options);
   return {
     limitTokensPerSecond: perSecond(limit.tokens, limit),
     limitCpuUsPerToken: limit.threadUs / limit.tokens,
-    ...load,
+    ...cost(design, short),
     memoryBytesPerStream: await measureLinkMemory(),
   };
 }
 
-async function measureEntry(options: { sides: number; seed: number; ms: number }) {
-  const design = await measureEntryLoad(DESIGN, options);
-  const short = await measureEntryLoad(SHORT, options);
+async function measureEntry(options: RelayOptions) {
+  const [design, short] = await alternate(measureEntryLoad, options);
   return {
     ...cost(design, short),
     incompleteAnswers: design.incomplete + short.incomplete,
@@ -84,6 +90,30 @@
   };
 }
 
+/** Measures both loads in turn, so that a slow spell of the machine falls on both, and adds the rounds up. */
+async function alternate<S extends RelaySample>(
+  measure: (shape: LoadShape, options: RelayOptions) => Promise<S>,
+  options: RelayOptions,
+): Promise<[S, S]> {
+  const design: S[] = [];
+  const short: S[] = [];
+  for (let i = 0; i < options.rounds; i++) {
+    design.push(await measure(DESIGN, options));
+    short.push(await measure(SHORT, options));
+  }
+  return [total(design), total(short)];
+}
+
+/** Adds samples up; the share of the loop is averaged. */
+function total<S extends RelaySample>(samples: readonly S[]): S {
+  const sums: Record<string, number> = {};
+  for (const sample of samples) {
+    for (const [key, value] of Object.entries(sample)) sums[key] = (sums[key] ?? 0) + value;
+  }
+  sums.loopShare = sums.loopShare! / samples.length;
+  return sums as unknown as S;
+}
+
 /** Splits the cost of two loads with the same token rate into that of a token and that of a request. */
 export function cost(design: RelaySample, short: RelaySample): RelayCost {
   const rate = (s: RelaySample) => s.threadUs / s.wallMs;
