--- a/packages/bench/src/relay.ts
+++ b/packages/bench/src/relay.ts
@@ -19,8 +19,8 @@
 
 /** The load of one entry at the design size. */
 const DESIGN: LoadShape = { streams: 1_200, requestsPerSecond: 60, tokensPerRequest: 400 };
-/** The same token rate with more and shorter answers: tells the cost of a request from that of a token. */
-const SHORT: LoadShape = { streams: 1_200, requestsPerSecond: 240, tokensPerRequest: 100 };
+/** Requests with hardly any tokens: tells the cost of a request from that of a token. */
+const SHORT: LoadShape = { streams: 0, requestsPerSecond: 240, tokensPerRequest: 1 };
 
 /** Cost of one path. */
 export interface RelayCost {
@@ -114,7 +114,7 @@
   return sums as unknown as S;
 }
 
-/** Splits the cost of two loads with the same token rate into that of a token and that of a request. */
+/** Splits the cost of two loads into that of a token and that of a request. */
 export function cost(design: RelaySample, short: RelaySample): RelayCost {
   const rate = (s: RelaySample) => s.threadUs / s.wallMs;
   const tokens = (s: RelaySample) => s.tokens / s.wallMs;
