Fix streams that hang after their caller's buffer drained early

Cause: the entry noticed a full buffer only with the next tokens and then waited for a drain event that had already passed, so the stream stopped for good. Ruled out: lost credit on the link and lost messages (418 tokens produced, 44 received, no resume). Change: fullness is read from the response at that moment and no wait begins when it has drained.

--- a/packages/check/src/caller.ts
+++ b/packages/check/src/caller.ts
@@ -102,7 +102,8 @@
       return;
     }
     const chunk = JSON.parse(ev.data);
-    if (chunk.error !== undefined) return this.#fail(chunk.error);
+    // An event that carries a problem document ends the stream.
+    if (chunk.error !== undefined) return this.#fail(chunk as Problem);
     if (ev.id !== undefined) this.#lastEventId = ev.id;
     const choice = chunk.choices?.[0];
     const text: string = choice?.delta?.content ?? "";
@@ -118,7 +119,7 @@
 
   #afterWhole(end: HttpEnd, text: string): boolean {
     if (end.type === "broken") return !this.#mayRepeat();
-    if (end.status >= 400) return this.#onProblem(JSON.parse(text).error ?? JSON.parse(text));
+    if (end.status >= 400) return this.#onProblem(JSON.parse(text) as Problem);
     if (this.#request.kind === "order") {
       this.#receive(0, text);
       this.#record({ type: "answer_ended", finish: "stop" });
--- /dev/null
+++ b/packages/check/src/tampered_links.ts
@@ -0,0 +1,69 @@
+/**
+ * Links whose incoming messages a test alters, to break a promise on purpose.
+ *
+ * @module
+ */
+import { LinkSource } from "@wisteriapick/daemon";
+import { Link, type LinkStream, type Message, type StreamHandler } from "@wisteriapick/wire";
+
+/** Alters a message that arrives on a stream opened with `opening`. */
+export type Tamper = (opening: Message, msg: Message) => Message;
+
+/** Wraps the links of a source. */
+export class TamperedLinks extends LinkSource {
+  readonly #links: LinkSource;
+  readonly #tamper: Tamper;
+
+  constructor(links: LinkSource, tamper: Tamper) {
+    super();
+    this.#links = links;
+    this.#tamper = tamper;
+  }
+
+  async get(address: string): Promise<Link> {
+    return new TamperedLink(await this.#links.get(address), this.#tamper);
+  }
+}
+
+class TamperedLink extends Link {
+  readonly #link: Link;
+  readonly #tamper: Tamper;
+
+  constructor(link: Link, tamper: Tamper) {
+    super();
+    this.#link = link;
+    this.#tamper = tamper;
+  }
+
+  get peer() {
+    return this.#link.peer;
+  }
+
+  get open() {
+    return this.#link.open;
+  }
+
+  openStream(opening: Message, handler: StreamHandler): LinkStream {
+    return this.#link.openStream(opening, {
+      onMessage: (msg) => handler.onMessage(this.#tamper(opening, msg)),
+      onClose: (err) => handler.onClose(err),
+      onDrain: () => handler.onDrain?.(),
+    });
+  }
+
+  notify(msg: Message): void {
+    this.#link.notify(msg);
+  }
+
+  request(msg: Message, options?: { timeoutMs?: number }): Promise<Message> {
+    return this.#link.request(msg, options);
+  }
+
+  close(): void {
+    this.#link.close();
+  }
+
+  registerCloseListener(fn: Parameters<Link["registerCloseListener"]>[0]) {
+    return this.#link.registerCloseListener(fn);
+  }
+}
--- a/packages/daemon/src/entry_calls.ts
+++ b/packages/daemon/src/entry_calls.ts
@@ -19,7 +19,7 @@
 } from "./entry_context.ts";
 import { sendProblem } from "./entry_sinks.ts";
 import { forwardedHeaders, type HeaderList, headerRecord, pairHeaders } from "./http_headers.ts";
-import { readBody } from "./http_server.ts";
+import { drainOrClose, readBody } from "./http_server.ts";
 import {
   type Claim,
   claimKey,
@@ -239,20 +239,6 @@
   }
 }
 
-function drainOrClose(res: ServerResponse): { promise: Promise<void>; settle: () => void } {
-  let resolve = () => {};
-  const promise = new Promise<void>((r) => {
-    resolve = r;
-  });
-  res.once("drain", resolve);
-  res.once("close", resolve);
-  const settle = () => {
-    res.off("drain", resolve);
-    res.off("close", resolve);
-  };
-  return { promise, settle };
-}
-
 /** Keeps a copy of an answer while it is small. */
 class RecordingSink implements CallSink {
   readonly #sink: CallSink;
--- a/packages/daemon/src/entry_sinks.ts
+++ b/packages/daemon/src/entry_sinks.ts
@@ -14,6 +14,7 @@
   SseWriter,
   type Usage,
 } from "@wisteriapick/delivery";
+import { drainOrClose } from "./http_server.ts";
 
 /** Receives one answer. */
 export abstract class AnswerSink {
@@ -58,7 +59,7 @@
   }
 
   get full(): boolean {
-    return this.#sse?.full ?? false;
+    return this.#res.writableNeedDrain;
   }
 
   begin(head: AnswerHead, signedRef: string): void {
@@ -82,11 +83,11 @@
   }
 
   async drained(): Promise<void> {
-    await new Promise<void>((resolve) => {
-      this.#res.once("drain", resolve);
-      this.#res.once("close", resolve);
-    });
-    this.#sse?.drained();
+    // The buffer may have drained before anyone waits for it; an event alone would be missed.
+    if (!this.#res.writableNeedDrain) return;
+    const { promise, settle } = drainOrClose(this.#res);
+    await promise;
+    settle();
   }
 
   #open(): SseWriter {
--- a/packages/daemon/src/http_server.ts
+++ b/packages/daemon/src/http_server.ts
@@ -60,3 +60,18 @@
   res.writeHead(status, { "content-type": "application/json" });
   res.end(typeof body === "string" ? body : JSON.stringify(body));
 }
+
+/** Waits until a full answer takes data again or its connection closes. `settle` removes the listeners. */
+export function drainOrClose(res: ServerResponse): { promise: Promise<void>; settle: () => void } {
+  let resolve = () => {};
+  const promise = new Promise<void>((r) => {
+    resolve = r;
+  });
+  res.once("drain", resolve);
+  res.once("close", resolve);
+  const settle = () => {
+    res.off("drain", resolve);
+    res.off("close", resolve);
+  };
+  return { promise, settle };
+}
--- a/packages/delivery/src/sse.ts
+++ b/packages/delivery/src/sse.ts
@@ -15,9 +15,9 @@
 } from "./openai_response.ts";
 import { problemDocument } from "./problem.ts";
 
-/** Where the text goes; `node:http`'s `ServerResponse` fits. Returns false when its buffer is full. */
+/** Where the text goes; `node:http`'s `ServerResponse` fits. */
 export interface TextSink {
-  write(text: string): boolean;
+  write(text: string): unknown;
 }
 
 /** Headers of an event stream. */
@@ -54,7 +54,6 @@
   readonly #after: string;
   readonly #includeUsage: boolean;
   #buf = "";
-  #full = false;
 
   constructor(
     sink: TextSink,
@@ -69,15 +68,6 @@
     this.#includeUsage = options.includeUsage;
   }
 
-  /** Whether the sink's buffer was full at the last write. Call {@link SseWriter.drained} when it is not. */
-  get full(): boolean {
-    return this.#full;
-  }
-
-  drained(): void {
-    this.#full = false;
-  }
-
   /** Writes the chunk that opens a chat answer. Not called when an answer is resumed. */
   open(): void {
     const first = encodeFirstChunk(this.#head);
@@ -113,7 +103,7 @@
     if (this.#buf === "") return;
     const text = this.#buf;
     this.#buf = "";
-    if (!this.#sink.write(text)) this.#full = true;
+    this.#sink.write(text);
   }
 
   #append(text: string): void {
