--- a/packages/control/src/tree.ts
+++ b/packages/control/src/tree.ts
@@ -34,7 +34,8 @@
   return value;
 }
 
-function byWeight(members: readonly SpreadMember[], salt: string): SpreadMember[] {
+/** Members by rendezvous hashing: each salt gives its own order, and one member more or less moves few. */
+export function orderMembers(members: readonly SpreadMember[], salt: string): SpreadMember[] {
   const keyed = members.map((m) => ({ m, w: weight(`${salt}/${m.key}`) }));
   keyed.sort((a, b) => b.w - a.w || (a.m.key < b.m.key ? -1 : 1));
   return keyed.map((k) => k.m);
@@ -45,7 +46,7 @@
   members: readonly SpreadMember[],
   dataCentre: DataCentreId,
 ): SpreadMember[] {
-  return byWeight(members.filter((m) => m.dataCentre === dataCentre), "rank");
+  return orderMembers(members.filter((m) => m.dataCentre === dataCentre), "rank");
 }
 
 /** First rank of the level of `rank`, and of the level above it. */
@@ -77,9 +78,9 @@
   const above = level === 0 ? [] : ranked.slice(aboveFrom, from);
   const top = ranked.slice(0, WATCHER_CANDIDATES);
   const parts = [
-    byWeight(above, self.key).slice(0, 3),
-    byWeight(top, self.key),
-    byWeight(ranked, self.key).slice(0, 4),
+    orderMembers(above, self.key).slice(0, 3),
+    orderMembers(top, self.key),
+    orderMembers(ranked, self.key).slice(0, 4),
     otherTops(members, self),
   ];
   const unique = new Map(parts.flat().map((m) => [m.key, m]));
@@ -93,5 +94,5 @@
   const tops = [...centres].flatMap((dc) =>
     rankMembers(members, dc).slice(0, WATCHERS_PER_DATA_CENTRE)
   );
-  return byWeight(tops, self.key).slice(0, 4);
+  return orderMembers(tops, self.key).slice(0, 4);
 }
--- a/packages/daemon/src/link_router.ts
+++ b/packages/daemon/src/link_router.ts
@@ -32,7 +32,7 @@
  */
 export class LinkRouter implements LinkAcceptor {
   readonly #streams = new Map<string, StreamOpener<Message["kind"]>>();
-  readonly #notifies = new Map<string, NotifyHandler<Message["kind"]>>();
+  readonly #notifies = new Map<string, Set<NotifyHandler<Message["kind"]>>>();
   readonly #links = new Set<Link>();
 
   /** The open links that peers made. */
@@ -46,10 +46,13 @@
     return () => void this.#streams.delete(kind);
   }
 
+  /** Several parts of a process may listen to the same kind. */
   registerNotify<K extends Message["kind"]>(kind: K, handler: NotifyHandler<K>): Undo {
-    this.#assertFree(this.#notifies, kind);
-    this.#notifies.set(kind, handler as unknown as NotifyHandler<Message["kind"]>);
-    return () => void this.#notifies.delete(kind);
+    const handlers = this.#notifies.get(kind) ?? new Set();
+    const added = handler as unknown as NotifyHandler<Message["kind"]>;
+    handlers.add(added);
+    this.#notifies.set(kind, handlers);
+    return () => void handlers.delete(added);
   }
 
   onLink(link: Link): void {
@@ -65,7 +68,7 @@
   }
 
   onNotify(link: Link, msg: Message): void {
-    this.#notifies.get(msg.kind)?.(link, msg);
+    for (const handler of this.#notifies.get(msg.kind) ?? []) handler(link, msg);
   }
 
   #assertFree(map: ReadonlyMap<string, unknown>, kind: string): void {
--- /dev/null
+++ b/packages/daemon/src/process_parts.ts
@@ -0,0 +1,105 @@
+/**
+ * What entry and side processes have in common: identity, links, and the configuration in force.
+ *
+ * @module
+ */
+import {
+  type Clock,
+  createLogger,
+  createMetrics,
+  type HostId,
+  type Logger,
+  type Metrics,
+  Rng,
+  type Undo,
+} from "@wisteriapick/core";
+import { ControlProcess, memberKey } from "@wisteriapick/control";
+import type { HostList, ObjectStore } from "@wisteriapick/platform";
+import { type Identity, type LinkListener, LinkPool, listenLinks } from "@wisteriapick/wire";
+
+import { LinkRouter } from "./link_router.ts";
+import { formatAddress, parseAddress, PooledLinks } from "./link_source.ts";
+
+/** What every process is made with. */
+export interface ProcessOptions {
+  readonly identity: Identity;
+  readonly clusterKey: Uint8Array | string;
+  /** Where links are accepted, as `ip:port`; port 0 lets the system choose. */
+  readonly linkAddress: string;
+  readonly store: ObjectStore;
+  readonly hostList: HostList;
+  readonly clock: Clock;
+  readonly seed: number;
+  readonly log?: Logger;
+}
+
+/** Parts shared by entry and side. */
+export interface ProcessParts {
+  readonly router: LinkRouter;
+  readonly pool: LinkPool;
+  readonly links: PooledLinks;
+  readonly control: ControlProcess;
+  readonly listener: LinkListener;
+  /** Bound link address as `ip:port`. */
+  readonly linkAddress: string;
+  readonly memberKey: string;
+  readonly rng: Rng;
+  readonly log: Logger;
+  readonly metrics: Metrics;
+  /** Starts to follow the configuration. */
+  start(): Undo;
+  close(): Promise<void>;
+}
+
+/** Binds the link address and puts the shared parts together. */
+export async function makeProcessParts(options: ProcessOptions): Promise<ProcessParts> {
+  const { identity, clusterKey, clock, store, hostList, seed } = options;
+  const log = options.log ?? createLogger(identity.role);
+  const metrics = createMetrics();
+  const rng = new Rng(seed);
+  const router = new LinkRouter();
+  const shared = { identity, clusterKey, acceptor: router, clock, metrics, log };
+  const listener = await listenLinks({ ...shared, address: parseAddress(options.linkAddress) });
+  const pool = new LinkPool({ ...shared, rng: rng.fork("pool") });
+  const linkAddress = formatAddress(listener.address);
+  const key = memberKeyOf(identity.host, identity.role);
+  const control = new ControlProcess({
+    self: { key, dataCentre: identity.dataCentre, address: linkAddress },
+    process: identity.process,
+    store,
+    hostList,
+    pool,
+    clock,
+    rng: rng.fork("control"),
+  });
+  return {
+    router,
+    pool,
+    links: new PooledLinks(pool),
+    control,
+    listener,
+    linkAddress,
+    memberKey: key,
+    rng,
+    log,
+    metrics,
+    start: () => startControl(control, router),
+    close: async () => {
+      pool.close();
+      await listener.close();
+    },
+  };
+}
+
+function memberKeyOf(host: HostId, role: Identity["role"]): string {
+  return memberKey(host, role === "entry" ? "entry" : "side");
+}
+
+function startControl(control: ControlProcess, router: LinkRouter): Undo {
+  const undos = [
+    router.registerStream("config_pull", (_link, msg, stream) => control.links.accept(msg, stream)),
+    router.registerNotify("config_push", (_link, msg) => control.links.acceptOffer(msg)),
+    control.start(),
+  ];
+  return () => undos.forEach((undo) => undo());
+}
