Use the retry policy, fence gate, moves and return ramp in the daemons

Both relays share one record of tries and ask RetryPolicy, which may hold a request at the entry. Each attempt becomes evidence about its version. Claims past their retention can be swept.

--- a/packages/daemon/src/call_relay.ts
+++ b/packages/daemon/src/call_relay.ts
@@ -3,20 +3,28 @@
  *
  * @module
  */
-import type {
-  Clock,
-  EndpointId,
-  Metrics,
-  Refusal,
-  RefusalReason,
-  VersionId,
+import {
+  type Clock,
+  type EndpointId,
+  type Metrics,
+  type Refusal,
+  Rng,
+  type VersionId,
 } from "@wisteriapick/core";
-import type { AttemptOutcome, Placement, PlacementRequest } from "@wisteriapick/policy";
+import type { Outcome } from "@wisteriapick/control";
+import {
+  type AttemptOutcome,
+  type Placement,
+  type PlacementRequest,
+  RetryPolicy,
+} from "@wisteriapick/policy";
 import type { Call, EndpointLoad } from "@wisteriapick/wire";
 import { CallAttempt, type CallResult, type CallSink } from "./call_attempt.ts";
 import type { Directory, DirectoryEntry } from "./directory.ts";
 import type { LinkSource } from "./link_source.ts";
+import { OutcomeRecorder } from "./outcome_recorder.ts";
 import type { ReplayableBody } from "./replayable_body.ts";
+import { Tries } from "./tries.ts";
 
 /** Parts that a call relay works with. */
 export interface CallRelayDeps {
@@ -30,12 +38,19 @@
   readonly versionOf: (endpoint: EndpointId) => VersionId | null;
   /** Told of each load that an answer carries. */
   readonly noteLoad: (load: EndpointLoad) => void;
+  readonly retry?: RetryPolicy;
+  /** Told of each attempt that is evidence about its version. */
+  readonly onOutcome?: (outcome: Outcome) => void;
 }
 
 /** One call. */
 export interface CallRequest {
   readonly call: Omit<Call, "kind" | "version" | "attempt" | "remainingMs">;
   readonly versions: readonly VersionId[];
+  /** Endpoints that the call must not go to. */
+  readonly barred?: ReadonlySet<EndpointId>;
+  /** The route's pattern, by which evidence is told apart; method and path by default. */
+  readonly route?: string;
   readonly body: ReplayableBody;
   /** Monotonic time by which the answer's head must arrive. */
   readonly deadlineMs: number;
@@ -52,75 +67,69 @@
   readonly mayHaveRun: boolean;
 }
 
-interface Progress {
-  attempts: number;
-  endpoint: EndpointId | null;
-  readonly excluded: Set<EndpointId>;
-  last: Refusal | null;
-  mayHaveRun: boolean;
-}
-
 /** Relays calls for one entry. */
 export class CallRelay {
   readonly #deps: CallRelayDeps;
+  readonly #retry: RetryPolicy;
 
   constructor(deps: CallRelayDeps) {
     this.#deps = deps;
+    this.#retry = deps.retry ?? new RetryPolicy(new Rng(1), { maxHops: deps.maxHops });
   }
 
   /** Runs a call. A refusal is returned, not sent; an answer goes to the sink. */
   async run(req: CallRequest, sink: CallSink): Promise<CallOutcome> {
-    const progress: Progress = {
-      attempts: 0,
-      endpoint: null,
-      excluded: new Set(),
-      last: null,
-      mayHaveRun: false,
-    };
-    while (progress.attempts < this.#deps.maxHops) {
-      const now = this.#deps.clock.now();
-      if (req.gone.aborted) return outcome(progress, "caller_gone", null);
-      if (now >= req.deadlineMs) return refused(progress, "deadline_exceeded");
-      const place = placementRequest(req, progress);
-      const chosen = this.#deps.placement.choose(place, now);
-      const target = chosen === null ? undefined : this.#deps.directory.get(chosen);
-      if (target === undefined) return refused(progress, "no_endpoint");
-      const watched = new WatchedSink(sink);
-      const res = await this.#attempt(req, progress, target, place, watched);
-      const done = this.#judge(req, progress, res, watched.committed);
-      if (done !== null) return done;
+    const { clock, metrics, placement, directory } = this.#deps;
+    const tries = this.#makeTries(req);
+    const deps = { clock, metrics, retry: this.#retry };
+    for (;;) {
+      const now = clock.now();
+      if (req.gone.aborted) return outcome(tries, "caller_gone", null);
+      if (now >= req.deadlineMs) return outcome(tries, "refused", tries.late());
+      const chosen = tries.choose(placement, now);
+      const target = chosen === null ? undefined : directory.get(chosen.endpoint);
+      let refusal: Refusal | null = null;
+      if (chosen !== null && target !== undefined) {
+        const watched = new WatchedSink(sink);
+        const res = await this.#attempt(req, tries, target, chosen.place, watched);
+        const done = this.#judge(req, tries, res, watched.committed);
+        if (done !== null) return done;
+        if (res.type !== "answered") refusal = attemptRefusal(res);
+      }
+      const last = await tries.next(refusal, deps);
+      if (last !== null) return outcome(tries, "refused", last);
     }
-    return refused(progress, "hops_exhausted");
   }
 
   async #attempt(
     req: CallRequest,
-    progress: Progress,
+    tries: Tries,
     target: DirectoryEntry,
     place: PlacementRequest,
-    sink: CallSink,
+    sink: WatchedSink,
   ): Promise<CallResult> {
     const { clock, placement, links, silenceMs } = this.#deps;
+    const { endpoint } = target;
     const startMs = clock.now();
-    progress.attempts++;
-    progress.endpoint = target.endpoint;
-    progress.excluded.add(target.endpoint);
-    placement.recordSent(target.endpoint, place, startMs);
-    const record = (ev: AttemptOutcome) =>
-      placement.recordOutcome(target.endpoint, ev, clock.now());
+    const known = this.#deps.versionOf(endpoint);
+    const version = known !== null && req.versions.includes(known) ? known : req.versions[0]!;
+    tries.begin(endpoint, version);
+    placement.recordSent(endpoint, place, startMs);
+    const record = (ev: AttemptOutcome) => placement.recordOutcome(endpoint, ev, clock.now());
     const link = await links.get(target.side).catch(() => null);
     if (link === null) {
       record({ type: "failed", reason: "link_lost" });
       return { type: "not_sent" };
     }
-    const known = this.#deps.versionOf(target.endpoint);
-    const version = known !== null && req.versions.includes(known) ? known : req.versions[0]!;
     const remainingMs = Math.max(0, req.deadlineMs - clock.now());
+    const { service, method, path } = req.call;
+    const route = req.route ?? `${method} ${path.split("?", 1)[0]}`;
+    const recorder = new OutcomeRecorder({ service, version, route, endpoint });
     const call: Call = {
       ...req.call,
       kind: "call",
       version,
-      attempt: progress.attempts,
+      attempt: tries.attempts,
       remainingMs,
     };
     const attempt = new CallAttempt(link, call, {
@@ -132,47 +141,75 @@
       gone: req.gone,
       onAdmitted: (load) => {
         this.#deps.noteLoad(load);
+        recorder.admitted(load);
         record({ type: "admitted", load });
       },
-      onHead: () => record({ type: "first_token", waitMs: clock.now() - startMs }),
+      onHead: () => {
+        recorder.first(clock.now() - startMs);
+        record({ type: "first_token", waitMs: clock.now() - startMs });
+      },
     });
     const res = await attempt.done;
     record(attemptOutcome(res));
-    if (res.type === "not_run") {
-      const { reason, load } = res.reply;
-      this.#deps.noteLoad(load);
-      // It may be asked again for the version that it runs.
-      if (reason === "version_mismatch" && req.versions.includes(load.version)) {
-        progress.excluded.delete(target.endpoint);
-      }
-    }
+    this.#learn(req, tries, endpoint, res, { recorder, status: sink.status });
     return res;
   }
 
-  /** Decides how an attempt's end ends the call; `null` means that the next side is tried. */
+  /** Takes over what an attempt says about versions and endpoints. */
+  #learn(
+    req: CallRequest,
+    tries: Tries,
+    endpoint: EndpointId,
+    res: CallResult,
+    { recorder, status }: { recorder: OutcomeRecorder; status: number },
+  ): void {
+    const { onOutcome = () => {}, noteLoad } = this.#deps;
+    if (res.type === "answered") onOutcome(recorder.answered({ failed: status >= 500 }));
+    if (res.type === "failed" && res.refusal.notRun !== true) {
+      const failure = recorder.failure(res.refusal.type);
+      if (failure !== null) onOutcome(failure);
+    }
+    if (res.type !== "not_run") return;
+    const { reason, load } = res.reply;
+    noteLoad(load);
+    // It may be asked again for the version that it runs.
+    if (reason === "version_mismatch" && req.versions.includes(load.version)) tries.allow(endpoint);
+  }
+
+  /** Decides how an attempt's end ends the call; `null` means that the retry policy is asked. */
   #judge(
     req: CallRequest,
-    progress: Progress,
+    tries: Tries,
     res: CallResult,
     committed: boolean,
   ): CallOutcome | null {
-    if (res.type === "answered") return outcome(progress, "answered", null);
+    if (res.type === "answered") return outcome(tries, "answered", null);
     const refusal = attemptRefusal(res);
-    if (refusal.notRun !== true) progress.mayHaveRun = true;
-    if (committed) return outcome(progress, "broken", refusal);
-    if (res.type === "caller_gone") return outcome(progress, "caller_gone", null);
-    progress.last = refusal;
-    const again = refusal.notRun === true || req.call.repeatable;
+    tries.failed(refusal);
+    if (committed) return outcome(tries, "broken", refusal);
+    if (res.type === "caller_gone") return outcome(tries, "caller_gone", null);
     const late = refusal.type === "deadline_exceeded";
-    if (!again || late || !req.body.replayable) return outcome(progress, "failed", refusal);
-    this.#deps.metrics.countRetry(refusal.type);
-    return null;
+    return late || !req.body.replayable ? outcome(tries, "failed", refusal) : null;
+  }
+
+  #makeTries(req: CallRequest): Tries {
+    const { service, account, repeatable } = req.call;
+    const { versions, deadlineMs, barred = new Set() } = req;
+    return new Tries({
+      place: { service, account, promptTokens: 0, prefixes: [], expectedTokens: 1 },
+      versions,
+      barred,
+      repeatable,
+      arrivedAtMs: this.#deps.clock.now(),
+      deadlineMs,
+    });
   }
 }
 
 /** Notes whether the caller has seen the head of an answer. */
 class WatchedSink implements CallSink {
   committed = false;
+  status = 0;
   readonly #sink: CallSink;
 
   constructor(sink: CallSink) {
@@ -181,6 +218,7 @@
 
   head(...args: Parameters<CallSink["head"]>): void {
     this.committed = true;
+    this.status = args[0];
     this.#sink.head(...args);
   }
 
@@ -193,18 +231,6 @@
   }
 }
 
-function placementRequest(req: CallRequest, progress: Progress): PlacementRequest {
-  return {
-    service: req.call.service,
-    account: req.call.account,
-    versions: req.versions,
-    promptTokens: 0,
-    prefixes: [],
-    expectedTokens: 1,
-    excluded: progress.excluded,
-  };
-}
-
 function attemptOutcome(res: CallResult): AttemptOutcome {
   switch (res.type) {
     case "answered":
@@ -241,25 +267,9 @@
 }
 
 function outcome(
-  progress: Progress,
+  { endpoint, attempts, notRun }: Tries,
   result: CallOutcome["result"],
   refusal: Refusal | null,
 ): CallOutcome {
-  const { endpoint, attempts, mayHaveRun } = progress;
-  return { result, refusal, endpoint, attempts, mayHaveRun };
-}
-
-const MESSAGES: Partial<Record<RefusalReason, string>> = {
-  deadline_exceeded: "the deadline passed before an endpoint took the call",
-  no_endpoint: "no endpoint can take the call at present",
-  hops_exhausted: "no endpoint that was tried took the call",
-};
-
-function refused(progress: Progress, type: RefusalReason): CallOutcome {
-  const { last, mayHaveRun } = progress;
-  const reason = last === null || type === "deadline_exceeded" ? type : last.type;
-  const message = last === null ? MESSAGES[type]! : `${MESSAGES[type]}: ${last.message}`;
-  const retryAfterMs = last?.retryAfterMs ?? (type === "no_endpoint" ? 1_000 : undefined);
-  const notRun = mayHaveRun ? "unknown" : true;
-  return outcome(progress, "refused", { type: reason, message, notRun, retryAfterMs });
+  return { result, refusal, endpoint, attempts, mayHaveRun: notRun !== true };
 }
--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { randomBytes } from "node:crypto";
+import { randomBytes, randomInt } from "node:crypto";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Duplex } from "node:stream";
 import {
@@ -11,62 +11,32 @@
   type DataCentreId,
   type EndpointId,
   generationId,
-  type Logger,
   type Metrics,
   refuse,
   type RequestId,
+  Rng,
+  type ServiceId,
   toRefusal,
   type Undo,
   type VersionId,
-  type World,
 } from "@wisteriapick/core";
-import type { Account, ConfigSource, ConfigView } from "@wisteriapick/control";
+import { type Account, closedTo, type ConfigView } from "@wisteriapick/control";
 import { encodeModelList, ResumeSigner } from "@wisteriapick/delivery";
-import type { ObjectStore } from "@wisteriapick/platform";
-import { LengthEstimator, type Placement, Quarantine } from "@wisteriapick/policy";
-import type { Identity, LoadReport } from "@wisteriapick/wire";
+import { LengthEstimator, Quarantine, RetryPolicy } from "@wisteriapick/policy";
+import type { EndpointLoad, LoadReport } from "@wisteriapick/wire";
 import findMyWay, { type HTTPMethod } from "find-my-way";
 import { CallRelay } from "./call_relay.ts";
-import type { Directory, DirectoryEntry } from "./directory.ts";
+import type { DirectoryEntry } from "./directory.ts";
 import { authenticate } from "./entry_auth.ts";
 import { PlainCalls } from "./entry_calls.ts";
 import { Completions } from "./entry_completions.ts";
 import type { EntryContext, RequestRow } from "./entry_context.ts";
-import { GenerationRelay, RELAY_LIMITS, type RelayLimits } from "./entry_relay.ts";
+import type { EntryOptions } from "./entry_options.ts";
+import { GenerationRelay, RELAY_LIMITS } from "./entry_relay.ts";
 import { sendProblem } from "./entry_sinks.ts";
-import { ConfiguredVersions, type VersionChooser } from "./entry_versions.ts";
-import { type HttpListenOptions, listenHttp, makeHttpServer, sendJson } from "./http_server.ts";
-import { IdempotencyClaims, type IdempotencyOptions } from "./idempotency.ts";
-import type { LinkRouter } from "./link_router.ts";
-import type { LinkSource } from "./link_source.ts";
-
-/** What an entry is made of. */
-export interface EntryOptions {
-  readonly identity: Identity;
-  readonly clusterKey: Uint8Array | string;
-  readonly listen: HttpListenOptions;
-  readonly config: ConfigSource;
-  readonly directory: Directory;
-  readonly links: LinkSource;
-  readonly router: LinkRouter;
-  readonly placement: Placement;
-  readonly world: World;
-  readonly log: Logger;
-  /** Holds idempotency keys; without it, calls with a key are refused. */
-  readonly store?: ObjectStore;
-  readonly idempotency?: Partial<Omit<IdempotencyOptions, "store" | "clock">>;
-  readonly versions?: VersionChooser;
-  readonly metrics?: Metrics;
-  readonly quarantine?: Quarantine;
-  readonly lengths?: LengthEstimator;
-  readonly limits?: Partial<RelayLimits>;
-  /** Largest body of a completion request; it must fit into one frame. */
-  readonly maxBodyBytes?: number;
-  /** Silence of a plain service's answer that ends a call. */
-  readonly callSilenceMs?: number;
-  /** Makes ids; random by default. */
-  readonly makeId?: (prefix: string) => string;
-}
+import { ConfiguredVersions } from "./entry_versions.ts";
+import { listenHttp, makeHttpServer, sendJson } from "./http_server.ts";
+import { IdempotencyClaims } from "./idempotency.ts";
 
 /** Handles one request under `/admin/` after the operator's key has been checked. */
 export type AdminHandler = (
@@ -215,6 +185,7 @@
       requests: table,
       makeId,
       versionOf: (endpoint) => this.#versionOf(endpoint),
+      barred: (view, service, id) => this.#barred(view, service, id),
       assertServing: () => this.#assertServing(),
     };
   }
@@ -241,6 +212,15 @@
     });
   }
 
+  /** What both relays do around each attempt. */
+  #attemptParts() {
+    const { rng = new Rng(randomInt(2 ** 31)), limits, onOutcome } = this.#o;
+    const { maxHops } = { ...RELAY_LIMITS, ...limits };
+    const noteLoad = (load: EndpointLoad) =>
+      void this.#endpointVersions.set(load.endpoint, load.version);
+    return { retry: new RetryPolicy(rng.fork("retry"), { maxHops }), noteLoad, onOutcome };
+  }
+
   #makeCompletions(ctx: EntryContext): Completions {
     const { world, directory, links, placement, clusterKey, maxBodyBytes } = this.#o;
     const limits = { ...RELAY_LIMITS, ...this.#o.limits };
@@ -256,7 +236,7 @@
       limits,
       makeGenerationId: () => generationId(ctx.makeId("g")),
       versionOf: ctx.versionOf,
-      noteLoad: (load) => this.#endpointVersions.set(load.endpoint, load.version),
+      ...this.#attemptParts(),
     });
     const options = {
       relay,
@@ -281,7 +261,7 @@
       maxHops: limits?.maxHops ?? RELAY_LIMITS.maxHops,
       silenceMs: this.#o.callSilenceMs ?? CALL_SILENCE_MS,
       versionOf: ctx.versionOf,
-      noteLoad: (load) => this.#endpointVersions.set(load.endpoint, load.version),
+      ...this.#attemptParts(),
     });
     const claims = store === undefined
       ? null
@@ -364,6 +344,17 @@
     this.#o.placement.setDataCentres(usable);
   }
 
+  /** While a data centre returns, a growing share of requests may go there. */
+  #barred(view: ConfigView, service: ServiceId, id: RequestId): ReadonlySet<EndpointId> {
+    const barred = new Set<EndpointId>();
+    const closed = closedTo(view, id, this.#o.world.clock.wall());
+    if (closed.size === 0) return barred;
+    for (const row of this.#o.directory.rows()) {
+      if (row.service === service && closed.has(row.dataCentre)) barred.add(row.endpoint);
+    }
+    return barred;
+  }
+
   #versionOf(endpoint: EndpointId): VersionId | null {
     return this.#endpointVersions.get(endpoint) ??
       this.#o.config.current().endpoints.get(endpoint)?.version ?? null;
--- a/packages/daemon/src/entry_calls.ts
+++ b/packages/daemon/src/entry_calls.ts
@@ -28,7 +28,7 @@
   MAX_REPLAY_BYTES,
   type StoredAnswer,
 } from "./idempotency.ts";
-import { mayRepeat } from "./plain_routes.ts";
+import { type MatchedRoute, matchRoute } from "./plain_routes.ts";
 import { REPLAY_BYTES, ReplayableBody } from "./replayable_body.ts";
 
 /** Largest body of a call with an idempotency key; it is held to compute its digest. */
@@ -49,6 +49,7 @@
   readonly account: Account;
   readonly service: Service;
   readonly path: string;
+  readonly route: MatchedRoute;
   readonly id: RequestId;
 }
 
@@ -70,15 +71,16 @@
     const path = servicePath(req.url!);
     const id = requestId(this.#ctx.makeId("r"));
     res.setHeader("x-request-id", id);
-    const c: Context = { req, res, view, account, service, path, id };
-    const repeatable = mayRepeat(service, req.method!, path);
+    const route = matchRoute(service, req.method!, path);
+    const { repeatable } = route;
+    const c: Context = { req, res, view, account, service, path, route, id };
     const key = req.headers["idempotency-key"];
     await trackRequest(this.#ctx, id, { account: account.id, service: service.id }, async () => {
       if (repeatable || key === undefined) {
         const maxBytes = repeatable ? REPLAY_BYTES : 0;
         const body = new ReplayableBody(req, { maxBytes });
         const sink = new HttpCallSink(res);
-        const outcome = await this.#run(c, repeatable, body, sink, goneSignal(res));
+        const outcome = await this.#run(c, body, sink, goneSignal(res));
         this.#answer(c, outcome);
       } else await this.#keyed(c, String(key));
     });
@@ -100,7 +102,7 @@
     const stay = new AbortController().signal;
     let outcome: CallOutcome;
     try {
-      outcome = await this.#run(c, false, source, sink, stay);
+      outcome = await this.#run(c, source, sink, stay);
     } catch (e) {
       const refusal = toRefusal(e, "unknown");
       if (refusal.notRun === true) void claims.release(res.claim);
@@ -131,7 +133,6 @@
 
   async #run(
     c: Context,
-    repeatable: boolean,
     body: ReplayableBody,
     sink: CallSink,
     gone: AbortSignal,
@@ -146,12 +147,14 @@
         method: req.method!,
         path,
         headers: callHeaders(c),
-        repeatable,
+        repeatable: c.route.repeatable,
         revision: view.revision,
         digest: callDigest(service.id, req.method!, path),
         hasBody: hasBody(req),
       },
       versions: chooseVersions(this.#ctx, view, service, id),
+      barred: this.#ctx.barred(view, service.id, id),
+      route: c.route.name,
       body,
       deadlineMs: this.#ctx.world.clock.now() + startDeadline(req, service.startDeadlineMs),
       gone,
--- a/packages/daemon/src/entry_completions.ts
+++ b/packages/daemon/src/entry_completions.ts
@@ -133,6 +133,7 @@
         ...promptShape(format, service.id, completion.prompt),
       },
       versions: chooseVersions(this.#ctx, view, service, id),
+      barred: this.#ctx.barred(view, service.id, id),
       completion,
       expectedTokens: this.#o.lengths.expectedRemaining(
         service.id,
--- a/packages/daemon/src/entry_context.ts
+++ b/packages/daemon/src/entry_context.ts
@@ -10,6 +10,7 @@
   type Metrics,
   refuse,
   type RequestId,
+  type ServiceId,
   type Table,
   type VersionId,
   type World,
@@ -35,6 +36,8 @@
   readonly makeId: (prefix: string) => string;
   /** The version that an endpoint is known to run. */
   versionOf(endpoint: EndpointId): VersionId | null;
+  /** Endpoints that a request must not go to because their data centre is only just returning. */
+  barred(view: ConfigView, service: ServiceId, id: RequestId): ReadonlySet<EndpointId>;
   /** Refuses new work while the entry is stopping or has no recent configuration. */
   assertServing(): void;
 }
--- a/packages/daemon/src/entry_relay.ts
+++ b/packages/daemon/src/entry_relay.ts
@@ -3,15 +3,17 @@
  *
  * @module
  */
-import type {
-  Clock,
-  EndpointId,
-  GenerationId,
-  Metrics,
-  Refusal,
-  RefusalReason,
-  VersionId,
+import {
+  type Clock,
+  type EndpointId,
+  type GenerationId,
+  type Metrics,
+  type Refusal,
+  type RefusalReason,
+  Rng,
+  type VersionId,
 } from "@wisteriapick/core";
+import type { Outcome } from "@wisteriapick/control";
 import {
   type AnswerHead,
   type CompletionRequest,
@@ -23,16 +25,19 @@
   type Placement,
   type PlacementRequest,
   Quarantine,
+  RetryPolicy,
 } from "@wisteriapick/policy";
 import type { End, EndpointLoad, NotRunReply, Run } from "@wisteriapick/wire";
 import type { Directory, DirectoryEntry } from "./directory.ts";
 import { type FollowerResult, followGeneration, type FollowLimits } from "./entry_follower.ts";
 import type { AnswerSink } from "./entry_sinks.ts";
 import type { LinkSource } from "./link_source.ts";
+import { OutcomeRecorder } from "./outcome_recorder.ts";
+import { Tries } from "./tries.ts";
 
 /** Bounds of {@link GenerationRelay}. */
 export interface RelayLimits extends FollowLimits {
-  /** Endpoints tried for one request. */
+  /** Endpoints asked one after the other. */
   readonly maxHops: number;
   /** Validity of resume ids. */
   readonly resumeTtlMs: number;
@@ -62,8 +67,11 @@
   readonly versionOf: (endpoint: EndpointId) => VersionId | null;
   /** Requests that crash endpoints, as far as this entry knows. */
   readonly quarantine?: Quarantine;
+  readonly retry?: RetryPolicy;
   /** Told of each load that an answer carries. */
   readonly noteLoad: (load: EndpointLoad) => void;
+  /** Told of each attempt that is evidence about its version. */
+  readonly onOutcome?: (outcome: Outcome) => void;
 }
 
 /** One request. */
@@ -71,6 +79,8 @@
   /** The parts of the message that stay the same for each attempt. */
   readonly run: Omit<Run, "kind" | "gen" | "version" | "attempt" | "remainingMs">;
   readonly versions: readonly VersionId[];
+  /** Endpoints that the request must not go to. */
+  readonly barred?: ReadonlySet<EndpointId>;
   readonly completion: CompletionRequest;
   readonly expectedTokens: number;
   /** Monotonic time after which it must not start. */
@@ -91,62 +101,65 @@
   readonly refusal: Refusal | null;
 }
 
+interface Job {
+  readonly req: RelayRequest;
+  readonly sink: AnswerSink;
+  readonly tries: Tries;
+  gen: GenerationId | null;
+}
+
 /** Relays generations for one entry. */
 export class GenerationRelay {
   readonly #deps: RelayDeps;
   readonly #quarantine: Quarantine;
+  readonly #retry: RetryPolicy;
 
   constructor(deps: RelayDeps) {
     this.#deps = deps;
     this.#quarantine = deps.quarantine ?? new Quarantine();
+    this.#retry = deps.retry ?? new RetryPolicy(new Rng(1), { maxHops: deps.limits.maxHops });
   }
 
   /** Runs a request and gives its answer to the sink. */
   async run(req: RelayRequest, sink: AnswerSink): Promise<RelayOutcome> {
-    const hops = new Hops(req);
-    while (hops.attempts < this.#deps.limits.maxHops) {
-      if (req.gone.aborted) return hops.outcome("caller_gone", null);
-      const now = this.#deps.clock.now();
-      if (now >= req.deadlineMs) return hops.refuse(sink, "deadline_exceeded", this.#deps);
+    const { clock, metrics, placement, directory } = this.#deps;
+    const job: Job = { req, sink, tries: this.#makeTries(req), gen: null };
+    const deps = { clock, metrics, retry: this.#retry };
+    for (;;) {
+      if (req.gone.aborted) return outcome(job, "caller_gone", null);
+      const now = clock.now();
+      if (now >= req.deadlineMs) return this.#fail(job, job.tries.late());
       const quarantinedMs = this.#quarantine.remainingMs(req.run.digest, now);
-      if (quarantinedMs > 0) return hops.fail(sink, quarantined(hops, quarantinedMs), this.#deps);
-      const place = hops.placement();
-      const endpoint = this.#deps.placement.choose(place, now);
-      const target = endpoint === null ? undefined : this.#deps.directory.get(endpoint);
-      if (target === undefined) return hops.refuse(sink, "no_endpoint", this.#deps);
-      const done = await this.#attempt(req, sink, hops, target, place);
-      if (done !== null) return done;
+      if (quarantinedMs > 0) return this.#fail(job, quarantined(job, quarantinedMs));
+      const chosen = job.tries.choose(placement, now);
+      const target = chosen === null ? undefined : directory.get(chosen.endpoint);
+      const res = chosen === null || target === undefined
+        ? null
+        : await this.#attempt(job, target, chosen.place);
+      if (res !== null && "result" in res) return res;
+      const last = await job.tries.next(res, deps);
+      if (last !== null) return this.#fail(job, last);
     }
-    return hops.refuse(sink, "hops_exhausted", this.#deps);
   }
 
+  /** Makes one attempt. Returns how the request ended, or why another endpoint is to be asked. */
   async #attempt(
-    req: RelayRequest,
-    sink: AnswerSink,
-    hops: Hops,
+    job: Job,
     target: DirectoryEntry,
     place: PlacementRequest,
-  ): Promise<RelayOutcome | null> {
+  ): Promise<RelayOutcome | Refusal> {
     const { clock, placement, limits, links } = this.#deps;
-    const gen = this.#deps.makeGenerationId();
-    const known = this.#deps.versionOf(target.endpoint);
-    const version = known !== null && req.versions.includes(known) ? known : req.versions[0]!;
+    const { req, sink, tries } = job;
     const startMs = clock.now();
-    hops.begin(gen, target.endpoint, version);
-    sink.begin(...this.#head(req, gen, target));
-    placement.recordSent(target.endpoint, place, startMs);
-    const record = (outcome: AttemptOutcome) =>
-      placement.recordOutcome(target.endpoint, outcome, clock.now());
+    const run = this.#makeRun(job, target, startMs);
+    const { service, route } = req.run;
+    const { endpoint } = target;
+    const recorder = new OutcomeRecorder({ service, version: run.version, route, endpoint });
+    const record = (ev: AttemptOutcome) => placement.recordOutcome(endpoint, ev, clock.now());
     let lastMs = startMs;
-    const run: Run = {
-      ...req.run,
-      kind: "run",
-      gen,
-      version,
-      attempt: hops.attempts,
-      suspectCrashes: this.#quarantine.crashes(req.run.digest, startMs),
-      remainingMs: Math.max(0, req.deadlineMs - startMs),
-    };
+    tries.begin(endpoint, run.version);
+    sink.begin(...this.#head(req, run.gen, target));
+    placement.recordSent(endpoint, place, startMs);
     const res = await followGeneration(target.side, run, {
       clock,
       links,
@@ -156,73 +169,117 @@
       gone: req.gone,
       onAdmitted: (load) => {
         this.#deps.noteLoad(load);
+        recorder.admitted(load);
         record({ type: "admitted", load });
       },
       onTokens: (offset) => {
         const now = clock.now();
-        if (offset === 0) record({ type: "first_token", waitMs: now - startMs });
-        else record({ type: "gap", gapMs: now - lastMs });
+        if (offset === 0) {
+          recorder.first(now - startMs);
+          record({ type: "first_token", waitMs: now - startMs });
+        } else {
+          recorder.gap(now - lastMs);
+          record({ type: "gap", gapMs: now - lastMs });
+        }
         lastMs = now;
       },
     });
     record(attemptOutcome(res));
-    if (res.type === "fail" && res.suspects !== undefined) {
-      this.#quarantine.merge(res.suspects, clock.now());
+    this.#learn(job, endpoint, res, recorder);
+    return this.#settle(job, target, res);
+  }
+
+  #makeRun(job: Job, target: DirectoryEntry, startMs: number): Run {
+    const { req, tries } = job;
+    const known = this.#deps.versionOf(target.endpoint);
+    const version = known !== null && req.versions.includes(known) ? known : req.versions[0]!;
+    const gen = this.#deps.makeGenerationId();
+    job.gen = gen;
+    return {
+      ...req.run,
+      kind: "run",
+      gen,
+      version,
+      attempt: tries.attempts + 1,
+      suspectCrashes: this.#quarantine.crashes(req.run.digest, startMs),
+      remainingMs: Math.max(0, req.deadlineMs - startMs),
+    };
+  }
+
+  /** Takes over what an attempt says about requests, versions and endpoints. */
+  #learn(job: Job, endpoint: EndpointId, res: FollowerResult, recorder: OutcomeRecorder): void {
+    const { onOutcome = () => {} } = this.#deps;
+    switch (res.type) {
+      case "end":
+        return onOutcome(recorder.answered({ failed: false }));
+      case "not_run":
+        return this.#noteMismatch(job, endpoint, res.reply);
+      case "fail": {
+        if (res.suspects !== undefined) {
+          this.#quarantine.merge(res.suspects, this.#deps.clock.now());
+        }
+        const failure = res.refusal.notRun === true ? null : recorder.failure(res.refusal.type);
+        if (failure !== null) onOutcome(failure);
+      }
     }
-    if (res.type === "not_run") this.#noteMismatch(req, hops, target.endpoint, res.reply);
-    return this.#settle(req, sink, hops, target, res);
   }
 
   /** An endpoint that was asked for the wrong version may be asked again for the one it runs. */
-  #noteMismatch(
-    req: RelayRequest,
-    hops: Hops,
-    endpoint: EndpointId,
-    { reason, load }: NotRunReply,
-  ): void {
+  #noteMismatch(job: Job, endpoint: EndpointId, { reason, load }: NotRunReply): void {
     this.#deps.noteLoad(load);
-    if (reason === "version_mismatch" && req.versions.includes(load.version)) {
-      hops.allow(endpoint);
+    if (reason === "version_mismatch" && job.req.versions.includes(load.version)) {
+      job.tries.allow(endpoint);
     }
   }
 
-  /** Ends the request, or returns `null` where the next endpoint is to be tried. */
-  #settle(
-    req: RelayRequest,
-    sink: AnswerSink,
-    hops: Hops,
-    target: DirectoryEntry,
-    res: FollowerResult,
-  ): RelayOutcome | null {
-    if (res.type === "end") return this.#finish(sink, hops, res.end);
+  #settle(job: Job, target: DirectoryEntry, res: FollowerResult): RelayOutcome | Refusal {
+    const { sink, tries } = job;
+    if (res.type === "end") return this.#finish(job, res.end);
     if (res.type === "caller_gone") {
       // Nobody can ask for an answer whose id no caller has seen.
-      if (!sink.committed) this.#cancel(req, hops, target);
-      return hops.outcome("caller_gone", null);
+      if (!sink.committed) this.#cancel(job, target);
+      return outcome(job, "caller_gone", null);
     }
     const refusal = attemptRefusal(res);
-    if (sink.committed) return hops.fail(sink, { ...refusal, notRun: false }, this.#deps);
-    hops.failed(refusal);
-    if (res.type === "lost") this.#cancel(req, hops, target);
-    if (!mayRunElsewhere(refusal)) return hops.fail(sink, refusal, this.#deps);
-    this.#deps.metrics.countRetry(refusal.type);
-    return null;
+    if (sink.committed) return this.#fail(job, { ...refusal, notRun: false });
+    if (res.type === "lost") this.#cancel(job, target);
+    tries.failed(refusal);
+    return refusal;
   }
 
-  #finish(sink: AnswerSink, hops: Hops, end: End): RelayOutcome {
+  #finish(job: Job, end: End): RelayOutcome {
     if (end.reason === "cancelled") {
       const message = "the generation was cancelled";
-      return hops.fail(sink, { type: "cancelled", message, notRun: false }, this.#deps);
+      return this.#fail(job, { type: "cancelled", message, notRun: false });
     }
-    sink.end(end.reason, end);
-    return { ...hops.outcome("end", null), tokens: end.completionTokens };
+    job.sink.end(end.reason, end);
+    return { ...outcome(job, "end", null), tokens: end.completionTokens };
+  }
+
+  #fail(job: Job, refusal: Refusal): RelayOutcome {
+    this.#deps.metrics.countRefusal(refusal.type);
+    job.sink.fail(refusal);
+    return outcome(job, refusal.notRun === true ? "refused" : "failed", refusal);
   }
 
-  #cancel(req: RelayRequest, hops: Hops, target: DirectoryEntry): void {
-    const msg = { kind: "cancel", gen: hops.gen!, account: req.run.account } as const;
+  #cancel(job: Job, target: DirectoryEntry): void {
+    const msg = { kind: "cancel", gen: job.gen!, account: job.req.run.account } as const;
     this.#deps.links.get(target.side).then((link) => link.notify(msg)).catch(() => {});
   }
 
+  #makeTries(req: RelayRequest): Tries {
+    const { service, account, promptTokens, prefixes } = req.run;
+    const { expectedTokens, versions, deadlineMs, barred = new Set() } = req;
+    return new Tries({
+      place: { service, account, promptTokens, prefixes, expectedTokens },
+      versions,
+      barred,
+      repeatable: true,
+      arrivedAtMs: this.#deps.clock.now(),
+      deadlineMs,
+    });
+  }
+
   #head(req: RelayRequest, gen: GenerationId, target: DirectoryEntry): [AnswerHead, string] {
     const wallMs = this.#deps.clock.wall();
     const created = Math.floor(wallMs / 1_000);
@@ -243,22 +300,18 @@
   }
 }
 
-/** Reasons that would be the same at every endpoint. */
-const FINAL: ReadonlySet<RefusalReason> = new Set([
-  "invalid_request",
-  "request_too_large",
-  "deadline_exceeded",
-  "quarantined",
-  "cancelled",
-]);
-
-function quarantined(hops: Hops, retryAfterMs: number): Refusal {
+function quarantined({ tries }: Job, retryAfterMs: number): Refusal {
   const message = "this request crashed the endpoints that ran it";
-  return { type: "quarantined", message, notRun: hops.notRun, retryAfterMs };
+  return { type: "quarantined", message, notRun: tries.notRun, retryAfterMs };
 }
 
-function mayRunElsewhere(refusal: Refusal): boolean {
-  return !FINAL.has(refusal.type);
+function outcome(
+  { gen, tries }: Job,
+  result: RelayOutcome["result"],
+  refusal: Refusal | null,
+): RelayOutcome {
+  const { endpoint, version, attempts } = tries;
+  return { gen, endpoint, version, attempts, tokens: 0, result, refusal };
 }
 
 function attemptOutcome(res: FollowerResult): AttemptOutcome {
@@ -277,12 +330,12 @@
   }
 }
 
-function attemptRefusal(res: Exclude<FollowerResult, { type: "end" | "caller_gone" }>): Refusal {
+type Unanswered = Exclude<FollowerResult, { type: "end" | "caller_gone" }>;
+
+function attemptRefusal(res: Unanswered): Refusal {
   switch (res.type) {
-    case "not_run": {
-      const { reason, retryAfterMs } = res.reply;
-      return { type: reason, message: "the endpoint refused", notRun: true, retryAfterMs };
-    }
+    case "not_run":
+      return notRunRefusal(res.reply.reason, res.reply.retryAfterMs);
     case "not_sent":
       return { type: "link_lost", message: "the side could not be reached", notRun: true };
     case "lost":
@@ -292,84 +345,6 @@
   }
 }
 
-/** The attempts of one request. */
-class Hops {
-  attempts = 0;
-  gen: GenerationId | null = null;
-  readonly #req: RelayRequest;
-  readonly #excluded = new Set<EndpointId>();
-  #endpoint: EndpointId | null = null;
-  #version: VersionId | null = null;
-  #last: Refusal | null = null;
-  /** What is known of all attempts together. */
-  notRun: Refusal["notRun"] = true;
-
-  constructor(req: RelayRequest) {
-    this.#req = req;
-  }
-
-  placement(): PlacementRequest {
-    const { run, versions, expectedTokens } = this.#req;
-    return {
-      service: run.service,
-      account: run.account,
-      versions,
-      promptTokens: run.promptTokens,
-      prefixes: run.prefixes,
-      expectedTokens,
-      excluded: this.#excluded,
-    };
-  }
-
-  begin(gen: GenerationId, endpoint: EndpointId, version: VersionId): void {
-    this.attempts++;
-    this.gen = gen;
-    this.#endpoint = endpoint;
-    this.#version = version;
-    this.#excluded.add(endpoint);
-  }
-
-  /** Lets an endpoint be tried again. */
-  allow(endpoint: EndpointId): void {
-    this.#excluded.delete(endpoint);
-  }
-
-  failed(refusal: Refusal): void {
-    this.#last = refusal;
-    if (refusal.notRun === false) this.notRun = false;
-    else if (refusal.notRun === "unknown" && this.notRun === true) this.notRun = "unknown";
-  }
-
-  /** Ends the request because no further endpoint is tried; says why the last one did not answer. */
-  refuse(sink: AnswerSink, type: RefusalReason, deps: RelayDeps): RelayOutcome {
-    const last = this.#last;
-    const message = last === null ? MESSAGES[type] ?? type : `${MESSAGES[type]}: ${last.message}`;
-    const reason = last !== null && type !== "deadline_exceeded" ? last.type : type;
-    const retryAfterMs = last?.retryAfterMs ?? (type === "no_endpoint" ? 1_000 : undefined);
-    return this.fail(sink, { type: reason, message, notRun: this.notRun, retryAfterMs }, deps);
-  }
-
-  fail(sink: AnswerSink, refusal: Refusal, deps: RelayDeps): RelayOutcome {
-    deps.metrics.countRefusal(refusal.type);
-    sink.fail(refusal);
-    return this.outcome(refusal.notRun === true ? "refused" : "failed", refusal);
-  }
-
-  outcome(result: RelayOutcome["result"], refusal: Refusal | null): RelayOutcome {
-    return {
-      gen: this.gen,
-      endpoint: this.#endpoint,
-      version: this.#version,
-      attempts: this.attempts,
-      tokens: 0,
-      result,
-      refusal,
-    };
-  }
+function notRunRefusal(type: RefusalReason, retryAfterMs?: number): Refusal {
+  return { type, message: "the endpoint refused", notRun: true, retryAfterMs };
 }
-
-const MESSAGES: Partial<Record<RefusalReason, string>> = {
-  deadline_exceeded: "the deadline passed before an endpoint started the request",
-  no_endpoint: "no endpoint can take the request at present",
-  hops_exhausted: "no endpoint that was tried could answer the request",
-};
--- a/packages/daemon/src/entry_versions.ts
+++ b/packages/daemon/src/entry_versions.ts
@@ -5,7 +5,7 @@
  */
 import { createHash } from "node:crypto";
 import type { RequestId, VersionId } from "@wisteriapick/core";
-import type { ConfigView, Service } from "@wisteriapick/control";
+import type { ConfigView, MoveRouter, Service } from "@wisteriapick/control";
 
 /** Chooses versions; the control package's moves plug in here. */
 export abstract class VersionChooser {
@@ -27,6 +27,23 @@
   }
 }
 
+/** Follows the moves as this process sees them, including what it stopped on its own evidence. */
+export class MovedVersions extends VersionChooser {
+  readonly #router: MoveRouter;
+
+  constructor(router: MoveRouter) {
+    super();
+    this.#router = router;
+  }
+
+  choose(_view: ConfigView, service: Service, req: RequestId): readonly VersionId[] {
+    const chosen = this.#router.versionFor(service.id, req);
+    const usable = new Set(service.versions.filter((v) => !v.withdrawn).map((v) => v.id));
+    const order = chosen === null ? [] : [chosen, service.activeVersion];
+    return [...new Set(order)].filter((v) => usable.has(v));
+  }
+}
+
 /** A number in [0, 1) that depends only on the text. */
 function fraction(text: string): number {
   return createHash("sha256").update(text).digest().readUInt32BE(0) / 2 ** 32;
--- a/packages/daemon/src/idempotency.ts
+++ b/packages/daemon/src/idempotency.ts
@@ -67,6 +67,8 @@
 }
 
 const DAY_MS = 86_400_000;
+/** Few enough that a sweep leaves most of the store's writes to others. */
+const SWEEP_LIMIT = 100;
 
 /** Digest of the content of a call, which a key must not be used twice with. */
 export function contentDigest(method: string, path: string, body: Uint8Array): string {
@@ -150,6 +152,25 @@
     await this.#retry(() => this.#store.delete(claim.key, { ifVersion: claim.version }));
   }
 
+  /**
+   * Deletes keys that are past their retention, at most `limit` at a time. To be called by one process of the
+   * system, under a lease; `after` goes on where the last call stopped. Returns that place, or `null` at the end.
+   */
+  async sweep(
+    { after, limit = SWEEP_LIMIT }: { after?: string; limit?: number } = {},
+  ): Promise<string | null> {
+    const { objects } = await this.#store.list("idempotency/", { after, limit });
+    for (const stored of objects) {
+      if (!this.#isOld(decode(stored.value).createdMs)) continue;
+      await this.#retry(() => this.#store.delete(stored.key, { ifVersion: stored.version }));
+    }
+    return objects.length < limit ? null : objects.at(-1)!.key;
+  }
+
+  #isOld(createdMs: number): boolean {
+    return this.#clock.wall() - createdMs > this.#retentionMs;
+  }
+
   async #claim(key: string, record: ClaimRecord): Promise<ClaimResult> {
     let ifVersion = 0;
     for (let tries = 1;; tries++) {
@@ -176,7 +197,7 @@
     const record = decode(stored.value);
     // The answer to this process's own write was lost.
     if (record.nonce === mine.nonce) return { type: "claimed", claim: { key, version, record } };
-    if (mine.createdMs - record.createdMs > this.#retentionMs) return null;
+    if (this.#isOld(record.createdMs)) return null;
     if (record.digest !== mine.digest) refuse(MISMATCH);
     if (record.state === "open") refuse(IN_PROGRESS);
     if (record.state === "too_large") refuse(TOO_LARGE);
--- a/packages/daemon/src/mod.ts
+++ b/packages/daemon/src/mod.ts
@@ -6,6 +6,7 @@
 export * from "./directory.ts";
 export * from "./entry.ts";
 export * from "./entry_auth.ts";
+export * from "./entry_options.ts";
 export * from "./entry_versions.ts";
 export * from "./entry_sinks.ts";
 export * from "./entry_relay.ts";
--- a/packages/daemon/src/plain_routes.ts
+++ b/packages/daemon/src/plain_routes.ts
@@ -16,29 +16,38 @@
 function makeTable(service: Service): RouteTable {
   const table = findMyWay();
   for (const { method, path, repeatable } of service.routes) {
-    // A route given twice is repeatable only where every entry says so; the later one decides otherwise.
+    // Of a route that is given twice the later one counts.
     table.off(method.toUpperCase() as HTTPMethod, path);
-    table.on(method.toUpperCase() as HTTPMethod, path, () => {}, { repeatable });
+    const name = `${method.toUpperCase()} ${path}`;
+    table.on(method.toUpperCase() as HTTPMethod, path, () => {}, { repeatable, name });
   }
   return table;
 }
 
+/** The route of a plain service that a request matches. */
+export interface MatchedRoute {
+  /** Whether it may be run more than once. */
+  readonly repeatable: boolean;
+  /** Method and path pattern; all requests that match no route of the settings share one name. */
+  readonly name: string;
+}
+
 /**
- * Whether a request may be run more than once. A route that the service's settings do not name may not, except
- * GET, HEAD and OPTIONS.
+ * Matches a request. A route that the service's settings do not name may not be repeated, except GET, HEAD and
+ * OPTIONS.
  *
  * @example
  * ```ts
- * const repeatable = mayRepeat(service, "POST", "/orders");
+ * const { repeatable } = matchRoute(service, "POST", "/orders");
  * ```
  */
-export function mayRepeat(service: Service, method: string, path: string): boolean {
+export function matchRoute(service: Service, method: string, path: string): MatchedRoute {
   let table = tables.get(service);
   if (table === undefined) {
     table = makeTable(service);
     tables.set(service, table);
   }
   const route = table.find(method as HTTPMethod, path.split("?", 1)[0]!);
-  if (route === null) return SAFE_METHODS.has(method);
-  return (route.store as { repeatable: boolean }).repeatable;
+  if (route === null) return { repeatable: SAFE_METHODS.has(method), name: `${method} *` };
+  return route.store as MatchedRoute;
 }
--- a/packages/daemon/src/side.ts
+++ b/packages/daemon/src/side.ts
@@ -276,6 +276,7 @@
     // What the engine already runs counts before any new work is taken.
     if (!this.#ready) await this.#generations!.adoptAll();
     this.#ready = state.ready;
+    await this.#orders!.reconcile(state);
     return true;
   }
 
--- a/packages/daemon/src/side_orders.ts
+++ b/packages/daemon/src/side_orders.ts
@@ -13,7 +13,8 @@
   toWpError,
   versionId,
 } from "@wisteriapick/core";
-import type { ModelEngine } from "@wisteriapick/platform";
+import { FenceGate } from "@wisteriapick/control";
+import type { EngineState, ModelEngine } from "@wisteriapick/platform";
 import type { LinkStream, Message, Order, StreamHandler } from "@wisteriapick/wire";
 import { IGNORE_STREAM } from "./side_context.ts";
 
@@ -35,8 +36,7 @@
 /** Takes orders for one endpoint, one at a time. */
 export class SideOrders {
   readonly #o: SideOrdersOptions;
-  #highest: Fence | null = null;
-  #last: Promise<void> = Promise.resolve();
+  readonly #gate = new FenceGate();
   #stopped = false;
 
   constructor(options: SideOrdersOptions) {
@@ -45,15 +45,15 @@
 
   /** The highest fencing number seen; `null` until it has been learned. */
   get highest(): Fence | null {
-    return this.#highest;
+    return this.#gate.highest;
   }
 
   /** Learns the fencing number; no order is accepted before. */
   async learn(): Promise<void> {
-    while (!this.#stopped && this.#highest === null) {
+    while (!this.#stopped && this.#gate.highest === null) {
       try {
         const known = await this.#askFence();
-        if (known !== null) return this.#raiseTo(known);
+        if (known !== null) return this.#gate.learn(known);
       } catch {
         // Neither source answers at present; both are asked again.
       }
@@ -66,10 +66,19 @@
   }
 
   onOrder(order: Order, stream: LinkStream): StreamHandler {
-    this.#last = this.#last.then(() => this.#answer(order, stream));
+    void this.#carryOut(order).then((answer) => {
+      stream.send(answer);
+      stream.end();
+    });
     return IGNORE_STREAM;
   }
 
+  /** Repeats the newest order where the endpoint runs something else, for example after a late older one. */
+  async reconcile(observed: EngineState): Promise<void> {
+    const order = this.#gate.orderToRepeat(observed);
+    if (order !== null) await this.#carryOut(order);
+  }
+
   async #askFence(): Promise<Fence | null> {
     const [learned, state] = await Promise.all([
       this.#o.learnFence?.() ?? null,
@@ -79,50 +88,34 @@
     return fence(Math.max(learned ?? 0, state.highestFence ?? 0));
   }
 
-  #raiseTo(seen: Fence): void {
-    if (this.#highest === null || seen > this.#highest) this.#highest = seen;
-  }
-
-  async #answer(order: Order, stream: LinkStream): Promise<void> {
-    stream.send(await this.#carryOut(order));
-    stream.end();
-  }
-
   async #carryOut(order: Order): Promise<Message> {
     if (order.endpoint !== this.#o.endpoint) {
       return fail("invalid_request", `this side owns ${this.#o.endpoint}`);
     }
-    if (this.#highest === null) {
+    if (this.#gate.highest === null) {
       return fail("side_not_ready", "the highest fencing number is not known yet");
     }
-    if (order.fence < this.#highest) {
-      return fail("fenced", `a holder with fencing number ${this.#highest} has given orders`);
-    }
-    this.#raiseTo(order.fence);
-    const { version, model, adapters, role } = order;
     try {
-      const state = await this.#o.engine.order({
-        fence: order.fence,
-        version,
-        model,
-        adapters,
-        role,
-      });
+      const state = await this.#gate.apply(order, (next) => this.#send(next));
       this.#o.onOrdered?.();
       return {
         kind: "order_done",
         endpoint: order.endpoint,
         version: versionId(state.version),
         ready: state.ready,
-        highestFence: this.#highest,
+        highestFence: this.#gate.highest,
       };
     } catch (e) {
       const err = toWpError(e);
       if (err.type !== "fenced") return fail("engine_failed", "the engine did not take the order");
-      this.#raiseTo(fence(err.highest));
-      return fail("fenced", `the engine has seen fencing number ${err.highest}`);
+      this.#gate.learn(fence(err.highest));
+      return fail("fenced", `fencing number ${err.highest} has been seen`);
     }
   }
+
+  #send({ fence, version, model, adapters, role }: Order): Promise<EngineState> {
+    return this.#o.engine.order({ fence, version, model, adapters, role });
+  }
 }
 
 function fail(type: RefusalReason, message: string): Message {
--- a/packages/daemon/tests/idempotency_test.ts
+++ b/packages/daemon/tests/idempotency_test.ts
@@ -1,8 +1,9 @@
 import assert from "node:assert/strict";
 import { after, test } from "node:test";
-import { SystemClock } from "@wisteriapick/core";
+import { ManualClock, SystemClock } from "@wisteriapick/core";
 import { MemoryObjectStore } from "@wisteriapick/standins";
 import { request } from "undici";
+import { IdempotencyClaims } from "../src/mod.ts";
 import { CLIENT_KEY, Fleet, until } from "./fixtures.ts";
 import { dropConnection, TestService } from "./plain_service.ts";
 
@@ -159,3 +160,25 @@
   assert.deepEqual([second.type, second.not_run], ["idempotency_unavailable", true]);
   assert.equal(service.count("/orders"), 1);
 });
+
+test("keys are usable anew after their retention, and a sweep deletes the old ones only", async () => {
+  const clock = new ManualClock();
+  const store = new MemoryObjectStore({ clock });
+  const claims = new IdempotencyClaims({ store, clock, retentionMs: 1_000 });
+  const body = Buffer.from("{}");
+  const claim = async (key: string) => (await claims.claim(key, "digest")).type;
+  const first = await claims.claim("idempotency/shop/a", "digest");
+  assert.ok(first.type === "claimed");
+  await claims.complete(first.claim, { status: 200, headers: [], body });
+  assert.equal(await claim("idempotency/shop/a"), "replay");
+  clock.advance(1_001);
+  assert.equal(await claim("idempotency/shop/a"), "claimed");
+  await claim("idempotency/shop/b");
+  clock.advance(500);
+  await claim("idempotency/shop/c");
+  clock.advance(501);
+  assert.equal(await claims.sweep({ limit: 1 }), "idempotency/shop/a");
+  assert.equal(await claims.sweep({ after: "idempotency/shop/a" }), null);
+  const { objects } = await store.list("idempotency/");
+  assert.deepEqual(objects.map((o) => o.key), ["idempotency/shop/c"]);
+});
--- a/packages/delivery/src/generation_log.ts
+++ b/packages/delivery/src/generation_log.ts
@@ -77,8 +77,9 @@
  */
 export class GenerationLogStore<Id extends string, T> {
   readonly #logs = new Map<Id, GenerationLog<T>>();
-  // In insertion order, which is the order of ending.
-  readonly #ended = new Map<Id, GenerationLog<T> | null>();
+  // Both in insertion order, which is the order of ending. An id leaves the first when its tokens are dropped.
+  readonly #ended = new Map<Id, GenerationLog<T>>();
+  readonly #endedIds = new Set<Id>();
   readonly #graceMs: number;
   readonly #maxBytes: number;
   readonly #maxEndedIds: number;
@@ -94,7 +95,7 @@
 
   /** Whether the id was ever used, as far as it is remembered. */
   seen(id: Id): boolean {
-    return this.#logs.has(id) || this.#ended.has(id);
+    return this.#logs.has(id) || this.#endedIds.has(id);
   }
 
   /** The log of a generation whose tokens are still held. */
@@ -117,6 +118,8 @@
     log.finish(value, nowMs);
     this.#logs.delete(id);
     this.#ended.set(id, log);
+    this.#endedIds.add(id);
+    if (this.#endedIds.size > this.#maxEndedIds) this.#forgetOldest();
   }
 
   /** Forgets an id that never ran, so that it leaves no trace. */
@@ -128,18 +131,19 @@
   sweep(nowMs: number): number {
     let bytes = 0;
     for (const log of this.#logs.values()) bytes += log.bytes;
-    for (const log of this.#ended.values()) bytes += log?.bytes ?? 0;
+    for (const log of this.#ended.values()) bytes += log.bytes;
     for (const [id, log] of this.#ended) {
-      if (log === null) continue;
-      const expired = log.end !== null && nowMs - log.end.at >= this.#graceMs;
-      if (!expired && bytes <= this.#maxBytes) continue;
+      const expired = nowMs - log.end!.at >= this.#graceMs;
+      if (!expired && bytes <= this.#maxBytes) break;
       bytes -= log.bytes;
-      this.#ended.set(id, null);
-    }
-    for (const id of this.#ended.keys()) {
-      if (this.#ended.size <= this.#maxEndedIds) break;
       this.#ended.delete(id);
     }
     return bytes;
   }
+
+  #forgetOldest(): void {
+    const oldest: Id = this.#endedIds.values().next().value!;
+    this.#endedIds.delete(oldest);
+    this.#ended.delete(oldest);
+  }
 }
