--- a/packages/control/src/control_process.ts
+++ b/packages/control/src/control_process.ts
@@ -18,7 +18,7 @@
 import { WatcherDuty } from "./watcher_duty.ts";
 
 /** Time between two readings of the host list, spread by a random factor. */
-const HOST_LIST_EVERY_MS = 5_000;
+const HOST_LIST_EVERY_MS = 2_000;
 
 /** Changes that must reach every process within seconds whatever the store does. */
 const URGENT_CHANGES: ReadonlySet<Change["type"]> = new Set([
--- a/packages/daemon/src/side_process.ts
+++ b/packages/daemon/src/side_process.ts
@@ -23,7 +23,6 @@
 }
 
 const DEFAULT_SLOTS = 32;
-const HOST_LIST_EVERY_MS = 1_000;
 
 /**
  * See the module comment.
@@ -66,7 +65,11 @@
     });
     this.#undos = [
       parts.start(),
-      clock.setRepeating(HOST_LIST_EVERY_MS, () => void this.#followHostList(options)),
+      parts.control.membership.registerSnapshotListener(({ hosts }) => {
+        const own = hosts.find((h) => h.endpoint?.id === endpoint);
+        // A host that is not listed yet has just started.
+        this.side.setLeaving(own?.state === "leaving");
+      }),
     ];
     this.side.start();
   }
@@ -93,17 +96,6 @@
     this.side.close();
     await this.#parts.close();
   }
-
-  async #followHostList({ hostList, endpoint }: SideProcessOptions): Promise<void> {
-    try {
-      const { hosts } = await hostList.read();
-      const own = hosts.find((h) => h.endpoint?.id === endpoint);
-      // A host that is not listed yet has just started.
-      this.side.setLeaving(own?.state === "leaving");
-    } catch {
-      // The list lags anyway; the next read follows in a second.
-    }
-  }
 }
 
 function makeAdmission(options: SideProcessOptions, quarantine: Quarantine) {
