--- a/packages/check/src/context.ts
+++ b/packages/check/src/context.ts
@@ -3,22 +3,40 @@
  *
  * @module
  */
-import type { Clock, ManualClock, ProcessId, Rng, Undo } from "@wisteriapick/core";
-import { type ConfigSource, StoreWatcher } from "@wisteriapick/control";
-import { type LinkSource, Side, type SideOptions, type VersionChooser } from "@wisteriapick/daemon";
-import { type Admission, SideAdmission, type SideAdmissionOptions } from "@wisteriapick/policy";
+import {
+  type Clock,
+  createLogger,
+  createMetrics,
+  type ManualClock,
+  type ProcessId,
+  type Rng,
+} from "@wisteriapick/core";
+import type { ConfigSource } from "@wisteriapick/control";
+import {
+  assembleParts,
+  LinkRouter,
+  type ProcessOptions,
+  type ProcessParts,
+  type VersionChooser,
+} from "@wisteriapick/daemon";
+import type { HostList } from "@wisteriapick/platform";
+import type { Admission } from "@wisteriapick/policy";
 import type { EngineOptions, MemoryHostList, MemoryObjectStore } from "@wisteriapick/standins";
+import type { Identity } from "@wisteriapick/wire";
 import type { Recorder } from "./history.ts";
 import type { MemoryNetwork } from "./memory_network.ts";
+import { MemoryPool } from "./memory_pool.ts";
+import { type Tamper, TamperedLink } from "./tampered_link.ts";
 
 /** Replacements of parts of the system. Each one is meant to break one promise. */
 export interface Overrides {
-  readonly makeSide?: (options: SideOptions) => Side;
-  readonly makeAdmission?: (options: SideAdmissionOptions) => Admission;
+  readonly makeAdmission?: () => Admission;
   /** Wraps the configuration in force at a process. */
   readonly wrapConfig?: (source: ConfigSource) => ConfigSource;
-  /** Wraps the links that an entry opens. */
-  readonly wrapLinks?: (links: LinkSource) => LinkSource;
+  /** Wraps the host list that processes read. */
+  readonly wrapHosts?: (hosts: HostList) => HostList;
+  /** Alters messages that arrive at entries. */
+  readonly tamper?: Tamper;
   readonly versions?: VersionChooser;
   readonly engine?: EngineOptions;
   /** Alters tokens on their way out of an engine. */
@@ -27,12 +45,6 @@
   readonly entryWaitsForRequests?: boolean;
 }
 
-/** A process's configuration. */
-export interface ProcessConfig {
-  readonly source: ConfigSource;
-  start(): Undo;
-}
-
 /** Parts of a {@link RunContext}. */
 export interface RunParts {
   readonly clock: ManualClock;
@@ -64,18 +76,46 @@
     this.overrides = overrides;
   }
 
-  makeSide(options: SideOptions): Side {
-    return this.overrides.makeSide?.(options) ?? new Side(options);
-  }
-
-  makeAdmission(options: SideAdmissionOptions): Admission {
-    return this.overrides.makeAdmission?.(options) ?? new SideAdmission(options);
+  /** Options and links of one process, on its own clock. */
+  makeProcess(
+    identity: Identity,
+    linkAddress: string,
+    clock: Clock,
+  ): { options: ProcessOptions; parts: ProcessParts } {
+    const { network, store, hosts, overrides } = this;
+    const rng = this.rng.fork(identity.process);
+    const options: ProcessOptions = {
+      identity,
+      clusterKey: "check-cluster-key",
+      linkAddress,
+      store,
+      hostList: overrides.wrapHosts?.(hosts) ?? hosts,
+      clock,
+      seed: rng.seed,
+    };
+    const router = new LinkRouter();
+    const { tamper } = overrides;
+    const pool = new MemoryPool({
+      network,
+      identity,
+      acceptor: router,
+      clock,
+      rng: rng.fork("pool"),
+      wrapLink: tamper && ((link) => new TamperedLink(link, tamper)),
+    });
+    const log = createLogger(identity.role, { level: "silent" });
+    const made = { router, pool, linkAddress, rng, log, metrics: createMetrics() };
+    const undo = network.listen(linkAddress, identity, router);
+    const parts = assembleParts(options, made, async () => {
+      undo();
+      pool.close();
+    });
+    return { options, parts };
   }
 
-  makeConfig(process: ProcessId, clock: Clock): ProcessConfig {
-    const watcher = new StoreWatcher(this.store, clock, this.rng.fork(`config/${process}`));
-    const source = this.overrides.wrapConfig?.(watcher.state) ?? watcher.state;
-    return { source, start: () => watcher.start() };
+  /** The configuration in force at a process, as its parts see it. */
+  configOf(parts: ProcessParts): ConfigSource {
+    return this.overrides.wrapConfig?.(parts.control.state) ?? parts.control.state;
   }
 
   /** Records whether a process can be reached by the configuration. */
--- a/packages/check/src/system_run.ts
+++ b/packages/check/src/system_run.ts
@@ -11,6 +11,7 @@
   regionId,
   requestId,
   Rng,
+  versionId,
 } from "@wisteriapick/core";
 import { MemoryHostList, MemoryObjectStore } from "@wisteriapick/standins";
 import { Callers } from "./caller.ts";
@@ -73,13 +74,18 @@
       return new CheckSide(ctx, {
         endpoint: endpointId(`${service}-${i}`),
         service,
+        version: versionId("v1"),
         dataCentre: CENTRES[i % CENTRES.length]!,
         address: `10.0.0.${i + 1}:7000`,
       });
     });
     this.#entries = Array.from({ length: ENTRIES }, (_, i) => {
       const dataCentre = CENTRES[i % CENTRES.length]!;
-      return new CheckEntry(ctx, { name: `entry-${i}`, dataCentre });
+      return new CheckEntry(ctx, {
+        name: `entry-${i}`,
+        dataCentre,
+        address: `10.0.1.${i + 1}:7000`,
+      });
     });
     this.#callers = new Callers(ctx, this.#entries);
   }
@@ -105,9 +111,19 @@
     await ready;
     for (const side of this.#sides) {
       this.#listHost(side, "live");
-      side.start();
     }
-    for (const entry of this.#entries) entry.start();
+    for (const entry of this.#entries) {
+      const { name, dataCentre, address } = entry.options;
+      const region = regionId("accra");
+      this.#ctx.hosts.set({
+        host: hostId(name),
+        dataCentre,
+        region,
+        state: "live",
+        entry: address,
+      });
+    }
+    for (const process of [...this.#sides, ...this.#entries]) process.start();
   }
 
   #listHost(side: CheckSide, state: "live" | "leaving"): void {
--- a/packages/check/src/tampered_links.ts
+++ b/packages/check/src/tampered_link.ts
@@ -1,31 +1,15 @@
 /**
- * Links whose incoming messages a test alters, to break a promise on purpose.
+ * A link whose incoming messages a test alters, to break a promise on purpose.
  *
  * @module
  */
-import { LinkSource } from "@wisteriapick/daemon";
 import { Link, type LinkStream, type Message, type StreamHandler } from "@wisteriapick/wire";
 
 /** Alters a message that arrives on a stream opened with `opening`. */
 export type Tamper = (opening: Message, msg: Message) => Message;
 
-/** Wraps the links of a source. */
-export class TamperedLinks extends LinkSource {
-  readonly #links: LinkSource;
-  readonly #tamper: Tamper;
-
-  constructor(links: LinkSource, tamper: Tamper) {
-    super();
-    this.#links = links;
-    this.#tamper = tamper;
-  }
-
-  async get(address: string): Promise<Link> {
-    return new TamperedLink(await this.#links.get(address), this.#tamper);
-  }
-}
-
-class TamperedLink extends Link {
+/** See the module comment. */
+export class TamperedLink extends Link {
   readonly #link: Link;
   readonly #tamper: Tamper;
 
--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -118,6 +118,7 @@
 
   /** Begins to follow configuration and endpoints. {@link Entry.listen} does this by itself. */
   start(): void {
+    if (this.#undos.length > 0) return;
     const { directory, config, router } = this.#o;
     for (const row of directory.rows()) this.#place(row);
     this.#undos.push(
--- a/packages/daemon/src/entry_process.ts
+++ b/packages/daemon/src/entry_process.ts
@@ -17,6 +17,7 @@
 import type { Order, OrderDone } from "@wisteriapick/wire";
 import { Directory } from "./directory.ts";
 import { Entry } from "./entry.ts";
+import type { EntryOptions } from "./entry_options.ts";
 import { MovedVersions } from "./entry_versions.ts";
 import { FleetView } from "./fleet_view.ts";
 import type { HttpListenOptions } from "./http_server.ts";
@@ -26,6 +27,8 @@
 export interface EntryProcessOptions extends ProcessOptions {
   /** Where callers' HTTP is accepted. */
   readonly listen: HttpListenOptions;
+  /** Replaces parts of the entry. */
+  readonly entry?: Partial<EntryOptions>;
 }
 
 const ORDER_TIMEOUT_MS = 10_000;
@@ -82,13 +85,22 @@
       rng: rng.fork("entry"),
       versions: new MovedVersions(this.#router),
       onOutcome: (outcome) => this.#router.record(outcome),
+      ...options.entry,
     });
   }
 
   /** Binds both addresses and starts. */
   static async start(options: EntryProcessOptions): Promise<EntryProcess> {
-    const process = new EntryProcess(options, await makeProcessParts(options));
-    await process.#start();
+    const process = EntryProcess.withParts(options, await makeProcessParts(options));
+    process.#httpAddress = await process.entry.listen();
+    return process;
+  }
+
+  /** Starts on given links, without an HTTP address; connections are handed to `entry.accept`. */
+  static withParts(options: EntryProcessOptions, parts: ProcessParts): EntryProcess {
+    const process = new EntryProcess(options, parts);
+    process.#start();
+    process.entry.start();
     return process;
   }
 
@@ -110,7 +122,7 @@
     await this.#parts.close();
   }
 
-  async #start(): Promise<void> {
+  #start(): void {
     const { clock } = this.#o;
     const { control, router, pool } = this.#parts;
     const fleet = new FleetView({ control, pool, clock, acceptor: router });
@@ -124,7 +136,6 @@
       this.#duty.start(),
       this.#registerOperators(fleet),
     );
-    this.#httpAddress = await this.entry.listen();
   }
 
   #setEntries(members: readonly SpreadMember[]): void {
--- a/packages/daemon/src/process_parts.ts
+++ b/packages/daemon/src/process_parts.ts
@@ -15,10 +15,10 @@
 } from "@wisteriapick/core";
 import { ControlProcess, memberKey } from "@wisteriapick/control";
 import type { HostList, ObjectStore } from "@wisteriapick/platform";
-import { type Identity, type LinkListener, LinkPool, listenLinks } from "@wisteriapick/wire";
+import { type Identity, LinkPool, listenLinks } from "@wisteriapick/wire";
 
 import { LinkRouter } from "./link_router.ts";
-import { formatAddress, parseAddress, PooledLinks } from "./link_source.ts";
+import { formatAddress, type LinkSource, parseAddress, PooledLinks } from "./link_source.ts";
 
 /** What every process is made with. */
 export interface ProcessOptions {
@@ -37,9 +37,8 @@
 export interface ProcessParts {
   readonly router: LinkRouter;
   readonly pool: LinkPool;
-  readonly links: PooledLinks;
+  readonly links: LinkSource;
   readonly control: ControlProcess;
-  readonly listener: LinkListener;
   /** Bound link address as `ip:port`. */
   readonly linkAddress: string;
   readonly memberKey: string;
@@ -53,7 +52,7 @@
 
 /** Binds the link address and puts the shared parts together. */
 export async function makeProcessParts(options: ProcessOptions): Promise<ProcessParts> {
-  const { identity, clusterKey, clock, store, hostList, seed } = options;
+  const { identity, clusterKey, clock, seed } = options;
   const log = options.log ?? createLogger(identity.role);
   const metrics = createMetrics();
   const rng = new Rng(seed);
@@ -62,6 +61,20 @@
   const listener = await listenLinks({ ...shared, address: parseAddress(options.linkAddress) });
   const pool = new LinkPool({ ...shared, rng: rng.fork("pool") });
   const linkAddress = formatAddress(listener.address);
+  return assembleParts(options, { router, pool, linkAddress, rng, log, metrics }, async () => {
+    pool.close();
+    await listener.close();
+  });
+}
+
+/** Puts the shared parts together on links that exist already. */
+export function assembleParts(
+  options: ProcessOptions,
+  made: Pick<ProcessParts, "router" | "pool" | "linkAddress" | "rng" | "log" | "metrics">,
+  close: () => Promise<void>,
+): ProcessParts {
+  const { identity, clock, store, hostList } = options;
+  const { router, pool, linkAddress, rng } = made;
   const key = memberKeyOf(identity.host, identity.role);
   const control = new ControlProcess({
     self: { key, dataCentre: identity.dataCentre, address: linkAddress },
@@ -73,21 +86,12 @@
     rng: rng.fork("control"),
   });
   return {
-    router,
-    pool,
+    ...made,
     links: new PooledLinks(pool),
     control,
-    listener,
-    linkAddress,
     memberKey: key,
-    rng,
-    log,
-    metrics,
     start: () => startControl(control, router),
-    close: async () => {
-      pool.close();
-      await listener.close();
-    },
+    close,
   };
 }
 
--- a/packages/daemon/src/side_process.ts
+++ b/packages/daemon/src/side_process.ts
@@ -9,7 +9,7 @@
 import { Quarantine, SideAdmission, type SideAdmissionOptions } from "@wisteriapick/policy";
 import { FixedAdmission } from "./fixed_admission.ts";
 import { makeProcessParts, type ProcessOptions, type ProcessParts } from "./process_parts.ts";
-import { Side } from "./side.ts";
+import { Side, type SideOptions } from "./side.ts";
 
 /** What a side process is made with. It has an `engine` or the `origin` of a plain service. */
 export interface SideProcessOptions extends ProcessOptions {
@@ -20,6 +20,8 @@
   /** Calls at once that a plain service bears. */
   readonly slots?: number;
   readonly admission?: SideAdmissionOptions;
+  /** Replaces parts of the side. */
+  readonly side?: Partial<SideOptions>;
 }
 
 const DEFAULT_SLOTS = 32;
@@ -62,6 +64,7 @@
       metrics: parts.metrics,
       // Both the lease object and the engine know fencing numbers; the side takes the higher one.
       learnFence: async () => fence(await readLeaseFence(store, driverDuty(service))),
+      ...options.side,
     });
     this.#undos = [
       parts.start(),
@@ -76,7 +79,12 @@
 
   /** Binds the link address and starts. */
   static async start(options: SideProcessOptions): Promise<SideProcess> {
-    return new SideProcess(options, await makeProcessParts(options));
+    return SideProcess.withParts(options, await makeProcessParts(options));
+  }
+
+  /** Starts on given links. */
+  static withParts(options: SideProcessOptions, parts: ProcessParts): SideProcess {
+    return new SideProcess(options, parts);
   }
 
   /** Whether the side takes work and has a recent configuration. */
