Tell a slow side or caller from a lost one

A side acknowledges each resume, so an engine that takes long is waited for instead of being counted as a lost side; the window of a broken generation runs only while nothing at all is heard. A link that closes between look-up and use counts as not sent. A caller that reads slowly no longer counts as silence of a plain service.

--- a/packages/daemon/src/call_attempt.ts
+++ b/packages/daemon/src/call_attempt.ts
@@ -123,7 +123,15 @@
 
   #write(bytes: Uint8Array): void {
     const stream = this.#stream!;
-    if (!this.#o.sink.write(bytes, () => stream.resume())) stream.pause();
+    const onDrain = () => {
+      if (this.#settled) return;
+      stream.resume();
+      this.#armSilence();
+    };
+    if (this.#o.sink.write(bytes, onDrain)) return;
+    // A slow caller is no silence of the service.
+    this.#stopTimer();
+    stream.pause();
   }
 
   /** Sends the body. Its first message is what allows the side to run the call. */
--- a/packages/daemon/src/entry_follower.ts
+++ b/packages/daemon/src/entry_follower.ts
@@ -8,7 +8,6 @@
 import type {
   End,
   EndpointLoad,
-  Link,
   NotRunReply,
   Resume,
   Run,
@@ -74,11 +73,11 @@
   let brokenSinceMs: number | null = null;
   for (;;) {
     if (gone.aborted) return { type: "caller_gone" };
-    const before = cursor.next;
-    const link = await connect(options.links, side);
-    if (link === null && !sent) return { type: "not_sent" };
+    const heard = { value: false };
+    const follow = await open(side, next, options, heard);
+    if (follow === null && !sent) return { type: "not_sent" };
     sent = true;
-    const res = link === null ? null : await followOnce(link, next, options);
+    const res = follow === null ? null : await settle(follow, options);
     if (gone.aborted) return { type: "caller_gone" };
     if (res !== null && isFinal(res, next)) return res;
     next = { kind: "resume", gen: opening.gen, account: opening.account, offset: cursor.next };
@@ -88,7 +87,8 @@
     }
     options.onResume?.(describe(res));
     const now = clock.now();
-    if (brokenSinceMs === null || cursor.next > before) brokenSinceMs = now;
+    // A side that answered is there; only the time without any answer counts.
+    if (brokenSinceMs === null || heard.value) brokenSinceMs = now;
     const windowMs = sink.committed ? limits.resumeWindowMs : limits.undeliveredWindowMs;
     if (now - brokenSinceMs >= windowMs) return { type: "lost" };
     await clock.sleep(limits.resumeBackoffMs);
@@ -107,38 +107,54 @@
   return res.type === "broken" ? res.why : res.type;
 }
 
-async function connect(links: LinkSource, side: string): Promise<Link | null> {
+/** Opens a stream at the side; `null` where nothing could be sent. */
+async function open(
+  side: string,
+  opening: Run | Resume,
+  options: FollowOptions,
+  heard: { value: boolean },
+): Promise<Watched | null> {
+  const { clock, sink, cursor } = options;
+  const watched: Watched = { follow: null, heardAtMs: clock.now() };
+  const hear = () => {
+    heard.value = true;
+    watched.heardAtMs = clock.now();
+  };
   try {
-    return await links.get(side);
+    const link = await options.links.get(side);
+    watched.heardAtMs = clock.now();
+    watched.follow = new Follow(link, opening, cursor, {
+      onAdmitted: (load) => {
+        hear();
+        if (opening.kind === "run") options.onAdmitted?.(load);
+      },
+      onTokens: (offset, items) => {
+        hear();
+        sink.tokens(offset, items);
+        options.onTokens?.(offset, items.length);
+        // A slow caller's tokens wait at the side, not in this process.
+        if (sink.full) watched.follow?.detach();
+      },
+    });
+    return watched;
   } catch {
     return null;
   }
 }
 
-async function followOnce(
-  link: Link,
-  opening: Run | Resume,
-  options: FollowOptions,
-): Promise<OnceResult> {
-  const { clock, limits, sink, cursor, gone } = options;
-  let heard = clock.now();
-  const follow = new Follow(link, opening, cursor, {
-    onAdmitted: (load) => {
-      heard = clock.now();
-      options.onAdmitted?.(load);
-    },
-    onTokens: (offset, items) => {
-      heard = clock.now();
-      sink.tokens(offset, items);
-      options.onTokens?.(offset, items.length);
-      // A slow caller's tokens wait at the side, not in this process.
-      if (sink.full) follow.detach();
-    },
-  });
+interface Watched {
+  follow: Follow | null;
+  heardAtMs: number;
+}
+
+async function settle(watched: Watched, options: FollowOptions): Promise<OnceResult> {
+  const { clock, limits, gone } = options;
+  const follow = watched.follow!;
   const onGone = () => follow.detach();
+  if (gone.aborted) follow.detach();
   gone.addEventListener("abort", onGone, { once: true });
   const undo = clock.setRepeating(limits.silenceMs / 2, () => {
-    if (clock.now() - heard >= limits.silenceMs) follow.giveUp("silent");
+    if (clock.now() - watched.heardAtMs >= limits.silenceMs) follow.giveUp("silent");
   });
   const res = await follow.done;
   undo();
--- a/packages/daemon/src/side_generations.ts
+++ b/packages/daemon/src/side_generations.ts
@@ -102,6 +102,8 @@
         return this.#failResume(msg.gen, stream, "resume_forbidden");
       }
       generation.account = msg.account;
+      // Tells the entry that this side is there, also while the next token takes long.
+      stream.send({ kind: "admitted", load: this.#ctx.load(), about: msg.gen });
       return this.#attach(generation, stream, msg.offset);
     }
     if (this.#logs.seen(msg.gen)) return this.#attachEnded(msg.gen, stream, msg.offset);
--- /dev/null
+++ b/packages/daemon/tests/follower_test.ts
@@ -0,0 +1,248 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  accountId,
+  type Clock,
+  dataCentreId,
+  endpointId,
+  generationId,
+  hostId,
+  ManualClock,
+  processId,
+  requestId,
+  revision,
+  serviceId,
+  type Undo,
+  versionId,
+} from "@wisteriapick/core";
+import { TokenCursor } from "@wisteriapick/delivery";
+import {
+  type Call,
+  type EndpointLoad,
+  type Identity,
+  Link,
+  LinkStream,
+  type Message,
+  type Resume,
+  type StreamHandler,
+} from "@wisteriapick/wire";
+import { CallAttempt, type CallSink } from "../src/call_attempt.ts";
+import { followGeneration } from "../src/entry_follower.ts";
+import { AnswerSink } from "../src/entry_sinks.ts";
+import { LinkSource } from "../src/mod.ts";
+import { ReplayableBody } from "../src/replayable_body.ts";
+
+const GEN = generationId("g-1");
+const LOAD: EndpointLoad = {
+  endpoint: endpointId("e-1"),
+  service: serviceId("s"),
+  version: versionId("v1"),
+  revision: revision(1),
+  running: 0,
+  queued: 0,
+  allowance: 1,
+  kvUsedTokens: 0,
+  kvTotalTokens: 0,
+  expectedWaitMs: 0,
+  leaving: false,
+  seq: 1,
+};
+
+class FakeStream extends LinkStream {
+  paused = false;
+  aborted = false;
+  readonly sent: Message[] = [];
+  send(msg: Message): boolean {
+    this.sent.push(msg);
+    return true;
+  }
+  end(): void {}
+  abort(): void {
+    this.aborted = true;
+  }
+  override pause(): void {
+    this.paused = true;
+  }
+  override resume(): void {
+    this.paused = false;
+  }
+}
+
+/** A link whose other end is the test. */
+class FakeLink extends Link {
+  readonly peer: Identity = {
+    role: "side",
+    process: processId("side-1"),
+    host: hostId("h-1"),
+    dataCentre: dataCentreId("dc-1"),
+  };
+  open = true;
+  readonly streams: { msg: Message; handler: StreamHandler; stream: FakeStream }[] = [];
+  onOpen: (stream: FakeLink["streams"][number]) => void = () => {};
+  openStream(msg: Message, handler: StreamHandler): LinkStream {
+    const opened = { msg, handler, stream: new FakeStream() };
+    this.streams.push(opened);
+    this.onOpen(opened);
+    return opened.stream;
+  }
+  notify(): void {}
+  request(): Promise<Message> {
+    return Promise.reject(new Error("not used"));
+  }
+  close(): void {}
+  registerCloseListener(): Undo {
+    return () => {};
+  }
+}
+
+class OneLink extends LinkSource {
+  constructor(readonly link: Link | null) {
+    super();
+  }
+  async get(): Promise<Link> {
+    if (this.link === null) throw new Error("not connected");
+    return this.link;
+  }
+}
+
+class ListSink extends AnswerSink {
+  readonly committed = true;
+  readonly full = false;
+  readonly items: string[] = [];
+  begin(): void {}
+  tokens(_offset: number, items: readonly string[]): void {
+    this.items.push(...items);
+  }
+  end(): void {}
+  fail(): void {}
+  async drained(): Promise<void> {}
+}
+
+/** Lets promise reactions run between steps of the manual clock. */
+async function advance(clock: ManualClock, ms: number): Promise<void> {
+  for (let i = 0; i < ms; i += 10) {
+    clock.advance(10);
+    for (let turn = 0; turn < 10; turn++) await Promise.resolve();
+  }
+}
+
+const LIMITS = {
+  resumeWindowMs: 300,
+  undeliveredWindowMs: 300,
+  resumeBackoffMs: 10,
+  silenceMs: 100,
+};
+const RESUME: Resume = { kind: "resume", gen: GEN, account: accountId("shop"), offset: 0 };
+
+function follow(clock: Clock, links: LinkSource, sink: AnswerSink) {
+  const gone = new AbortController().signal;
+  const cursor = new TokenCursor(0);
+  return followGeneration("a", RESUME, { clock, links, limits: LIMITS, sink, cursor, gone });
+}
+
+test("a side that acknowledges each resume is waited for while its engine is slow", async () => {
+  const clock = new ManualClock();
+  const link = new FakeLink();
+  link.onOpen = ({ handler }) => handler.onMessage({ kind: "admitted", load: LOAD, about: GEN });
+  const sink = new ListSink();
+  const done = follow(clock, new OneLink(link), sink);
+  await advance(clock, 3_000);
+  const { handler } = link.streams.at(-1)!;
+  handler.onMessage({ kind: "tokens", offset: 0, items: ["a", "b"], about: GEN });
+  const usage = { promptTokens: 1, cachedTokens: 0, completionTokens: 2 };
+  handler.onMessage({ kind: "end", reason: "stop", ...usage, load: LOAD, about: GEN });
+  assert.equal((await done).type, "end");
+  assert.deepEqual(sink.items, ["a", "b"]);
+  assert.ok(link.streams.length > 10);
+});
+
+test("a side that never answers counts as lost after the window", async () => {
+  const clock = new ManualClock();
+  const link = new FakeLink();
+  const done = follow(clock, new OneLink(link), new ListSink());
+  await advance(clock, 1_000);
+  assert.equal((await done).type, "lost");
+});
+
+test("a link that cannot be opened counts as lost after the window", async () => {
+  const clock = new ManualClock();
+  const done = follow(clock, new OneLink(null), new ListSink());
+  await advance(clock, 1_000);
+  assert.equal((await done).type, "lost");
+});
+
+function makeCall(): Call {
+  return {
+    kind: "call",
+    req: requestId("r-1"),
+    service: serviceId("counter"),
+    version: versionId("v1"),
+    account: accountId("shop"),
+    weight: 1,
+    method: "GET",
+    path: "/blob",
+    headers: [],
+    repeatable: false,
+    remainingMs: 5_000,
+    attempt: 1,
+    revision: revision(1),
+    digest: "d",
+  };
+}
+
+async function* noBody(): AsyncIterable<Buffer> {}
+
+test("a caller that pauses for longer than the silence limit still gets its whole answer", async () => {
+  const clock = new ManualClock();
+  const link = new FakeLink();
+  const got: string[] = [];
+  let drain = () => {};
+  const sink: CallSink = {
+    head: (status) => got.push(String(status)),
+    write: (bytes, onDrain) => {
+      got.push(Buffer.from(bytes).toString());
+      drain = onDrain;
+      return false;
+    },
+    end: () => got.push("end"),
+  };
+  const attempt = new CallAttempt(link, makeCall(), {
+    clock,
+    body: new ReplayableBody(noBody()),
+    sink,
+    startMs: 5_000,
+    silenceMs: 100,
+    gone: new AbortController().signal,
+  });
+  const { handler, stream } = link.streams[0]!;
+  const about = "r-1";
+  handler.onMessage({ kind: "reply_head", status: 200, headers: [], load: LOAD, about });
+  const chunk = { kind: "body", last: false, about } as const;
+  handler.onMessage({ ...chunk, bytes: Buffer.from("one"), offset: 0 });
+  assert.equal(stream.paused, true);
+  await advance(clock, 1_000);
+  assert.equal(stream.aborted, false);
+  drain();
+  assert.equal(stream.paused, false);
+  handler.onMessage({ ...chunk, bytes: Buffer.alloc(0), offset: 3, last: true });
+  assert.equal((await attempt.done).type, "answered");
+  assert.deepEqual(got, ["200", "one", "end"]);
+});
+
+test("an answer that goes silent after its head is given up", async () => {
+  const clock = new ManualClock();
+  const link = new FakeLink();
+  const sink: CallSink = { head() {}, write: () => true, end() {} };
+  const attempt = new CallAttempt(link, makeCall(), {
+    clock,
+    body: new ReplayableBody(noBody()),
+    sink,
+    startMs: 5_000,
+    silenceMs: 100,
+    gone: new AbortController().signal,
+  });
+  const { handler } = link.streams[0]!;
+  handler.onMessage({ kind: "reply_head", status: 200, headers: [], load: LOAD, about: "r-1" });
+  await advance(clock, 200);
+  assert.equal((await attempt.done).type, "lost");
+});
