--- a/packages/daemon/tests/tcp_relay.ts
+++ b/packages/daemon/tests/tcp_relay.ts
@@ -17,6 +17,10 @@
 
   async listen(): Promise<string> {
     await new Promise<void>((resolve) => this.#server.listen(0, "127.0.0.1", resolve));
+    return this.address;
+  }
+
+  get address(): string {
     return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
   }
 
--- /dev/null
+++ b/packages/daemon/tests/tls_test.ts
@@ -0,0 +1,29 @@
+import assert from "node:assert/strict";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { after, test } from "node:test";
+import { Agent, request } from "undici";
+import { CLIENT_KEY, Fleet } from "./fixtures.ts";
+import { makeSelfSigned } from "./self_signed.ts";
+
+test("an entry whose settings name key and certificate speaks TLS only", async () => {
+  const dir = mkdtempSync(join(tmpdir(), "wp-tls-"));
+  after(() => rmSync(dir, { recursive: true }));
+  const { key, cert } = makeSelfSigned("localhost");
+  const tls = { key: join(dir, "key.pem"), cert: join(dir, "cert.pem") };
+  writeFileSync(tls.key, key);
+  writeFileSync(tls.cert, cert);
+  const fleet = new Fleet();
+  after(() => fleet.close());
+  const { url } = await fleet.entry("1", { listen: { host: "127.0.0.1", port: 0, tls } });
+  const dispatcher = new Agent({ connect: { ca: cert, servername: "localhost" } });
+  after(() => dispatcher.close());
+  const headers = { authorization: `Bearer ${CLIENT_KEY}` };
+  const secure = `${url.replace("http:", "https:")}/v1/models`;
+  const res = await request(secure, { headers, dispatcher });
+  assert.equal(res.statusCode, 200);
+  await res.body.dump();
+  await assert.rejects(request(secure, { headers }), "an unknown certificate is not accepted");
+  await assert.rejects(request(`${url}/v1/models`, { headers }), "plain HTTP is not answered");
+});
