--- a/packages/control/src/membership.ts
+++ b/packages/control/src/membership.ts
@@ -33,6 +33,7 @@
   readonly #clock: Clock;
   readonly #suspects = new Map<string, number>();
   readonly #listeners = new Set<(members: readonly SpreadMember[]) => void>();
+  readonly #snapshotListeners = new Set<(snapshot: HostSnapshot) => void>();
   #index = -1;
   #hosts: readonly HostRecord[] = [];
   #members: readonly SpreadMember[] = [];
@@ -56,12 +57,19 @@
     return () => void this.#listeners.delete(fn);
   }
 
+  /** Calls `fn` with each host list that is newer than the last. */
+  registerSnapshotListener(fn: (snapshot: HostSnapshot) => void): Undo {
+    this.#snapshotListeners.add(fn);
+    return () => void this.#snapshotListeners.delete(fn);
+  }
+
   /** Takes in a host list; an older one is ignored. */
   recordHosts(snapshot: HostSnapshot): void {
-    if (snapshot.index < this.#index) return;
+    if (snapshot.index <= this.#index) return;
     this.#index = snapshot.index;
     this.#hosts = snapshot.hosts;
     this.#refresh();
+    for (const fn of this.#snapshotListeners) fn(snapshot);
   }
 
   /** Records that no link to a member can be had, or that its heartbeats stopped. */
--- a/packages/daemon/src/side_process.ts
+++ b/packages/daemon/src/side_process.ts
@@ -9,7 +9,7 @@
 import { Quarantine, SideAdmission, type SideAdmissionOptions } from "@wisteriapick/policy";
 import { FixedAdmission } from "./fixed_admission.ts";
 import { makeProcessParts, type ProcessOptions, type ProcessParts } from "./process_parts.ts";
-import { Side } from "./side.ts";
+import { Side, type SideOptions } from "./side.ts";
 
 /** What a side process is made with. It has an `engine` or the `origin` of a plain service. */
 export interface SideProcessOptions extends ProcessOptions {
@@ -20,10 +20,11 @@
   /** Calls at once that a plain service bears. */
   readonly slots?: number;
   readonly admission?: SideAdmissionOptions;
+  /** Replaces parts of the side. */
+  readonly side?: Partial<SideOptions>;
 }
 
 const DEFAULT_SLOTS = 32;
-const HOST_LIST_EVERY_MS = 1_000;
 
 /**
  * See the module comment.
@@ -63,17 +64,27 @@
       metrics: parts.metrics,
       // Both the lease object and the engine know fencing numbers; the side takes the higher one.
       learnFence: async () => fence(await readLeaseFence(store, driverDuty(service))),
+      ...options.side,
     });
     this.#undos = [
       parts.start(),
-      clock.setRepeating(HOST_LIST_EVERY_MS, () => void this.#followHostList(options)),
+      parts.control.membership.registerSnapshotListener(({ hosts }) => {
+        const own = hosts.find((h) => h.endpoint?.id === endpoint);
+        // A host that is not listed yet has just started.
+        this.side.setLeaving(own?.state === "leaving");
+      }),
     ];
     this.side.start();
   }
 
   /** Binds the link address and starts. */
   static async start(options: SideProcessOptions): Promise<SideProcess> {
-    return new SideProcess(options, await makeProcessParts(options));
+    return SideProcess.withParts(options, await makeProcessParts(options));
+  }
+
+  /** Starts on given links. */
+  static withParts(options: SideProcessOptions, parts: ProcessParts): SideProcess {
+    return new SideProcess(options, parts);
   }
 
   /** Whether the side takes work and has a recent configuration. */
@@ -93,17 +104,6 @@
     this.side.close();
     await this.#parts.close();
   }
-
-  async #followHostList({ hostList, endpoint }: SideProcessOptions): Promise<void> {
-    try {
-      const { hosts } = await hostList.read();
-      const own = hosts.find((h) => h.endpoint?.id === endpoint);
-      // A host that is not listed yet has just started.
-      this.side.setLeaving(own?.state === "leaving");
-    } catch {
-      // The list lags anyway; the next read follows in a second.
-    }
-  }
 }
 
 function makeAdmission(options: SideProcessOptions, quarantine: Quarantine) {
