Run local processes from settings, with the configuration in the object API

Cause: the local system and separate processes must be the same code, and the configuration must come through the store. Change: checked settings for entry, side and stand-ins; startEntry, startSide and startStandins; the local system binds all addresses, lists the hosts and starts whole processes.

--- a/packages/daemon/src/local.ts
+++ b/packages/daemon/src/local.ts
@@ -1,43 +1,19 @@
 /**
  * The whole Kente Lane deployment in one process: one entry, a side for each endpoint and every stand-in, which
- * talk to each other over loopback sockets.
+ * talk to each other over loopback sockets exactly as separate processes do.
  *
  * @module
  */
 import { createServer } from "node:net";
-import {
-  type Clock,
-  createLogger,
-  hostId,
-  type Logger,
-  processId,
-  revision,
-  Rng,
-  SystemClock,
-  World,
-} from "@wisteriapick/core";
-import { indexConfig, StaticConfigSource } from "@wisteriapick/control";
-import { HttpHostList, HttpModelEngine, HttpObjectStore } from "@wisteriapick/platform";
-import { SideAdmission, SubsetPlacement } from "@wisteriapick/policy";
-import {
-  EngineStandin,
-  MemoryHostList,
-  MemoryObjectStore,
-  MemoryWeightStore,
-  PlainServiceStandin,
-  type RunningServer,
-  serveHostList,
-  serveObjectStore,
-  serveWeightStore,
-} from "@wisteriapick/standins";
-import { type Identity, LinkPool, listenLinks } from "@wisteriapick/wire";
-import { Directory, followHostList } from "./directory.ts";
-import { Entry } from "./entry.ts";
-import { FixedAdmission } from "./fixed_admission.ts";
-import { LinkRouter } from "./link_router.ts";
-import { formatAddress, PooledLinks } from "./link_source.ts";
+import { type Clock, createLogger, hostId, type Logger, SystemClock } from "@wisteriapick/core";
+import type { EngineStandin, PlainServiceStandin } from "@wisteriapick/standins";
+import { EntryProcess } from "./entry_process.ts";
 import { kenteDocument, kenteHosts, type LocalHost, localKey } from "./local_deployment.ts";
-import { Side } from "./side.ts";
+import { makeProcessParts, type ProcessParts } from "./process_parts.ts";
+import { EntrySettingsSchema, SideSettingsSchema, StandinsSettingsSchema } from "./settings.ts";
+import { SideProcess } from "./side_process.ts";
+import { type Standins, startStandins } from "./standins_process.ts";
+import { makeEntryOptions, makeSideOptions } from "./start.ts";
 
 /** Options of {@link startLocal}. */
 export interface LocalOptions {
@@ -58,41 +34,36 @@
   readonly curl: string;
   readonly engines: ReadonlyMap<string, EngineStandin>;
   readonly counters: ReadonlyMap<string, PlainServiceStandin>;
-  readonly store: MemoryObjectStore;
-  readonly hostList: MemoryHostList;
+  readonly standins: Standins;
   close(): Promise<void>;
 }
 
 const DEFAULT_PORT = 8080;
-const CLUSTER_KEY = "local-cluster-key";
+const CLUSTER_KEY = "local-cluster-key-of-one-process";
 const LOOPBACK = "127.0.0.1";
-/** Calls at once that one instance of the plain service bears. */
-const COUNTER_SLOTS = 32;
-/** Interval at which the start looks whether every side has learned about its endpoint. */
+const ANY_PORT = `${LOOPBACK}:0`;
+/** Interval at which the start looks whether every process may serve. */
 const READY_POLL_MS = 10;
 
 type Closer = () => void | Promise<void>;
 
-/** Everything the parts of the system share while it is being put together. */
+/** A process whose address is bound and that has not been started. */
+interface Bound<T> {
+  readonly options: T;
+  readonly parts: ProcessParts;
+}
+
+/** What the processes share while the system is put together. */
 class LocalBuilder {
   readonly clock: Clock;
   readonly log: Logger;
   readonly seed: number;
-  readonly config = new StaticConfigSource(indexConfig(kenteDocument(), revision(1)));
-  readonly store: MemoryObjectStore;
-  readonly hostList: MemoryHostList;
-  readonly engines = new Map<string, EngineStandin>();
-  readonly counters = new Map<string, PlainServiceStandin>();
-  readonly sides: Side[] = [];
-  readonly #orders = new Map<string, number>();
   readonly #closers: Closer[] = [];
 
   constructor({ clock = new SystemClock(), seed = 1, log }: LocalOptions) {
     this.clock = clock;
     this.seed = seed;
-    this.log = log ?? createLogger("local", { level: "warn" });
-    this.store = new MemoryObjectStore({ clock });
-    this.hostList = new MemoryHostList({ clock });
+    this.log = log ?? createLogger("local", { level: "error" });
   }
 
   defer(closer: Closer): void {
@@ -104,133 +75,64 @@
     for (const closer of this.#closers.splice(0).reverse()) await closer();
   }
 
-  async serve(server: Promise<RunningServer>): Promise<RunningServer> {
-    const running = await server;
-    this.defer(() => running.close());
-    return running;
-  }
-
-  async startPlatform(): Promise<{ hosts: RunningServer; store: RunningServer }> {
-    const store = await this.serve(serveObjectStore(this.store));
-    const weights = new MemoryWeightStore({ clock: this.clock, weights: { "scribe-7b": 14e9 } });
-    await this.serve(serveWeightStore(weights));
-    const hosts = await this.serve(serveHostList(this.hostList));
-    return { hosts, store };
-  }
-
-  async startEndpoint(host: LocalHost, seed: number): Promise<RunningServer> {
-    if (host.kind === "plain") {
-      const service = new PlainServiceStandin(
-        { clock: this.clock, name: host.endpoint },
-        this.#orders,
-      );
-      this.counters.set(host.endpoint, service);
-      return this.serve(service.listen());
-    }
-    const engine = new EngineStandin({ clock: this.clock, seed });
-    this.engines.set(host.endpoint, engine);
-    return this.serve(engine.listen());
+  async startStandins(): Promise<Standins> {
+    const hosts = kenteHosts();
+    const ofKind = (kind: LocalHost["kind"]) =>
+      hosts.filter((h) => h.kind === kind).map((h) => ({ id: h.endpoint, listen: ANY_PORT }));
+    const cfg = StandinsSettingsSchema.parse({
+      kind: "standins",
+      seed: this.seed,
+      objectStore: { listen: ANY_PORT },
+      hostList: { listen: ANY_PORT },
+      weightStore: { listen: ANY_PORT, weights: { "scribe-7b": 14e9 } },
+      engines: ofKind("model"),
+      plainServices: ofKind("plain"),
+      configuration: kenteDocument(),
+    });
+    const standins = await startStandins(cfg, { clock: this.clock });
+    this.defer(() => standins.close());
+    return standins;
   }
 
-  /** How a side reaches its endpoint and what it admits. */
-  #endpointParts(host: LocalHost, endpoint: RunningServer) {
-    if (host.kind === "plain") {
-      const admission = new FixedAdmission({ slots: COUNTER_SLOTS });
-      return { origin: endpoint.origin, admission };
-    }
-    const engine = new HttpModelEngine(endpoint.origin, { clock: this.clock });
-    this.defer(() => engine.close());
-    return { engine, admission: new SideAdmission({ name: host.endpoint }) };
+  #processSettings(standins: Standins, host: Pick<LocalHost, "host" | "dataCentre">, n: number) {
+    return {
+      host: host.host,
+      dataCentre: host.dataCentre,
+      links: ANY_PORT,
+      clusterKey: CLUSTER_KEY,
+      objectStore: standins.objectStoreOrigin,
+      hostList: standins.hostListOrigin,
+      seed: this.seed * 1_000 + n,
+    };
   }
 
-  /** Starts the side of an endpoint and enters it into the host list. */
-  async startSide(host: LocalHost, endpoint: RunningServer): Promise<void> {
-    const { clock, log, config } = this;
-    const identity = makeIdentity("side", host.endpoint, host);
-    const router = new LinkRouter();
-    const listener = await listenLinks({
-      address: { host: LOOPBACK, port: 0 },
-      identity,
-      clusterKey: CLUSTER_KEY,
-      acceptor: router,
-      clock,
-    });
-    this.defer(() => listener.close());
-    const side = new Side({
-      identity,
+  async bindSide(standins: Standins, host: LocalHost, n: number) {
+    const origin = `http://${standins.endpointAddresses.get(host.endpoint)}`;
+    const cfg = SideSettingsSchema.parse({
+      kind: "side",
+      ...this.#processSettings(standins, host, n),
       endpoint: host.endpoint,
       service: host.service,
-      ...this.#endpointParts(host, endpoint),
-      config,
-      router,
-      world: new World({ clock }),
-      log,
-    });
-    side.start();
-    this.defer(() => side.close());
-    this.sides.push(side);
-    this.hostList.set({
-      host: host.host,
-      dataCentre: host.dataCentre,
-      region: host.region,
-      state: "live",
-      side: formatAddress(listener.address),
-      endpoint: { id: host.endpoint, service: host.service, address: endpoint.address },
+      ...(host.kind === "model" ? { engine: origin } : { plain: origin }),
     });
+    const { options, closeClients } = makeSideOptions(cfg, this);
+    this.defer(closeClients);
+    return { options, parts: await makeProcessParts(options) };
   }
 
-  async startEntry(
-    { hosts, store }: { hosts: RunningServer; store: RunningServer },
-    port: number,
-  ): Promise<string> {
-    const { clock, log, config } = this;
-    const dataCentre = kenteHosts()[0]!.dataCentre;
-    const identity = makeIdentity("entry", "entry-01", { host: hostId("entry-01"), dataCentre });
-    const router = new LinkRouter();
-    const world = new World({ clock });
-    const directory = new Directory(world);
-    const rng = new Rng(this.seed);
-    const pool = new LinkPool({
-      identity,
-      clusterKey: CLUSTER_KEY,
-      acceptor: router,
-      clock,
-      rng,
-    });
-    this.defer(() => pool.close());
-    const hostList = new HttpHostList(hosts.origin, { clock });
-    this.defer(() => hostList.close());
-    const follow = followHostList(hostList, directory, { clock });
-    this.defer(follow.undo);
-    await follow.first;
-    const objects = new HttpObjectStore(store.origin, { clock });
-    this.defer(() => objects.close());
-    const entry = new Entry({
-      identity,
-      clusterKey: CLUSTER_KEY,
-      listen: { host: LOOPBACK, port },
-      config,
-      directory,
-      links: new PooledLinks(pool),
-      router,
-      placement: new SubsetPlacement({ entry: identity.process, dataCentre, rng }),
-      store: objects,
-      world,
-      log,
+  async bindEntry(standins: Standins, port: number) {
+    const { dataCentre } = kenteHosts()[0]!;
+    const cfg = EntrySettingsSchema.parse({
+      kind: "entry",
+      ...this.#processSettings(standins, { host: hostId("host-entry-01"), dataCentre }, 0),
+      listen: `${LOOPBACK}:${port}`,
     });
-    this.defer(() => entry.close());
-    return await entry.listen();
+    const { options, closeClients } = makeEntryOptions(cfg, this);
+    this.defer(closeClients);
+    return { options, parts: await makeProcessParts(options) };
   }
 }
 
-function makeIdentity(
-  role: "entry" | "side",
-  name: string,
-  { host, dataCentre }: Pick<LocalHost, "host" | "dataCentre">,
-): Identity {
-  return { role, process: processId(`${role}.${name}`), host, dataCentre };
-}
-
 /** The wanted port when it is free, otherwise 0, which lets the system choose. */
 async function freePort(wanted: number): Promise<number> {
   const probe = createServer();
@@ -240,7 +142,7 @@
   });
 }
 
-/** The request of the printed command line, as the OpenAI API takes it. */
+/** A command line that asks for a generation as the OpenAI API takes it. */
 export function curlLine(url: string, key: string): string {
   const body = JSON.stringify({
     model: "scribe",
@@ -252,7 +154,7 @@
 }
 
 /**
- * Starts the deployment and resolves once every side is ready.
+ * Starts the deployment and resolves once every process may serve.
  *
  * @example
  * ```ts
@@ -264,19 +166,18 @@
 export async function startLocal(options: LocalOptions = {}): Promise<LocalSystem> {
   const builder = new LocalBuilder(options);
   try {
-    const address = await startAll(builder, options.port ?? DEFAULT_PORT);
+    const standins = await builder.startStandins();
+    const address = await startProcesses(builder, standins, options.port ?? DEFAULT_PORT);
     const url = `http://${address}`;
     const key = localKey("museum-shop");
-    const { engines, counters, store, hostList } = builder;
     return {
       url,
       key,
       operatorKey: localKey("operator"),
       curl: curlLine(url, key),
-      engines,
-      counters,
-      store,
-      hostList,
+      engines: standins.engines,
+      counters: standins.plainServices,
+      standins,
       close: () => builder.close(),
     };
   } catch (e) {
@@ -285,12 +186,47 @@
   }
 }
 
-async function startAll(builder: LocalBuilder, port: number): Promise<string> {
-  const platform = await builder.startPlatform();
-  for (const [i, host] of kenteHosts().entries()) {
-    const endpoint = await builder.startEndpoint(host, builder.seed * 1_000 + i);
-    await builder.startSide(host, endpoint);
+/** Binds every address, lists the hosts, then starts, so that each process finds all the others at once. */
+async function startProcesses(
+  builder: LocalBuilder,
+  standins: Standins,
+  port: number,
+): Promise<string> {
+  const hosts = kenteHosts();
+  const sides = await Promise.all(hosts.map((h, i) => builder.bindSide(standins, h, i + 1)));
+  const bound = await builder.bindEntry(standins, await freePort(port));
+  listHosts(standins, hosts, sides, bound);
+  const started = sides.map(({ options, parts }) => SideProcess.withParts(options, parts));
+  for (const side of started) builder.defer(() => side.close());
+  const entry = EntryProcess.withParts(bound.options, bound.parts);
+  builder.defer(() => entry.close());
+  const address = await entry.entry.listen();
+  const ready = () => bound.parts.control.state.ready() && started.every((s) => s.ready);
+  while (!ready()) await builder.clock.sleep(READY_POLL_MS);
+  return address;
+}
+
+function listHosts(
+  standins: Standins,
+  hosts: readonly LocalHost[],
+  sides: readonly Bound<unknown>[],
+  entry: Bound<
+    { readonly identity: { host: LocalHost["host"]; dataCentre: LocalHost["dataCentre"] } }
+  >,
+): void {
+  for (const [i, host] of hosts.entries()) {
+    const { dataCentre, region, endpoint: id, service } = host;
+    standins.hostList.set({
+      host: host.host,
+      dataCentre,
+      region,
+      state: "live",
+      side: sides[i]!.parts.linkAddress,
+      endpoint: { id, service, address: standins.endpointAddresses.get(id)! },
+    });
   }
-  while (!builder.sides.every((s) => s.ready)) await builder.clock.sleep(READY_POLL_MS);
-  return await builder.startEntry(platform, await freePort(port));
+  const { host, dataCentre } = entry.options.identity;
+  const { region } = hosts[0]!;
+  const address = entry.parts.linkAddress;
+  standins.hostList.set({ host, dataCentre, region, state: "live", entry: address });
 }
--- a/packages/daemon/src/mod.ts
+++ b/packages/daemon/src/mod.ts
@@ -27,3 +27,6 @@
 export { GENERATION_TIMES, type GenerationTimes } from "./side_generation.ts";
 export * from "./local.ts";
 export * from "./local_deployment.ts";
+export * from "./settings.ts";
+export * from "./standins_process.ts";
+export * from "./start.ts";
--- /dev/null
+++ b/packages/daemon/src/settings.ts
@@ -0,0 +1,167 @@
+/**
+ * Settings files of the processes: one YAML file each, told apart by `kind`. A process reads its addresses and data
+ * centre from here and everything else from the configuration.
+ *
+ * @module
+ */
+import {
+  dataCentreId,
+  endpointId,
+  hostId,
+  loadSettings,
+  regionId,
+  serviceId,
+} from "@wisteriapick/core";
+import { ConfigDocumentSchema } from "@wisteriapick/control";
+import { z } from "zod";
+
+function id<T extends string>(check: (s: string) => T, expected: string) {
+  return z.string().transform((s, ctx): T => {
+    try {
+      return check(s);
+    } catch {
+      ctx.addIssue({ code: "custom", message: `expected ${expected}` });
+      return z.NEVER;
+    }
+  });
+}
+
+const ADDRESS_PATTERN = /^(\[[0-9a-fA-F:.]+\]|[A-Za-z0-9.-]+):(\d{1,5})$/;
+const MAX_PORT = 65_535;
+// A shorter key could be guessed; links authenticate with nothing else.
+const MIN_CLUSTER_KEY_CHARS = 16;
+
+const address = z.string().refine((s) => {
+  const match = ADDRESS_PATTERN.exec(s);
+  return match !== null && Number(match[2]) <= MAX_PORT;
+}, "expected ip:port");
+const origin = z.string().regex(/^https?:\/\/[^\s/]+$/, "expected http://ip:port");
+const milliseconds = z.number().int().nonnegative();
+
+const processShape = {
+  host: id(hostId, "a host id"),
+  dataCentre: id(dataCentreId, "a data centre id"),
+  /** Where links are accepted. */
+  links: address,
+  clusterKey: z.string().min(
+    MIN_CLUSTER_KEY_CHARS,
+    `expected at least ${MIN_CLUSTER_KEY_CHARS} characters`,
+  ),
+  objectStore: origin,
+  hostList: origin,
+  seed: z.number().int().optional(),
+  logLevel: z.enum(["trace", "debug", "info", "warn", "error", "silent"]).default("info"),
+};
+
+/** Settings of an entry. */
+export const EntrySettingsSchema = z.object({
+  kind: z.literal("entry"),
+  ...processShape,
+  /** Where callers' HTTP is accepted. */
+  listen: address,
+  tls: z.object({ key: z.string().min(1), cert: z.string().min(1) }).strict().optional(),
+  /** Time between the failing health check and the end of listening at a planned stop. */
+  announceMs: milliseconds.default(3_000),
+}).strict();
+
+/** Settings of a side: beside a model engine (`engine`) or a plain service (`plain`). */
+export const SideSettingsSchema = z.object({
+  kind: z.literal("side"),
+  ...processShape,
+  endpoint: id(endpointId, "an endpoint id"),
+  service: id(serviceId, "a service id"),
+  engine: origin.optional(),
+  plain: origin.optional(),
+  /** Calls at once that a plain service bears. */
+  slots: z.number().int().positive().default(32),
+}).strict().refine(
+  (s) => (s.engine === undefined) !== (s.plain === undefined),
+  { path: ["engine"], message: "expected exactly one of engine and plain" },
+);
+
+const HostRecordSchema = z.object({
+  host: id(hostId, "a host id"),
+  dataCentre: id(dataCentreId, "a data centre id"),
+  region: id(regionId, "a region id"),
+  state: z.enum(["live", "leaving"]).default("live"),
+  entry: address.optional(),
+  side: address.optional(),
+  endpoint: z.object({
+    id: id(endpointId, "an endpoint id"),
+    service: id(serviceId, "a service id"),
+    address,
+  }).strict().optional(),
+}).strict();
+
+const EngineStandinSchema = z.object({
+  id: id(endpointId, "an endpoint id"),
+  listen: address,
+  model: z.string().default("scribe-7b"),
+  version: z.string().min(1).default("v1"),
+  seed: z.number().int().optional(),
+  /** Factor on every time, for hosts of different speed. */
+  slowness: z.number().positive().default(1),
+  startsCold: z.boolean().default(false),
+  enforcesFence: z.boolean().default(true),
+  kvTotalTokens: z.number().int().positive().default(60_000),
+  restartAfterMs: milliseconds.default(2_000),
+}).strict();
+
+const PlainStandinSchema = z.object({
+  id: id(endpointId, "an endpoint id"),
+  listen: address,
+  version: z.string().min(1).default("v1"),
+  workMs: milliseconds.default(4),
+  maxConcurrency: z.number().int().positive().default(64),
+}).strict();
+
+/** Settings of the stand-ins: the platform and the endpoints of a deployment in one process. */
+export const StandinsSettingsSchema = z.object({
+  kind: z.literal("standins"),
+  seed: z.number().int().default(1),
+  objectStore: z.object({
+    listen: address,
+    writesPerSecond: z.number().positive().default(400),
+    readsPerSecond: z.number().positive().default(2_000),
+  }).strict(),
+  hostList: z.object({
+    listen: address,
+    lagMs: milliseconds.default(0),
+    hosts: z.array(HostRecordSchema).default([]),
+  }).strict(),
+  weightStore: z.object({
+    listen: address,
+    fetchesPerSecond: z.number().positive().default(5),
+    weights: z.record(z.string(), z.number().positive()).default({}),
+  }).strict().optional(),
+  engines: z.array(EngineStandinSchema).default([]),
+  plainServices: z.array(PlainStandinSchema).default([]),
+  /** Written to the configuration log at the start. */
+  configuration: ConfigDocumentSchema.optional(),
+}).strict();
+
+export type EntrySettings = z.output<typeof EntrySettingsSchema>;
+export type SideSettings = z.output<typeof SideSettingsSchema>;
+export type StandinsSettings = z.output<typeof StandinsSettingsSchema>;
+
+/** Every settings file. */
+export const SettingsSchema = z.discriminatedUnion("kind", [
+  EntrySettingsSchema,
+  SideSettingsSchema,
+  StandinsSettingsSchema,
+]);
+export type Settings = z.output<typeof SettingsSchema>;
+
+/**
+ * Reads and checks a settings file of any kind. Raises a `settings` error that names file, key path and what was
+ * expected.
+ *
+ * @example
+ * ```ts
+ * const settings = loadAnySettings("examples/kente_lane/entry.yaml");
+ * if (settings.kind === "entry") await startEntry(settings);
+ * ```
+ */
+export function loadAnySettings(file: string): Settings {
+  return loadSettings(file, SettingsSchema);
+}
--- /dev/null
+++ b/packages/daemon/src/start.ts
@@ -0,0 +1,142 @@
+/**
+ * Starts processes from their settings.
+ *
+ * @module
+ */
+import { randomBytes, randomInt } from "node:crypto";
+import { type Clock, createLogger, type Logger, processId, SystemClock } from "@wisteriapick/core";
+import { HttpHostList, HttpModelEngine, HttpObjectStore } from "@wisteriapick/platform";
+import { EntryProcess, type EntryProcessOptions } from "./entry_process.ts";
+import { parseAddress } from "./link_source.ts";
+import type { ProcessOptions } from "./process_parts.ts";
+import type { EntrySettings, SideSettings } from "./settings.ts";
+import { SideProcess, type SideProcessOptions } from "./side_process.ts";
+
+/** What a process takes from its surroundings. */
+export interface StartDeps {
+  readonly clock?: Clock;
+  readonly log?: Logger;
+}
+
+/** A started process. */
+export interface StartedProcess {
+  /** Planned stop: finishes all running work. */
+  drain(): Promise<void>;
+  /** Stops at once. */
+  close(): Promise<void>;
+}
+
+/** Options of a process and the end of its clients. */
+export interface MadeOptions<T> {
+  readonly options: T;
+  closeClients(): Promise<void>;
+}
+
+const MAX_SEED = 2 ** 31;
+
+function makeProcessOptions(
+  cfg: EntrySettings | SideSettings,
+  { clock = new SystemClock(), log }: StartDeps,
+): MadeOptions<ProcessOptions> {
+  const store = new HttpObjectStore(cfg.objectStore, { clock });
+  const hostList = new HttpHostList(cfg.hostList, { clock });
+  const instance = randomBytes(4).toString("hex");
+  const options = {
+    identity: {
+      role: cfg.kind,
+      // A restarted process must have a new id, because leases are held by process id.
+      process: processId(`${cfg.host}.${cfg.kind}.${instance}`),
+      host: cfg.host,
+      dataCentre: cfg.dataCentre,
+    },
+    clusterKey: cfg.clusterKey,
+    linkAddress: cfg.links,
+    store,
+    hostList,
+    clock,
+    seed: cfg.seed ?? randomInt(MAX_SEED),
+    log: log ?? createLogger(cfg.kind, { level: cfg.logLevel }),
+  };
+  const closeClients = async () => {
+    await store.close();
+    await hostList.close();
+  };
+  return { options, closeClients };
+}
+
+/** Makes the options of an entry from its settings. */
+export function makeEntryOptions(
+  cfg: EntrySettings,
+  deps: StartDeps = {},
+): MadeOptions<EntryProcessOptions> {
+  const { options, closeClients } = makeProcessOptions(cfg, deps);
+  const listen = { ...parseAddress(cfg.listen), tls: cfg.tls };
+  return { options: { ...options, listen }, closeClients };
+}
+
+/** Makes the options of a side from its settings. */
+export function makeSideOptions(
+  cfg: SideSettings,
+  deps: StartDeps = {},
+): MadeOptions<SideProcessOptions> {
+  const { options, closeClients } = makeProcessOptions(cfg, deps);
+  const { endpoint, service, slots } = cfg;
+  const fixed = { ...options, endpoint, service };
+  if (cfg.engine === undefined) {
+    return { options: { ...fixed, origin: cfg.plain, slots }, closeClients };
+  }
+  const engine = new HttpModelEngine(cfg.engine, { clock: options.clock });
+  return {
+    options: { ...fixed, engine },
+    closeClients: async () => {
+      await engine.close();
+      await closeClients();
+    },
+  };
+}
+
+/**
+ * Starts an entry from its settings.
+ *
+ * @example
+ * ```ts
+ * const entry = await startEntry(loadSettings("entry.yaml", EntrySettingsSchema));
+ * console.log(entry.httpAddress);
+ * await entry.drain();
+ * ```
+ */
+export async function startEntry(
+  cfg: EntrySettings,
+  deps: StartDeps = {},
+): Promise<StartedProcess & { readonly httpAddress: string; readonly linkAddress: string }> {
+  const { options, closeClients } = makeEntryOptions(cfg, deps);
+  const process = await EntryProcess.start(options);
+  const end = async (stop: Promise<void>) => {
+    await stop;
+    await closeClients();
+  };
+  return {
+    httpAddress: process.httpAddress,
+    linkAddress: process.linkAddress,
+    drain: () => end(process.drain({ announceMs: cfg.announceMs })),
+    close: () => end(process.close()),
+  };
+}
+
+/** Starts a side from its settings. */
+export async function startSide(
+  cfg: SideSettings,
+  deps: StartDeps = {},
+): Promise<StartedProcess & { readonly linkAddress: string }> {
+  const { options, closeClients } = makeSideOptions(cfg, deps);
+  const process = await SideProcess.start(options);
+  const end = async (stop: Promise<void>) => {
+    await stop;
+    await closeClients();
+  };
+  return {
+    linkAddress: process.linkAddress,
+    drain: () => end(process.drain()),
+    close: () => end(process.close()),
+  };
+}
