Pass cache events to entries, and judge endpoints by their own faults only

Sides forward the engine's cache events in load reports. A failed attempt that did not run, was cancelled or asked for an unknown generation no longer counts against its endpoint. An entry clears a suspect after 8 tokens, as the side does.

--- a/packages/daemon/src/directory.ts
+++ b/packages/daemon/src/directory.ts
@@ -31,6 +31,8 @@
 export interface DirectoryChange {
   readonly set: readonly DirectoryEntry[];
   readonly removed: readonly EndpointId[];
+  /** Addresses of sides that are no longer listed. */
+  readonly unlisted: readonly string[];
 }
 
 /** Endpoints by id, written in one update for each snapshot of the host list. */
@@ -82,9 +84,12 @@
     }
     const removed = [...this.#table.ids()].filter((id) => !next.has(id));
     const set = [...next.values()].filter((row) => !sameEntry(row, this.#table.get(row.endpoint)));
+    const old = [...removed, ...set.map((row) => row.endpoint)].map((id) => this.#table.get(id));
     for (const id of removed) this.#table.delete(id);
     for (const row of set) this.#table.set(row.endpoint, row);
-    return { set, removed };
+    const listed = new Set([...this.#table.rows()].map((row) => row.side));
+    const sides = new Set(old.flatMap((row) => row === undefined ? [] : [row.side]));
+    return { set, removed, unlisted: [...sides].filter((side) => !listed.has(side)) };
   }
 }
 
--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -124,7 +124,8 @@
     this.#undos.push(
       directory.registerListener((change) => {
         for (const row of change.set) this.#place(row);
-        for (const id of change.removed) this.#o.placement.removeEndpoint(id);
+        for (const id of change.removed) this.#removeEndpoint(id);
+        for (const address of change.unlisted) this.#o.links.forget(address);
       }),
       config.registerListener((view) => this.#applyConfig(view)),
       router.registerNotify("load", (_link, msg) => this.#onLoad(msg)),
@@ -332,11 +333,19 @@
     else this.#o.placement.setEndpoint(row);
   }
 
-  #onLoad({ load, suspects }: LoadReport): void {
+  #removeEndpoint(endpoint: EndpointId): void {
+    this.#o.placement.removeEndpoint(endpoint);
+    this.#endpointVersions.delete(endpoint);
+  }
+
+  #onLoad({ load, suspects, cache = [] }: LoadReport): void {
     const now = this.#o.world.clock.now();
     this.#endpointVersions.set(load.endpoint, load.version);
     this.#o.placement.recordLoad(load, now);
     if (suspects !== undefined) this.#quarantine.merge(suspects, now);
+    for (const { type, prefix } of cache) {
+      this.#o.placement.recordCacheEvent(load.endpoint, type, prefix);
+    }
   }
 
   #applyConfig(view: ConfigView): void {
--- a/packages/daemon/src/entry_follower.ts
+++ b/packages/daemon/src/entry_follower.ts
@@ -26,6 +26,7 @@
   | {
     readonly type: "fail";
     readonly refusal: Refusal;
+    readonly load?: EndpointLoad;
     readonly suspects?: readonly SuspectReport[];
   }
   /** The side could not be reached within the window. */
@@ -160,5 +161,6 @@
   undo();
   gone.removeEventListener("abort", onGone);
   if (res.type !== "fail") return res;
-  return { type: "fail", refusal: res.fail.refusal, suspects: res.fail.suspects };
+  const { refusal, load, suspects } = res.fail;
+  return { type: "fail", refusal, load, suspects };
 }
--- a/packages/daemon/src/entry_relay.ts
+++ b/packages/daemon/src/entry_relay.ts
@@ -74,6 +74,11 @@
   readonly onOutcome?: (outcome: Outcome) => void;
 }
 
+/** Placement learns of one gap in so many; evidence about versions counts all. */
+const GAP_SAMPLE = 8;
+/** Tokens after which a request no longer counts as the one that crashed an endpoint. */
+const CLEAR_TOKENS = 8;
+
 /** One request. */
 export interface RelayRequest {
   /** The parts of the message that stay the same for each attempt. */
@@ -157,6 +162,8 @@
     const recorder = new OutcomeRecorder({ service, version: run.version, route, endpoint });
     const record = (ev: AttemptOutcome) => placement.recordOutcome(endpoint, ev, clock.now());
     let lastMs = startMs;
+    let batches = 0;
+    let suspect = run.suspectCrashes! > 0;
     tries.begin(endpoint, run.version);
     sink.begin(...this.#head(req, run.gen, target));
     placement.recordSent(endpoint, place, startMs);
@@ -179,9 +186,13 @@
           record({ type: "first_token", waitMs: now - startMs });
         } else {
           recorder.gap(now - lastMs);
-          record({ type: "gap", gapMs: now - lastMs });
+          if (++batches % GAP_SAMPLE === 0) record({ type: "gap", gapMs: now - lastMs });
         }
         lastMs = now;
+        if (suspect && offset >= CLEAR_TOKENS) {
+          suspect = false;
+          this.#quarantine.recordCleared(req.run.digest, now);
+        }
       },
     });
     record(attemptOutcome(res));
@@ -300,6 +311,15 @@
   }
 }
 
+/** Failures that say nothing about the endpoint. */
+const NO_FAULT: ReadonlySet<RefusalReason> = new Set([
+  "cancelled",
+  "deadline_exceeded",
+  "generation_unknown",
+  "resume_expired",
+  "resume_forbidden",
+]);
+
 function quarantined({ tries }: Job, retryAfterMs: number): Refusal {
   const message = "this request crashed the endpoints that ran it";
   return { type: "quarantined", message, notRun: tries.notRun, retryAfterMs };
@@ -324,12 +344,20 @@
     case "lost":
       return { type: "failed", reason: "link_lost" };
     case "fail":
-      return { type: "failed", reason: res.refusal.type };
+      return failOutcome(res);
     case "caller_gone":
       return { type: "abandoned" };
   }
 }
 
+function failOutcome(
+  { refusal, load }: Extract<FollowerResult, { type: "fail" }>,
+): AttemptOutcome {
+  const { type: reason, notRun } = refusal;
+  if (notRun === true && load !== undefined) return { type: "not_run", reason, load };
+  return NO_FAULT.has(reason) ? { type: "abandoned" } : { type: "failed", reason };
+}
+
 type Unanswered = Exclude<FollowerResult, { type: "end" | "caller_gone" }>;
 
 function attemptRefusal(res: Unanswered): Refusal {
--- a/packages/daemon/src/link_source.ts
+++ b/packages/daemon/src/link_source.ts
@@ -3,12 +3,14 @@
  *
  * @module
  */
-import { raise, type Undo } from "@wisteriapick/core";
+import { type Clock, raise, SystemClock, type Undo } from "@wisteriapick/core";
 import type { Address, Link, LinkPool } from "@wisteriapick/wire";
 
 /** Gives an open link to an `ip:port`, connecting where needed. Fails with `link` or `timeout`. */
 export abstract class LinkSource {
   abstract get(address: string): Promise<Link>;
+  /** Says that an address is no longer listed. Asking for it again is allowed. */
+  forget(_address: string): void {}
 }
 
 /** Parses `ip:port`; IPv6 addresses stand in brackets. */
@@ -26,27 +28,46 @@
 /** How long a request waits for a link; a side that cannot be reached in this time is passed over. */
 const CONNECT_TIMEOUT_MS = 500;
 
+/** Time for which a link to an unlisted address is kept; longer than any answer takes. */
+const FORGET_AFTER_MS = 900_000;
+
 /** Links from a pool, one for each address that was ever asked for. */
 export class PooledLinks extends LinkSource {
   readonly #pool: LinkPool;
   readonly #timeoutMs: number;
   readonly #kept = new Map<string, Undo>();
+  readonly #forgotten = new Map<string, Undo>();
+  readonly #clock: Clock;
 
-  constructor(pool: LinkPool, { timeoutMs = CONNECT_TIMEOUT_MS }: { timeoutMs?: number } = {}) {
+  constructor(
+    pool: LinkPool,
+    { timeoutMs = CONNECT_TIMEOUT_MS, clock = new SystemClock() }: {
+      timeoutMs?: number;
+      clock?: Clock;
+    } = {},
+  ) {
     super();
     this.#pool = pool;
     this.#timeoutMs = timeoutMs;
+    this.#clock = clock;
   }
 
   async get(address: string): Promise<Link> {
     const parsed = parseAddress(address);
+    this.#forgotten.get(address)?.();
+    this.#forgotten.delete(address);
     if (!this.#kept.has(address)) this.#kept.set(address, this.#pool.keep(parsed));
     return await this.#pool.ready(parsed, { timeoutMs: this.#timeoutMs });
   }
 
-  /** Gives up the link to an address that is no longer listed. */
-  forget(address: string): void {
-    this.#kept.get(address)?.();
-    this.#kept.delete(address);
+  /** Gives the link up later: a host that is no longer listed may still be finishing its work. */
+  override forget(address: string): void {
+    if (!this.#kept.has(address) || this.#forgotten.has(address)) return;
+    const undo = this.#clock.setTimer(FORGET_AFTER_MS, () => {
+      this.#forgotten.delete(address);
+      this.#kept.get(address)?.();
+      this.#kept.delete(address);
+    });
+    this.#forgotten.set(address, undo);
   }
 }
--- a/packages/daemon/src/process_parts.ts
+++ b/packages/daemon/src/process_parts.ts
@@ -87,7 +87,7 @@
   });
   return {
     ...made,
-    links: new PooledLinks(pool),
+    links: new PooledLinks(pool, { clock: options.clock }),
     control,
     memberKey: key,
     start: () => startControl(control, router),
--- a/packages/daemon/src/side.ts
+++ b/packages/daemon/src/side.ts
@@ -20,7 +20,7 @@
 import type { GenerationLogStoreOptions } from "@wisteriapick/delivery";
 import type { ModelEngine } from "@wisteriapick/platform";
 import type { Admission, AdmissionAction, Quarantine } from "@wisteriapick/policy";
-import type { EndpointLoad, Identity, SuspectReport } from "@wisteriapick/wire";
+import type { EndpointLoad, Identity, LoadReport, SuspectReport } from "@wisteriapick/wire";
 import type { Dispatcher } from "undici";
 import type { LinkRouter } from "./link_router.ts";
 import { SideCalls } from "./side_calls.ts";
@@ -61,6 +61,8 @@
 /** Probes in a row that must fail before the endpoint counts as down; one may be lost by chance. */
 const MAX_FAILED_PROBES = 3;
 const PROBE_TIMEOUT_MS = 1_000;
+/** Cache events of one report at most; later ones say more about the present. */
+const MAX_CACHE_EVENTS = 256;
 /** Suspects of one message at most; those of the latest crash are the last. */
 const MAX_SUSPECTS = 256;
 
@@ -90,6 +92,7 @@
   #draining = false;
   #version: VersionId | null = null;
   #seq = 0;
+  #cacheSeq = 0;
   #lastSent = "";
 
   constructor(options: SideOptions) {
@@ -241,13 +244,13 @@
   }
 
   /** Tells the entries that are connected, if anything but the report number changed. */
-  #sendLoad(suspects?: readonly SuspectReport[]): void {
+  #sendLoad({ suspects, cache }: Pick<LoadReport, "suspects" | "cache"> = {}): void {
     const load = this.load();
     const text = JSON.stringify({ ...load, seq: 0 });
-    if (text === this.#lastSent && suspects === undefined) return;
+    if (text === this.#lastSent && suspects === undefined && cache === undefined) return;
     this.#lastSent = text;
     for (const link of this.#o.router.links) {
-      if (link.peer.role === "entry") link.notify({ kind: "load", load, suspects });
+      if (link.peer.role === "entry") link.notify({ kind: "load", load, suspects, cache });
     }
   }
 
@@ -277,15 +280,27 @@
     if (!this.#ready) await this.#generations!.adoptAll();
     this.#ready = state.ready;
     await this.#orders!.reconcile(state);
+    await this.#passCacheEvents(engine);
     return true;
   }
 
+  /** Tells the entries what the engine's prefix cache holds, as far as the engine says. */
+  async #passCacheEvents(engine: ModelEngine): Promise<void> {
+    const events = await engine.cacheEvents(this.#cacheSeq).catch(() => []);
+    if (events.length === 0) return;
+    this.#cacheSeq = events.at(-1)!.seq;
+    const cache = events.slice(-MAX_CACHE_EVENTS).map(({ type, prefix }) => ({ type, prefix }));
+    this.#sendLoad({ cache });
+  }
+
   #onEngineLost(): void {
     if (!this.#ready) return;
     this.#ready = false;
+    // An engine that restarts begins its numbers anew.
+    this.#cacheSeq = 0;
     this.#o.log.warn({ endpoint: this.#o.endpoint }, "endpoint lost");
     this.#o.admission.recordEngineCrash(this.#clock.now());
-    this.#sendLoad(this.#suspects());
+    this.#sendLoad({ suspects: this.#suspects() });
   }
 
   #suspects(): readonly SuspectReport[] | undefined {
--- /dev/null
+++ b/packages/daemon/tests/reports_test.ts
@@ -0,0 +1,92 @@
+import assert from "node:assert/strict";
+import { after, test } from "node:test";
+import { type EndpointId, ManualClock, World } from "@wisteriapick/core";
+import type { CacheEvent, HostRecord } from "@wisteriapick/platform";
+import type { LoadView } from "@wisteriapick/policy";
+import type { Link, LinkPool } from "@wisteriapick/wire";
+import { Directory, LeastInFlightPlacement, PooledLinks } from "../src/mod.ts";
+import { FakeEngine, Fleet, until } from "./fixtures.ts";
+import { streamChat } from "./sse_client.ts";
+
+class CachingEngine extends FakeEngine {
+  events: CacheEvent[] = [];
+  override async cacheEvents(after = 0): Promise<readonly CacheEvent[]> {
+    return this.events.filter((ev) => ev.seq > after);
+  }
+}
+
+class RecordingPlacement extends LeastInFlightPlacement {
+  readonly cache: string[] = [];
+  readonly loads: LoadView[] = [];
+  override recordCacheEvent(endpoint: EndpointId, type: string, prefix: string): void {
+    this.cache.push(`${endpoint} ${type} ${prefix}`);
+  }
+  override recordLoad(load: LoadView): void {
+    this.loads.push(load);
+    super.recordLoad(load);
+  }
+}
+
+test("cache events and the leaving of a host reach the entries that are connected, each event once", async () => {
+  const fleet = new Fleet();
+  after(() => fleet.close());
+  const engine = new CachingEngine();
+  engine.release(5);
+  const { side } = await fleet.side("scribe-1", engine);
+  const placement = new RecordingPlacement();
+  const { url } = await fleet.entry("1", { placement });
+  await streamChat(url).finished();
+  engine.events.push({ seq: 1, type: "stored", prefix: "a" });
+  await until(() => placement.cache.length === 1);
+  engine.events.push({ seq: 3, type: "evicted", prefix: "a" });
+  await until(() => placement.cache.length === 2);
+  assert.deepEqual(placement.cache, ["scribe-1 stored a", "scribe-1 evicted a"]);
+  side.setLeaving(true);
+  await until(() => placement.loads.at(-1)?.leaving === true);
+});
+
+function makeHost(side: string): HostRecord {
+  return {
+    host: "h-1" as HostRecord["host"],
+    dataCentre: "dc-1" as HostRecord["dataCentre"],
+    region: "r-1" as HostRecord["region"],
+    state: "live",
+    side,
+    endpoint: {
+      id: "e-1" as EndpointId,
+      service: "scribe" as NonNullable<HostRecord["endpoint"]>["service"],
+      address: "127.0.0.1:1",
+    },
+  };
+}
+
+test("a directory tells which side addresses are no longer listed, and ignores an older list", () => {
+  const directory = new Directory(new World({ clock: new ManualClock() }));
+  const seen: string[][] = [];
+  directory.registerListener(({ unlisted }) => seen.push([...unlisted]));
+  directory.apply({ index: 1, hosts: [makeHost("127.0.0.1:1")] });
+  directory.apply({ index: 3, hosts: [makeHost("127.0.0.1:2")] });
+  directory.apply({ index: 2, hosts: [] });
+  directory.apply({ index: 4, hosts: [] });
+  assert.deepEqual(seen, [[], ["127.0.0.1:1"], ["127.0.0.1:2"]]);
+});
+
+test("a link to an unlisted address is given up only after a while, and not if it is used again", async () => {
+  const clock = new ManualClock();
+  let kept = 0;
+  const keep = () => {
+    kept++;
+    return () => void kept--;
+  };
+  const pool = { keep, ready: async () => ({}) as Link } as unknown as LinkPool;
+  const links = new PooledLinks(pool, { clock });
+  await links.get("127.0.0.1:1");
+  links.forget("127.0.0.1:1");
+  clock.advance(600_000);
+  await links.get("127.0.0.1:1");
+  clock.advance(600_000);
+  assert.equal(kept, 1);
+  links.forget("127.0.0.1:1");
+  clock.advance(900_000);
+  assert.equal(kept, 0);
+});
--- a/packages/policy/src/interfaces.ts
+++ b/packages/policy/src/interfaces.ts
@@ -72,6 +72,8 @@
   abstract recordSent(endpoint: EndpointId, req: PlacementRequest, nowMs: number): void;
   /** Records how an attempt went on or ended. `ended`, `failed`, `not_run` and `abandoned` end it. */
   abstract recordOutcome(endpoint: EndpointId, outcome: AttemptOutcome, nowMs: number): void;
+  /** Records a change of an endpoint's prefix cache; published late and with gaps. */
+  recordCacheEvent(_endpoint: EndpointId, _type: "stored" | "evicted", _prefix: string): void {}
   /** Records an unasked load report. Reports older than the newest known are ignored. */
   abstract recordLoad(load: LoadView, nowMs: number): void;
 }
--- a/packages/policy/src/subset_placement.ts
+++ b/packages/policy/src/subset_placement.ts
@@ -149,7 +149,11 @@
   }
 
   /** Records a published cache event of an engine. */
-  recordCacheEvent(endpoint: EndpointId, type: "stored" | "evicted", prefix: string): void {
+  override recordCacheEvent(
+    endpoint: EndpointId,
+    type: "stored" | "evicted",
+    prefix: string,
+  ): void {
     if (type === "stored") this.#prefixes.recordStored(endpoint, prefix);
     else this.#prefixes.recordEvicted(endpoint, prefix);
   }
--- a/packages/wire/src/message_codec.ts
+++ b/packages/wire/src/message_codec.ts
@@ -37,7 +37,14 @@
   text,
   textPair,
 } from "./fields.ts";
-import type { EndpointLoad, EvidenceCell, Hello, Message, SuspectReport } from "./messages.ts";
+import type {
+  CacheNote,
+  EndpointLoad,
+  EvidenceCell,
+  Hello,
+  Message,
+  SuspectReport,
+} from "./messages.ts";
 
 /** Numbers of frames that belong to the link itself. Messages start at {@link FIRST_MESSAGE_KIND}. */
 export const FRAME = {
@@ -101,6 +108,11 @@
   quarantined: flag,
 })));
 
+const cache = optional(list(record<CacheNote>({
+  type: oneOf(["stored", "evicted"]),
+  prefix: text,
+})));
+
 const evidenceCell = record<EvidenceCell>({
   move: id(moveId),
   version,
@@ -194,7 +206,7 @@
     load,
     about: optional(text),
   }),
-  load: record<Body<"load">>({ load, suspects }),
+  load: record<Body<"load">>({ load, suspects, cache }),
   config_pull: record<Body<"config_pull">>({ from: rev }),
   config_push: record<Body<"config_push">>({
     revision: rev,
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -194,12 +194,20 @@
   readonly about?: string;
 }
 
+/** A change of an engine's prefix cache. */
+export interface CacheNote {
+  readonly type: "stored" | "evicted";
+  readonly prefix: string;
+}
+
 /** An unasked load report. */
 export interface LoadReport {
   readonly kind: "load";
   readonly load: EndpointLoad;
   /** After a crash of the endpoint: the requests that ran there. */
   readonly suspects?: readonly SuspectReport[];
+  /** Changes of the prefix cache since the last report; late and with gaps. */
+  readonly cache?: readonly CacheNote[];
 }
 
 /** Subscribes to configuration after `from`. */
