--- a/packages/experiment/src/zone.ts
+++ b/packages/experiment/src/zone.ts
@@ -126,13 +126,13 @@
 
   constructor(options: ZoneOptions) {
     this.#o = {
-      load: 0.6,
-      fault: "none",
-      revisionOnRequests: true,
-      outAtMs: 180_000,
-      backAtMs: 360_000,
-      arrivalMs: 600_000,
-      ...options,
+      seed: options.seed,
+      load: options.load ?? 0.6,
+      fault: options.fault ?? "none",
+      revisionOnRequests: options.revisionOnRequests ?? true,
+      outAtMs: options.outAtMs ?? 180_000,
+      backAtMs: options.backAtMs ?? 360_000,
+      arrivalMs: options.arrivalMs ?? 600_000,
     };
     this.#setup = this.#build();
     this.#recorder = new Recorder(this.#o.arrivalMs);
