--- a/packages/daemon/src/entry_sinks.ts
+++ b/packages/daemon/src/entry_sinks.ts
@@ -14,6 +14,8 @@
   SseWriter,
   type Usage,
 } from "@wisteriapick/delivery";
+import { drainOrClose } from "./http_server.ts";
+import { ChunkedBody } from "./chunked_body.ts";
 
 /** Receives one answer. */
 export abstract class AnswerSink {
@@ -45,6 +47,7 @@
   #head: AnswerHead | null = null;
   #ref = "";
   #sse: SseWriter | null = null;
+  #body: ChunkedBody | null = null;
 
   constructor(res: ServerResponse, options: { includeUsage: boolean; resumed: boolean }) {
     super();
@@ -58,7 +61,7 @@
   }
 
   get full(): boolean {
-    return this.#sse?.full ?? false;
+    return this.#res.writableNeedDrain;
   }
 
   begin(head: AnswerHead, signedRef: string): void {
@@ -72,28 +75,29 @@
 
   end(reason: FinishReason, usage: Usage): void {
     this.#open().end(reason, usage);
-    this.#res.end();
+    this.#body!.end();
   }
 
   fail(refusal: Refusal): void {
     if (this.#sse === null) return sendProblem(this.#res, refusal);
     this.#sse.fail(refusal);
-    this.#res.end();
+    this.#body!.end();
   }
 
   async drained(): Promise<void> {
-    await new Promise<void>((resolve) => {
-      this.#res.once("drain", resolve);
-      this.#res.once("close", resolve);
-    });
-    this.#sse?.drained();
+    // The buffer may have drained before anyone waits for it; an event alone would be missed.
+    if (!this.#res.writableNeedDrain) return;
+    const { promise, settle } = drainOrClose(this.#res);
+    await promise;
+    settle();
   }
 
   #open(): SseWriter {
     if (this.#sse !== null) return this.#sse;
     this.#res.writeHead(200, SSE_HEADERS);
     const options = { head: this.#head!, signedRef: this.#ref, includeUsage: this.#includeUsage };
-    this.#sse = new SseWriter(this.#res, options);
+    this.#body = new ChunkedBody(this.#res);
+    this.#sse = new SseWriter(this.#body, options);
     if (!this.#resumed) this.#sse.open();
     return this.#sse;
   }
