--- a/packages/experiment/src/versions.ts
+++ b/packages/experiment/src/versions.ts
@@ -50,6 +50,8 @@
   readonly allowedMs?: number;
   /** Time from acceptance of a change until it is in force at the entries. */
   readonly spreadMs?: number;
+  /** Share of affected requests that a failing version fails. */
+  readonly failure?: number;
 }
 
 /** Figures of one run. */
@@ -101,8 +103,12 @@
 /** Slow gaps in one answer from which on it counts as a bad answer. */
 const BAD_GAPS = 5;
 
-function chances(kind: VersionKind, at: { route: string; high: boolean; atMs: number }): Chances {
-  const failing = { ...GOOD, failure: 0.5 };
+function chances(
+  kind: VersionKind,
+  failure: number,
+  at: { route: string; high: boolean; atMs: number },
+): Chances {
+  const failing = { ...GOOD, failure };
   switch (kind) {
     case "good":
       return GOOD;
@@ -150,6 +156,7 @@
       requestsPerSecond: 40,
       allowedMs: 1_200_000,
       spreadMs: 300,
+      failure: 0.5,
       ...options,
     };
     this.#rng = new Rng(this.#o.seed).fork(`versions/${this.#o.kind}`);
@@ -247,7 +254,7 @@
     const atMs = this.#clock.now();
     const version = router.versionFor(SERVICE, `r${this.#requests++}`)!;
     const isNew = version === NEW;
-    const c = isNew ? chances(this.#o.kind, { route, high, atMs }) : GOOD;
+    const c = isNew ? chances(this.#o.kind, this.#o.failure, { route, high, atMs }) : GOOD;
     const failed = rng.chance(c.failure);
     const slow = rng.chance(c.slowFirst);
     let slowGaps = 0;
