Rerun unstreamed answers after a crash, learn shared prompt memory, hold reruns longer

Change: a request that ran waits up to 20 s for a rerun; PromptSharing compares the engine's late reports with what ran then; only whole windows at the level count.

--- a/packages/experiment/src/product.ts
+++ b/packages/experiment/src/product.ts
@@ -20,6 +20,9 @@
   readonly side?: SideAdmissionOptions;
 }
 
+// A side asks its own engine for load this often.
+const ENGINE_FETCH_MS = 250;
+
 class ProductRun {
   readonly #clock = new ManualClock();
   readonly #setup: Setup;
@@ -53,9 +56,13 @@
       this.#clock.setTimer(job.atMs, () => this.#recorder.arrive(job));
       this.#clock.setTimer(job.atMs + CLIENT_DELAY_MS, () => this.#accept(job, 0));
     }
+    const undoFetch = this.#clock.setRepeating(ENGINE_FETCH_MS, () => {
+      for (const side of this.#sides.values()) side.fetchLoad();
+    });
     const undo = this.#clock.setRepeating(reportIntervalMs, () => this.#report());
     this.#clock.advance(arrivalMs + entries * resend.ms);
     undo();
+    undoFetch();
     while (this.#clock.step());
     return this.#recorder.result(this.#fleet.counts());
   }
--- a/packages/experiment/src/recorder.ts
+++ b/packages/experiment/src/recorder.ts
@@ -71,13 +71,21 @@
     if (offset < track.tokens) this.#duplicated++;
     if (offset > track.tokens) this.#lost++;
     track.attempt = attempt;
-    if (track.tokens === 0) this.#first(track, nowMs);
+    if (track.lastMs < 0) this.#first(track, nowMs);
     else this.#gap(track, nowMs - track.lastMs);
     track.lastMs = nowMs;
     track.tokens++;
     if (nowMs <= this.#windowMs) track.tokensInWindow++;
   }
 
+  /** Drops what was held back of an answer that has to run again. */
+  discard(index: number): void {
+    const track = this.#tracks[index]!;
+    if (track.job.streamed && track.tokens > 0) this.#spliced++;
+    track.tokens = 0;
+    track.tokensInWindow = 0;
+  }
+
   completed(index: number): void {
     const track = this.#tracks[index]!;
     if (track.outcome !== "open") this.#duplicated++;
--- a/packages/experiment/src/scenarios.ts
+++ b/packages/experiment/src/scenarios.ts
@@ -259,7 +259,7 @@
     load: 0.6,
     changeJobs: (jobs) => {
       const at = Math.floor(jobs.length / 3);
-      return jobs.map((job) => job.index === at ? { ...job, poison: true } : job);
+      return jobs.map((job) => ({ ...job, streamed: false, poison: job.index === at }));
     },
     setup: { resend: { ms: 1_500, times: 6 } },
   }, options);
@@ -286,11 +286,23 @@
     ];
   };
   return assemble(
-    { name: "failures", endpoints: fleet, kinds: [DRAFTS], load: 0.7, disturbances },
+    {
+      name: "failures",
+      endpoints: fleet,
+      kinds: [DRAFTS],
+      load: 0.7,
+      disturbances,
+      changeJobs: halfStreamed,
+    },
     options,
   );
 }
 
+// A stream that was cut must fail; an answer asked for as a whole must run again.
+function halfStreamed(jobs: Job[]): Job[] {
+  return jobs.map((job) => ({ ...job, streamed: job.index % 2 === 0 }));
+}
+
 /** Every scenario. */
 export const SCENARIOS: readonly Scenario[] = [
   { name: "crowded", summary: "heavy-tailed lengths; memory fills mid-draft", build: crowded },
--- a/packages/experiment/src/sim_entry.ts
+++ b/packages/experiment/src/sim_entry.ts
@@ -41,7 +41,8 @@
 
 interface Request {
   readonly job: Job;
-  readonly arrivedAtMs: number;
+  /** Time of arrival, or of the end of the last run. */
+  waitingSinceMs: number;
   readonly excluded: Set<EndpointId>;
   hops: number;
   holds: number;
@@ -121,7 +122,7 @@
   accept(job: Job): void {
     const req: Request = {
       job,
-      arrivedAtMs: this.#clock.now(),
+      waitingSinceMs: this.#clock.now(),
       excluded: new Set(),
       hops: 0,
       holds: 0,
@@ -198,7 +199,7 @@
       promptTokens,
       maxTokens: MAX_OUTPUT_TOKENS,
       priority: 0,
-      deadlineMs: req.arrivedAtMs + this.#deadlineMs,
+      deadlineMs: req.waitingSinceMs + this.#deadlineMs,
       digest,
       attempt: req.attempts,
       suspectCrashes: this.#quarantine.crashes(digest, this.#clock.now()),
@@ -215,15 +216,19 @@
       this.#outcome(endpoint, { type: "gap", gapMs: this.#recorder.sinceLast(index, atMs) });
     }
     this.#recorder.token(index, attempt, offset, atMs + CLIENT_DELAY_MS);
-    req.delivered = offset + 1;
-    if (req.delivered === CLEAR_TOKENS && this.#quarantine.crashes(digest, atMs) > 0) {
+    if (req.job.streamed) req.delivered = offset + 1;
+    if (offset + 1 === CLEAR_TOKENS && this.#quarantine.crashes(digest, atMs) > 0) {
       this.#quarantine.recordCleared(digest, atMs);
     }
   }
 
   #ended(req: Request, endpoint: EndpointId, load: LoadView): void {
     this.#outcome(endpoint, { type: "ended", load });
-    this.#lengths.recordEnd(req.job.service, req.job.account, req.delivered);
+    this.#lengths.recordEnd(
+      req.job.service,
+      req.job.account,
+      this.#recorder.delivered(req.job.index),
+    );
     this.#recorder.completed(req.job.index);
   }
 
@@ -235,6 +240,8 @@
     // Other entries learn of it before the caller gets an answer.
     if (suspects.length > 0) this.#onSuspect(suspects);
     req.runs++;
+    req.waitingSinceMs = now;
+    if (req.delivered === 0) this.#recorder.discard(req.job.index);
     this.#after(req, "engine_lost", false);
   }
 
@@ -247,8 +254,8 @@
       hops: req.hops,
       holds: req.holds,
       runs: req.runs,
-      arrivedAtMs: req.arrivedAtMs,
-      deadlineMs: req.arrivedAtMs + this.#deadlineMs,
+      waitingSinceMs: req.waitingSinceMs,
+      deadlineMs: req.waitingSinceMs + this.#deadlineMs,
     }, this.#clock.now());
     if (decision.type === "next") this.#send(req);
     else if (decision.type === "give_up") this.#giveUp(req, decision.reason, req.runs === 0);
--- a/packages/experiment/src/sim_side.ts
+++ b/packages/experiment/src/sim_side.ts
@@ -112,6 +112,14 @@
     this.#tick();
   }
 
+  /** Fetches the engine's own load report. */
+  fetchLoad(): void {
+    const engine = this.#fleet.get(this.spec.endpoint);
+    if (!engine.alive) return;
+    const load = engine.load();
+    this.#admission.recordEngineLoad(load, load.ageMs, this.#clock.now());
+  }
+
   crashed(): void {
     this.#admission.recordEngineCrash(this.#clock.now());
     this.#tick();
--- a/packages/experiment/src/types.ts
+++ b/packages/experiment/src/types.ts
@@ -20,6 +20,8 @@
   readonly outputTokens: number;
   readonly digest: string;
   readonly poison: boolean;
+  /** Whether tokens go to the caller at once; otherwise the answer is held back until it is whole. */
+  readonly streamed: boolean;
 }
 
 /** One class of work. */
--- a/packages/experiment/src/workload.ts
+++ b/packages/experiment/src/workload.ts
@@ -65,8 +65,8 @@
   let tokens = 0;
   let n = 0;
   const feed = () => {
-    const { promptTokens, outputTokens } = source.draw();
-    model.submit({ gen: generationId(`c${n++}`), promptTokens, outputTokens });
+    const { promptTokens, outputTokens, prefixes } = makeJob(source.draw(), 0, 1, rng);
+    model.submit({ gen: generationId(`c${n++}`), promptTokens, outputTokens, prefixes });
   };
   const model: EngineModel = new EngineModel({
     clock,
@@ -143,6 +143,7 @@
     outputTokens,
     digest: "",
     poison: false,
+    streamed: true,
   };
 }
 
--- a/packages/policy/src/cold_start.ts
+++ b/packages/policy/src/cold_start.ts
@@ -47,7 +47,9 @@
 export class ColdStart {
   readonly #cfg: Required<ColdStartOptions>;
   #allowance: number;
+  /** Tokens and steps while as much ran as is allowed. */
   #tokens = 0;
+  #stepsAtLevel = 0;
   #window: number[] = [];
   #lastAtMs = -Infinity;
   #lastActiveMs = -Infinity;
@@ -91,9 +93,11 @@
   /** Records that a generation waited `gapMs` for its latest `count` tokens while `running` ran. */
   recordGap(gapMs: number, count: number, running: number, nowMs: number): void {
     this.#lastActiveMs = nowMs;
-    this.#tokens += count;
+    const atLevel = running >= Math.floor(this.#allowance);
+    if (atLevel) this.#tokens += count;
     if (nowMs - this.#lastAtMs < SAME_STEP_MS) return;
     this.#lastAtMs = nowMs;
+    this.#stepsAtLevel = atLevel ? this.#stepsAtLevel + 1 : 0;
     this.#window.push(gapMs / count);
     if (this.#window.length < WINDOW) return;
     if (this.#window.length > WINDOW) this.#window.shift();
@@ -126,8 +130,8 @@
   }
 
   #considerGrowth(gapMs: number, running: number): void {
-    // Only what was really borne is evidence for more.
-    if (running < Math.floor(this.#allowance)) return;
+    // Only what was really borne, through a whole window, is evidence for more.
+    if (this.#stepsAtLevel <= WINDOW) return;
     const added = Math.max(0, running - this.#levelRunning);
     const flatMs = this.#levelMs * (1 + FLAT_TOLERANCE + FLAT_PER_GEN * added);
     const { fastGrowth, fastTokens, slowGrowth, slowTokens } = this.#cfg;
@@ -181,6 +185,7 @@
 
   #forgetEvidence(): void {
     this.#tokens = 0;
+    this.#stepsAtLevel = 0;
     this.#window = [];
   }
 }
--- a/packages/policy/src/memory_forecast.ts
+++ b/packages/policy/src/memory_forecast.ts
@@ -22,6 +22,7 @@
 /** One generation of the batch. */
 export interface ForecastItem {
   readonly curve: Float64Array;
+  /** Prompt tokens, less what is shared with other generations. */
   readonly promptTokens: number;
   readonly produced: number;
   readonly maxTokens: number;
@@ -37,13 +38,12 @@
     this.#variance.fill(0);
   }
 
-  /** Adds a generation, or takes it out with `sign` -1. */
-  add(item: ForecastItem, sign = 1): void {
+  /** Adds a generation. */
+  add(item: ForecastItem): void {
     for (let i = 0; i < HORIZONS_TOKENS.length; i++) {
-      const ahead = HORIZONS_TOKENS[i]!;
-      const { alive, tokens } = project(item, ahead);
-      this.#mean[i]! += sign * alive * tokens;
-      this.#variance[i]! += sign * alive * (1 - alive) * tokens * tokens;
+      const { alive, tokens } = project(item, HORIZONS_TOKENS[i]!);
+      this.#mean[i]! += alive * tokens;
+      this.#variance[i]! += alive * (1 - alive) * tokens * tokens;
     }
   }
 
--- a/packages/policy/src/retry_policy.ts
+++ b/packages/policy/src/retry_policy.ts
@@ -13,6 +13,8 @@
   readonly maxRuns?: number;
   /** Longest time a request is held at the entry for a free endpoint. */
   readonly maxHoldMs?: number;
+  /** The same for a request that had run and lost its endpoint: it was accepted once. */
+  readonly maxRerunHoldMs?: number;
   readonly firstHoldMs?: number;
   readonly longestHoldMs?: number;
 }
@@ -31,7 +33,8 @@
   readonly holds: number;
   /** Attempts so far that ran, or may have run. */
   readonly runs: number;
-  readonly arrivedAtMs: number;
+  /** Time of arrival, or of the end of the last run. */
+  readonly waitingSinceMs: number;
   readonly deadlineMs: number;
 }
 
@@ -69,6 +72,7 @@
       maxHops: options.maxHops ?? 3,
       maxRuns: options.maxRuns ?? 3,
       maxHoldMs: options.maxHoldMs ?? 1_000,
+      maxRerunHoldMs: options.maxRerunHoldMs ?? 20_000,
       firstHoldMs: options.firstHoldMs ?? 20,
       longestHoldMs: options.longestHoldMs ?? 100,
     };
@@ -82,7 +86,8 @@
     if (nowMs >= report.deadlineMs) return { type: "give_up", reason: "deadline_exceeded" };
     if (report.hops < this.#cfg.maxHops && report.reason !== "no_endpoint") return { type: "next" };
     const ms = this.#holdMs(report.holds);
-    const until = Math.min(report.deadlineMs, report.arrivedAtMs + this.#cfg.maxHoldMs);
+    const longest = report.runs > 0 ? this.#cfg.maxRerunHoldMs : this.#cfg.maxHoldMs;
+    const until = Math.min(report.deadlineMs, report.waitingSinceMs + longest);
     return nowMs + ms > until ? giveUp : { type: "hold", ms };
   }
 
--- a/packages/policy/src/side_admission.ts
+++ b/packages/policy/src/side_admission.ts
@@ -15,6 +15,7 @@
 } from "./interfaces.ts";
 import { LengthEstimator } from "./length_estimator.ts";
 import { MemoryForecast } from "./memory_forecast.ts";
+import { PromptSharing } from "./prompt_sharing.ts";
 import { Quarantine } from "./quarantine.ts";
 
 /** Options of {@link SideAdmission}. */
@@ -61,6 +62,8 @@
 // Progress is recorded each time a generation has grown by this factor.
 const RECORD_GROWTH = 1.25;
 const WAIT_SMOOTHING = 0.1;
+// The forecast moves with each token; this much later it is made anew.
+const FORECAST_MS = 25;
 const MIN_RETRY_AFTER_MS = 50;
 const MAX_RETRY_AFTER_MS = 10_000;
 
@@ -90,6 +93,8 @@
   #startIntervalMs = 200;
   #lastStartMs = -Infinity;
   #meanTokens = 500;
+  readonly #sharing = new PromptSharing();
+  #forecastAtMs = -Infinity;
 
   constructor(options: SideAdmissionOptions = {}) {
     super();
@@ -129,7 +134,7 @@
     const refusal = this.#refusal(req, nowMs);
     if (refusal !== null) return refusal;
     const item = this.#enqueue(req, nowMs);
-    this.#prepare();
+    this.#prepare(nowMs);
     const blocked = this.#blocked(req, nowMs);
     // Work that fits may pass a head that does not; aging bounds how often.
     if (blocked === null && this.#mayPass(item, nowMs)) {
@@ -171,15 +176,23 @@
     const run = this.#running.get(gen);
     if (run === undefined) return;
     this.#running.delete(gen);
+    this.#forecastAtMs = -Infinity;
     const { service, account, weight, promptTokens } = run.req;
     this.#queue.charge(account, promptTokens + run.produced - run.charged, weight);
     if (how !== "done") return;
     this.lengths.recordEnd(service, account, run.produced, run.recorded);
-    this.#meanTokens += 0.02 * (promptTokens + run.produced - this.#meanTokens);
+    const own = promptTokens * this.#sharing.share + run.produced;
+    this.#meanTokens += 0.02 * (own - this.#meanTokens);
   }
 
-  recordEngineLoad(load: { kvTotalTokens: number }, _ageMs: number, _nowMs: number): void {
+  recordEngineLoad(
+    load: { running: number; kvUsedTokens: number; kvTotalTokens: number },
+    ageMs: number,
+    nowMs: number,
+  ): void {
     if (load.kvTotalTokens > 0) this.#kvTotal = load.kvTotalTokens;
+    this.#sharing.record(this.#running.values(), nowMs);
+    this.#sharing.compare(load, nowMs - ageMs);
   }
 
   recordEngineCrash(nowMs: number): void {
@@ -189,6 +202,7 @@
       this.quarantine.recordCrash(run.req.digest, crashId, nowMs);
     }
     this.#running.clear();
+    this.#forecastAtMs = -Infinity;
     this.#dropped.push(...this.#waiting.keys());
     for (const item of [...this.#waiting.values()]) this.#unqueue(item);
     this.cold.reset();
@@ -215,9 +229,11 @@
     LoadView,
     "running" | "queued" | "allowance" | "kvUsedTokens" | "kvTotalTokens" | "expectedWaitMs"
   > {
-    this.#prepare();
+    this.#prepare(nowMs);
     let used = 0;
-    for (const run of this.#running.values()) used += run.req.promptTokens + run.produced;
+    for (const run of this.#running.values()) {
+      used += run.req.promptTokens * this.#sharing.share + run.produced;
+    }
     const running = this.#running.size;
     const room = this.#limitTokens() - this.#forecast.peakTokens(this.#cfg.memoryZ);
     const fits = Math.max(0, Math.floor(room / this.#meanTokens));
@@ -225,7 +241,7 @@
       running,
       queued: this.#waiting.size,
       allowance: Math.min(this.cold.allowance(running, nowMs), running + fits),
-      kvUsedTokens: used,
+      kvUsedTokens: Math.round(used),
       kvTotalTokens: this.#kvTotal,
       expectedWaitMs: this.#waiting.size === 0 && fits > 0 ? 0 : this.#expectedWaitMs(),
     };
@@ -276,6 +292,7 @@
       suspect: this.#isSuspect(req, nowMs),
     };
     this.#running.set(req.gen, run);
+    this.#forecast.add(this.#item(run));
     this.#queue.charge(req.account, charged, req.weight);
     if (Number.isFinite(this.#lastStartMs)) {
       const interval = Math.min(5_000, nowMs - this.#lastStartMs);
@@ -292,14 +309,17 @@
     return this.#kvTotal * this.#cfg.memoryShare;
   }
 
-  #prepare(): void {
+  #prepare(nowMs: number): void {
+    if (nowMs - this.#forecastAtMs < FORECAST_MS) return;
+    this.#forecastAtMs = nowMs;
     this.#forecast.clear();
     for (const run of this.#running.values()) this.#forecast.add(this.#item(run));
   }
 
   #item(run: Running) {
-    const { promptTokens, maxTokens } = run.req;
-    return { curve: run.curve, promptTokens, produced: run.produced, maxTokens };
+    const { curve, produced, req } = run;
+    const promptTokens = req.promptTokens * this.#sharing.share;
+    return { curve, promptTokens, produced, maxTokens: req.maxTokens };
   }
 
   /** Why a request cannot start now. Needs a prepared forecast. */
@@ -312,7 +332,8 @@
     // An empty engine takes anything: nothing else would ever run it.
     if (running === 0) return null;
     const curve = this.lengths.curve(req.service, req.account);
-    const item = { curve, promptTokens: req.promptTokens, produced: 0, maxTokens: req.maxTokens };
+    const promptTokens = req.promptTokens * this.#sharing.share;
+    const item = { curve, promptTokens, produced: 0, maxTokens: req.maxTokens };
     const peak = this.#forecast.peakWith(item, this.#cfg.memoryZ);
     return peak > this.#limitTokens() ? "memory_pressure" : null;
   }
@@ -323,12 +344,11 @@
   }
 
   #startWaiting(nowMs: number, actions: AdmissionAction[]): void {
-    this.#prepare();
+    this.#prepare(nowMs);
     for (let item = this.#queue.peek(nowMs); item !== null; item = this.#queue.peek(nowMs)) {
       if (this.#blocked(item.req, nowMs) !== null) return;
       this.#unqueue(item);
       this.#start(item.req, nowMs);
-      this.#forecast.add(this.#item(this.#running.get(item.req.gen)!));
       actions.push({ type: "start", gen: item.req.gen });
     }
   }
