Keep memory free from accounts far above their fair share

Cause: under two large accounts, small ones were refused as often as the large ones and preempted. Change: AccountShares tracks decaying use per account and endpoint; an account above 2.5 times the mean per weight fills at most 85% of KV memory and is preempted first.

--- a/packages/experiment/src/sim_side.ts
+++ b/packages/experiment/src/sim_side.ts
@@ -172,7 +172,7 @@
     const held = this.#held.get(gen)!;
     held.started = true;
     held.lastMs = this.#clock.now();
-    this.#fleet.submit(this.spec.endpoint, gen, held.job, held.req.priority);
+    this.#fleet.submit(this.spec.endpoint, gen, held.job, this.#admission.enginePriority(gen));
   }
 
   #tick(): void {
--- a/packages/policy/src/side_admission.ts
+++ b/packages/policy/src/side_admission.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { GenerationId, RefusalReason } from "@wisteriapick/core";
+import { AccountShares, type AccountSharesOptions, type AccountUse } from "./account_shares.ts";
 import { ColdStart, type ColdStartOptions } from "./cold_start.ts";
 import { FairQueue, type Queued } from "./fair_queue.ts";
 import {
@@ -35,6 +36,9 @@
   readonly agingMs?: number;
   /** Tokens after which a suspect is cleared. */
   readonly clearTokens?: number;
+  /** Share of KV memory that accounts far above their fair share fill at most. */
+  readonly heavyMemoryShare?: number;
+  readonly shares?: AccountSharesOptions;
   readonly cold?: ColdStartOptions;
   readonly lengths?: LengthEstimator;
   readonly quarantine?: Quarantine;
@@ -55,6 +59,8 @@
   recorded: number;
   nextRecord: number;
   suspect: boolean;
+  readonly use: AccountUse;
+  readonly heavy: boolean;
 }
 
 type Blocked = "cold_start" | "memory_pressure" | "overloaded";
@@ -77,7 +83,7 @@
  * ```
  */
 export class SideAdmission extends Admission {
-  readonly #cfg: Required<Omit<SideAdmissionOptions, "cold" | "lengths" | "quarantine">>;
+  readonly #cfg: Required<Omit<SideAdmissionOptions, "cold" | "shares" | "lengths" | "quarantine">>;
   readonly lengths: LengthEstimator;
   readonly quarantine: Quarantine;
   readonly cold: ColdStart;
@@ -94,6 +100,7 @@
   #lastStartMs = -Infinity;
   #meanTokens = 500;
   readonly #sharing = new PromptSharing();
+  readonly #shares: AccountShares;
   #forecastAtMs = -Infinity;
 
   constructor(options: SideAdmissionOptions = {}) {
@@ -102,6 +109,7 @@
       kvTotalTokens: options.kvTotalTokens ?? 60_000,
       memoryShare: options.memoryShare ?? 0.97,
       memoryZ: options.memoryZ ?? 1,
+      heavyMemoryShare: options.heavyMemoryShare ?? 0.85,
       maxWaitMs: options.maxWaitMs ?? 400,
       maxQueue: options.maxQueue ?? 16,
       shortTokens: options.shortTokens ?? 96,
@@ -112,6 +120,7 @@
     this.lengths = options.lengths ?? new LengthEstimator();
     this.quarantine = options.quarantine ?? new Quarantine();
     this.cold = new ColdStart(options.cold);
+    this.#shares = new AccountShares(options.shares);
     this.#queue = new FairQueue({ agingMs: this.#cfg.agingMs });
     this.#kvTotal = this.#cfg.kvTotalTokens;
   }
@@ -121,6 +130,13 @@
     this.#draining = draining;
   }
 
+  /** Priority at the engine, lower first: when memory fills, heavy accounts are preempted first. */
+  enginePriority(gen: GenerationId): number {
+    const run = this.#running.get(gen);
+    if (run === undefined) return 0;
+    return 2 * run.req.priority + (run.heavy ? 1 : 0);
+  }
+
   /** Takes over a generation that the engine already runs, after a restart of the side. */
   adopt(req: AdmissionRequest, produced: number, nowMs: number): void {
     this.#start(req, nowMs);
@@ -158,6 +174,7 @@
     // The wait for the first token is not a gap.
     if (run.produced > 0) this.cold.recordGap(gapMs, count, this.#running.size, nowMs);
     run.produced += count;
+    run.use.tokens += count;
     if (run.suspect && run.produced >= this.#cfg.clearTokens) {
       run.suspect = false;
       this.quarantine.recordCleared(run.req.digest, nowMs);
@@ -290,7 +307,10 @@
       recorded: 0,
       nextRecord: 1,
       suspect: this.#isSuspect(req, nowMs),
+      use: this.#shares.use(req.account, req.weight),
+      heavy: this.#shares.isHeavy(req.account, nowMs),
     };
+    run.use.tokens += req.promptTokens;
     this.#running.set(req.gen, run);
     this.#forecast.add(this.#item(run));
     this.#queue.charge(req.account, charged, req.weight);
@@ -335,7 +355,9 @@
     const promptTokens = req.promptTokens * this.#sharing.share;
     const item = { curve, promptTokens, produced: 0, maxTokens: req.maxTokens };
     const peak = this.#forecast.peakWith(item, this.#cfg.memoryZ);
-    return peak > this.#limitTokens() ? "memory_pressure" : null;
+    const heavy = this.#shares.isHeavy(req.account, nowMs);
+    const limit = heavy ? this.#kvTotal * this.#cfg.heavyMemoryShare : this.#limitTokens();
+    return peak > limit ? "memory_pressure" : null;
   }
 
   #mayPass(item: Waiting, nowMs: number): boolean {
