--- /dev/null
+++ b/packages/daemon/src/entry_process.ts
@@ -0,0 +1,211 @@
+/**
+ * A whole entry process: HTTP, links, configuration, host list, moves and the operator interface.
+ *
+ * @module
+ */
+import { raise, type Undo, World } from "@wisteriapick/core";
+import {
+  memberKey,
+  MoveDuty,
+  type MoveDutyPorts,
+  MoveRouter,
+  PlanBook,
+  registerOperatorRoutes,
+  type SpreadMember,
+} from "@wisteriapick/control";
+import { SubsetPlacement } from "@wisteriapick/policy";
+import type { Order, OrderDone } from "@wisteriapick/wire";
+import { Directory } from "./directory.ts";
+import { Entry } from "./entry.ts";
+import type { EntryOptions } from "./entry_options.ts";
+import { MovedVersions } from "./entry_versions.ts";
+import { FleetView } from "./fleet_view.ts";
+import type { HttpListenOptions } from "./http_server.ts";
+import { makeProcessParts, type ProcessOptions, type ProcessParts } from "./process_parts.ts";
+
+/** What an entry process is made with. */
+export interface EntryProcessOptions extends ProcessOptions {
+  /** Where callers' HTTP is accepted. */
+  readonly listen: HttpListenOptions;
+  /** Replaces parts of the entry. */
+  readonly entry?: Partial<EntryOptions>;
+}
+
+const ORDER_TIMEOUT_MS = 10_000;
+
+/**
+ * See the module comment.
+ *
+ * @example
+ * ```ts
+ * const process = await EntryProcess.start(options);
+ * console.log(process.httpAddress);
+ * await process.drain();
+ * ```
+ */
+export class EntryProcess {
+  readonly entry: Entry;
+  readonly world: World;
+  readonly linkAddress: string;
+  readonly #o: EntryProcessOptions;
+  readonly #parts: ProcessParts;
+  readonly #directory: Directory;
+  readonly #router: MoveRouter;
+  readonly #duty: MoveDuty;
+  readonly #undos: Undo[] = [];
+  #httpAddress = "";
+
+  private constructor(options: EntryProcessOptions, parts: ProcessParts) {
+    const { identity, clock, store, clusterKey, listen } = options;
+    const { control, router, links, rng, log, metrics } = parts;
+    this.#o = options;
+    this.#parts = parts;
+    this.linkAddress = parts.linkAddress;
+    this.world = new World({ clock });
+    this.#directory = new Directory(this.world);
+    this.#router = new MoveRouter(control.state, clock, identity.process);
+    this.#duty = this.#makeDuty();
+    this.entry = new Entry({
+      identity,
+      clusterKey,
+      listen,
+      config: control.state,
+      directory: this.#directory,
+      links,
+      router,
+      placement: new SubsetPlacement({
+        entry: identity.host,
+        dataCentre: identity.dataCentre,
+        rng: rng.fork("placement"),
+      }),
+      world: this.world,
+      log,
+      metrics,
+      store,
+      rng: rng.fork("entry"),
+      versions: new MovedVersions(this.#router),
+      onOutcome: (outcome) => this.#router.record(outcome),
+      ...options.entry,
+    });
+  }
+
+  /** Binds both addresses and starts. */
+  static async start(options: EntryProcessOptions): Promise<EntryProcess> {
+    const process = EntryProcess.withParts(options, await makeProcessParts(options));
+    process.#httpAddress = await process.entry.listen();
+    return process;
+  }
+
+  /** Starts on given links, without an HTTP address; connections are handed to `entry.accept`. */
+  static withParts(options: EntryProcessOptions, parts: ProcessParts): EntryProcess {
+    const process = new EntryProcess(options, parts);
+    process.#start();
+    process.entry.start();
+    return process;
+  }
+
+  /** Bound address of callers' HTTP as `ip:port`. */
+  get httpAddress(): string {
+    return this.#httpAddress;
+  }
+
+  /** Planned stop: the health check goes down first, every running request finishes. */
+  async drain(options: { announceMs?: number } = {}): Promise<void> {
+    await this.entry.drain(options);
+    await this.close();
+  }
+
+  /** Stops at once. */
+  async close(): Promise<void> {
+    for (const undo of this.#undos.splice(0)) undo();
+    this.entry.close();
+    await this.#parts.close();
+  }
+
+  #start(): void {
+    const { clock } = this.#o;
+    const { control, router, pool } = this.#parts;
+    const fleet = new FleetView({ control, pool, clock, acceptor: router });
+    this.#undos.push(
+      this.#parts.start(),
+      () => this.#router.close(),
+      fleet.start(),
+      router.registerNotify("evidence", (_link, msg) => this.#duty.onEvidence(msg)),
+      control.membership.registerListener((members) => this.#setEntries(members)),
+      this.#followHosts(),
+      this.#duty.start(),
+      this.#registerOperators(fleet),
+    );
+  }
+
+  #setEntries(members: readonly SpreadMember[]): void {
+    this.#duty.setEntries(members.filter((m) => m.key.endsWith("/entry")));
+  }
+
+  #followHosts(): Undo {
+    return this.#parts.control.membership.registerSnapshotListener((snapshot) => {
+      this.#directory.apply(snapshot);
+    });
+  }
+
+  #makeDuty(): MoveDuty {
+    const { identity, store, clock } = this.#o;
+    const { control, rng, linkAddress: address } = this.#parts;
+    const key = memberKey(identity.host, "entry");
+    return new MoveDuty({
+      self: { key, dataCentre: identity.dataCentre, address },
+      process: identity.process,
+      store,
+      log: control.log,
+      router: this.#router,
+      clock,
+      rng: rng.fork("moves"),
+      ports: this.#makePorts(),
+    });
+  }
+
+  #makePorts(): MoveDutyPorts {
+    const { links } = this.#parts;
+    return {
+      sendEvidence: (to, evidence) => {
+        links.get(to.address).then((link) => link.notify(evidence)).catch(() => {});
+      },
+      sendOrder: (order) => this.#sendOrder(order),
+    };
+  }
+
+  async #sendOrder(order: Order): Promise<OrderDone> {
+    const target = this.#directory.get(order.endpoint);
+    if (target === undefined) {
+      raise({ type: "not_found", message: `no side is listed for ${order.endpoint}` });
+    }
+    const link = await this.#parts.links.get(target.side);
+    const res = await link.request(order, { timeoutMs: ORDER_TIMEOUT_MS });
+    if (res.kind === "order_done") return res;
+    raise({ type: "unreachable", message: `the side of ${order.endpoint} refused the order` });
+  }
+
+  #registerOperators(fleet: FleetView): Undo {
+    const { store, clock } = this.#o;
+    const { control, rng } = this.#parts;
+    const plans = new PlanBook({
+      store,
+      log: control.log,
+      clock,
+      rng: rng.fork("plans"),
+      endpoints: () => fleet.endpoints(),
+    });
+    const sources = {
+      plans,
+      store,
+      state: control.state,
+      clock,
+      fleet,
+      storeUp: () => control.node.storeUp,
+    };
+    return registerOperatorRoutes(
+      (method, path, handler) => this.entry.registerAdminRoute(method, path, handler),
+      sources,
+    );
+  }
+}
--- a/packages/daemon/src/mod.ts
+++ b/packages/daemon/src/mod.ts
@@ -1,1 +1,29 @@
-export {};
+/**
+ * The processes: entry and side.
+ *
+ * @module
+ */
+export * from "./directory.ts";
+export * from "./entry.ts";
+export * from "./entry_auth.ts";
+export * from "./entry_options.ts";
+export * from "./entry_versions.ts";
+export * from "./entry_sinks.ts";
+export * from "./entry_process.ts";
+export * from "./entry_relay.ts";
+export * from "./fleet_view.ts";
+export * from "./process_parts.ts";
+export * from "./side_process.ts";
+export * from "./entry_follower.ts";
+export * from "./idempotency.ts";
+export * from "./fixed_admission.ts";
+export * from "./http_server.ts";
+export * from "./least_in_flight_placement.ts";
+export * from "./link_router.ts";
+export * from "./link_source.ts";
+export * from "./prompt_shape.ts";
+export * from "./side.ts";
+export type { LearnFence } from "./side_orders.ts";
+export { GENERATION_TIMES, type GenerationTimes } from "./side_generation.ts";
+export * from "./local.ts";
+export * from "./local_deployment.ts";
--- /dev/null
+++ b/packages/daemon/src/side.ts
@@ -0,0 +1,294 @@
+/**
+ * The side process: owns one endpoint.
+ *
+ * @module
+ */
+import {
+  type Clock,
+  createMetrics,
+  type EndpointId,
+  type Logger,
+  type Metrics,
+  type RefusalReason,
+  type ServiceId,
+  type Undo,
+  type VersionId,
+  versionId,
+  type World,
+} from "@wisteriapick/core";
+import type { ConfigSource } from "@wisteriapick/control";
+import type { GenerationLogStoreOptions } from "@wisteriapick/delivery";
+import type { ModelEngine } from "@wisteriapick/platform";
+import type { Admission, AdmissionAction, Quarantine } from "@wisteriapick/policy";
+import type { EndpointLoad, Identity, SuspectReport } from "@wisteriapick/wire";
+import type { Dispatcher } from "undici";
+import type { LinkRouter } from "./link_router.ts";
+import { SideCalls } from "./side_calls.ts";
+import type { SideContext } from "./side_context.ts";
+import { gateReason } from "./side_gate.ts";
+import { GENERATION_TIMES, type GenerationTimes } from "./side_generation.ts";
+import { SideGenerations } from "./side_generations.ts";
+import { type LearnFence, SideOrders } from "./side_orders.ts";
+
+/** What a side is made of. It has an `engine` or, beside a plain service, an `origin`. */
+export interface SideOptions {
+  readonly identity: Identity;
+  readonly endpoint: EndpointId;
+  readonly service: ServiceId;
+  readonly engine?: ModelEngine;
+  /** Base of a plain service's endpoint, for example `http://127.0.0.1:7300`. */
+  readonly origin?: string;
+  /** What carries requests to a plain service; connections of `undici` by default. */
+  readonly dispatcher?: Dispatcher;
+  readonly admission: Admission;
+  readonly config: ConfigSource;
+  readonly router: LinkRouter;
+  readonly world: World;
+  readonly log: Logger;
+  readonly metrics?: Metrics;
+  readonly times?: Partial<GenerationTimes>;
+  readonly logs?: GenerationLogStoreOptions;
+  readonly learnFence?: LearnFence;
+  /** The admission's record of requests that crash endpoints, which entries are told of after a crash. */
+  readonly quarantine?: Quarantine;
+  /** Interval of probes of the endpoint. */
+  readonly probeMs?: number;
+  readonly tickMs?: number;
+  /** Interval at which entries are told of a changed load. */
+  readonly loadMs?: number;
+}
+
+/** Probes in a row that must fail before the endpoint counts as down; one may be lost by chance. */
+const MAX_FAILED_PROBES = 3;
+const PROBE_TIMEOUT_MS = 1_000;
+/** Suspects of one message at most; those of the latest crash are the last. */
+const MAX_SUSPECTS = 256;
+
+/**
+ * One endpoint's side.
+ *
+ * @example
+ * ```ts
+ * const side = new Side({ identity, endpoint, service, engine, admission, config, router, world, log });
+ * side.start();
+ * await side.drain();
+ * ```
+ */
+export class Side {
+  readonly metrics: Metrics;
+  readonly #o: SideOptions;
+  readonly #clock: Clock;
+  readonly #ctx: SideContext;
+  readonly #generations: SideGenerations | null = null;
+  readonly #calls: SideCalls | null = null;
+  readonly #orders: SideOrders | null = null;
+  readonly #undos: Undo[] = [];
+  #ready = false;
+  #probing = false;
+  #failedProbes = 0;
+  #leaving = false;
+  #draining = false;
+  #version: VersionId | null = null;
+  #seq = 0;
+  #lastSent = "";
+
+  constructor(options: SideOptions) {
+    this.#o = options;
+    this.#clock = options.world.clock;
+    this.metrics = options.metrics ?? createMetrics();
+    this.#ctx = {
+      clock: this.#clock,
+      config: options.config,
+      admission: options.admission,
+      metrics: this.metrics,
+      log: options.log,
+      load: () => this.load(),
+      gate: (req) => this.#gate(req),
+      runAdmission: () => this.#runAdmission(),
+    };
+    const { engine, origin, dispatcher, endpoint, learnFence, world, logs } = options;
+    if (engine !== undefined) {
+      const times = { ...GENERATION_TIMES, ...options.times };
+      const onEngineLost = () => this.#onEngineLost();
+      const suspects = () => this.#suspects();
+      this.#generations = new SideGenerations(this.#ctx, {
+        engine,
+        times,
+        world,
+        service: options.service,
+        logs,
+        onEngineLost,
+        suspects,
+      });
+      const onOrdered = () => void this.#probe();
+      this.#orders = new SideOrders({
+        endpoint,
+        engine,
+        clock: this.#clock,
+        learnFence,
+        onOrdered,
+      });
+    }
+    if (origin !== undefined) this.#calls = new SideCalls(this.#ctx, { origin, world, dispatcher });
+  }
+
+  /** Begins to answer entries and to probe the endpoint. */
+  start(): void {
+    const { router, probeMs = 500, tickMs = 20, loadMs = 1_000 } = this.#o;
+    const generations = this.#generations;
+    if (generations !== null) {
+      this.#undos.push(
+        router.registerStream("run", (_link, msg, stream) => generations.onRun(msg, stream)),
+        router.registerStream(
+          "resume",
+          (_link, msg, stream) => generations.onResume(msg, stream, this.#ready),
+        ),
+        router.registerNotify("cancel", (_link, msg) => generations.cancel(msg.gen)),
+      );
+    }
+    const calls = this.#calls;
+    if (calls !== null) {
+      this.#undos.push(
+        router.registerStream("call", (_link, msg, stream) => calls.onCall(msg, stream)),
+      );
+    }
+    const orders = this.#orders;
+    if (orders !== null) {
+      this.#undos.push(
+        router.registerStream("order", (_link, msg, stream) => orders.onOrder(msg, stream)),
+        () => orders.stop(),
+      );
+      void orders.learn();
+    }
+    this.#undos.push(
+      this.#clock.setRepeating(probeMs, () => void this.#probe()),
+      this.#clock.setRepeating(tickMs, () => this.#tick()),
+      this.#clock.setRepeating(loadMs, () => this.#sendLoad()),
+      this.#o.config.registerListener(() => this.#sendLoad()),
+    );
+    void this.#probe();
+  }
+
+  /** Whether new work is taken, apart from what configuration and admission say. */
+  get ready(): boolean {
+    return this.#ready && !this.#draining;
+  }
+
+  /** Says whether the platform will take the host away soon. Entries are told at once. */
+  setLeaving(leaving: boolean): void {
+    if (this.#leaving === leaving) return;
+    this.#leaving = leaving;
+    this.#sendLoad();
+  }
+
+  /** Planned stop: refuses new work and resolves when all running work has been delivered. */
+  async drain({ pollMs = 20 }: { pollMs?: number } = {}): Promise<void> {
+    this.#draining = true;
+    this.#sendLoad();
+    while (!this.#idle()) await this.#clock.sleep(pollMs);
+    this.close();
+  }
+
+  /** Stops at once, as when the process dies. */
+  close(): void {
+    for (const undo of this.#undos.splice(0)) undo();
+    this.#generations?.release();
+    void this.#calls?.close();
+  }
+
+  /** Present load, with the next report number. */
+  load(): EndpointLoad {
+    const { endpoint, service, config, admission } = this.#o;
+    return {
+      endpoint,
+      service,
+      version: this.#version ?? versionId("unknown"),
+      revision: config.current().revision,
+      ...admission.load(this.#clock.now()),
+      leaving: this.#leaving || this.#draining,
+      seq: ++this.#seq,
+    };
+  }
+
+  #idle(): boolean {
+    return (this.#generations?.idle ?? true) && (this.#calls?.idle ?? true);
+  }
+
+  #gate(req: { service: ServiceId; version: VersionId }): RefusalReason | null {
+    const state = {
+      service: this.#o.service,
+      dataCentre: this.#o.identity.dataCentre,
+      version: this.#version,
+      ready: this.#ready && this.#o.config.ready(),
+      leaving: this.#leaving,
+      draining: this.#draining,
+    };
+    return gateReason(state, this.#o.config.current(), req);
+  }
+
+  #runAdmission(): void {
+    for (const action of this.#o.admission.tick(this.#clock.now())) this.#perform(action);
+  }
+
+  #perform(action: AdmissionAction): void {
+    if (this.#generations?.perform(action)) return;
+    this.#calls?.perform(action);
+  }
+
+  #tick(): void {
+    this.#generations?.sweep();
+    this.#runAdmission();
+  }
+
+  /** Tells the entries that are connected, if anything but the report number changed. */
+  #sendLoad(suspects?: readonly SuspectReport[]): void {
+    const load = this.load();
+    const text = JSON.stringify({ ...load, seq: 0 });
+    if (text === this.#lastSent && suspects === undefined) return;
+    this.#lastSent = text;
+    for (const link of this.#o.router.links) {
+      if (link.peer.role === "entry") link.notify({ kind: "load", load, suspects });
+    }
+  }
+
+  async #probe(): Promise<void> {
+    if (this.#probing) return;
+    this.#probing = true;
+    const up = await this.#probeOnce().catch(() => false);
+    this.#probing = false;
+    this.#failedProbes = up ? 0 : this.#failedProbes + 1;
+    if (this.#failedProbes === MAX_FAILED_PROBES && this.#ready) this.#onEngineLost();
+  }
+
+  async #probeOnce(): Promise<boolean> {
+    const { engine, config, endpoint, service } = this.#o;
+    if (engine === undefined) {
+      const view = config.current();
+      this.#version = view.endpoints.get(endpoint)?.version ??
+        view.services.get(service)?.activeVersion ?? null;
+      const up = await this.#calls!.probe(PROBE_TIMEOUT_MS);
+      if (up) this.#ready = true;
+      return up;
+    }
+    const [load, state] = await Promise.all([engine.load(), engine.state()]);
+    this.#o.admission.recordEngineLoad(load, load.ageMs, this.#clock.now());
+    this.#version = versionId(state.version);
+    // What the engine already runs counts before any new work is taken.
+    if (!this.#ready) await this.#generations!.adoptAll();
+    this.#ready = state.ready;
+    await this.#orders!.reconcile(state);
+    return true;
+  }
+
+  #onEngineLost(): void {
+    if (!this.#ready) return;
+    this.#ready = false;
+    this.#o.log.warn({ endpoint: this.#o.endpoint }, "endpoint lost");
+    this.#o.admission.recordEngineCrash(this.#clock.now());
+    this.#sendLoad(this.#suspects());
+  }
+
+  #suspects(): readonly SuspectReport[] | undefined {
+    return this.#o.quarantine?.entries(this.#clock.now()).slice(-MAX_SUSPECTS);
+  }
+}
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -57,6 +57,15 @@
   readonly seq: number;
 }
 
+/** A request that is suspected of crashing endpoints. Times are relative, so that clocks are never compared. */
+export interface SuspectReport {
+  readonly digest: string;
+  /** Names of crashes, so that news of one crash over two ways counts once. */
+  readonly crashIds: readonly string[];
+  readonly remainingMs: number;
+  readonly quarantined: boolean;
+}
+
 /** A generation request. */
 export interface Run {
   readonly kind: "run";
@@ -82,12 +91,16 @@
   readonly maxTokens: number;
   readonly stop?: readonly string[];
   readonly temperature?: number;
+  /** Crashes of endpoints at which this request ran, as far as the entry knows. */
+  readonly suspectCrashes?: number;
 }
 
 /** The side started the generation, or holds it in its queue with a place reserved. */
 export interface Admitted {
   readonly kind: "admitted";
   readonly load: EndpointLoad;
+  /** The generation or request answered; an answer about another one is dropped by the receiver. */
+  readonly about?: string;
 }
 
 /** The request did not run here. */
@@ -96,6 +109,7 @@
   readonly reason: RefusalReason;
   readonly retryAfterMs?: number;
   readonly load: EndpointLoad;
+  readonly about?: string;
 }
 
 /** Tokens from `offset` on. */
@@ -103,6 +117,7 @@
   readonly kind: "tokens";
   readonly offset: number;
   readonly items: readonly string[];
+  readonly about?: string;
 }
 
 /** A generation ended normally. */
@@ -113,6 +128,7 @@
   readonly cachedTokens: number;
   readonly completionTokens: number;
   readonly load: EndpointLoad;
+  readonly about?: string;
 }
 
 /** A generation or call failed. */
@@ -120,6 +136,8 @@
   readonly kind: "fail";
   readonly refusal: Refusal;
   readonly load?: EndpointLoad;
+  readonly about?: string;
+  readonly suspects?: readonly SuspectReport[];
 }
 
 /** Asks for the rest of a generation from `offset` on. */
@@ -153,6 +171,8 @@
   readonly attempt: number;
   readonly revision: Revision;
   readonly digest: string;
+  /** Whether body bytes follow. The endpoint is asked only after the first body message, which is always sent. */
+  readonly hasBody?: boolean;
 }
 
 /** Bytes of a body; an empty chunk with `last` ends it. */
@@ -160,6 +180,9 @@
   readonly kind: "body";
   readonly bytes: Uint8Array;
   readonly last: boolean;
+  /** Position of the first byte in the whole body, so that a missing or repeated chunk is seen. */
+  readonly offset?: number;
+  readonly about?: string;
 }
 
 /** Status line and headers of a plain service's answer. */
@@ -168,12 +191,15 @@
   readonly status: number;
   readonly headers: readonly (readonly [string, string])[];
   readonly load: EndpointLoad;
+  readonly about?: string;
 }
 
 /** An unasked load report. */
 export interface LoadReport {
   readonly kind: "load";
   readonly load: EndpointLoad;
+  /** After a crash of the endpoint: the requests that ran there. */
+  readonly suspects?: readonly SuspectReport[];
 }
 
 /** Subscribes to configuration after `from`. */
@@ -194,6 +220,12 @@
   readonly asOfMs: number | null;
   /** Whether the store could be reached at that proof's origin. */
   readonly storeUp: boolean;
+  /** The sender takes no more children: this is its only answer. */
+  readonly full?: boolean;
+  /** The sender holds a watcher lease. */
+  readonly watcher?: boolean;
+  /** The sender may serve. Answers of starting processes do not count in the start-up rule. */
+  readonly ready?: boolean;
 }
 
 /** Counts of one cell of a move's evidence. Times are sums in milliseconds. */
