--- a/packages/check/src/check_config.ts
+++ b/packages/check/src/check_config.ts
@@ -19,6 +19,8 @@
   ConfigLog,
   type ConfigSource,
   type ConfigView,
+  type Move,
+  MoveSchema,
 } from "@wisteriapick/control";
 import { hashKey } from "@wisteriapick/daemon";
 import type { RunContext } from "./context.ts";
@@ -32,6 +34,9 @@
 /** The client account of every run. */
 export const CHECK_ACCOUNT = accountId("museum-shop");
 
+/** Share of the new version at the start; enough that a run of seconds reaches it. */
+const FIRST_SHARE = 0.2;
+
 function digestOf(view: ConfigView): string {
   const states = [...view.dataCentres.values()].map((d) => `${d.id}=${d.state}/${d.sinceMs}`);
   const moves = [...view.moves.values()].map((m) => `${m.id}=${m.state}/${m.share}`);
@@ -101,6 +106,26 @@
     }
   }
 
+  /** Opens a move of the model service from v1 to v2. */
+  async openMove(deadlineMs: number): Promise<void> {
+    const move = MoveSchema.parse({
+      id: "scribe-v1-v2",
+      service: CHECK_MODEL_SERVICE,
+      from: "v1",
+      to: "v2",
+      startMs: this.#ctx.clock.wall(),
+      deadlineMs,
+      share: FIRST_SHARE,
+      state: "open",
+    });
+    await this.apply([{ type: "open_move", move }]);
+  }
+
+  /** The move as this operator last saw it. */
+  lastMove(): Move | null {
+    return [...this.#log.state.current().moves.values()][0] ?? null;
+  }
+
   /** Appends one entry; `null` where the store did not take it. */
   async apply(changes: readonly Change[]): Promise<Revision | null> {
     const { clock, recorder } = this.#ctx;
--- a/packages/check/src/faults.ts
+++ b/packages/check/src/faults.ts
@@ -39,10 +39,19 @@
   readonly target: number;
 }
 
+/** How the new version of a run's move behaves. */
+export const MOVE_KINDS = ["none", "good", "failing", "failing_later"] as const;
+
+/** See {@link MOVE_KINDS}. */
+export type MoveKind = typeof MOVE_KINDS[number];
+
 /** What one run does. */
 export interface RunPlan {
   readonly seed: number;
   readonly faults: readonly Fault[];
+  /** Whether every engine starts cold. */
+  readonly coldStart?: boolean;
+  readonly move?: MoveKind;
 }
 
 /** Time in which requests and faults begin. */
@@ -59,4 +68,6 @@
 export const runPlan: fc.Arbitrary<RunPlan> = fc.record({
   seed: fc.nat({ max: 1_000_000 }),
   faults: fc.array(fault, { maxLength: 6 }),
+  coldStart: fc.boolean(),
+  move: fc.constantFrom(...MOVE_KINDS),
 });
--- a/packages/check/src/memory_engine.ts
+++ b/packages/check/src/memory_engine.ts
@@ -9,6 +9,7 @@
   type EndpointId,
   type GenerationId,
   raise,
+  type RequestId,
   requestId,
   type Rng,
   type ServiceId,
@@ -85,6 +86,7 @@
   frozen = false;
   readonly #o: MemoryEngineOptions;
   readonly #held = new Map<GenerationId, Held>();
+  readonly #requests = new Map<GenerationId, RequestId>();
   #highestFence = 0;
 
   constructor(options: MemoryEngineOptions) {
@@ -114,6 +116,7 @@
     const held = new Held(req.gen, req.prompt);
     this.#held.set(req.gen, held);
     this.#recordStart(req);
+    this.#recordPressure();
     this.model.submit({
       gen: req.gen,
       promptTokens: countPromptTokens(req.prompt),
@@ -122,7 +125,6 @@
       priority: req.priority,
       poison: req.prompt.includes(POISON_WORD),
     });
-    this.#recordPressure();
     yield* this.#follow(held, 0, signal);
   }
 
@@ -210,6 +212,8 @@
     const { clock, recorder, endpoint, dataCentre, service } = this.#o;
     const match = REQUEST_PATTERN.exec(req.prompt);
     if (match === null) raise({ type: "invariant", message: "the prompt names no request" });
+    const id = requestId(match[1]!);
+    this.#requests.set(req.gen, id);
     recorder.record({
       atMs: clock.now(),
       type: "work_started",
@@ -217,11 +221,12 @@
       dataCentre,
       service,
       version: this.version,
-      req: requestId(match[1]!),
+      req: id,
       gen: req.gen,
     });
   }
 
+  /** Before the engine takes one more: one that breaks down under it runs nothing afterwards. */
   #recordPressure(): void {
     const { clock, recorder, endpoint } = this.#o;
     recorder.record({
@@ -229,7 +234,7 @@
       type: "endpoint_pressure",
       endpoint,
       cold: this.model.cold,
-      running: this.model.running + this.model.waiting,
+      running: this.model.running + this.model.waiting + 1,
       bears: Math.max(1, this.model.bears),
     });
   }
@@ -261,6 +266,7 @@
       tokens: produced,
       how: done ? "done" : how,
     });
+    if (how === "failed") this.#recordBadAnswer(gen);
     const held = this.#held.get(gen);
     // A crash has already ended and forgotten everything.
     if (held === undefined || how === "crashed") return;
@@ -275,6 +281,12 @@
     held.wake();
   }
 
+  #recordBadAnswer(gen: GenerationId): void {
+    const { clock, recorder, service } = this.#o;
+    const req = this.#requests.get(gen)!;
+    recorder.record({ atMs: clock.now(), type: "bad_answer", version: this.version, service, req });
+  }
+
   #onCrash(): void {
     for (const held of this.#held.values()) {
       held.end ??= "crashed";
--- a/packages/check/src/system_run.ts
+++ b/packages/check/src/system_run.ts
@@ -13,13 +13,13 @@
   Rng,
   versionId,
 } from "@wisteriapick/core";
-import { MemoryHostList, MemoryObjectStore } from "@wisteriapick/standins";
+import { MemoryHostList, MemoryObjectStore, type VersionBehaviour } from "@wisteriapick/standins";
 import { Callers } from "./caller.ts";
 import { CHECK_MODEL_SERVICE, CHECK_PLAIN_SERVICE, CheckOperator } from "./check_config.ts";
 import { CheckEntry } from "./check_entry.ts";
 import { CheckSide } from "./check_side.ts";
 import { type Overrides, RunContext } from "./context.ts";
-import { type Fault, LOAD_MS, type RunPlan } from "./faults.ts";
+import { type Fault, LOAD_MS, type MoveKind, type RunPlan } from "./faults.ts";
 import { type HistoryEvent, Recorder } from "./history.ts";
 import { POISON_WORD } from "./memory_engine.ts";
 import { MemoryNetwork } from "./memory_network.ts";
@@ -27,6 +27,16 @@
 const CENTRES = ["accra-osu", "accra-tema"].map(dataCentreId);
 const ENGINES = 6;
 const PLAIN_SERVICES = 3;
+/** Engines of the version that a move goes to. */
+const NEW_ENGINES = 2;
+/** Time allowed for a move; it begins with the load. */
+const MOVE_MS = 20_000;
+const BEHAVIOURS: Readonly<Record<MoveKind, VersionBehaviour | undefined>> = {
+  none: undefined,
+  good: undefined,
+  failing: { failShare: 0.9 },
+  failing_later: { failShare: 0.9, afterMs: 10_000 },
+};
 const ENTRIES = 3;
 /** Time for processes to start and endpoints to become ready before the load. */
 const START_MS = 3_000;
@@ -65,18 +75,22 @@
       network: new MemoryNetwork({ clock, rng: rng.fork("network") }),
       store: new MemoryObjectStore({ clock }),
       hosts: new MemoryHostList({ clock }),
-      overrides,
+      overrides: { ...overrides, engine: { startsCold: plan.coldStart, ...overrides.engine } },
     });
     const ctx = this.#ctx;
     this.#operator = new CheckOperator(ctx);
-    this.#sides = Array.from({ length: ENGINES + PLAIN_SERVICES }, (_, i) => {
-      const service = i < ENGINES ? CHECK_MODEL_SERVICE : CHECK_PLAIN_SERVICE;
+    const { move = "none" } = plan;
+    const newEngines = move === "none" ? 0 : NEW_ENGINES;
+    this.#sides = Array.from({ length: ENGINES + PLAIN_SERVICES + newEngines }, (_, i) => {
+      const isNew = i >= ENGINES + PLAIN_SERVICES;
+      const service = i < ENGINES || isNew ? CHECK_MODEL_SERVICE : CHECK_PLAIN_SERVICE;
       return new CheckSide(ctx, {
         endpoint: endpointId(`${service}-${i}`),
         service,
-        version: versionId("v1"),
+        version: versionId(isNew ? "v2" : "v1"),
         dataCentre: CENTRES[i % CENTRES.length]!,
         address: `10.0.0.${i + 1}:7000`,
+        behaviour: isNew ? BEHAVIOURS[move] : undefined,
       });
     });
     this.#entries = Array.from({ length: ENTRIES }, (_, i) => {
@@ -96,6 +110,7 @@
     await this.#advance(START_MS);
     const { clock } = this.#ctx;
     for (const fault of this.#plan.faults) clock.setTimer(fault.atMs, () => this.#inject(fault));
+    if ((this.#plan.move ?? "none") !== "none") this.#openMove();
     const stopLoad = clock.setRepeating(REQUEST_EVERY_MS, () => this.#sendRequest());
     const stopOrders = clock.setRepeating(ORDER_EVERY_MS, () => this.#sendOrder());
     await this.#advance(LOAD_MS);
@@ -157,6 +172,24 @@
     await drainTasks();
   }
 
+  /** Opens the move. At its deadline it is taken back by rule, unless it was finished before. */
+  #openMove(): void {
+    const { clock, recorder } = this.#ctx;
+    void this.#operator.openMove(clock.wall() + MOVE_MS);
+    clock.setTimer(MOVE_MS, () => {
+      const move = this.#operator.lastMove();
+      if (move === null || move.state === "finished") return;
+      const { service, to, id } = move;
+      recorder.record({
+        atMs: clock.now(),
+        type: "version_verdict",
+        service,
+        version: to,
+        move: id,
+      });
+    });
+  }
+
   #sendRequest(): void {
     const { rng } = this.#ctx;
     const req = requestId(`r${++this.#requests}`);
--- a/packages/daemon/src/tries.ts
+++ b/packages/daemon/src/tries.ts
@@ -108,6 +108,7 @@
       delivered: false,
       repeatable,
       hops: this.#hops,
+      waitingSinceMs: arrivedAtMs,
       holds: this.#holds,
       runs: this.#runs,
       arrivedAtMs,
