--- a/packages/experiment/src/recorder.ts
+++ b/packages/experiment/src/recorder.ts
@@ -130,6 +130,9 @@
       byKind: this.#groups((t) => t.job.kind),
       byAccount: this.#groups((t) => t.job.account),
       integrity,
+      stalls: this.#tracks
+        .filter((t) => t.outcome === "completed")
+        .map((t) => ({ account: t.job.account, stallMs: t.stallMs })),
       refusals: Object.fromEntries([...this.#refusals].sort()),
     };
   }
--- a/packages/experiment/src/sim_entry.ts
+++ b/packages/experiment/src/sim_entry.ts
@@ -263,7 +263,7 @@
       hops: req.hops,
       holds: req.holds,
       runs: req.runs,
-      waitingSinceMs: req.waitingSinceMs,
+      arrivedAtMs: req.waitingSinceMs,
       deadlineMs: req.waitingSinceMs + this.#deadlineMs,
     }, this.#clock.now());
     if (decision.type === "next") this.#send(req);
--- a/packages/experiment/src/types.ts
+++ b/packages/experiment/src/types.ts
@@ -133,4 +133,6 @@
   readonly byAccount: Record<string, GroupOutcome>;
   readonly integrity: Integrity;
   readonly refusals: Record<string, number>;
+  /** Stall of each completed request. */
+  readonly stalls: readonly { readonly account: string; readonly stallMs: number }[];
 }
--- a/packages/policy/src/retry_policy.ts
+++ b/packages/policy/src/retry_policy.ts
@@ -33,8 +33,8 @@
   readonly holds: number;
   /** Attempts so far that ran, or may have run. */
   readonly runs: number;
-  /** Time of arrival, or of the end of the last run. */
-  readonly waitingSinceMs: number;
+  /** Time of arrival, or of the end of the last run where there was one. */
+  readonly arrivedAtMs: number;
   readonly deadlineMs: number;
 }
 
@@ -87,7 +87,7 @@
     if (report.hops < this.#cfg.maxHops && report.reason !== "no_endpoint") return { type: "next" };
     const ms = this.#holdMs(report.holds);
     const longest = report.runs > 0 ? this.#cfg.maxRerunHoldMs : this.#cfg.maxHoldMs;
-    const until = Math.min(report.deadlineMs, report.waitingSinceMs + longest);
+    const until = Math.min(report.deadlineMs, report.arrivedAtMs + longest);
     return nowMs + ms > until ? giveUp : { type: "hold", ms };
   }
 
