Judge an endpoint's speed by the median step, not the fastest

The least of eight steps took 1 ms of jitter for speed, so an allowance of 3 was given to an engine that bore 2.66. Ruled out: growth after an idle time, and several entries at once. Change: the median of nine steps.

--- a/packages/policy/src/cold_start.ts
+++ b/packages/policy/src/cold_start.ts
@@ -28,8 +28,9 @@
   readonly targetGapMs?: number;
 }
 
-// The least of this many steps ignores those lengthened by a prompt.
-const WINDOW = 8;
+// The median of this many steps ignores those lengthened by a prompt, and jitter of the links between endpoint and
+// side; their least value would take jitter for speed.
+const WINDOW = 9;
 // Tokens that arrive closer together than this belong to the same step.
 const SAME_STEP_MS = 1;
 // A level is flat when the gap rose by no more than this, plus a share per generation added.
@@ -53,7 +54,7 @@
   #window: number[] = [];
   #lastAtMs = -Infinity;
   #lastActiveMs = -Infinity;
-  /** Mean of the windows' least gaps. */
+  /** Mean of the windows' medians. */
   #meanMs = 0;
   /** Gap and running generations when the allowance last grew. */
   #levelMs = Infinity;
@@ -101,7 +102,7 @@
     this.#window.push(gapMs / count);
     if (this.#window.length < WINDOW) return;
     if (this.#window.length > WINDOW) this.#window.shift();
-    this.#judge(Math.min(...this.#window), running);
+    this.#judge(median(this.#window), running);
   }
 
   /** Falls back to the smallest allowance, for example after a crash. */
@@ -189,3 +190,7 @@
     this.#window = [];
   }
 }
+
+function median(values: readonly number[]): number {
+  return [...values].sort((a, b) => a - b)[values.length >> 1]!;
+}
