Make the runner pass over exactly the known red tests

A test counts as selected when its parent is, and the runner's root matched the negative pattern, so on Node.js 20.20 every listed test ran all the same. The root's name is now part of the pattern. Before, a run of the daemon's stream tests printed the two listed tests and failed in them; after, they are skipped and the other tests run.

--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -36,9 +36,10 @@
 const args = ["--enable-source-maps", "--test", "--test-concurrency=4"];
 const only = process.argv.slice(2);
 const files = testFiles().filter((f) => only.length === 0 || only.some((o) => f.includes(o)));
-// Node.js 20 has no --test-skip-pattern; a negative look-ahead selects all other names.
+// Node.js 20 has no --test-skip-pattern; a negative look-ahead selects all other names. Every test counts as
+// selected when its parent is, so the runner's root, named "<root>", must not match either.
 if (skips.length > 0) {
-  args.push(`--test-name-pattern=/^(?!(?:${skips.map(escape).join("|")})$)/`);
+  args.push(`--test-name-pattern=/^(?!(?:${["<root>", ...skips.map(escape)].join("|")})$)/`);
 }
 const res = spawnSync(process.execPath, [...args, ...files], { cwd: root, stdio: "inherit" });
 process.exit(res.status ?? 1);
