--- a/packages/check/src/check_config.ts
+++ b/packages/check/src/check_config.ts
@@ -34,6 +34,8 @@
 /** The client account of every run. */
 export const CHECK_ACCOUNT = accountId("museum-shop");
 
+/** Shorter than the time that a run waits for its requests to end. */
+const START_DEADLINE_MS = 10_000;
 /** Share of the new version at the start; enough that a run of seconds reaches it. */
 const FIRST_SHARE = 0.2;
 
@@ -76,11 +78,13 @@
         kind: "model",
         versions: [{ id: "v1" }, { id: "v2" }],
         activeVersion: versionId("v1"),
+        startDeadlineMs: START_DEADLINE_MS,
       }, {
         id: CHECK_PLAIN_SERVICE,
         kind: "plain",
         versions: [{ id: "v1" }],
         activeVersion: versionId("v1"),
+        startDeadlineMs: START_DEADLINE_MS,
       }],
       accounts: [{ id: CHECK_ACCOUNT, keyHashes: [hashKey(CHECK_KEY)] }],
       dataCentres: dataCentres.map((id) => ({ id, region: "accra" })),
