--- /dev/null
+++ b/packages/cli/src/development_commands.ts
@@ -0,0 +1,32 @@
+/**
+ * `wisteriapick bench` and `check`: their packages parse the arguments themselves.
+ *
+ * @module
+ */
+import { type CommandDef, defineCommand } from "citty";
+import { runCommand } from "./outcome.ts";
+
+// Loaded when used, so that a serving process does not hold them in memory.
+const benchCommand = defineCommand({
+  meta: { name: "bench", description: "Run a benchmark: bench relay|spread [options]" },
+  run: ({ rawArgs: [name = "", ...rest] }) =>
+    runCommand(async () => {
+      const { runBench } = await import("@wisteriapick/bench");
+      await runBench(name, rest);
+    }),
+});
+
+const checkCommand = defineCommand({
+  meta: { name: "check", description: "Check the promises under faults: check --seed N --runs K" },
+  run: ({ rawArgs }) =>
+    runCommand(async () => {
+      const { runCheck } = await import("@wisteriapick/check");
+      return await runCheck(rawArgs);
+    }),
+});
+
+/** All development commands by name. */
+export const developmentCommands: Readonly<Record<string, CommandDef>> = {
+  bench: benchCommand,
+  check: checkCommand,
+};
--- a/packages/cli/src/local_command.ts
+++ b/packages/cli/src/local_command.ts
@@ -6,7 +6,9 @@
 import { startLocal } from "@wisteriapick/daemon";
 import { defineCommand } from "citty";
 import { ask } from "./ask.ts";
-import { runCommand, untilSignal } from "./outcome.ts";
+import { runCommand, untilSignal, usage } from "./outcome.ts";
+
+const MAX_PORT = 65_535;
 
 export const localCommand = defineCommand({
   meta: {
@@ -24,7 +26,12 @@
   },
   run: ({ args }) =>
     runCommand(async () => {
-      const system = await startLocal({ port: Number(args.port), seed: Number(args.seed) });
+      const [port, seed] = [Number(args.port), Number(args.seed)];
+      if (!Number.isInteger(port) || port < 0 || port > MAX_PORT) {
+        usage("--port: expected a port number");
+      }
+      if (!Number.isInteger(seed)) usage("--seed: expected a whole number");
+      const system = await startLocal({ port, seed });
       try {
         if (args.ask !== undefined) return await ask(system.url, system.key, args.ask);
         process.stdout.write(`entry: ${system.url}\n${system.curl}\n`);
--- a/packages/cli/src/mod.ts
+++ b/packages/cli/src/mod.ts
@@ -3,9 +3,18 @@
  *
  * @module
  */
-import { defineCommand, runMain } from "citty";
+import { type CommandDef, defineCommand, runCommand, runMain } from "citty";
+import { developmentCommands } from "./development_commands.ts";
 import { loadCommand } from "./load/load_command.ts";
 import { localCommand } from "./local_command.ts";
+import { operatorCommands } from "./operator_commands.ts";
+import { EXIT_USAGE } from "./outcome.ts";
+import {
+  checkSettingsCommand,
+  entryCommand,
+  sideCommand,
+  standinsCommand,
+} from "./process_commands.ts";
 
 const root = defineCommand({
   meta: {
@@ -13,12 +22,28 @@
     description: "Serving system for generations of unknown length and plain services",
   },
   subCommands: {
-    local: localCommand,
-    load: loadCommand,
+    entry: entryCommand as CommandDef,
+    side: sideCommand as CommandDef,
+    standins: standinsCommand as CommandDef,
+    local: localCommand as CommandDef,
+    "check-settings": checkSettingsCommand as CommandDef,
+    ...operatorCommands,
+    load: loadCommand as CommandDef,
+    ...developmentCommands,
   },
 });
 
-/** Runs the command line with the given arguments. */
+/** Runs the command line with the given arguments and sets the exit code. */
 export async function main(rawArgs: string[]): Promise<void> {
-  await runMain(root, { rawArgs });
+  // citty exits with 1 on wrong use; ours is 2, so only its help is used.
+  if (rawArgs.some((arg) => arg === "--help" || arg === "-h")) {
+    return await runMain(root, { rawArgs });
+  }
+  try {
+    await runCommand(root, { rawArgs });
+  } catch (e) {
+    const message = e instanceof Error ? e.message : String(e);
+    process.stderr.write(`${message}\nsee: wisteriapick --help\n`);
+    process.exitCode = EXIT_USAGE;
+  }
 }
