Stop example processes in order and at once when drained

Cause: separate processes stayed alive for seconds after draining, and the script stopped them one by one. Change: process commands exit when their work is done; the script ends entries, sides, stand-ins in turn.

--- a/examples/kente_lane/run.sh
+++ b/examples/kente_lane/run.sh
@@ -3,28 +3,33 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 wisteriapick=(node ../../packages/cli/bin/wisteriapick.js)
-pids=()
+entries=()
+sides=()
+
+end() {
+  kill -TERM "$@" 2>/dev/null || true
+  wait "$@" || true
+}
 
 stop() {
   trap - INT TERM
   # Entries first, so that every open request still finds its side.
-  for ((i = ${#pids[@]} - 1; i >= 0; i--)); do
-    kill -TERM "${pids[i]}" 2>/dev/null || true
-    wait "${pids[i]}" || true
-  done
+  end "${entries[@]}"
+  end "${sides[@]}"
+  end "$standins"
   exit 0
 }
-trap stop INT TERM
 
 "${wisteriapick[@]}" standins standins.yaml &
-pids+=($!)
+standins=$!
+trap stop INT TERM
 sleep 1
 for side in sides/*.yaml; do
   "${wisteriapick[@]}" side "$side" &
-  pids+=($!)
+  sides+=($!)
 done
 for entry in entry_*.yaml; do
   "${wisteriapick[@]}" entry "$entry" &
-  pids+=($!)
+  entries+=($!)
 done
 wait
--- a/packages/cli/src/outcome.ts
+++ b/packages/cli/src/outcome.ts
@@ -28,6 +28,15 @@
   }
 }
 
+/**
+ * Runs a process that ends by a signal. It exits as soon as its work is done, because connections that time out by
+ * themselves would keep it for seconds.
+ */
+export async function runProcess(work: () => Promise<void>): Promise<never> {
+  await runCommand(work);
+  return process.exit();
+}
+
 /** Resolves on SIGTERM or SIGINT. */
 export function untilSignal(): Promise<void> {
   return new Promise((resolve) => {
--- a/packages/cli/src/process_commands.ts
+++ b/packages/cli/src/process_commands.ts
@@ -14,7 +14,7 @@
   startStandins,
 } from "@wisteriapick/daemon";
 import { defineCommand } from "citty";
-import { runCommand, untilSignal } from "./outcome.ts";
+import { runCommand, runProcess, untilSignal } from "./outcome.ts";
 
 const fileArg = {
   file: { type: "positional", description: "YAML settings file", required: true },
@@ -29,7 +29,7 @@
   meta: { name: "entry", description: "Run an entry until SIGTERM; open requests finish first" },
   args: fileArg,
   run: ({ args }) =>
-    runCommand(async () => {
+    runProcess(async () => {
       const entry = await startEntry(loadSettings(args.file, EntrySettingsSchema));
       announce(`entry: http ${entry.httpAddress} links ${entry.linkAddress}`);
       await untilSignal();
@@ -41,7 +41,7 @@
   meta: { name: "side", description: "Run a side until SIGTERM; running work finishes first" },
   args: fileArg,
   run: ({ args }) =>
-    runCommand(async () => {
+    runProcess(async () => {
       const side = await startSide(loadSettings(args.file, SideSettingsSchema));
       announce(`side: links ${side.linkAddress}`);
       await untilSignal();
@@ -53,7 +53,7 @@
   meta: { name: "standins", description: "Run the stand-ins of a deployment until SIGTERM" },
   args: fileArg,
   run: ({ args }) =>
-    runCommand(async () => {
+    runProcess(async () => {
       const standins = await startStandins(loadSettings(args.file, StandinsSettingsSchema));
       announce(`standins: store ${standins.objectStoreOrigin} hosts ${standins.hostListOrigin}`);
       for (const [id, address] of standins.endpointAddresses) announce(`${id}: ${address}`);
