--- a/packages/experiment/src/types.ts
+++ b/packages/experiment/src/types.ts
@@ -20,6 +20,8 @@
   readonly outputTokens: number;
   readonly digest: string;
   readonly poison: boolean;
+  /** Whether tokens go to the caller at once; otherwise the answer is held back until it is whole. */
+  readonly streamed: boolean;
 }
 
 /** One class of work. */
@@ -131,4 +133,6 @@
   readonly byAccount: Record<string, GroupOutcome>;
   readonly integrity: Integrity;
   readonly refusals: Record<string, number>;
+  /** Stall of each completed request. */
+  readonly stalls: readonly { readonly account: string; readonly stallMs: number }[];
 }
--- a/packages/policy/src/cold_start.ts
+++ b/packages/policy/src/cold_start.ts
@@ -28,8 +28,9 @@
   readonly targetGapMs?: number;
 }
 
-// The least of this many steps ignores those lengthened by a prompt.
-const WINDOW = 8;
+// The median of this many steps ignores those lengthened by a prompt, and jitter of the links between endpoint and
+// side; their least value would take jitter for speed.
+const WINDOW = 9;
 // Tokens that arrive closer together than this belong to the same step.
 const SAME_STEP_MS = 1;
 // A level is flat when the gap rose by no more than this, plus a share per generation added.
@@ -47,11 +48,13 @@
 export class ColdStart {
   readonly #cfg: Required<ColdStartOptions>;
   #allowance: number;
+  /** Tokens and steps while as much ran as is allowed. */
   #tokens = 0;
+  #stepsAtLevel = 0;
   #window: number[] = [];
   #lastAtMs = -Infinity;
   #lastActiveMs = -Infinity;
-  /** Mean of the windows' least gaps. */
+  /** Mean of the windows' medians. */
   #meanMs = 0;
   /** Gap and running generations when the allowance last grew. */
   #levelMs = Infinity;
@@ -91,13 +94,15 @@
   /** Records that a generation waited `gapMs` for its latest `count` tokens while `running` ran. */
   recordGap(gapMs: number, count: number, running: number, nowMs: number): void {
     this.#lastActiveMs = nowMs;
-    this.#tokens += count;
+    const atLevel = running >= Math.floor(this.#allowance);
+    if (atLevel) this.#tokens += count;
     if (nowMs - this.#lastAtMs < SAME_STEP_MS) return;
     this.#lastAtMs = nowMs;
+    this.#stepsAtLevel = atLevel ? this.#stepsAtLevel + 1 : 0;
     this.#window.push(gapMs / count);
     if (this.#window.length < WINDOW) return;
     if (this.#window.length > WINDOW) this.#window.shift();
-    this.#judge(Math.min(...this.#window), running);
+    this.#judge(median(this.#window), running);
   }
 
   /** Falls back to the smallest allowance, for example after a crash. */
@@ -126,8 +131,8 @@
   }
 
   #considerGrowth(gapMs: number, running: number): void {
-    // Only what was really borne is evidence for more.
-    if (running < Math.floor(this.#allowance)) return;
+    // Only what was really borne, through a whole window, is evidence for more.
+    if (this.#stepsAtLevel <= WINDOW) return;
     const added = Math.max(0, running - this.#levelRunning);
     const flatMs = this.#levelMs * (1 + FLAT_TOLERANCE + FLAT_PER_GEN * added);
     const { fastGrowth, fastTokens, slowGrowth, slowTokens } = this.#cfg;
@@ -181,6 +186,11 @@
 
   #forgetEvidence(): void {
     this.#tokens = 0;
+    this.#stepsAtLevel = 0;
     this.#window = [];
   }
 }
+
+function median(values: readonly number[]): number {
+  return [...values].sort((a, b) => a - b)[values.length >> 1]!;
+}
