--- a/packages/cli/src/development_commands.ts
+++ b/packages/cli/src/development_commands.ts
@@ -1,17 +1,20 @@
 /**
- * `wisteriapick bench` and `check`: their packages parse the arguments themselves.
+ * `wisteriapick bench`, `check` and `experiment`: their packages parse the arguments themselves.
  *
  * @module
  */
 import { type CommandDef, defineCommand } from "citty";
-import { runCommand } from "./outcome.ts";
+import { runCommand, usage } from "./outcome.ts";
 
 // Loaded when used, so that a serving process does not hold them in memory.
 const benchCommand = defineCommand({
   meta: { name: "bench", description: "Run a benchmark: bench relay|spread [options]" },
   run: ({ rawArgs: [name = "", ...rest] }) =>
     runCommand(async () => {
-      const { runBench } = await import("@wisteriapick/bench");
+      const { BENCHES, runBench } = await import("@wisteriapick/bench");
+      if (!Object.hasOwn(BENCHES, name)) {
+        usage(`expected one of ${Object.keys(BENCHES).join(", ")}`);
+      }
       await runBench(name, rest);
     }),
 });
@@ -25,8 +28,21 @@
     }),
 });
 
+const experimentCommand = defineCommand({
+  meta: {
+    name: "experiment",
+    description: "Compare the policies with baselines: experiment SCENARIO --seed N, or --list",
+  },
+  run: ({ rawArgs }) =>
+    runCommand(async () => {
+      const { runExperiment } = await import("@wisteriapick/experiment");
+      return await runExperiment(rawArgs);
+    }),
+});
+
 /** All development commands by name. */
 export const developmentCommands: Readonly<Record<string, CommandDef>> = {
   bench: benchCommand,
   check: checkCommand,
+  experiment: experimentCommand,
 };
--- a/packages/cli/src/operator_commands.ts
+++ b/packages/cli/src/operator_commands.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { readFileSync } from "node:fs";
+import { readFileSync, writeFileSync } from "node:fs";
 import {
   type IntentInput,
   OperatorClient,
@@ -138,10 +138,18 @@
 
 export const statusCommand = defineCommand({
   meta: { name: "status", description: "Show the state of the system" },
-  args: common,
+  args: {
+    ...common,
+    dump: { type: "string", description: "Write the tables of the entry that answers to a file" },
+  },
   run: ({ args }) =>
     runCommand(async () => {
-      const status = await makeClient(args).status();
+      const client = makeClient(args);
+      if (args.dump !== undefined) {
+        const tables = await client.dump();
+        return writeFileSync(args.dump, `${JSON.stringify(tables, null, 2)}\n`);
+      }
+      const status = await client.status();
       print(args.json, status, () => describeStatus(status));
     }),
 });
--- a/packages/control/src/operator_client.ts
+++ b/packages/control/src/operator_client.ts
@@ -53,6 +53,11 @@
     return this.#call("GET", "/admin/status");
   }
 
+  /** Every table of the entry that answers, by name. */
+  dump(): Promise<Record<string, Record<string, unknown>>> {
+    return this.#call("GET", "/admin/dump");
+  }
+
   /** Events after a revision, or after the present one. */
   events(
     { after, waitMs = 0 }: { after?: Revision; waitMs?: number } = {},
