Fix status showing every process as silent

Cause: the revision survey aborted its stream before it resolved; the abort calls onClose at once, which answered 'no answer' first, so status listed 14 of 14 processes as behind. Change: resolve first. A closed standard output (head) no longer ends a command with a trace. Conclusion: a test asks the local system's status and finds all 14 processes at the same revision.

--- a/packages/cli/src/mod.ts
+++ b/packages/cli/src/mod.ts
@@ -35,6 +35,11 @@
 
 /** Runs the command line with the given arguments and sets the exit code. */
 export async function main(rawArgs: string[]): Promise<void> {
+  // A reader that has seen enough, such as `head`, is no failure.
+  process.stdout.on("error", (e: NodeJS.ErrnoException) => {
+    if (e.code !== "EPIPE") throw e;
+    process.exit();
+  });
   // citty exits with 1 on wrong use; ours is 2, so only its help is used.
   if (rawArgs.some((arg) => arg === "--help" || arg === "-h")) {
     return await runMain(root, { rawArgs });
--- a/packages/control/src/revision_survey.ts
+++ b/packages/control/src/revision_survey.ts
@@ -49,8 +49,9 @@
     return await new Promise<ProcessStatus>((resolve) => {
       const finish = (status: ProcessStatus) => {
         undo();
-        stream.abort();
+        // Before the abort, which calls `onClose` and so this function again.
         resolve(status);
+        stream.abort();
       };
       const undo = clock.setTimer(TIMEOUT_MS, () => finish(silent));
       const stream = link.openStream({ kind: "config_pull", from: state.current().revision }, {
--- a/packages/daemon/tests/local_test.ts
+++ b/packages/daemon/tests/local_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { OperatorClient } from "@wisteriapick/control";
 import { createLogger, generationId } from "@wisteriapick/core";
 import { expectedText } from "@wisteriapick/standins";
 import { startLocal } from "../src/mod.ts";
@@ -52,6 +53,20 @@
   }
 });
 
+// Guards against a status that shows every process as silent because the survey's own abort answers first.
+test("the operator's status knows the revision of every process", async () => {
+  const system = await startLocal({ port: 0, log });
+  try {
+    const client = new OperatorClient({ url: system.url, key: system.operatorKey });
+    const { revision, processes } = await client.status();
+    assert.equal(processes.length, 14);
+    assert.deepEqual(processes.filter((p) => p.revision !== revision), []);
+    assert.equal(Object.keys((await client.dump())["directory"]!).length, 13);
+  } finally {
+    await system.close();
+  }
+});
+
 // Guards against two systems that cannot run side by side because of a fixed port.
 test("the local system takes another port when its own is taken", async () => {
   const first = await startLocal({ port: 0, log });
