--- a/packages/daemon/src/link_source.ts
+++ b/packages/daemon/src/link_source.ts
@@ -36,7 +36,8 @@
   readonly #pool: LinkPool;
   readonly #timeoutMs: number;
   readonly #kept = new Map<string, Undo>();
-  readonly #forgotten = new Map<string, Undo>();
+  /** Addresses to give up, with the time at which that is due. */
+  readonly #forgotten = new Map<string, number>();
   readonly #clock: Clock;
 
   constructor(
@@ -54,20 +55,27 @@
 
   async get(address: string): Promise<Link> {
     const parsed = parseAddress(address);
-    this.#forgotten.get(address)?.();
     this.#forgotten.delete(address);
+    this.#giveUpDue();
     if (!this.#kept.has(address)) this.#kept.set(address, this.#pool.keep(parsed));
     return await this.#pool.ready(parsed, { timeoutMs: this.#timeoutMs });
   }
 
   /** Gives the link up later: a host that is no longer listed may still be finishing its work. */
   override forget(address: string): void {
+    this.#giveUpDue();
     if (!this.#kept.has(address) || this.#forgotten.has(address)) return;
-    const undo = this.#clock.setTimer(FORGET_AFTER_MS, () => {
+    this.#forgotten.set(address, this.#clock.now() + FORGET_AFTER_MS);
+  }
+
+  // Checked when links are asked for: a timer would keep a process that is done from ending.
+  #giveUpDue(): void {
+    const now = this.#clock.now();
+    for (const [address, dueMs] of this.#forgotten) {
+      if (dueMs > now) continue;
       this.#forgotten.delete(address);
       this.#kept.get(address)?.();
       this.#kept.delete(address);
-    });
-    this.#forgotten.set(address, undo);
+    }
   }
 }
