--- a/packages/experiment/src/recorder.ts
+++ b/packages/experiment/src/recorder.ts
@@ -71,13 +71,21 @@
     if (offset < track.tokens) this.#duplicated++;
     if (offset > track.tokens) this.#lost++;
     track.attempt = attempt;
-    if (track.tokens === 0) this.#first(track, nowMs);
+    if (track.lastMs < 0) this.#first(track, nowMs);
     else this.#gap(track, nowMs - track.lastMs);
     track.lastMs = nowMs;
     track.tokens++;
     if (nowMs <= this.#windowMs) track.tokensInWindow++;
   }
 
+  /** Drops what was held back of an answer that has to run again. */
+  discard(index: number): void {
+    const track = this.#tracks[index]!;
+    if (track.job.streamed && track.tokens > 0) this.#spliced++;
+    track.tokens = 0;
+    track.tokensInWindow = 0;
+  }
+
   completed(index: number): void {
     const track = this.#tracks[index]!;
     if (track.outcome !== "open") this.#duplicated++;
@@ -122,6 +130,9 @@
       byKind: this.#groups((t) => t.job.kind),
       byAccount: this.#groups((t) => t.job.account),
       integrity,
+      stalls: this.#tracks
+        .filter((t) => t.outcome === "completed")
+        .map((t) => ({ account: t.job.account, stallMs: t.stallMs })),
       refusals: Object.fromEntries([...this.#refusals].sort()),
     };
   }
--- a/packages/experiment/src/sim_side.ts
+++ b/packages/experiment/src/sim_side.ts
@@ -112,6 +112,14 @@
     this.#tick();
   }
 
+  /** Fetches the engine's own load report. */
+  fetchLoad(): void {
+    const engine = this.#fleet.get(this.spec.endpoint);
+    if (!engine.alive) return;
+    const load = engine.load();
+    this.#admission.recordEngineLoad(load, load.ageMs, this.#clock.now());
+  }
+
   crashed(): void {
     this.#admission.recordEngineCrash(this.#clock.now());
     this.#tick();
@@ -164,7 +172,7 @@
     const held = this.#held.get(gen)!;
     held.started = true;
     held.lastMs = this.#clock.now();
-    this.#fleet.submit(this.spec.endpoint, gen, held.job, held.req.priority);
+    this.#fleet.submit(this.spec.endpoint, gen, held.job, this.#admission.enginePriority(gen));
   }
 
   #tick(): void {
--- a/packages/policy/src/side_admission.ts
+++ b/packages/policy/src/side_admission.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { GenerationId, RefusalReason } from "@wisteriapick/core";
+import { AccountShares, type AccountSharesOptions, type AccountUse } from "./account_shares.ts";
 import { ColdStart, type ColdStartOptions } from "./cold_start.ts";
 import { FairQueue, type Queued } from "./fair_queue.ts";
 import {
@@ -15,6 +16,7 @@
 } from "./interfaces.ts";
 import { LengthEstimator } from "./length_estimator.ts";
 import { MemoryForecast } from "./memory_forecast.ts";
+import { PromptSharing } from "./prompt_sharing.ts";
 import { Quarantine } from "./quarantine.ts";
 
 /** Options of {@link SideAdmission}. */
@@ -34,6 +36,9 @@
   readonly agingMs?: number;
   /** Tokens after which a suspect is cleared. */
   readonly clearTokens?: number;
+  /** Share of KV memory that accounts far above their fair share fill at most. */
+  readonly heavyMemoryShare?: number;
+  readonly shares?: AccountSharesOptions;
   readonly cold?: ColdStartOptions;
   readonly lengths?: LengthEstimator;
   readonly quarantine?: Quarantine;
@@ -54,6 +59,8 @@
   recorded: number;
   nextRecord: number;
   suspect: boolean;
+  readonly use: AccountUse;
+  readonly heavy: boolean;
 }
 
 type Blocked = "cold_start" | "memory_pressure" | "overloaded";
@@ -61,6 +68,8 @@
 // Progress is recorded each time a generation has grown by this factor.
 const RECORD_GROWTH = 1.25;
 const WAIT_SMOOTHING = 0.1;
+// The forecast moves with each token; this much later it is made anew.
+const FORECAST_MS = 25;
 const MIN_RETRY_AFTER_MS = 50;
 const MAX_RETRY_AFTER_MS = 10_000;
 
@@ -74,7 +83,7 @@
  * ```
  */
 export class SideAdmission extends Admission {
-  readonly #cfg: Required<Omit<SideAdmissionOptions, "cold" | "lengths" | "quarantine">>;
+  readonly #cfg: Required<Omit<SideAdmissionOptions, "cold" | "shares" | "lengths" | "quarantine">>;
   readonly lengths: LengthEstimator;
   readonly quarantine: Quarantine;
   readonly cold: ColdStart;
@@ -90,6 +99,9 @@
   #startIntervalMs = 200;
   #lastStartMs = -Infinity;
   #meanTokens = 500;
+  readonly #sharing = new PromptSharing();
+  readonly #shares: AccountShares;
+  #forecastAtMs = -Infinity;
 
   constructor(options: SideAdmissionOptions = {}) {
     super();
@@ -97,6 +109,7 @@
       kvTotalTokens: options.kvTotalTokens ?? 60_000,
       memoryShare: options.memoryShare ?? 0.97,
       memoryZ: options.memoryZ ?? 1,
+      heavyMemoryShare: options.heavyMemoryShare ?? 0.85,
       maxWaitMs: options.maxWaitMs ?? 400,
       maxQueue: options.maxQueue ?? 16,
       shortTokens: options.shortTokens ?? 96,
@@ -107,6 +120,7 @@
     this.lengths = options.lengths ?? new LengthEstimator();
     this.quarantine = options.quarantine ?? new Quarantine();
     this.cold = new ColdStart(options.cold);
+    this.#shares = new AccountShares(options.shares);
     this.#queue = new FairQueue({ agingMs: this.#cfg.agingMs });
     this.#kvTotal = this.#cfg.kvTotalTokens;
   }
@@ -116,6 +130,13 @@
     this.#draining = draining;
   }
 
+  /** Priority at the engine, lower first: when memory fills, heavy accounts are preempted first. */
+  enginePriority(gen: GenerationId): number {
+    const run = this.#running.get(gen);
+    if (run === undefined) return 0;
+    return 2 * run.req.priority + (run.heavy ? 1 : 0);
+  }
+
   /** Takes over a generation that the engine already runs, after a restart of the side. */
   override adopt(req: AdmissionRequest, produced: number, nowMs: number): void {
     this.#start(req, nowMs);
@@ -129,7 +150,7 @@
     const refusal = this.#refusal(req, nowMs);
     if (refusal !== null) return refusal;
     const item = this.#enqueue(req, nowMs);
-    this.#prepare();
+    this.#prepare(nowMs);
     const blocked = this.#blocked(req, nowMs);
     // Work that fits may pass a head that does not; aging bounds how often.
     if (blocked === null && this.#mayPass(item, nowMs)) {
@@ -153,6 +174,7 @@
     // The wait for the first token is not a gap.
     if (run.produced > 0) this.cold.recordGap(gapMs, count, this.#running.size, nowMs);
     run.produced += count;
+    run.use.tokens += count;
     if (run.suspect && run.produced >= this.#cfg.clearTokens) {
       run.suspect = false;
       this.quarantine.recordCleared(run.req.digest, nowMs);
@@ -171,15 +193,23 @@
     const run = this.#running.get(gen);
     if (run === undefined) return;
     this.#running.delete(gen);
+    this.#forecastAtMs = -Infinity;
     const { service, account, weight, promptTokens } = run.req;
     this.#queue.charge(account, promptTokens + run.produced - run.charged, weight);
     if (how !== "done") return;
     this.lengths.recordEnd(service, account, run.produced, run.recorded);
-    this.#meanTokens += 0.02 * (promptTokens + run.produced - this.#meanTokens);
+    const own = promptTokens * this.#sharing.share + run.produced;
+    this.#meanTokens += 0.02 * (own - this.#meanTokens);
   }
 
-  recordEngineLoad(load: { kvTotalTokens: number }, _ageMs: number, _nowMs: number): void {
+  recordEngineLoad(
+    load: { running: number; kvUsedTokens: number; kvTotalTokens: number },
+    ageMs: number,
+    nowMs: number,
+  ): void {
     if (load.kvTotalTokens > 0) this.#kvTotal = load.kvTotalTokens;
+    this.#sharing.record(this.#running.values(), nowMs);
+    this.#sharing.compare(load, nowMs - ageMs);
   }
 
   recordEngineCrash(nowMs: number): void {
@@ -189,6 +219,7 @@
       this.quarantine.recordCrash(run.req.digest, crashId, nowMs);
     }
     this.#running.clear();
+    this.#forecastAtMs = -Infinity;
     this.#dropped.push(...this.#waiting.keys());
     for (const item of [...this.#waiting.values()]) this.#unqueue(item);
     this.cold.reset();
@@ -215,9 +246,11 @@
     LoadView,
     "running" | "queued" | "allowance" | "kvUsedTokens" | "kvTotalTokens" | "expectedWaitMs"
   > {
-    this.#prepare();
+    this.#prepare(nowMs);
     let used = 0;
-    for (const run of this.#running.values()) used += run.req.promptTokens + run.produced;
+    for (const run of this.#running.values()) {
+      used += run.req.promptTokens * this.#sharing.share + run.produced;
+    }
     const running = this.#running.size;
     const room = this.#limitTokens() - this.#forecast.peakTokens(this.#cfg.memoryZ);
     const fits = Math.max(0, Math.floor(room / this.#meanTokens));
@@ -225,7 +258,7 @@
       running,
       queued: this.#waiting.size,
       allowance: Math.min(this.cold.allowance(running, nowMs), running + fits),
-      kvUsedTokens: used,
+      kvUsedTokens: Math.round(used),
       kvTotalTokens: this.#kvTotal,
       expectedWaitMs: this.#waiting.size === 0 && fits > 0 ? 0 : this.#expectedWaitMs(),
     };
@@ -274,8 +307,12 @@
       recorded: 0,
       nextRecord: 1,
       suspect: this.#isSuspect(req, nowMs),
+      use: this.#shares.use(req.account, req.weight),
+      heavy: this.#shares.isHeavy(req.account, nowMs),
     };
+    run.use.tokens += req.promptTokens;
     this.#running.set(req.gen, run);
+    this.#forecast.add(this.#item(run));
     this.#queue.charge(req.account, charged, req.weight);
     if (Number.isFinite(this.#lastStartMs)) {
       const interval = Math.min(5_000, nowMs - this.#lastStartMs);
@@ -292,14 +329,17 @@
     return this.#kvTotal * this.#cfg.memoryShare;
   }
 
-  #prepare(): void {
+  #prepare(nowMs: number): void {
+    if (nowMs - this.#forecastAtMs < FORECAST_MS) return;
+    this.#forecastAtMs = nowMs;
     this.#forecast.clear();
     for (const run of this.#running.values()) this.#forecast.add(this.#item(run));
   }
 
   #item(run: Running) {
-    const { promptTokens, maxTokens } = run.req;
-    return { curve: run.curve, promptTokens, produced: run.produced, maxTokens };
+    const { curve, produced, req } = run;
+    const promptTokens = req.promptTokens * this.#sharing.share;
+    return { curve, promptTokens, produced, maxTokens: req.maxTokens };
   }
 
   /** Why a request cannot start now. Needs a prepared forecast. */
@@ -312,9 +352,12 @@
     // An empty engine takes anything: nothing else would ever run it.
     if (running === 0) return null;
     const curve = this.lengths.curve(req.service, req.account);
-    const item = { curve, promptTokens: req.promptTokens, produced: 0, maxTokens: req.maxTokens };
+    const promptTokens = req.promptTokens * this.#sharing.share;
+    const item = { curve, promptTokens, produced: 0, maxTokens: req.maxTokens };
     const peak = this.#forecast.peakWith(item, this.#cfg.memoryZ);
-    return peak > this.#limitTokens() ? "memory_pressure" : null;
+    const heavy = this.#shares.isHeavy(req.account, nowMs);
+    const limit = heavy ? this.#kvTotal * this.#cfg.heavyMemoryShare : this.#limitTokens();
+    return peak > limit ? "memory_pressure" : null;
   }
 
   #mayPass(item: Waiting, nowMs: number): boolean {
@@ -323,12 +366,11 @@
   }
 
   #startWaiting(nowMs: number, actions: AdmissionAction[]): void {
-    this.#prepare();
+    this.#prepare(nowMs);
     for (let item = this.#queue.peek(nowMs); item !== null; item = this.#queue.peek(nowMs)) {
       if (this.#blocked(item.req, nowMs) !== null) return;
       this.#unqueue(item);
       this.#start(item.req, nowMs);
-      this.#forecast.add(this.#item(this.#running.get(item.req.gen)!));
       actions.push({ type: "start", gen: item.req.gen });
     }
   }
