Let growth wait while the newest evidence is against the new version

The weights of later processes hid their evidence from the rule that makes growth wait. It now looks at each process without its weight.

--- a/packages/control/src/move_evidence.ts
+++ b/packages/control/src/move_evidence.ts
@@ -17,6 +17,9 @@
 /** Strata beyond this many share one, so that callers cannot spread the evidence thin. */
 const MAX_STRATA = 32;
 
+/** Likelihood ratio of a test that seems clearly against the new version; growth waits meanwhile. */
+const DOUBT_RATIO = 30;
+
 const METRICS = ["failures", "slow_first_token", "slow_gaps"] as const;
 
 /** What is compared. */
@@ -171,9 +174,9 @@
 
   /** Whether some test leans clearly against the new version without a verdict yet. */
   doubtful(): boolean {
-    const limit = Math.log(5);
+    const limit = Math.log(DOUBT_RATIO);
     return [...this.#strata.values(), this.#all].some((s) =>
-      [...s.tests.values()].some((t) => t.logEvidence() > limit)
+      [...s.tests.values()].some((t) => t.logSuspicion() > limit)
     );
   }
 
--- a/packages/control/src/sequential_test.ts
+++ b/packages/control/src/sequential_test.ts
@@ -86,12 +86,14 @@
 
   /** Natural logarithm of the evidence that the new version is worse than tolerated. */
   logEvidence(): number {
-    const logs = this.#epochs.flatMap((e) =>
-      e.logRatios.map((l) => l + e.logWeight - Math.log(BAD_RATIOS.length))
-    );
-    if (logs.length === 0) return 0;
-    const top = Math.max(...logs);
-    return top + Math.log(logs.reduce((s, l) => s + Math.exp(l - top), 0));
+    if (this.#epochs.length === 0) return 0;
+    const logs = this.#epochs.map((e) => e.logWeight + logMean(e.logRatios));
+    return logMean(logs) + Math.log(logs.length);
+  }
+
+  /** The evidence of the process that sees most, without its weight: a reason to wait, not a verdict. */
+  logSuspicion(): number {
+    return Math.max(0, ...this.#epochs.map((e) => logMean(e.logRatios)));
   }
 
   /** Whether the new version is condemned at error rate `alpha`. */
@@ -116,6 +118,12 @@
   }
 }
 
+/** Logarithm of the mean of numbers given by their logarithms. */
+function logMean(logs: readonly number[]): number {
+  const top = Math.max(...logs);
+  return top + Math.log(logs.reduce((s, l) => s + Math.exp(l - top), 0) / logs.length);
+}
+
 function logLikelihood(ratio: number, n: number, m: number, newBad: number, oldBad: number) {
   const total = ratio * n + m;
   return newBad * Math.log(ratio * n / total) + oldBad * Math.log(m / total);
