--- a/packages/daemon/src/link_router.ts
+++ b/packages/daemon/src/link_router.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { raise, type Undo } from "@wisteriapick/core";
+import { raise, type Revision, type Undo } from "@wisteriapick/core";
 import type { Link, LinkAcceptor, LinkStream, Message, StreamHandler } from "@wisteriapick/wire";
 
 /** Handles streams that open with one kind of message. */
@@ -34,6 +34,7 @@
   readonly #streams = new Map<string, StreamOpener<Message["kind"]>>();
   readonly #notifies = new Map<string, Set<NotifyHandler<Message["kind"]>>>();
   readonly #links = new Set<Link>();
+  readonly #revisionListeners = new Set<(link: Link, heard: Revision) => void>();
 
   /** The open links that peers made. */
   get links(): ReadonlySet<Link> {
@@ -55,12 +56,19 @@
     return () => void handlers.delete(added);
   }
 
+  /** Calls `fn` with the configuration revision of each request, call and load report, before it is handled. */
+  registerRevisionListener(fn: (link: Link, heard: Revision) => void): Undo {
+    this.#revisionListeners.add(fn);
+    return () => void this.#revisionListeners.delete(fn);
+  }
+
   onLink(link: Link): void {
     this.#links.add(link);
     link.registerCloseListener(() => void this.#links.delete(link));
   }
 
   onStream(link: Link, msg: Message, stream: LinkStream): StreamHandler {
+    this.#hearRevision(link, msg);
     const opener = this.#streams.get(msg.kind);
     if (opener !== undefined) return opener(link, msg, stream);
     stream.abort();
@@ -68,9 +76,20 @@
   }
 
   onNotify(link: Link, msg: Message): void {
+    this.#hearRevision(link, msg);
     for (const handler of this.#notifies.get(msg.kind) ?? []) handler(link, msg);
   }
 
+  #hearRevision(link: Link, msg: Message): void {
+    const heard = msg.kind === "load"
+      ? msg.load.revision
+      : msg.kind === "run" || msg.kind === "call"
+      ? msg.revision
+      : null;
+    if (heard === null) return;
+    for (const fn of this.#revisionListeners) fn(link, heard);
+  }
+
   #assertFree(map: ReadonlyMap<string, unknown>, kind: string): void {
     if (map.has(kind)) {
       raise({ type: "duplicate_registration", message: `${kind} is already handled` });
