Add account limits without a central counter, the decisions benchmark, and prompts paced per step

AccountLimits thins out requests by the share its keeper grants; keepers add up counts, so that entries which see an account once a minute still count right.

--- /dev/null
+++ b/packages/bench/src/decisions.ts
@@ -0,0 +1,276 @@
+/**
+ * The `decisions` benchmark: time per placement and admission, bytes of state, balance of subsets, and the cost
+ * and overshoot of account limits at the design size.
+ *
+ * @module
+ */
+import {
+  type AccountId,
+  accountId,
+  dataCentreId,
+  type EndpointId,
+  endpointId,
+  generationId,
+  hostId,
+  Rng,
+  serviceId,
+  versionId,
+} from "@wisteriapick/core";
+import {
+  AccountKeeper,
+  AccountLimits,
+  type AccountQuota,
+  SideAdmission,
+  SubsetPlacement,
+} from "@wisteriapick/policy";
+import { parseArgs } from "node:util";
+
+const SIZES = [3, 30, 300, 3_000] as const;
+const RUNS = 20_000;
+const RUNNING = 30;
+const SERVICE = serviceId("scribe");
+const ACCOUNT = accountId("museum");
+const CENTRES = ["dc-0", "dc-1", "dc-2"].map((s) => dataCentreId(s));
+
+/** Figures at one number of endpoints. */
+export interface DecisionFigures {
+  readonly endpoints: number;
+  readonly placement_us: number;
+  readonly placement_bytes: number;
+  readonly admission_us: number;
+  readonly admission_bytes: number;
+}
+
+/** Cost and accuracy of account limits. */
+export interface LimitFigures {
+  readonly entries: number;
+  readonly accounts: number;
+  readonly bytes_per_s_per_entry: number;
+  readonly bytes_per_s_busiest: number;
+  /** Admitted rate relative to the limit, over limited accounts. */
+  readonly overshoot_mean: number;
+  readonly overshoot_max: number;
+}
+
+function heapBytes(): number {
+  globalThis.gc?.();
+  return process.memoryUsage().heapUsed;
+}
+
+function createPlacement(count: number, entry = "entry-0", centres = CENTRES): SubsetPlacement {
+  const rng = new Rng(1).fork(entry);
+  const placement = new SubsetPlacement({ entry, dataCentre: CENTRES[0]!, rng });
+  for (let i = 0; i < count; i++) {
+    placement.setEndpoint({
+      endpoint: endpointId(`e-${i}`),
+      service: SERVICE,
+      host: hostId(`h-${i}`),
+      dataCentre: centres[i % centres.length]!,
+    });
+  }
+  return placement;
+}
+
+function loadOf(endpoint: EndpointId, seq: number, rng: Rng) {
+  return {
+    endpoint,
+    version: versionId("v1"),
+    running: rng.int(25),
+    queued: 0,
+    allowance: 30,
+    kvUsedTokens: rng.int(50_000),
+    kvTotalTokens: 60_000,
+    expectedWaitMs: 0,
+    leaving: false,
+    seq,
+  };
+}
+
+function measurePlacement(count: number): { us: number; bytes: number } {
+  const rng = new Rng(2);
+  const before = heapBytes();
+  const placement = createPlacement(count);
+  const bytes = heapBytes() - before;
+  const req = {
+    service: SERVICE,
+    account: ACCOUNT,
+    versions: [],
+    promptTokens: 300,
+    prefixes: [],
+    expectedTokens: 400,
+    excluded: new Set<EndpointId>(),
+  };
+  const run = (n: number) => {
+    for (let i = 0; i < n; i++) {
+      const chosen = placement.choose(req, i)!;
+      placement.recordSent(chosen, req, i);
+      placement.recordOutcome(chosen, { type: "admitted", load: loadOf(chosen, i, rng) }, i);
+      placement.recordOutcome(chosen, { type: "ended" }, i);
+    }
+  };
+  run(RUNS / 10);
+  const startMs = performance.now();
+  run(RUNS);
+  return { us: 1_000 * (performance.now() - startMs) / RUNS, bytes };
+}
+
+/** One side holds {@link RUNNING} generations whatever the size of the fleet. */
+function measureAdmission(): { us: number; bytes: number } {
+  const before = heapBytes();
+  const admission = new SideAdmission({ cold: { initial: 512 }, kvTotalTokens: 200_000 });
+  const offer = (i: number, nowMs: number) => {
+    const gen = generationId(`g${i}`);
+    admission.offer({
+      gen,
+      service: SERVICE,
+      account: ACCOUNT,
+      weight: 1,
+      promptTokens: 300,
+      maxTokens: 4_096,
+      priority: 0,
+      deadlineMs: nowMs + 10_000,
+      digest: `d${i}`,
+      attempt: 0,
+    }, nowMs);
+    return gen;
+  };
+  for (let i = 0; i < RUNNING; i++) offer(i, 0);
+  const bytes = heapBytes() - before;
+  const run = (from: number, n: number) => {
+    for (let i = from; i < from + n; i++) {
+      // 25 ms apart, so that each offer makes its forecast anew.
+      const gen = offer(i, 25 * i);
+      admission.load(25 * i);
+      admission.recordEnd(gen, "done", 25 * i);
+    }
+  };
+  run(1_000, RUNS / 10);
+  const startMs = performance.now();
+  run(1_000_000, RUNS);
+  return { us: 1_000 * (performance.now() - startMs) / RUNS, bytes };
+}
+
+/** How evenly the subsets of `entries` entries cover `endpoints` endpoints of one service. */
+export function subsetBalance(entries: number, endpoints: number): { min: number; max: number } {
+  const uses = new Map<EndpointId, number>();
+  for (let i = 0; i < entries; i++) {
+    for (
+      const endpoint of createPlacement(endpoints, `entry-${i}`, CENTRES.slice(0, 1)).subset(
+        SERVICE,
+      )
+    ) {
+      uses.set(endpoint, (uses.get(endpoint) ?? 0) + 1);
+    }
+  }
+  const counts = [...uses.values()];
+  const min = uses.size < endpoints ? 0 : Math.min(...counts);
+  return { min, max: Math.max(...counts) };
+}
+
+// A report or grant: account hash, two rates, a count, and framing.
+const MESSAGE_BYTES = 24;
+const SIM_SECONDS = 60;
+const WARM_UP_SECONDS = 30;
+const REQUESTS_PER_S = 57_000;
+const TICK_MS = 250;
+
+/** Runs account limits at the design size: most of the load comes from a few accounts. */
+export function measureLimits({ entries = 960, accounts = 4_800, seed = 1 } = {}): LimitFigures {
+  const rng = new Rng(seed);
+  const weights = Array.from({ length: accounts }, (_, i) => 1 / (i + 1));
+  const total = weights.reduce((a, b) => a + b, 0);
+  const cumulative: number[] = [];
+  weights.reduce((sum, w) => {
+    cumulative.push(sum + w / total);
+    return sum + w / total;
+  }, 0);
+  const ids = weights.map((_, i) => accountId(`account-${i}`));
+  // The first tenth offers half as much again as its limit.
+  const limitOf = (i: number) =>
+    REQUESTS_PER_S * weights[i]! / total / (i < accounts / 10 ? 1.5 : 0.5);
+  const quotas = ids.map((_, i): AccountQuota => ({ requestsPerS: limitOf(i) }));
+  const indexOf = new Map<AccountId, number>(ids.map((id, i) => [id, i]));
+  const limits = Array.from({ length: entries }, () => new AccountLimits());
+  const keepers = Array.from({ length: entries }, () => new AccountKeeper());
+  const messages = new Float64Array(entries);
+  const admitted = new Float64Array(accounts);
+  const steps = SIM_SECONDS * 1_000 / TICK_MS;
+  for (let step = 0; step < steps; step++) {
+    const nowMs = step * TICK_MS;
+    const measured = nowMs >= WARM_UP_SECONDS * 1_000;
+    for (let n = 0; n < REQUESTS_PER_S * TICK_MS / 1_000; n++) {
+      const i = search(cumulative, rng.next());
+      const entry = limits[rng.int(entries)]!;
+      if (entry.admit(ids[i]!, quotas[i]!, 0, nowMs) !== null) continue;
+      entry.recordEnd(ids[i]!);
+      if (measured) admitted[i]!++;
+    }
+    limits.forEach((entry, e) => {
+      for (const report of entry.reports(nowMs)) {
+        const i = indexOf.get(report.account)!;
+        // Stands for rendezvous hashing, which spreads accounts as evenly on average.
+        const keeper = (i * 7_919) % entries;
+        entry.applyGrant(keepers[keeper]!.receive(`${e}`, report, quotas[i]!, nowMs), nowMs);
+        if (measured) {
+          messages[e]! += 2;
+          messages[keeper]! += 2;
+        }
+      }
+    });
+  }
+  const seconds = SIM_SECONDS - WARM_UP_SECONDS;
+  const ratios = ids.slice(0, accounts / 10).map((_, i) => admitted[i]! / seconds / limitOf(i));
+  const bytes = [...messages].map((m) => m * MESSAGE_BYTES / seconds);
+  return {
+    entries,
+    accounts,
+    bytes_per_s_per_entry: Math.round(bytes.reduce((a, b) => a + b, 0) / entries),
+    bytes_per_s_busiest: Math.round(Math.max(...bytes)),
+    overshoot_mean: round(ratios.reduce((a, b) => a + b, 0) / ratios.length),
+    overshoot_max: round(Math.max(...ratios)),
+  };
+}
+
+function search(cumulative: readonly number[], u: number): number {
+  let low = 0;
+  let high = cumulative.length - 1;
+  while (low < high) {
+    const mid = (low + high) >> 1;
+    if (cumulative[mid]! < u) low = mid + 1;
+    else high = mid;
+  }
+  return low;
+}
+
+function round(x: number): number {
+  return Math.round(x * 1_000) / 1_000;
+}
+
+/** Runs the benchmark; `--json` prints one object, `--limits` adds the account limits. */
+export async function runDecisions(args: readonly string[]): Promise<void> {
+  const { values } = parseArgs({
+    args: [...args],
+    options: { json: { type: "boolean" }, limits: { type: "boolean" } },
+  });
+  const admission = measureAdmission();
+  const figures = SIZES.map((endpoints): DecisionFigures => {
+    const placement = measurePlacement(endpoints);
+    return {
+      endpoints,
+      placement_us: round(placement.us),
+      placement_bytes: placement.bytes,
+      admission_us: round(admission.us),
+      admission_bytes: admission.bytes,
+    };
+  });
+  // One data centre at the design size: 96 entries, 67 endpoints of each service.
+  const balance = subsetBalance(96, 67);
+  const limits = values.limits === true ? measureLimits() : undefined;
+  const output = { figures, subset_uses_96_entries_67_endpoints: balance, limits };
+  if (values.json === true) process.stdout.write(`${JSON.stringify(output)}\n`);
+  else {
+    console.table(figures);
+    process.stdout.write(`subset uses per endpoint: ${balance.min} to ${balance.max}\n`);
+    if (limits !== undefined) console.table(limits);
+  }
+}
--- a/packages/bench/src/mod.ts
+++ b/packages/bench/src/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { raise } from "@wisteriapick/core";
+import { runDecisions } from "./decisions.ts";
 import { runRelay } from "./relay.ts";
 import { runSpread } from "./spread.ts";
 
@@ -11,7 +12,11 @@
 export type Bench = (args: readonly string[]) => Promise<void>;
 
 /** Benchmarks by name. */
-export const BENCHES: Readonly<Record<string, Bench>> = { relay: runRelay, spread: runSpread };
+export const BENCHES: Readonly<Record<string, Bench>> = {
+  relay: runRelay,
+  spread: runSpread,
+  decisions: runDecisions,
+};
 
 /**
  * Runs one benchmark.
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * from "./account_limits.ts";
 export * from "./account_shares.ts";
 export * from "./cold_start.ts";
 export * from "./fair_queue.ts";
--- a/packages/policy/src/side_admission.ts
+++ b/packages/policy/src/side_admission.ts
@@ -34,6 +34,8 @@
   readonly shortTokens?: number;
   /** Waiting this long moves work up by one rank. */
   readonly agingMs?: number;
+  /** Prompt tokens started within one step; more would lengthen the gaps of what runs. */
+  readonly stepPromptTokens?: number;
   /** Tokens after which a suspect is cleared. */
   readonly clearTokens?: number;
   /** Share of KV memory that accounts far above their fair share fill at most. */
@@ -63,11 +65,13 @@
   readonly heavy: boolean;
 }
 
-type Blocked = "cold_start" | "memory_pressure" | "overloaded";
+type Blocked = "cold_start" | "memory_pressure" | "overloaded" | "next_step";
 
 // Progress is recorded each time a generation has grown by this factor.
 const RECORD_GROWTH = 1.25;
 const WAIT_SMOOTHING = 0.1;
+// Without a token for this long, all that runs is in its prompt, and nobody's gap suffers.
+const LONGEST_STEP_MS = 60;
 // The forecast moves with each token; this much later it is made anew.
 const FORECAST_MS = 25;
 const MIN_RETRY_AFTER_MS = 50;
@@ -102,6 +106,9 @@
   readonly #sharing = new PromptSharing();
   readonly #shares: AccountShares;
   #forecastAtMs = -Infinity;
+  /** Prompt tokens started since the last step, and when that was. */
+  #stepPrompts = 0;
+  #stepAtMs = -Infinity;
 
   constructor(options: SideAdmissionOptions = {}) {
     super();
@@ -114,6 +121,7 @@
       maxQueue: options.maxQueue ?? 16,
       shortTokens: options.shortTokens ?? 96,
       agingMs: options.agingMs ?? 1_000,
+      stepPromptTokens: options.stepPromptTokens ?? 400,
       clearTokens: options.clearTokens ?? 8,
       name: options.name ?? "endpoint",
     };
@@ -159,6 +167,7 @@
       return { type: "start" };
     }
     const waitMs = this.#expectedWaitMs();
+    if (blocked === "next_step") return { type: "queued" };
     if (waitMs <= this.#cfg.maxWaitMs && nowMs + waitMs < req.deadlineMs) return { type: "queued" };
     this.#unqueue(item);
     return {
@@ -173,6 +182,10 @@
     if (run === undefined) return;
     // The wait for the first token is not a gap.
     if (run.produced > 0) this.cold.recordGap(gapMs, count, this.#running.size, nowMs);
+    if (nowMs > this.#stepAtMs) {
+      this.#stepAtMs = nowMs;
+      this.#stepPrompts = 0;
+    }
     run.produced += count;
     run.use.tokens += count;
     if (run.suspect && run.produced >= this.#cfg.clearTokens) {
@@ -311,6 +324,7 @@
       heavy: this.#shares.isHeavy(req.account, nowMs),
     };
     run.use.tokens += req.promptTokens;
+    this.#stepPrompts += req.promptTokens;
     this.#running.set(req.gen, run);
     this.#forecast.add(this.#item(run));
     this.#queue.charge(req.account, charged, req.weight);
@@ -357,7 +371,13 @@
     const peak = this.#forecast.peakWith(item, this.#cfg.memoryZ);
     const heavy = this.#shares.isHeavy(req.account, nowMs);
     const limit = heavy ? this.#kvTotal * this.#cfg.heavyMemoryShare : this.#limitTokens();
-    return peak > limit ? "memory_pressure" : null;
+    if (peak > limit) return "memory_pressure";
+    return this.#fitsStep(req, nowMs) ? null : "next_step";
+  }
+
+  #fitsStep(req: AdmissionRequest, nowMs: number): boolean {
+    if (this.#stepPrompts === 0 || nowMs - this.#stepAtMs > LONGEST_STEP_MS) return true;
+    return this.#stepPrompts + req.promptTokens <= this.#cfg.stepPromptTokens;
   }
 
   #mayPass(item: Waiting, nowMs: number): boolean {
