--- a/packages/policy/src/cold_start.ts
+++ b/packages/policy/src/cold_start.ts
@@ -147,6 +147,8 @@
     this.#allowance = Math.min(this.#cfg.max, Math.max(this.#allowance * factor, 2));
     this.#levelMs = gapMs;
     this.#levelRunning = running;
+    // The gap of the larger batch is healthy; a mean that lags behind would take it for a cold start.
+    this.#meanMs = Math.max(this.#meanMs, gapMs);
     this.#forgetEvidence();
   }
 
--- a/packages/policy/src/endpoint_state.ts
+++ b/packages/policy/src/endpoint_state.ts
@@ -17,6 +17,8 @@
 const REFUSED_LOAD = 1.5;
 const WAIT_LOAD_MS = 1_000;
 const SMOOTHING = 0.1;
+// Steps get longer with each generation, whatever room is left; evens out batches under little load.
+const LOAD_PER_GEN = 0.012;
 
 /** Load as reported, plus what this entry sent since. */
 export class EndpointState {
@@ -57,7 +59,7 @@
       Math.max(1, load.kvTotalTokens);
     const wait = load.expectedWaitMs / WAIT_LOAD_MS;
     const full = nowMs < this.#refusedUntilMs ? REFUSED_LOAD : 0;
-    return Math.max(slots, memory) + wait + full;
+    return Math.max(slots, memory) + LOAD_PER_GEN * (load.running + this.#unseen) + wait + full;
   }
 
   ageMs(nowMs: number): number {
--- a/packages/policy/src/memory_forecast.ts
+++ b/packages/policy/src/memory_forecast.ts
@@ -9,12 +9,16 @@
 /** Steps ahead at which memory is forecast; the last covers the longest drafts. */
 export const HORIZONS_TOKENS: readonly number[] = [
   0,
-  32,
-  128,
+  64,
+  256,
   512,
-  1_024,
+  768,
+  1_152,
+  1_536,
   2_048,
+  3_072,
   4_096,
+  6_144,
   8_192,
   16_384,
 ];
--- /dev/null
+++ b/packages/policy/tests/placement_test.ts
@@ -0,0 +1,146 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { endpointId } from "@wisteriapick/core";
+import {
+  LOCAL,
+  makeInfo,
+  makeLoad,
+  makePlacement,
+  makePlacementRequest,
+  REMOTE,
+  SERVICE,
+} from "./fixtures.ts";
+
+const names = (n: number) => Array.from({ length: n }, (_, i) => `e-${i}`);
+const infos = (n: number) => names(n).map((name) => makeInfo(name));
+
+test("a service with three servers is covered whole by every entry", () => {
+  for (const entry of ["entry-1", "entry-2", "entry-3"]) {
+    assert.equal(makePlacement(infos(3), { entry }).subset(SERVICE).length, 3);
+  }
+});
+
+test("a subset stays small and changes by at most one endpoint when another leaves", () => {
+  const placement = makePlacement(infos(300));
+  const before = placement.subset(SERVICE);
+  placement.removeEndpoint(before[0]!);
+  const after = placement.subset(SERVICE);
+  assert.equal(after.length, before.length);
+  assert.equal(after.filter((e) => !before.includes(e)).length, 1);
+});
+
+test("an entry does not send everything to one endpoint between two load reports", () => {
+  const placement = makePlacement(infos(4));
+  const req = makePlacementRequest();
+  names(4).forEach((name, i) => {
+    // The first endpoint reports itself empty, as after a return to service.
+    placement.recordLoad(makeLoad(endpointId(name), { running: i === 0 ? 0 : 4 }), 0);
+  });
+  const counts = new Map<string, number>();
+  for (let i = 0; i < 24; i++) {
+    const chosen = placement.choose(req, 10)!;
+    placement.recordSent(chosen, req, 10);
+    counts.set(chosen, (counts.get(chosen) ?? 0) + 1);
+  }
+  assert.ok(Math.max(...counts.values()) <= 12, JSON.stringify([...counts]));
+  assert.equal(counts.size, 4);
+});
+
+test("an endpoint of unknown load gets one request at a time until it answers", () => {
+  const placement = makePlacement([makeInfo("new"), makeInfo("known")]);
+  placement.recordLoad(makeLoad(endpointId("known"), { running: 15 }), 0);
+  const req = makePlacementRequest();
+  let sent = 0;
+  for (let i = 0; i < 4; i++) {
+    const chosen = placement.choose(req, 1)!;
+    placement.recordSent(chosen, req, 1);
+    if (chosen === "new") sent++;
+  }
+  assert.equal(sent, 1);
+});
+
+test("work stays in the data centre until crossing is worth it", () => {
+  const placement = makePlacement([makeInfo("near"), makeInfo("far", REMOTE)]);
+  placement.recordLoad(makeLoad(endpointId("near"), { running: 1 }), 0);
+  placement.recordLoad(makeLoad(endpointId("far")), 0);
+  assert.equal(placement.choose(makePlacementRequest(), 1), "near");
+  placement.recordLoad(makeLoad(endpointId("near"), { running: 19, seq: 2 }), 0);
+  assert.equal(placement.choose(makePlacementRequest(), 1), "far");
+});
+
+test("no endpoint of a data centre that is out is chosen", () => {
+  const placement = makePlacement([makeInfo("near"), makeInfo("far", REMOTE)]);
+  placement.setDataCentres(new Set([REMOTE]));
+  assert.equal(placement.choose(makePlacementRequest(), 1), "far");
+  placement.setDataCentres(new Set([LOCAL]));
+  assert.equal(placement.choose(makePlacementRequest(), 1), "near");
+  placement.setDataCentres(new Set());
+  assert.equal(placement.choose(makePlacementRequest(), 1), null);
+});
+
+test("a cached prefix is preferred only as far as load allows", () => {
+  const placement = makePlacement([makeInfo("cached"), makeInfo("other")]);
+  const req = makePlacementRequest({ prefixes: ["p1", "p2"] });
+  placement.recordCacheEvent(endpointId("cached"), "stored", "p1");
+  placement.recordCacheEvent(endpointId("cached"), "stored", "p2");
+  placement.recordLoad(makeLoad(endpointId("cached"), { running: 3 }), 0);
+  placement.recordLoad(makeLoad(endpointId("other"), { running: 2 }), 0);
+  assert.equal(placement.choose(req, 1), "cached");
+  placement.recordLoad(makeLoad(endpointId("cached"), { running: 20, seq: 2 }), 0);
+  assert.equal(placement.choose(req, 1), "other");
+});
+
+test("a leaving endpoint gets nothing more", () => {
+  const placement = makePlacement([makeInfo("a"), makeInfo("b")]);
+  placement.recordLoad(makeLoad(endpointId("a"), { leaving: true }), 0);
+  placement.recordLoad(makeLoad(endpointId("b"), { running: 19 }), 0);
+  assert.equal(placement.choose(makePlacementRequest(), 1), "b");
+});
+
+function feed(
+  placement: ReturnType<typeof makePlacement>,
+  name: string,
+  { failed, gapMs }: { failed: boolean; gapMs: number },
+): void {
+  const endpoint = endpointId(name);
+  const req = makePlacementRequest();
+  for (let i = 0; i < 30; i++) {
+    placement.recordSent(endpoint, req, i);
+    for (let g = 0; g < 4; g++) placement.recordOutcome(endpoint, { type: "gap", gapMs }, i);
+    placement.recordOutcome(
+      endpoint,
+      failed ? { type: "failed", reason: "engine_failed" } : { type: "ended" },
+      i,
+    );
+  }
+}
+
+test("a failing endpoint is ejected, and returns after a while", () => {
+  const placement = makePlacement(infos(4));
+  for (const name of names(4)) {
+    placement.recordLoad(makeLoad(endpointId(name)), 0);
+    feed(placement, name, { failed: name === "e-0", gapMs: 25 });
+  }
+  placement.choose(makePlacementRequest(), 100);
+  assert.deepEqual(placement.ejected(100), ["e-0"]);
+  assert.deepEqual(placement.ejected(100_000), []);
+});
+
+test("a slow endpoint that answers everything is ejected", () => {
+  const placement = makePlacement(infos(4));
+  for (const name of names(4)) {
+    feed(placement, name, { failed: false, gapMs: name === "e-1" ? 90 : 25 });
+  }
+  placement.choose(makePlacementRequest(), 100);
+  assert.deepEqual(placement.ejected(100), ["e-1"]);
+});
+
+test("a fault common to all endpoints empties the fleet by at most half", () => {
+  const placement = makePlacement(infos(6));
+  names(6).forEach((name, i) => {
+    if (i < 5) feed(placement, name, { failed: true, gapMs: 25 });
+  });
+  for (let t = 100; t < 1_000; t += 100) placement.choose(makePlacementRequest(), t);
+  assert.ok(placement.ejected(1_000).length <= 3);
+  assert.notEqual(placement.choose(makePlacementRequest(), 1_000), null);
+});
