--- a/packages/check/src/check_config.ts
+++ b/packages/check/src/check_config.ts
@@ -37,7 +37,7 @@
 /** Shorter than the time that a run waits for its requests to end. */
 const START_DEADLINE_MS = 10_000;
 /** Share of the new version at the start; enough that a run of seconds reaches it. */
-const FIRST_SHARE = 0.2;
+const FIRST_SHARE = 0.4;
 
 function digestOf(view: ConfigView): string {
   const states = [...view.dataCentres.values()].map((d) => `${d.id}=${d.state}/${d.sinceMs}`);
@@ -119,10 +119,13 @@
       to: "v2",
       startMs: this.#ctx.clock.wall(),
       deadlineMs,
-      share: FIRST_SHARE,
+      share: 0,
       state: "open",
     });
-    await this.apply([{ type: "open_move", move }]);
+    await this.apply([
+      { type: "open_move", move },
+      { type: "advance_move", id: move.id, share: FIRST_SHARE },
+    ]);
   }
 
   /** The move as this operator last saw it. */
--- a/packages/check/src/faults.ts
+++ b/packages/check/src/faults.ts
@@ -55,7 +55,7 @@
 }
 
 /** Time in which requests and faults begin. */
-export const LOAD_MS = 15_000;
+export const LOAD_MS = 21_000;
 
 const fault: fc.Arbitrary<Fault> = fc.record({
   kind: fc.constantFrom(...FAULT_KINDS),
--- a/packages/check/src/system_run.ts
+++ b/packages/check/src/system_run.ts
@@ -30,7 +30,7 @@
 /** Engines of the version that a move goes to. */
 const NEW_ENGINES = 2;
 /** Time allowed for a move; it begins with the load. */
-const MOVE_MS = 5_000;
+const MOVE_MS = 12_000;
 const BEHAVIOURS: Readonly<Record<MoveKind, VersionBehaviour | undefined>> = {
   none: undefined,
   good: undefined,
@@ -42,7 +42,9 @@
 const START_MS = 3_000;
 /** Time after the load and all faults for requests to end and configuration to arrive. */
 const SETTLE_MS = 25_000;
-const REQUEST_EVERY_MS = 150;
+/** Promises settle this often while nothing new begins; every step under load is 1 ms. */
+const SETTLE_STEP_MS = 5;
+const REQUEST_EVERY_MS = 200;
 const ORDER_EVERY_MS = 500;
 const RESTART_MS = 500;
 /** Added to the time that a data centre or host is out, so that late work would show. */
@@ -116,7 +118,7 @@
     await this.#advance(LOAD_MS);
     stopLoad();
     stopOrders();
-    await this.#advance(SETTLE_MS);
+    await this.#advance(SETTLE_MS, SETTLE_STEP_MS);
     return this.#ctx.recorder.events;
   }
 
@@ -162,12 +164,12 @@
   }
 
   /** Moves the clock, letting promises settle between any two times at which something happens. */
-  async #advance(ms: number): Promise<void> {
+  async #advance(ms: number, stepMs = 1): Promise<void> {
     const { clock } = this.#ctx;
     const until = clock.now() + ms;
     while (clock.now() < until) {
       await drainTasks();
-      clock.advance(Math.min(1, until - clock.now()));
+      clock.advance(Math.min(stepMs, until - clock.now()));
     }
     await drainTasks();
   }
--- a/packages/check/tests/mutants_test.ts
+++ b/packages/check/tests/mutants_test.ts
@@ -91,6 +91,12 @@
   return { seed, faults, coldStart, move };
 }
 
+/** Ends every engine's side at once, so that running generations are resumed at their engines. */
+function makeKillPlan(): RunPlan {
+  const kill = { kind: "kill_side", atMs: 6_000, durationMs: 300 } as const;
+  return { seed: 5, faults: [0, 1, 2, 3, 4, 5].map((target) => ({ ...kill, target })) };
+}
+
 interface Mutant {
   readonly name: string;
   readonly promise: PromiseNumber;
@@ -102,7 +108,7 @@
   {
     name: "an engine that resumes with other tokens",
     promise: 1,
-    plan: makePlan("kill_side", { atMs: 3_000, durationMs: 300 }),
+    plan: makeKillPlan(),
     overrides: { tamperToken: (_offset, text, resumed) => resumed ? `${text}x` : text },
   },
   {
