Fix slow callers cancelled after the grace time and oversized tokens

Cause: for a slow caller the entry left the stream, and the side took it for gone. It now pauses the stream's credit. A batch of tokens was bounded by count only, and a message above one frame threw in a job of the event loop; batches are bounded by characters too, a longer token ends its generation with engine_failed, and a job that throws no longer stops the others.

--- a/packages/daemon/src/entry_follow.ts
+++ b/packages/daemon/src/entry_follow.ts
@@ -58,6 +58,15 @@
     this.#finish({ type: "detached" });
   }
 
+  /** Lets tokens wait at the side while the caller is slow; the stream stays open. */
+  pause(): void {
+    this.#stream?.pause();
+  }
+
+  resume(): void {
+    this.#stream?.resume();
+  }
+
   /** Gives the stream up, so that the rest is asked for again. */
   giveUp(why: "silent"): void {
     this.#finish({ type: "broken", why });
--- a/packages/daemon/src/entry_follower.ts
+++ b/packages/daemon/src/entry_follower.ts
@@ -82,10 +82,6 @@
     if (gone.aborted) return { type: "caller_gone" };
     if (res !== null && isFinal(res, next)) return res;
     next = { kind: "resume", gen: opening.gen, account: opening.account, offset: cursor.next };
-    if (res?.type === "detached") {
-      await sink.drained();
-      continue;
-    }
     options.onResume?.(describe(res));
     const now = clock.now();
     // A side that answered is there; only the time without any answer counts.
@@ -116,7 +112,7 @@
   heard: { value: boolean },
 ): Promise<Watched | null> {
   const { clock, sink, cursor } = options;
-  const watched: Watched = { follow: null, heardAtMs: clock.now() };
+  const watched: Watched = { follow: null, heardAtMs: clock.now(), held: false };
   const hear = () => {
     heard.value = true;
     watched.heardAtMs = clock.now();
@@ -133,8 +129,7 @@
         hear();
         sink.tokens(offset, items);
         options.onTokens?.(offset, items.length);
-        // A slow caller's tokens wait at the side, not in this process.
-        if (sink.full) watched.follow?.detach();
+        if (sink.full) void holdBack(watched, options);
       },
     });
     return watched;
@@ -146,6 +141,19 @@
 interface Watched {
   follow: Follow | null;
   heardAtMs: number;
+  /** The side is kept from sending while the caller is slow. */
+  held: boolean;
+}
+
+/** Lets a slow caller's tokens wait at the side, not in this process, until the caller reads again. */
+async function holdBack(watched: Watched, { sink, clock }: FollowOptions): Promise<void> {
+  if (watched.held || watched.follow === null) return;
+  watched.held = true;
+  watched.follow.pause();
+  await sink.drained();
+  watched.held = false;
+  watched.heardAtMs = clock.now();
+  watched.follow.resume();
 }
 
 async function settle(watched: Watched, options: FollowOptions): Promise<OnceResult> {
@@ -155,6 +163,7 @@
   if (gone.aborted) follow.detach();
   gone.addEventListener("abort", onGone, { once: true });
   const undo = clock.setRepeating(limits.silenceMs / 2, () => {
+    if (watched.held) return;
     if (clock.now() - watched.heardAtMs >= limits.silenceMs) follow.giveUp("silent");
   });
   const res = await follow.done;
--- a/packages/daemon/src/side_follower.ts
+++ b/packages/daemon/src/side_follower.ts
@@ -9,8 +9,21 @@
 /** The message that ends a generation. */
 export type GenerationEnd = End | Fail;
 
-/** Tokens of one message at most; keeps a message far below the size of a frame. */
+/** Tokens of one message at most, and their characters: with 3 bytes each, a fifth of a frame. */
 const MAX_BATCH_TOKENS = 1_024;
+const MAX_BATCH_CHARS = 65_536;
+/** Longest token that a side passes on; a batch of one such token still fits into a frame. */
+export const MAX_TOKEN_CHARS = MAX_BATCH_CHARS;
+
+/** The leading tokens that fit into one message; at least one. */
+function takeBatch(tokens: readonly string[]): readonly string[] {
+  let chars = 0;
+  for (let i = 0; i < tokens.length; i++) {
+    chars += tokens[i]!.length;
+    if (i > 0 && chars > MAX_BATCH_CHARS) return tokens.slice(0, i);
+  }
+  return tokens;
+}
 
 /** Sends a log from an offset on, as fast as the entry's credit allows. */
 export class Follower {
@@ -36,7 +49,7 @@
   flush(): boolean {
     if (this.#done || this.#blocked) return this.#done;
     while (this.#next < this.#log.length && !this.#blocked) {
-      const items = this.#log.read(this.#next, MAX_BATCH_TOKENS);
+      const items = takeBatch(this.#log.read(this.#next, MAX_BATCH_TOKENS));
       const offset = this.#next;
       this.#next += items.length;
       this.#blocked = !this.#stream.send({ kind: "tokens", offset, items, about: this.#about });
--- a/packages/daemon/src/side_generation.ts
+++ b/packages/daemon/src/side_generation.ts
@@ -15,7 +15,7 @@
 import type { GenerationLog } from "@wisteriapick/delivery";
 import type { EngineEvent, EngineRequest, ModelEngine } from "@wisteriapick/platform";
 import type { EndpointLoad, Fail, LinkStream, StreamHandler } from "@wisteriapick/wire";
-import { Follower, type GenerationEnd } from "./side_follower.ts";
+import { Follower, type GenerationEnd, MAX_TOKEN_CHARS } from "./side_follower.ts";
 import { failOnSilence } from "./silence.ts";
 import type { TurnBatch } from "./turn_batch.ts";
 
@@ -230,6 +230,12 @@
 
   /** Takes a token. Returns false where tokens are missing and the engine must be asked again. */
   #accept(offset: number, text: string): boolean {
+    if (text.length > MAX_TOKEN_CHARS) {
+      const message = "the model engine produced a token that is too large";
+      this.finish("failed", this.#makeFail({ type: "engine_failed", message, notRun: false }));
+      void this.#deps.engine.cancel(this.gen).catch(() => {});
+      return false;
+    }
     const res = this.log.append(offset, text);
     if (res === "gap") return false;
     if (!res) return true;
--- a/packages/daemon/src/side_generations.ts
+++ b/packages/daemon/src/side_generations.ts
@@ -58,7 +58,7 @@
 export class SideGenerations {
   readonly #ctx: SideContext;
   readonly #o: SideGenerationsOptions;
-  readonly #batch = new TurnBatch();
+  readonly #batch: TurnBatch;
   readonly #logs: GenerationLogStore<GenerationId, GenerationEnd>;
   readonly #running = new Map<GenerationId, SideGeneration>();
   readonly #waiting = new Map<GenerationId, Run>();
@@ -68,6 +68,7 @@
   constructor(ctx: SideContext, options: SideGenerationsOptions) {
     this.#ctx = ctx;
     this.#o = options;
+    this.#batch = new TurnBatch((err) => ctx.log.error({ err }, "sending tokens failed"));
     this.#logs = new GenerationLogStore(options.logs);
     this.#table = options.world.registerTable<GenerationId, GenerationRow>("generations").table;
   }
--- a/packages/daemon/src/turn_batch.ts
+++ b/packages/daemon/src/turn_batch.ts
@@ -7,6 +7,12 @@
 /** Runs each added job once at the end of the turn, however often it was added. */
 export class TurnBatch {
   readonly #jobs = new Set<() => void>();
+  readonly #onError: (e: unknown) => void;
+
+  /** `onError` receives what a job throws; the other jobs of the turn still run. */
+  constructor(onError: (e: unknown) => void) {
+    this.#onError = onError;
+  }
 
   add(job: () => void): void {
     if (this.#jobs.size === 0) setImmediate(() => this.#run());
@@ -16,6 +22,12 @@
   #run(): void {
     const jobs = [...this.#jobs];
     this.#jobs.clear();
-    for (const job of jobs) job();
+    for (const job of jobs) {
+      try {
+        job();
+      } catch (e) {
+        this.#onError(e);
+      }
+    }
   }
 }
