--- a/packages/control/src/operator_status.ts
+++ b/packages/control/src/operator_status.ts
@@ -147,13 +147,12 @@
   if (state.current().revision <= after && waitMs > 0) await nextChange(state, clock, waitMs);
   // Older entries than those held are in the log; `watch` starts at the present and misses none.
   const entries = state.entriesAfter(after) ?? state.entriesAfter(oldestHeld(state)) ?? [];
-  const view = state.current();
   return entries.map(({ entry }) => ({
     revision: entry.revision,
     atMs: entry.note.atMs,
     who: entry.note.who,
     why: entry.note.why,
-    changes: entry.changes.map((c) => describeChange(c, view)),
+    changes: entry.changes.map((c) => describeChange(c, null)),
     moveEnded: entry.changes.map(moveEnd).find((e) => e !== undefined),
   }));
 }
--- a/packages/control/src/plan_preview.ts
+++ b/packages/control/src/plan_preview.ts
@@ -25,8 +25,10 @@
   endpoints: readonly EndpointStatus[],
   wallMs: number,
 ): Preview {
-  const excluded = intent.type === "out" ? intent.dataCentre : null;
-  const load = loadLines(view, endpoints, excluded);
+  const load = loadLines(view, endpoints, {
+    leaving: intent.type === "out" ? intent.dataCentre : null,
+    returning: intent.type === "in" ? intent.dataCentre : null,
+  });
   return {
     changes: changes.map((c) => describeChange(c, view)),
     load: intent.type === "out" || intent.type === "in" ? load : [],
@@ -39,16 +41,17 @@
   };
 }
 
-/** Per service: concurrent requests now in all usable data centres, and what is left to bear them. */
+/** Per service: concurrent requests now in all usable data centres, and what is then there to bear them. */
 function loadLines(
   view: ConfigView,
   endpoints: readonly EndpointStatus[],
-  excluded: DataCentreId | null,
+  { leaving, returning }: { leaving: DataCentreId | null; returning: DataCentreId | null },
 ): LoadLine[] {
-  const usable = (e: EndpointStatus) => view.dataCentres.get(e.dataCentre)?.state !== "out";
+  const usable = (e: EndpointStatus) =>
+    e.dataCentre === returning || view.dataCentres.get(e.dataCentre)?.state !== "out";
   return [...view.services.keys()].map((service) => {
     const all = endpoints.filter((e) => e.service === service && usable(e));
-    const rest = all.filter((e) => e.dataCentre !== excluded && !e.leaving && e.owned);
+    const rest = all.filter((e) => e.dataCentre !== leaving && !e.leaving && e.owned);
     return {
       service,
       mustBear: sum(all.map((e) => (e.running ?? 0) + (e.queued ?? 0))),
@@ -124,23 +127,24 @@
   return lines;
 }
 
-/** One line about a change. */
-export function describeChange(change: Change, view: ConfigView): string {
+/** One line about a change, against the configuration it will apply to, or `null` when it has been applied. */
+export function describeChange(change: Change, view: ConfigView | null): string {
   switch (change.type) {
     case "put_service":
-      return `${verb(view.services.has(change.service.id))} service ${change.service.id}`;
+      return `${verb(view?.services.has(change.service.id))} service ${change.service.id}`;
     case "put_account":
-      return `${verb(view.accounts.has(change.account.id))} client account ${change.account.id}`;
+      return `${verb(view?.accounts.has(change.account.id))} client account ${change.account.id}`;
     case "put_endpoint":
-      return `${verb(view.endpoints.has(change.endpoint.id))} endpoint ${change.endpoint.id} ` +
+      return `${verb(view?.endpoints.has(change.endpoint.id))} endpoint ${change.endpoint.id} ` +
         `at version ${change.endpoint.version}`;
     case "put_data_centre":
       return `${
-        verb(view.dataCentres.has(change.dataCentre.id))
+        verb(view?.dataCentres.has(change.dataCentre.id))
       } data centre ${change.dataCentre.id}`;
     case "set_data_centre_state": {
-      const old = view.dataCentres.get(change.id)?.state ?? "absent";
-      return `data centre ${change.id}: ${old} to ${change.state}`;
+      const old = view?.dataCentres.get(change.id)?.state;
+      const from = old === undefined ? "" : `${old} to `;
+      return `data centre ${change.id}: ${from}${change.state}`;
     }
     case "open_move": {
       const m = change.move;
@@ -160,7 +164,8 @@
   }
 }
 
-function verb(exists: boolean): string {
+function verb(exists: boolean | undefined): string {
+  if (exists === undefined) return "put";
   return exists ? "change" : "create";
 }
 
--- a/packages/control/tests/operator_test.ts
+++ b/packages/control/tests/operator_test.ts
@@ -94,6 +94,14 @@
   assert.equal(await log.catchUp(), 1);
 });
 
+test("a plan to take a data centre in counts its endpoints", async () => {
+  const { ama } = await makeSystem();
+  await ama.confirm((await ama.plan(OUT, "ama")).id, "ama");
+  const plan = await ama.plan({ type: "in", dataCentre: TEMA }, "ama");
+  assert.deepEqual(plan.changes, ["data centre accra-tema: out to returning"]);
+  assert.equal(plan.load[0]!.canBear, 30);
+});
+
 test("a plan is refused when its ground has changed, and says what; other changes do not count", async () => {
   const { ama, kofi, log } = await makeSystem();
   const plan = await ama.plan(OUT, "ama");
@@ -239,6 +247,8 @@
   await log.catchUp();
   const events = await client.events({ after: revision(1) });
   assert.deepEqual(events.map((e) => e.why), ["take data centre accra-tema out"]);
+  // The state before is gone when an event is read; it must not be made up from the present one.
+  assert.deepEqual(events[0]!.changes, ["data centre accra-tema: out"]);
   assert.equal(
     (await client.status()).dataCentres.find((d) => d.id === "accra-tema")!.state,
     "out",
