Grow cold endpoints by whole steps, freeze at the first long step, fix weights of the fair queue

The fair queue ignored weights, because its virtual time jumped to the account served least (test: weights 1 and 3 were served 200 to 200). Change: growth by whole steps from what was borne; nothing starts after a long step until the next one; virtual time is the start tag of the work in service.

--- a/packages/experiment/src/scenarios.ts
+++ b/packages/experiment/src/scenarios.ts
@@ -165,6 +165,7 @@
 }
 
 function cold(options: BuildOptions): Setup {
+  const arrivalMs = options.arrivalMs ?? ARRIVAL_MS;
   const warm = endpoints(SCRIBE, 6);
   const donated = [0, 1, 2, 3].map((i): EndpointSpec => ({
     endpoint: endpointId(`donated-${i}`),
@@ -179,12 +180,12 @@
       coldDoubleTokens: 300 + 150 * i,
       coldFadeMs: 1_000,
     },
-    joinsAtMs: 15_000 + 20_000 * i,
+    joinsAtMs: arrivalMs * (0.05 + 0.07 * i),
   }));
-  const disturbances = (rng: Rng, arrivalMs: number): Disturbance[] => {
+  const disturbances = (rng: Rng): Disturbance[] => {
     const out: Disturbance[] = [];
     for (let i = 0; i < 6; i++) {
-      const atMs = arrivalMs * (0.25 + 0.11 * i);
+      const atMs = arrivalMs * (0.3 + 0.11 * i);
       out.push({ atMs, endpoint: rng.pick(warm).endpoint, type: "turn_cold" });
       out.push({
         atMs: atMs + 6_000,
--- a/packages/policy/src/cold_start.ts
+++ b/packages/policy/src/cold_start.ts
@@ -29,7 +29,9 @@
 }
 
 // The least of this many steps ignores those lengthened by a prompt.
-const WINDOW = 8;
+const WINDOW = 5;
+// Steps at a level before it counts as borne.
+const LEVEL_STEPS = 8;
 // Tokens that arrive closer together than this belong to the same step.
 const SAME_STEP_MS = 1;
 // A level is flat when the gap rose by no more than this, plus a share per generation added.
@@ -52,6 +54,7 @@
   #stepsAtLevel = 0;
   #window: number[] = [];
   #lastAtMs = -Infinity;
+  #lastGapMs = 0;
   #lastActiveMs = -Infinity;
   /** Mean of the windows' least gaps. */
   #meanMs = 0;
@@ -82,7 +85,10 @@
   allowance(running: number, nowMs: number): number {
     if (running > 0) this.#lastActiveMs = nowMs;
     else if (nowMs - this.#lastActiveMs >= this.#cfg.idleMs) this.#doubtAfterIdle();
-    return Math.max(1, Math.floor(this.#allowance));
+    const allowance = Math.max(1, Math.floor(this.#allowance));
+    // One long step may be a prompt or the first sign of turning cold: nothing starts until the next step.
+    const slow = this.#meanMs > 0 && this.#lastGapMs > this.#meanMs * this.#cfg.coldFactor;
+    return slow && running > 0 ? Math.min(allowance, running) : allowance;
   }
 
   /** Whether the endpoint has to show that it is warm. */
@@ -98,7 +104,8 @@
     if (nowMs - this.#lastAtMs < SAME_STEP_MS) return;
     this.#lastAtMs = nowMs;
     this.#stepsAtLevel = atLevel ? this.#stepsAtLevel + 1 : 0;
-    this.#window.push(gapMs / count);
+    this.#lastGapMs = gapMs / count;
+    this.#window.push(this.#lastGapMs);
     if (this.#window.length < WINDOW) return;
     if (this.#window.length > WINDOW) this.#window.shift();
     this.#judge(Math.min(...this.#window), running);
@@ -131,7 +138,7 @@
 
   #considerGrowth(gapMs: number, running: number): void {
     // Only what was really borne, through a whole window, is evidence for more.
-    if (this.#stepsAtLevel <= WINDOW) return;
+    if (this.#stepsAtLevel <= LEVEL_STEPS) return;
     const added = Math.max(0, running - this.#levelRunning);
     const flatMs = this.#levelMs * (1 + FLAT_TOLERANCE + FLAT_PER_GEN * added);
     const { fastGrowth, fastTokens, slowGrowth, slowTokens } = this.#cfg;
@@ -144,7 +151,10 @@
   }
 
   #grow(factor: number, gapMs: number, running: number): void {
-    this.#allowance = Math.min(this.#cfg.max, Math.max(this.#allowance * factor, 2));
+    // Whole steps: a fraction carried over would make the next growth larger than its factor.
+    const borne = Math.floor(this.#allowance);
+    const grown = Math.max(borne + 1, Math.floor(borne * factor));
+    this.#allowance = Math.min(this.#cfg.max, Math.max(this.#allowance, grown));
     this.#levelMs = gapMs;
     this.#levelRunning = running;
     // The gap of the larger batch is healthy; a mean that lags behind would take it for a cold start.
--- a/packages/policy/src/fair_queue.ts
+++ b/packages/policy/src/fair_queue.ts
@@ -60,14 +60,20 @@
     return best;
   }
 
-  /** Charges an account for work that starts. Corrections may be negative. */
+  /** Charges an account for work that starts. */
   charge(account: AccountId, tokens: number, weight: number): void {
     const start = Math.max(this.#virtual, this.#served.get(account) ?? 0);
     this.#served.set(account, start + tokens / weight);
-    if (tokens > 0) this.#virtual = Math.max(this.#virtual, this.#least());
+    this.#virtual = start;
     if (this.#served.size > 1_024) this.#forgetIdle();
   }
 
+  /** Corrects an earlier charge by the difference to what the work really cost. */
+  correct(account: AccountId, tokens: number, weight: number): void {
+    const served = this.#served.get(account);
+    if (served !== undefined) this.#served.set(account, served + tokens / weight);
+  }
+
   /** How far an account is ahead of the one served least, in tokens per weight. */
   lead(account: AccountId): number {
     return Math.max(0, (this.#served.get(account) ?? 0) - this.#virtual);
@@ -81,14 +87,6 @@
     return d !== 0 ? d < 0 : a.queuedAtMs < b.queuedAtMs;
   }
 
-  #least(): number {
-    let least = Infinity;
-    for (const item of this.#items) {
-      least = Math.min(least, this.#served.get(item.account) ?? 0);
-    }
-    return Number.isFinite(least) ? least : this.#virtual;
-  }
-
   #forgetIdle(): void {
     for (const [account, served] of this.#served) {
       if (served <= this.#virtual) this.#served.delete(account);
--- a/packages/policy/src/side_admission.ts
+++ b/packages/policy/src/side_admission.ts
@@ -208,7 +208,7 @@
     this.#running.delete(gen);
     this.#forecastAtMs = -Infinity;
     const { service, account, weight, promptTokens } = run.req;
-    this.#queue.charge(account, promptTokens + run.produced - run.charged, weight);
+    this.#queue.correct(account, promptTokens + run.produced - run.charged, weight);
     if (how !== "done") return;
     this.lengths.recordEnd(service, account, run.produced, run.recorded);
     const own = promptTokens * this.#sharing.share + run.produced;
--- a/packages/policy/tests/cold_start_test.ts
+++ b/packages/policy/tests/cold_start_test.ts
@@ -54,6 +54,9 @@
     nowMs += 60;
     cold.recordGap(60, 1, 20, nowMs);
   }
+  // While steps are long nothing more starts; the next normal step ends that.
+  assert.equal(cold.allowance(20, nowMs), 20);
+  cold.recordGap(warmGap(20), 1, 20, nowMs += 20);
   assert.equal(cold.allowance(20, nowMs), before);
 });
 
