--- a/packages/policy/src/cold_start.ts
+++ b/packages/policy/src/cold_start.ts
@@ -142,21 +142,24 @@
     const added = Math.max(0, running - this.#levelRunning);
     const flatMs = this.#levelMs * (1 + FLAT_TOLERANCE + FLAT_PER_GEN * added);
     const { fastGrowth, fastTokens, slowGrowth, slowTokens } = this.#cfg;
-    // The first level has nothing to compare with.
-    const flat = this.#levelRunning > 0 && gapMs <= flatMs;
-    if (flat && this.#tokens >= fastTokens) this.#grow(fastGrowth, gapMs, running);
-    else if (this.#levelRunning === 0 && this.#tokens >= fastTokens) {
-      this.#grow(fastGrowth, gapMs, running);
-    } else if (this.#tokens >= slowTokens) this.#grow(slowGrowth, gapMs, running);
+    // The first level has nothing to compare with. An endpoint in doubt gets faster as it warms, which would
+    // pass for flat gaps.
+    const flat = this.#doubt === null && (this.#levelRunning === 0 || gapMs <= flatMs);
+    if (flat && this.#tokens >= fastTokens) {
+      this.#grow(fastGrowth, gapMs);
+      this.#levelMs = gapMs;
+      this.#levelRunning = running;
+    } else if (this.#tokens >= slowTokens) {
+      // The level to compare with stays: growth on tokens alone does not show that gaps are flat.
+      this.#grow(slowGrowth, gapMs);
+    }
   }
 
-  #grow(factor: number, gapMs: number, running: number): void {
+  #grow(factor: number, gapMs: number): void {
     // Whole steps: a fraction carried over would make the next growth larger than its factor.
     const borne = Math.floor(this.#allowance);
     const grown = Math.max(borne + 1, Math.floor(borne * factor));
     this.#allowance = Math.min(this.#cfg.max, Math.max(this.#allowance, grown));
-    this.#levelMs = gapMs;
-    this.#levelRunning = running;
     // The gap of the larger batch is healthy; a mean that lags behind would take it for a cold start.
     this.#meanMs = Math.max(this.#meanMs, gapMs);
     this.#forgetEvidence();
