--- a/packages/control/src/operator_status.ts
+++ b/packages/control/src/operator_status.ts
@@ -5,7 +5,7 @@
  */
 import { type Clock, type Revision, revision } from "@wisteriapick/core";
 import type { ObjectStore } from "@wisteriapick/platform";
-import type { ConfigView } from "./config_document.ts";
+import type { ConfigView, Move } from "./config_document.ts";
 import type { ConfigState } from "./config_state.ts";
 import type { EndpointStatus, FleetSource, ProcessStatus } from "./fleet_report.ts";
 import { decodeLease } from "./lease.ts";
@@ -86,10 +86,7 @@
       ...e,
       wantedVersion: view.endpoints.get(e.endpoint)?.version ?? null,
     })),
-    moves: [...view.moves.values()].map((m) => ({
-      ...m,
-      leftMs: Math.max(0, m.deadlineMs - clock.wall()),
-    })),
+    moves: [...view.moves.values()].map((m) => moveLine(m, clock.wall())),
     leases: leases ?? [],
     processes: processes.map((p) => ({
       ...p,
@@ -98,6 +95,13 @@
   };
 }
 
+/** The log cannot say it while the store is down: past its deadline an open move has been taken back by rule. */
+function moveLine(move: Move, wallMs: number) {
+  const leftMs = Math.max(0, move.deadlineMs - wallMs);
+  if (move.state !== "open" || leftMs > 0) return { ...move, leftMs };
+  return { ...move, leftMs, reason: "taken back by rule at its deadline; not settled yet" };
+}
+
 function serviceLines(view: ConfigView, endpoints: readonly EndpointStatus[]) {
   return [...view.services.values()].map(({ id, activeVersion }) => {
     const own = endpoints.filter((e) => e.service === id);
--- a/packages/control/tests/operator_test.ts
+++ b/packages/control/tests/operator_test.ts
@@ -219,6 +219,9 @@
   assert.equal(status.storeUp, false);
   assert.deepEqual(status.processes.map((p) => p.behind), [true, true]);
   assert.deepEqual(status.moves.map((m) => [m.id, m.leftMs]), [[MOVE, 60_000]]);
+  (clock as ManualClock).advance(60_000);
+  const late = await readStatus({ state: log.state, store, fleet, clock });
+  assert.match(late.moves[0]!.reason, /taken back by rule/);
 });
 
 test("the HTTP interface carries plans, typed errors, status and events", async () => {
