--- a/packages/policy/src/account_shares.ts
+++ b/packages/policy/src/account_shares.ts
@@ -35,7 +35,7 @@
   constructor(options: AccountSharesOptions = {}) {
     this.#cfg = {
       halfLifeMs: options.halfLifeMs ?? 20_000,
-      heavyFactor: options.heavyFactor ?? 2.5,
+      heavyFactor: options.heavyFactor ?? 3.3,
       minTokens: options.minTokens ?? 2_000,
     };
   }
