--- a/packages/cli/src/local_command.ts
+++ b/packages/cli/src/local_command.ts
@@ -6,7 +6,7 @@
 import { startLocal } from "@wisteriapick/daemon";
 import { defineCommand } from "citty";
 import { ask } from "./ask.ts";
-import { runCommand, untilSignal, usage } from "./outcome.ts";
+import { runProcess, untilSignal, usage } from "./outcome.ts";
 
 const MAX_PORT = 65_535;
 
@@ -25,7 +25,7 @@
     seed: { type: "string", description: "Seed of the stand-ins", default: "1" },
   },
   run: ({ args }) =>
-    runCommand(async () => {
+    runProcess(async () => {
       const [port, seed] = [Number(args.port), Number(args.seed)];
       if (!Number.isInteger(port) || port < 0 || port > MAX_PORT) {
         usage("--port: expected a port number");
