Limit client accounts across entries, and let a fixed test end

AccountGate puts the policy's account limits into the entry: accounts with limits are admitted by the last grant, and reports go to each account's keeper over new messages account_reports and account_grants.

streams_test: with the oversized-token fault fixed, the losing side of a race kept polling for an uncaught error and the file never ended. One wait for either outcome replaces the race; both assertions stay.

--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -25,6 +25,7 @@
 import { LengthEstimator, Quarantine, RetryPolicy } from "@wisteriapick/policy";
 import type { EndpointLoad, LoadReport } from "@wisteriapick/wire";
 import findMyWay, { type HTTPMethod } from "find-my-way";
+import { AccountGate } from "./account_gate.ts";
 import { CallRelay } from "./call_relay.ts";
 import type { DirectoryEntry } from "./directory.ts";
 import { authenticate } from "./entry_auth.ts";
@@ -82,6 +83,7 @@
   readonly #endpointVersions = new Map<EndpointId, VersionId>();
   readonly #undos: Undo[] = [];
   readonly #quarantine: Quarantine;
+  readonly #accounts: AccountGate;
   #draining = false;
   #refusing = false;
   #open = 0;
@@ -90,6 +92,9 @@
     this.#o = options;
     this.metrics = options.metrics ?? createMetrics();
     this.#quarantine = options.quarantine ?? new Quarantine();
+    const { config, identity, world } = options;
+    this.#accounts = options.accounts ??
+      new AccountGate({ self: identity.process, clock: world.clock, config });
     const { tls } = options.listen;
     this.#server = makeHttpServer((req, res) => void this.#handle(req, res), tls);
     this.#registerRoutes(this.#makeContext());
@@ -129,6 +134,11 @@
       }),
       config.registerListener((view) => this.#applyConfig(view)),
       router.registerNotify("load", (_link, msg) => this.#onLoad(msg)),
+      router.registerStream(
+        "account_reports",
+        (_link, msg, stream) => this.#accounts.onReports(msg, stream),
+      ),
+      this.#accounts.start(),
     );
     this.#applyConfig(config.current());
   }
@@ -184,6 +194,7 @@
       log,
       metrics: this.metrics,
       versions,
+      accounts: this.#accounts,
       requests: table,
       makeId,
       versionOf: (endpoint) => this.#versionOf(endpoint),
--- a/packages/daemon/src/entry_calls.ts
+++ b/packages/daemon/src/entry_calls.ts
@@ -75,7 +75,8 @@
     const { repeatable } = route;
     const c: Context = { req, res, view, account, service, path, route, id };
     const key = req.headers["idempotency-key"];
-    await trackRequest(this.#ctx, id, { account: account.id, service: service.id }, async () => {
+    const subject = { account, service: service.id, expectedTokens: 0 };
+    await trackRequest(this.#ctx, id, subject, async () => {
       if (repeatable || key === undefined) {
         const maxBytes = repeatable ? REPLAY_BYTES : 0;
         const body = new ReplayableBody(req, { maxBytes });
--- a/packages/daemon/src/entry_completions.ts
+++ b/packages/daemon/src/entry_completions.ts
@@ -5,6 +5,7 @@
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { type Refusal, refuse, requestId } from "@wisteriapick/core";
+import type { Account } from "@wisteriapick/control";
 import { parseCompletionRequest, type ResumeSigner, TokenCursor } from "@wisteriapick/delivery";
 import type { LengthEstimator } from "@wisteriapick/policy";
 import type { Resume } from "@wisteriapick/wire";
@@ -52,16 +53,16 @@
     // A caller that repeats its request with the last event id wants the rest of the same answer.
     if (req.headers["last-event-id"] !== undefined) return await this.resume(req, res);
     this.#ctx.assertServing();
-    const relayReq = await this.#parse(format, req, res);
-    const { run, completion } = relayReq;
-    const { req: id, account, service } = run;
+    const { relayReq, account } = await this.#parse(format, req, res);
+    const { run, completion, expectedTokens } = relayReq;
+    const { req: id, service } = run;
     const sink = completion.stream
       ? new StreamSink(res, { includeUsage: completion.includeUsage, resumed: false })
       : new WholeSink(res);
     const outcome = await trackRequest(
       this.#ctx,
       id,
-      { account, service },
+      { account, service, expectedTokens },
       () => this.#o.relay.run(relayReq, sink),
     );
     this.#logOutcome(relayReq, outcome);
@@ -108,7 +109,7 @@
     format: "chat" | "text",
     req: IncomingMessage,
     res: ServerResponse,
-  ): Promise<RelayRequest> {
+  ): Promise<{ relayReq: RelayRequest; account: Account }> {
     const view = this.#ctx.config.current();
     const account = authenticate(view, req.headers.authorization);
     const body = await readBody(req, this.#o.maxBodyBytes);
@@ -117,7 +118,7 @@
     const id = requestId(this.#ctx.makeId("r"));
     res.setHeader("x-request-id", id);
     const startMs = startDeadline(req, service.startDeadlineMs);
-    return {
+    const relayReq: RelayRequest = {
       run: {
         req: id,
         service: service.id,
@@ -144,6 +145,7 @@
       deadlineMs: this.#ctx.world.clock.now() + startMs,
       gone: goneSignal(res),
     };
+    return { relayReq, account };
   }
 
   #logOutcome(req: RelayRequest, outcome: RelayOutcome): void {
--- a/packages/daemon/src/entry_context.ts
+++ b/packages/daemon/src/entry_context.ts
@@ -15,7 +15,8 @@
   type VersionId,
   type World,
 } from "@wisteriapick/core";
-import type { ConfigSource, ConfigView, Service } from "@wisteriapick/control";
+import type { Account, ConfigSource, ConfigView, Service } from "@wisteriapick/control";
+import type { AccountGate } from "./account_gate.ts";
 import type { VersionChooser } from "./entry_versions.ts";
 
 /** One row of the `requests` table, for operators. */
@@ -32,6 +33,7 @@
   readonly log: Logger;
   readonly metrics: Metrics;
   readonly versions: VersionChooser;
+  readonly accounts: AccountGate;
   readonly requests: Table<RequestId, RequestRow>;
   readonly makeId: (prefix: string) => string;
   /** The version that an endpoint is known to run. */
@@ -55,18 +57,25 @@
   refuse({ type: "version_withdrawn", message, notRun: true, retryAfterMs: 5_000 });
 }
 
-/** Keeps a row in the `requests` table while `fn` runs. */
+/** Admits a request within its account's limits, and keeps a row in the `requests` table while `fn` runs. */
 export async function trackRequest<T>(
   ctx: EntryContext,
   id: RequestId,
-  row: Omit<RequestRow, "sinceMs">,
+  { account, service, expectedTokens }: {
+    account: Account;
+    service: ServiceId;
+    expectedTokens: number;
+  },
   fn: () => Promise<T>,
 ): Promise<T> {
+  ctx.accounts.admit(account, expectedTokens);
+  const row = { account: account.id, service };
   ctx.world.update((now) => ctx.requests.set(id, { ...row, sinceMs: Math.round(now) }));
   try {
     return await fn();
   } finally {
     ctx.world.update(() => ctx.requests.delete(id));
+    ctx.accounts.end(account);
   }
 }
 
--- a/packages/daemon/src/entry_options.ts
+++ b/packages/daemon/src/entry_options.ts
@@ -8,6 +8,7 @@
 import type { ObjectStore } from "@wisteriapick/platform";
 import type { LengthEstimator, Placement, Quarantine } from "@wisteriapick/policy";
 import type { Identity } from "@wisteriapick/wire";
+import type { AccountGate } from "./account_gate.ts";
 import type { Directory } from "./directory.ts";
 import type { RelayLimits } from "./entry_relay.ts";
 import type { VersionChooser } from "./entry_versions.ts";
@@ -35,6 +36,8 @@
   readonly metrics?: Metrics;
   readonly quarantine?: Quarantine;
   readonly lengths?: LengthEstimator;
+  /** Limits of client accounts; by default the entry limits by what it sees itself. */
+  readonly accounts?: AccountGate;
   /** Told of each attempt that is evidence about its version. */
   readonly onOutcome?: (outcome: Outcome) => void;
   /** Spreads the waits of held requests. */
--- a/packages/daemon/src/entry_process.ts
+++ b/packages/daemon/src/entry_process.ts
@@ -15,6 +15,7 @@
 } from "@wisteriapick/control";
 import { SubsetPlacement } from "@wisteriapick/policy";
 import type { Order, OrderDone } from "@wisteriapick/wire";
+import { AccountGate } from "./account_gate.ts";
 import { Directory } from "./directory.ts";
 import { Entry } from "./entry.ts";
 import type { EntryOptions } from "./entry_options.ts";
@@ -52,6 +53,7 @@
   readonly #directory: Directory;
   readonly #router: MoveRouter;
   readonly #duty: MoveDuty;
+  readonly #accounts: AccountGate;
   readonly #undos: Undo[] = [];
   #httpAddress = "";
 
@@ -65,7 +67,14 @@
     this.#directory = new Directory(this.world);
     this.#router = new MoveRouter(control.state, clock, identity.process);
     this.#duty = this.#makeDuty();
+    this.#accounts = new AccountGate({
+      self: memberKey(identity.host, "entry"),
+      clock,
+      config: control.state,
+      links,
+    });
     this.entry = new Entry({
+      accounts: this.#accounts,
       identity,
       clusterKey,
       listen,
@@ -139,7 +148,9 @@
   }
 
   #setEntries(members: readonly SpreadMember[]): void {
-    this.#duty.setEntries(members.filter((m) => m.key.endsWith("/entry")));
+    const entries = members.filter((m) => m.key.endsWith("/entry"));
+    this.#duty.setEntries(entries);
+    this.#accounts.setMembers(entries);
   }
 
   #followHosts(): Undo {
--- a/packages/daemon/src/mod.ts
+++ b/packages/daemon/src/mod.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * from "./account_gate.ts";
 export * from "./directory.ts";
 export * from "./entry.ts";
 export * from "./entry_auth.ts";
--- a/packages/daemon/tests/streams_test.ts
+++ b/packages/daemon/tests/streams_test.ts
@@ -149,7 +149,7 @@
   const collect = (e: unknown) => thrown.push(e);
   process.on("uncaughtException", collect);
   engine.release(5);
-  await Promise.race([caller.finished(), until(() => thrown.length > 0)]);
+  await until(() => thrown.length > 0 || caller.ended);
   process.off("uncaughtException", collect);
   assert.deepEqual(thrown, []);
   assert.notEqual(caller.error, null);
--- a/packages/wire/src/message_codec.ts
+++ b/packages/wire/src/message_codec.ts
@@ -38,6 +38,8 @@
   textPair,
 } from "./fields.ts";
 import type {
+  AccountAllowance,
+  AccountUsage,
   CacheNote,
   EndpointLoad,
   EvidenceCell,
@@ -237,6 +239,20 @@
     ready: flag,
     highestFence: counter(fence),
   }),
+  account_reports: record<Body<"account_reports">>({
+    entry: text,
+    reports: list(
+      record<AccountUsage>({ account, requests: count, tokens: real, inFlight: count }),
+    ),
+  }),
+  account_grants: record<Body<"account_grants">>({
+    grants: list(record<AccountAllowance>({
+      account,
+      share: real,
+      maxInFlight: optional(real),
+      nextReportMs: real,
+    })),
+  }),
 };
 
 const KINDS = Object.keys(BODIES) as Message["kind"][];
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -277,8 +277,37 @@
   readonly highestFence: Fence;
 }
 
+/** What one entry saw of one client account since its last report. */
+export interface AccountUsage {
+  readonly account: AccountId;
+  readonly requests: number;
+  readonly tokens: number;
+  readonly inFlight: number;
+}
+
+/** Usage of accounts, sent to the entry that keeps their totals. */
+export interface AccountReports {
+  readonly kind: "account_reports";
+  readonly entry: string;
+  readonly reports: readonly AccountUsage[];
+}
+
+/** How much of one account's requests an entry may admit. */
+export interface AccountAllowance {
+  readonly account: AccountId;
+  readonly share: number;
+  readonly maxInFlight?: number;
+  readonly nextReportMs: number;
+}
+
+/** The keeper's answer to a report. */
+export interface AccountGrants {
+  readonly kind: "account_grants";
+  readonly grants: readonly AccountAllowance[];
+}
+
 /** Every message that may open a stream. */
-export type Opening = Run | Resume | Call | ConfigPull;
+export type Opening = Run | Resume | Call | ConfigPull | AccountReports;
 
 /** Every message. */
 export type Message =
@@ -298,4 +327,6 @@
   | ConfigPush
   | Evidence
   | Order
-  | OrderDone;
+  | OrderDone
+  | AccountReports
+  | AccountGrants;
--- a/packages/wire/tests/samples.ts
+++ b/packages/wire/tests/samples.ts
@@ -142,4 +142,13 @@
     role: "decode",
   },
   { kind: "order_done", endpoint, version, ready: true, highestFence: fence(3) },
+  {
+    kind: "account_reports",
+    entry: "entry-1",
+    reports: [{ account, requests: 3, tokens: 12.5, inFlight: 1 }],
+  },
+  {
+    kind: "account_grants",
+    grants: [{ account, share: 0.5, maxInFlight: 2.5, nextReportMs: 900 }],
+  },
 ];
