--- a/packages/control/src/operator_status.ts
+++ b/packages/control/src/operator_status.ts
@@ -5,7 +5,7 @@
  */
 import { type Clock, type Revision, revision } from "@wisteriapick/core";
 import type { ObjectStore } from "@wisteriapick/platform";
-import type { ConfigView } from "./config_document.ts";
+import type { ConfigView, Move } from "./config_document.ts";
 import type { ConfigState } from "./config_state.ts";
 import type { EndpointStatus, FleetSource, ProcessStatus } from "./fleet_report.ts";
 import { decodeLease } from "./lease.ts";
@@ -86,10 +86,7 @@
       ...e,
       wantedVersion: view.endpoints.get(e.endpoint)?.version ?? null,
     })),
-    moves: [...view.moves.values()].map((m) => ({
-      ...m,
-      leftMs: Math.max(0, m.deadlineMs - clock.wall()),
-    })),
+    moves: [...view.moves.values()].map((m) => moveLine(m, clock.wall())),
     leases: leases ?? [],
     processes: processes.map((p) => ({
       ...p,
@@ -98,6 +95,13 @@
   };
 }
 
+/** The log cannot say it while the store is down: past its deadline an open move has been taken back by rule. */
+function moveLine(move: Move, wallMs: number) {
+  const leftMs = Math.max(0, move.deadlineMs - wallMs);
+  if (move.state !== "open" || leftMs > 0) return { ...move, leftMs };
+  return { ...move, leftMs, reason: "taken back by rule at its deadline; not settled yet" };
+}
+
 function serviceLines(view: ConfigView, endpoints: readonly EndpointStatus[]) {
   return [...view.services.values()].map(({ id, activeVersion }) => {
     const own = endpoints.filter((e) => e.service === id);
@@ -147,13 +151,12 @@
   if (state.current().revision <= after && waitMs > 0) await nextChange(state, clock, waitMs);
   // Older entries than those held are in the log; `watch` starts at the present and misses none.
   const entries = state.entriesAfter(after) ?? state.entriesAfter(oldestHeld(state)) ?? [];
-  const view = state.current();
   return entries.map(({ entry }) => ({
     revision: entry.revision,
     atMs: entry.note.atMs,
     who: entry.note.who,
     why: entry.note.why,
-    changes: entry.changes.map((c) => describeChange(c, view)),
+    changes: entry.changes.map((c) => describeChange(c, null)),
     moveEnded: entry.changes.map(moveEnd).find((e) => e !== undefined),
   }));
 }
