--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -13,4 +13,5 @@
 export * from "./quarantine.ts";
 export * from "./retry_policy.ts";
 export * from "./side_admission.ts";
+export * from "./side_options.ts";
 export * from "./subset_placement.ts";
--- a/packages/policy/src/side_admission.ts
+++ b/packages/policy/src/side_admission.ts
@@ -4,8 +4,8 @@
  * @module
  */
 import type { GenerationId, RefusalReason } from "@wisteriapick/core";
-import { AccountShares, type AccountSharesOptions, type AccountUse } from "./account_shares.ts";
-import { ColdStart, type ColdStartOptions } from "./cold_start.ts";
+import { AccountShares, type AccountUse } from "./account_shares.ts";
+import { ColdStart } from "./cold_start.ts";
 import { FairQueue, type Queued } from "./fair_queue.ts";
 import {
   Admission,
@@ -18,35 +18,7 @@
 import { MemoryForecast } from "./memory_forecast.ts";
 import { PromptSharing } from "./prompt_sharing.ts";
 import { Quarantine } from "./quarantine.ts";
-
-/** Options of {@link SideAdmission}. */
-export interface SideAdmissionOptions {
-  /** KV memory of the engine until its first load report. */
-  readonly kvTotalTokens?: number;
-  /** Share of KV memory that is filled at most. */
-  readonly memoryShare?: number;
-  /** Standard deviations kept free: 1.28 stands for a chance of 10%, 2.33 for 1%. */
-  readonly memoryZ?: number;
-  /** Longest expected wait in the queue; what would wait longer is refused at once. */
-  readonly maxWaitMs?: number;
-  readonly maxQueue?: number;
-  /** Expected lengths up to this run ahead of longer ones. */
-  readonly shortTokens?: number;
-  /** Waiting this long moves work up by one rank. */
-  readonly agingMs?: number;
-  /** Prompt tokens started within one step; more would lengthen the gaps of what runs. */
-  readonly stepPromptTokens?: number;
-  /** Tokens after which a suspect is cleared. */
-  readonly clearTokens?: number;
-  /** Share of KV memory that accounts far above their fair share fill at most. */
-  readonly heavyMemoryShare?: number;
-  readonly shares?: AccountSharesOptions;
-  readonly cold?: ColdStartOptions;
-  readonly lengths?: LengthEstimator;
-  readonly quarantine?: Quarantine;
-  /** Name of this endpoint, for the names of its crashes. */
-  readonly name?: string;
-}
+import type { SideAdmissionOptions } from "./side_options.ts";
 
 interface Waiting extends Queued {
   readonly req: AdmissionRequest;
--- a/packages/standins/src/engine_model.ts
+++ b/packages/standins/src/engine_model.ts
@@ -5,56 +5,25 @@
  * @module
  */
 import type { Clock, GenerationId, Rng, Undo } from "@wisteriapick/core";
-import type {
-  EngineListener,
-  EngineOptions,
-  ModelFinish,
-  ModelLoad,
-  ModelRequest,
-  VersionBehaviour,
+import {
+  ENGINE_DEFAULTS,
+  type EngineListener,
+  type EngineOptions,
+  type ModelFinish,
+  type ModelLoad,
+  type ModelRequest,
+  type Seq,
+  type VersionBehaviour,
 } from "./engine_types.ts";
 import { ColdState } from "./cold_state.ts";
 import { LaggedLog } from "./lagged_log.ts";
+import { VersionFaults } from "./version_faults.ts";
 import { PrefixCache } from "./prefix_cache.ts";
 
-const DEFAULTS = {
-  kvTotalTokens: 60_000,
-  maxBatch: 128,
-  stepBaseMs: 12,
-  stepPerGenMs: 0.2,
-  stepPerKvTokenMs: 0.00015,
-  prefillPerTokenMs: 0.02,
-  prefillChunkTokens: 768,
-  slowness: 1,
-  coldBears: 2,
-  coldDoubleTokens: 400,
-  coldFadeMs: 4_000,
-  startsCold: false,
-  loadLagMs: 250,
-  cacheEventLagMs: 500,
-  cacheEventLoss: 0.05,
-  behaviour: null,
-} satisfies Required<EngineOptions>;
-
 const REPORT_INTERVAL_MS = 100;
 const KEPT_REPORTS = 256;
 const KEPT_CACHE_EVENTS = 4_096;
 
-interface Seq {
-  readonly req: ModelRequest;
-  readonly order: number;
-  produced: number;
-  /** Tokens still to be processed before the next token can be generated. */
-  prefillLeft: number;
-  /** KV tokens held outside the prefix cache. */
-  ownTokens: number;
-  /** Tokens held in the prefix cache on behalf of this generation. */
-  pinnedTokens: number;
-  cachedTokens: number;
-  /** Fails after this many tokens. */
-  failsAt: number;
-}
-
 /** An engine that batches, preempts, caches prefixes, turns cold and crashes. */
 export class EngineModel {
   readonly #clock: Clock;
@@ -66,7 +35,7 @@
   readonly #cacheLog = new LaggedLog<{ type: "stored" | "evicted"; prefix: string }>(
     KEPT_CACHE_EVENTS,
   );
-  #behaviour: VersionBehaviour | null;
+  readonly #faults: VersionFaults;
   #waiting: Seq[] = [];
   #running: Seq[] = [];
   #ownTokens = 0;
@@ -92,8 +61,8 @@
   ) {
     this.#clock = clock;
     this.#rng = rng;
-    this.#cfg = { ...DEFAULTS, ...options };
-    this.#behaviour = this.#cfg.behaviour;
+    this.#cfg = { ...ENGINE_DEFAULTS, ...options };
+    this.#faults = new VersionFaults(this.#cfg.behaviour);
     this.#listener = listener;
     this.#startedAt = clock.now();
     this.#cache = new PrefixCache((type, prefix) => this.#publish(type, prefix));
@@ -152,7 +121,7 @@
       ownTokens: 0,
       pinnedTokens: 0,
       cachedTokens: 0,
-      failsAt: this.#drawFailure(req),
+      failsAt: this.#faults.drawFailure(req, this.#faultContext(), this.#rng),
     };
     this.#enqueue(seq);
     if (this.#running.length + this.#waiting.length > Math.max(1, this.bears)) {
@@ -213,7 +182,7 @@
   }
 
   setBehaviour(behaviour: VersionBehaviour | null): void {
-    this.#behaviour = behaviour;
+    this.#faults.behaviour = behaviour;
   }
 
   /** The newest load report that is at least the configured lag old. */
@@ -252,19 +221,8 @@
     });
   }
 
-  #activeBehaviour(route: string | undefined): VersionBehaviour | null {
-    const b = this.#behaviour;
-    if (b === null) return null;
-    if (this.#clock.now() - this.#startedAt < (b.afterMs ?? 0)) return null;
-    if (this.#running.length < (b.minRunning ?? 0)) return null;
-    if (b.route !== undefined && b.route !== route) return null;
-    return b;
-  }
-
-  #drawFailure(req: ModelRequest): number {
-    const share = this.#activeBehaviour(req.route)?.failShare ?? 0;
-    if (share === 0 || !this.#rng.chance(share)) return Infinity;
-    return this.#rng.int(Math.min(8, req.outputTokens));
+  #faultContext() {
+    return { sinceStartMs: this.#clock.now() - this.#startedAt, running: this.#running };
   }
 
   #enqueue(seq: Seq): void {
@@ -391,15 +349,7 @@
     const ms = stepBaseMs + stepPerGenMs * this.#running.length +
       stepPerKvTokenMs * this.kvUsedTokens + prefillPerTokenMs * prefilled;
     return ms * slowness * this.#coldState.stepFactor(this.#running.length, this.#clock.now()) *
-      this.#slowFactor();
-  }
-
-  #slowFactor(): number {
-    const b = this.#behaviour;
-    if (b?.slowFactor === undefined) return 1;
-    if (b.route === undefined) return this.#activeBehaviour(undefined)?.slowFactor ?? 1;
-    const hit = this.#running.some((s) => this.#activeBehaviour(s.req.route) !== null);
-    return hit ? b.slowFactor : 1;
+      this.#faults.slowFactor(this.#faultContext());
   }
 
   #finishStep(): void {
--- a/packages/standins/src/engine_types.ts
+++ b/packages/standins/src/engine_types.ts
@@ -92,3 +92,39 @@
   readonly preemptions: number;
   readonly ageMs: number;
 }
+
+/** Sizes and speeds where the options name none. */
+export const ENGINE_DEFAULTS = {
+  kvTotalTokens: 60_000,
+  maxBatch: 128,
+  stepBaseMs: 12,
+  stepPerGenMs: 0.2,
+  stepPerKvTokenMs: 0.00015,
+  prefillPerTokenMs: 0.02,
+  prefillChunkTokens: 768,
+  slowness: 1,
+  coldBears: 2,
+  coldDoubleTokens: 400,
+  coldFadeMs: 4_000,
+  startsCold: false,
+  loadLagMs: 250,
+  cacheEventLagMs: 500,
+  cacheEventLoss: 0.05,
+  behaviour: null,
+} satisfies Required<EngineOptions>;
+
+/** One generation inside the engine. */
+export interface Seq {
+  readonly req: ModelRequest;
+  readonly order: number;
+  produced: number;
+  /** Tokens still to be processed before the next token can be generated. */
+  prefillLeft: number;
+  /** KV tokens held outside the prefix cache. */
+  ownTokens: number;
+  /** Tokens held in the prefix cache on behalf of this generation. */
+  pinnedTokens: number;
+  cachedTokens: number;
+  /** Fails after this many tokens. */
+  failsAt: number;
+}
--- /dev/null
+++ b/packages/standins/src/version_faults.ts
@@ -0,0 +1,50 @@
+/**
+ * How a bad version of the engine software misbehaves.
+ *
+ * @module
+ */
+import type { Rng } from "@wisteriapick/core";
+import type { ModelRequest, VersionBehaviour } from "./engine_types.ts";
+
+/** What the faults depend on. */
+export interface FaultContext {
+  readonly sinceStartMs: number;
+  readonly running: readonly { readonly req: ModelRequest }[];
+}
+
+// A generation that fails does so within its first tokens.
+const MAX_TOKENS_BEFORE_FAILURE = 8;
+
+/** The faults of the version in force. */
+export class VersionFaults {
+  behaviour: VersionBehaviour | null;
+
+  constructor(behaviour: VersionBehaviour | null) {
+    this.behaviour = behaviour;
+  }
+
+  /** Tokens after which a new generation fails; infinite when it does not. */
+  drawFailure(req: ModelRequest, context: FaultContext, rng: Rng): number {
+    const share = this.#active(req.route, context)?.failShare ?? 0;
+    if (share === 0 || !rng.chance(share)) return Infinity;
+    return rng.int(Math.min(MAX_TOKENS_BEFORE_FAILURE, req.outputTokens));
+  }
+
+  /** Factor on the time of the present step. */
+  slowFactor(context: FaultContext): number {
+    const b = this.behaviour;
+    if (b?.slowFactor === undefined) return 1;
+    if (b.route === undefined) return this.#active(undefined, context)?.slowFactor ?? 1;
+    const hit = context.running.some((s) => this.#active(s.req.route, context) !== null);
+    return hit ? b.slowFactor : 1;
+  }
+
+  #active(route: string | undefined, context: FaultContext): VersionBehaviour | null {
+    const b = this.behaviour;
+    if (b === null) return null;
+    if (context.sinceStartMs < (b.afterMs ?? 0)) return null;
+    if (context.running.length < (b.minRunning ?? 0)) return null;
+    if (b.route !== undefined && b.route !== route) return null;
+    return b;
+  }
+}
