--- a/packages/policy/src/account_shares.ts
+++ b/packages/policy/src/account_shares.ts
@@ -34,8 +34,8 @@
 
   constructor(options: AccountSharesOptions = {}) {
     this.#cfg = {
-      halfLifeMs: options.halfLifeMs ?? 20_000,
-      heavyFactor: options.heavyFactor ?? 3.3,
+      halfLifeMs: options.halfLifeMs ?? 60_000,
+      heavyFactor: options.heavyFactor ?? 2.8,
       minTokens: options.minTokens ?? 2_000,
     };
   }
--- a/packages/policy/src/side_admission.ts
+++ b/packages/policy/src/side_admission.ts
@@ -87,13 +87,13 @@
     this.#cfg = {
       kvTotalTokens: options.kvTotalTokens ?? 60_000,
       memoryShare: options.memoryShare ?? 0.97,
-      memoryZ: options.memoryZ ?? 0.8,
+      memoryZ: options.memoryZ ?? 1,
       heavyMemoryShare: options.heavyMemoryShare ?? 0.85,
       maxWaitMs: options.maxWaitMs ?? 400,
       maxQueue: options.maxQueue ?? 16,
       shortTokens: options.shortTokens ?? 96,
       agingMs: options.agingMs ?? 1_000,
-      stepPromptTokens: options.stepPromptTokens ?? 300,
+      stepPromptTokens: options.stepPromptTokens ?? 500,
       clearTokens: options.clearTokens ?? 8,
       name: options.name ?? "endpoint",
     };
