--- a/packages/check/src/check_config.ts
+++ b/packages/check/src/check_config.ts
@@ -19,6 +19,8 @@
   ConfigLog,
   type ConfigSource,
   type ConfigView,
+  type Move,
+  MoveSchema,
 } from "@wisteriapick/control";
 import { hashKey } from "@wisteriapick/daemon";
 import type { RunContext } from "./context.ts";
@@ -32,6 +34,11 @@
 /** The client account of every run. */
 export const CHECK_ACCOUNT = accountId("museum-shop");
 
+/** Shorter than the time that a run waits for its requests to end. */
+const START_DEADLINE_MS = 10_000;
+/** Share of the new version at the start; enough that a run of seconds reaches it. */
+const FIRST_SHARE = 0.4;
+
 function digestOf(view: ConfigView): string {
   const states = [...view.dataCentres.values()].map((d) => `${d.id}=${d.state}/${d.sinceMs}`);
   const moves = [...view.moves.values()].map((m) => `${m.id}=${m.state}/${m.share}`);
@@ -71,11 +78,13 @@
         kind: "model",
         versions: [{ id: "v1" }, { id: "v2" }],
         activeVersion: versionId("v1"),
+        startDeadlineMs: START_DEADLINE_MS,
       }, {
         id: CHECK_PLAIN_SERVICE,
         kind: "plain",
         versions: [{ id: "v1" }],
         activeVersion: versionId("v1"),
+        startDeadlineMs: START_DEADLINE_MS,
       }],
       accounts: [{ id: CHECK_ACCOUNT, keyHashes: [hashKey(CHECK_KEY)] }],
       dataCentres: dataCentres.map((id) => ({ id, region: "accra" })),
@@ -101,6 +110,29 @@
     }
   }
 
+  /** Opens a move of the model service from v1 to v2. */
+  async openMove(deadlineMs: number): Promise<void> {
+    const move = MoveSchema.parse({
+      id: "scribe-v1-v2",
+      service: CHECK_MODEL_SERVICE,
+      from: "v1",
+      to: "v2",
+      startMs: this.#ctx.clock.wall(),
+      deadlineMs,
+      share: 0,
+      state: "open",
+    });
+    await this.apply([
+      { type: "open_move", move },
+      { type: "advance_move", id: move.id, share: FIRST_SHARE },
+    ]);
+  }
+
+  /** The move as this operator last saw it. */
+  lastMove(): Move | null {
+    return [...this.#log.state.current().moves.values()][0] ?? null;
+  }
+
   /** Appends one entry; `null` where the store did not take it. */
   async apply(changes: readonly Change[]): Promise<Revision | null> {
     const { clock, recorder } = this.#ctx;
--- a/packages/control/tests/config_log_test.ts
+++ b/packages/control/tests/config_log_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { ManualClock, revision, Rng, toWpError } from "@wisteriapick/core";
+import { ManualClock, moveId, raise, revision, Rng, toWpError } from "@wisteriapick/core";
 import { ConfigState, logKey, SnapshotStore, StoreWatcher } from "../src/mod.ts";
 import {
   baseChanges,
@@ -41,6 +41,26 @@
   assert.equal(store.objects.has(logKey(revision(2))), false);
 });
 
+test("a write is given up between its attempts when its time is over, and nothing is written later", async () => {
+  const clock = new ManualClock();
+  const store = new MemoryStore(clock);
+  const log = makeLog(store, clock);
+  store.writeFaults.push("unavailable", "unavailable");
+  const endMs = 20;
+  const late = log.append({
+    id: "late",
+    note: { who: "ama", atMs: 0, why: "test" },
+    build: () => [putAccount("a")],
+    beforeAttempt: () => {
+      if (clock.now() > endMs) raise({ type: "invalid_change", message: "too late" });
+    },
+  });
+  const err = await drive(clock, late.catch(toWpError));
+  assert.equal((err as { type: string }).type, "invalid_change");
+  await run(clock, 10_000);
+  assert.equal(await log.catchUp(), 0);
+});
+
 test("two writers at once both get a true answer and one order", async () => {
   const clock = new ManualClock();
   const store = new MemoryStore(clock);
@@ -87,6 +107,26 @@
   assert.equal(await log.catchUp(), 1);
 });
 
+test("an entry that fails half way changes nothing, and ended moves do not pile up", async () => {
+  const clock = new ManualClock();
+  const log = makeLog(new MemoryStore(clock), clock);
+  await write(log, "base", baseChanges());
+  const before = log.state.current();
+  const half = [putAccount("a"), putAccount("b"), { type: "remove_account", id: "none" } as const];
+  await write(log, "half", half).catch(toWpError);
+  assert.equal(log.state.current(), before);
+  assert.equal(before.accounts.size, 0);
+  for (let i = 0; i < 12; i++) {
+    const open = openMove();
+    if (open.type !== "open_move") return assert.fail();
+    const move = { ...open.move, id: moveId(`m${i}`) };
+    const back = { type: "take_back_move", id: move.id, reason: "test" } as const;
+    await write(log, `m${i}`, [{ type: "open_move", move }, back]);
+  }
+  const kept = [...log.state.current().moves.keys()];
+  assert.deepEqual([kept[0], kept.length], ["m4", 8]);
+});
+
 test("a reader behind the deleted entries goes on from chunked snapshots; history stays bounded", async () => {
   const clock = new ManualClock();
   const store = new MemoryStore(clock);
--- a/packages/policy/src/cold_start.ts
+++ b/packages/policy/src/cold_start.ts
@@ -28,7 +28,8 @@
   readonly targetGapMs?: number;
 }
 
-// The least of this many steps ignores those lengthened by a prompt.
+// The median of this many steps ignores those lengthened by a prompt, and jitter of the links between endpoint and
+// side; their least value would take jitter for speed.
 const WINDOW = 5;
 // Steps at a level before it counts as borne.
 const LEVEL_STEPS = 8;
@@ -56,7 +57,7 @@
   #lastAtMs = -Infinity;
   #lastGapMs = 0;
   #lastActiveMs = -Infinity;
-  /** Mean of the windows' least gaps. */
+  /** Mean of the windows' medians. */
   #meanMs = 0;
   /** Gap and running generations when the allowance last grew. */
   #levelMs = Infinity;
@@ -108,7 +109,7 @@
     this.#window.push(this.#lastGapMs);
     if (this.#window.length < WINDOW) return;
     if (this.#window.length > WINDOW) this.#window.shift();
-    this.#judge(Math.min(...this.#window), running);
+    this.#judge(median(this.#window), running);
   }
 
   /** Falls back to the smallest allowance, for example after a crash. */
@@ -204,3 +205,7 @@
     this.#window = [];
   }
 }
+
+function median(values: readonly number[]): number {
+  return [...values].sort((a, b) => a - b)[values.length >> 1]!;
+}
