--- a/packages/policy/src/cold_start.ts
+++ b/packages/policy/src/cold_start.ts
@@ -109,7 +109,7 @@
     this.#window.push(this.#lastGapMs);
     if (this.#window.length < WINDOW) return;
     if (this.#window.length > WINDOW) this.#window.shift();
-    this.#judge(median(this.#window), running);
+    this.#judge(median(this.#window), Math.min(...this.#window), running);
   }
 
   /** Falls back to the smallest allowance, for example after a crash. */
@@ -123,9 +123,10 @@
     this.#forgetEvidence();
   }
 
-  #judge(gapMs: number, running: number): void {
+  #judge(gapMs: number, leastMs: number, running: number): void {
     if (this.#doubt !== null && gapMs <= this.#doubt.ms) this.#restore();
-    if (this.#meanMs > 0 && gapMs > this.#meanMs * this.#cfg.coldFactor) {
+    // All steps of the window are long: a prompt of a few steps is not a cold start.
+    if (this.#meanMs > 0 && leastMs > this.#meanMs * this.#cfg.coldFactor) {
       this.#turnCold();
       return;
     }
@@ -133,8 +134,8 @@
     if (running <= LIGHT_RUNNING && this.#allowance >= LIGHT_LEARN_ALLOWANCE) {
       this.#lightMs = Math.min(this.#lightMs, gapMs);
     }
-    if (gapMs > this.#cfg.targetGapMs) this.#shrink(running);
-    else this.#considerGrowth(gapMs, running);
+    if (leastMs > this.#cfg.targetGapMs) this.#shrink(running);
+    else if (gapMs <= this.#cfg.targetGapMs) this.#considerGrowth(gapMs, running);
   }
 
   #considerGrowth(gapMs: number, running: number): void {
