--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -33,7 +33,14 @@
 const skips = knownRed();
 for (const name of skips) console.log(`known red, passed over: ${name}`);
 const escape = (s) => s.replace(/[.*+?^${}()|[\]\\/]/g, "\\$&");
-const args = ["--enable-source-maps", "--test", "--test-concurrency=4"];
+// A file that never ends fails the run; without a bound it would hold it up for good.
+const FILE_TIMEOUT_MS = 240_000;
+const args = [
+  "--enable-source-maps",
+  "--test",
+  "--test-concurrency=5",
+  `--test-timeout=${FILE_TIMEOUT_MS}`,
+];
 const only = process.argv.slice(2);
 const files = testFiles().filter((f) => only.length === 0 || only.some((o) => f.includes(o)));
 // Node.js 20 has no --test-skip-pattern; a negative look-ahead selects all other names. Every test counts as
