--- a/packages/check/tests/found_faults_test.ts
+++ b/packages/check/tests/found_faults_test.ts
@@ -12,6 +12,17 @@
     fault: "jitter of links is taken for speed, and a cold endpoint is given more than it bears",
     plan: { seed: 936793, faults: [], coldStart: true, move: "none" },
   },
+  {
+    fault: "a process whose parent died finds no other one while every link is slow",
+    plan: {
+      seed: 227342,
+      faults: [
+        { kind: "slow_links", atMs: 0, durationMs: 4954, target: 0 },
+        { kind: "kill_side", atMs: 1, durationMs: 50, target: 0 },
+      ],
+      move: "failing",
+    },
+  },
 ];
 
 for (const { fault, plan } of FOUND) {
--- a/packages/control/src/spread_node.ts
+++ b/packages/control/src/spread_node.ts
@@ -19,8 +19,9 @@
 /** Changes that arrive within this time go on in one push. */
 const COALESCE_MS = 30;
 const TICK_MS = 250;
-/** Time a probed peer gets for its first answer. */
+/** Time a probed peer gets for its first answer, doubled after each one that did not answer, up to the maximum. */
 const PROBE_MS = 1_000;
+const PROBE_MAX_MS = 4_000;
 /** Children of one process; with a mean of 8, few processes are sent on to their next choice. */
 export const MAX_CHILDREN = 12;
 /** Waits between rounds over all candidates, doubled up to the maximum. */
@@ -77,6 +78,8 @@
   #helper: Source | null = null;
   #next = 0;
   #rounds = 0;
+  /** Probes in a row that were not answered in time. */
+  #unanswered = 0;
   #waitUntil = 0;
   #preferAt: number;
   #watching = false;
@@ -235,7 +238,9 @@
     }
     if (this.#helper !== null && now - this.#helper.sinceMs > PROBE_MS) this.#drop("helper");
     if (this.#fedByStore()) return;
-    if (this.#probe !== null && now - this.#probe.sinceMs > PROBE_MS) {
+    const probeMs = Math.min(PROBE_MAX_MS, PROBE_MS * 2 ** this.#unanswered);
+    if (this.#probe !== null && now - this.#probe.sinceMs > probeMs) {
+      this.#unanswered++;
       this.#drop("probe");
       this.#advance();
     }
@@ -306,6 +311,7 @@
     if (better || this.#parent === null) {
       this.#drop("parent");
       this.#parent = source;
+      this.#unanswered = 0;
       this.#probe = null;
     } else {
       this.#drop("probe");
--- a/packages/experiment/src/scenarios.ts
+++ b/packages/experiment/src/scenarios.ts
@@ -14,7 +14,7 @@
 } from "@wisteriapick/core";
 import type { EngineOptions } from "@wisteriapick/standins";
 import type { AccountWeight, Disturbance, EndpointSpec, Job, Setup, WorkKind } from "./types.ts";
-import { arrivalRate, drawJobs } from "./workload.ts";
+import { arrivalRate, drawJobs } from "./request_mix.ts";
 
 /** A scenario by name. */
 export interface Scenario {
--- a/packages/experiment/src/zone.ts
+++ b/packages/experiment/src/zone.ts
@@ -31,7 +31,7 @@
 import { type SideClient, SimSide } from "./sim_side.ts";
 import { SimSpread } from "./sim_spread.ts";
 import type { EndpointSpec, Job, Setup, WorkKind } from "./types.ts";
-import { arrivalRate, drawJobs } from "./workload.ts";
+import { arrivalRate, drawJobs } from "./request_mix.ts";
 
 const CENTRES = ["accra-osu", "accra-tema", "accra-legon"].map(dataCentreId);
 const LEAVING = dataCentreId("accra-tema");
