Give each version its own part of an entry's subset

Cause: a subset of 24 of hundreds of endpoints rarely holds one of the few that run a new version, so most entries could not give a move its share. Change: the subset is drawn per configured version, and is kept where a change of the configuration leaves the usable data centres as they were.

--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -84,6 +84,8 @@
   readonly #undos: Undo[] = [];
   readonly #quarantine: Quarantine;
   readonly #accounts: AccountGate;
+  /** Endpoints of the configuration that placement knows; versions change with them. */
+  #configuredEndpoints: ConfigView["endpoints"] | null = null;
   #draining = false;
   #refusing = false;
   #open = 0;
@@ -341,7 +343,11 @@
 
   #place(row: DirectoryEntry): void {
     if (row.leaving) this.#o.placement.removeEndpoint(row.endpoint);
-    else this.#o.placement.setEndpoint(row);
+    else this.#o.placement.setEndpoint({ ...row, version: this.#wantedVersion(row.endpoint) });
+  }
+
+  #wantedVersion(endpoint: EndpointId): VersionId | undefined {
+    return this.#o.config.current().endpoints.get(endpoint)?.version;
   }
 
   #removeEndpoint(endpoint: EndpointId): void {
@@ -363,6 +369,9 @@
     const usable = new Set<DataCentreId>();
     for (const dc of view.dataCentres.values()) if (dc.state !== "out") usable.add(dc.id);
     this.#o.placement.setDataCentres(usable);
+    if (view.endpoints === this.#configuredEndpoints) return;
+    this.#configuredEndpoints = view.endpoints;
+    for (const row of this.#o.directory.rows()) this.#place(row);
   }
 
   /** While a data centre returns, a growing share of requests may go there. */
--- a/packages/policy/src/interfaces.ts
+++ b/packages/policy/src/interfaces.ts
@@ -34,6 +34,8 @@
   readonly service: ServiceId;
   readonly host: HostId;
   readonly dataCentre: DataCentreId;
+  /** The version it should run by the configuration; absent where that is not known. */
+  readonly version?: VersionId;
 }
 
 /** One request as placement sees it. */
--- a/packages/policy/src/subset_placement.ts
+++ b/packages/policy/src/subset_placement.ts
@@ -86,7 +86,7 @@
   setEndpoint(info: EndpointInfo): void {
     const found = this.#endpoints.get(info.endpoint);
     if (found !== undefined) {
-      if (found.info.service === info.service && found.info.dataCentre === info.dataCentre) return;
+      if (sameInfo(found.info, info)) return;
       this.removeEndpoint(info.endpoint);
     }
     const key = hash(`${this.#cfg.entry}/${info.endpoint}`);
@@ -106,6 +106,10 @@
   }
 
   setDataCentres(usable: ReadonlySet<DataCentreId>): void {
+    const known = this.#usable;
+    if (known !== null && known.size === usable.size && [...usable].every((dc) => known.has(dc))) {
+      return;
+    }
     this.#usable = usable;
     this.#subsets.clear();
   }
@@ -207,15 +211,27 @@
       this.#usable === null || this.#usable.has(s.info.dataCentre)
     );
     usable.sort((a, b) => a.key - b.key);
-    const own = usable.filter((s) => s.info.dataCentre === this.#cfg.dataCentre);
-    const other = usable.filter((s) => s.info.dataCentre !== this.#cfg.dataCentre);
-    const subset = {
-      local: own.slice(0, this.#cfg.localSize),
-      remote: other.slice(0, this.#cfg.remoteSize + Math.max(0, this.#cfg.localSize - own.length)),
-    };
+    const subset: Subset = { local: [], remote: [] };
+    // Each version has a part of its own: the few endpoints of a new one would be in few common subsets.
+    for (const version of new Set(usable.map((s) => s.info.version))) {
+      this.#addPart(subset, usable.filter((s) => s.info.version === version));
+    }
     this.#subsets.set(service, subset);
     return subset;
   }
+
+  #addPart(subset: Subset, states: readonly EndpointState[]): void {
+    const { dataCentre, localSize, remoteSize } = this.#cfg;
+    const own = states.filter((s) => s.info.dataCentre === dataCentre);
+    const other = states.filter((s) => s.info.dataCentre !== dataCentre);
+    const missing = Math.max(0, localSize - own.length);
+    subset.local.push(...own.slice(0, localSize));
+    subset.remote.push(...other.slice(0, remoteSize + missing));
+  }
+}
+
+function sameInfo(a: EndpointInfo, b: EndpointInfo): boolean {
+  return a.service === b.service && a.dataCentre === b.dataCentre && a.version === b.version;
 }
 
 function hash(text: string): number {
--- a/packages/policy/tests/placement_test.ts
+++ b/packages/policy/tests/placement_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { endpointId } from "@wisteriapick/core";
+import { dataCentreId, endpointId, hostId, Rng, serviceId, versionId } from "@wisteriapick/core";
 import {
   LOCAL,
   makeInfo,
@@ -10,6 +10,7 @@
   REMOTE,
   SERVICE,
 } from "./fixtures.ts";
+import { SubsetPlacement } from "../src/mod.ts";
 
 const names = (n: number) => Array.from({ length: n }, (_, i) => `e-${i}`);
 const infos = (n: number) => names(n).map((name) => makeInfo(name));
@@ -144,3 +145,19 @@
   assert.ok(placement.ejected(1_000).length <= 3);
   assert.notEqual(placement.choose(makePlacementRequest(), 1_000), null);
 });
+
+test("an entry's subset covers a version that few of many endpoints run", () => {
+  const dataCentre = dataCentreId("osu");
+  const placement = new SubsetPlacement({ entry: "entry-1", dataCentre, rng: new Rng(1) });
+  const service = serviceId("scribe");
+  const place = (i: number, version: string) => {
+    const endpoint = endpointId(`e-${i}`);
+    const host = hostId(`h-${i}`);
+    placement.setEndpoint({ endpoint, service, host, dataCentre, version: versionId(version) });
+  };
+  for (let i = 0; i < 700; i++) place(i, i < 3 ? "v2" : "v1");
+  const subset = placement.subset(service);
+  assert.equal(subset.filter((id) => ["e-0", "e-1", "e-2"].includes(id)).length, 3);
+  place(3, "v2");
+  assert.ok(placement.subset(service).includes(endpointId("e-3")), "follows a changed version");
+});
