--- a/packages/daemon/src/entry_process.ts
+++ b/packages/daemon/src/entry_process.ts
@@ -16,6 +16,7 @@
 import { SubsetPlacement } from "@wisteriapick/policy";
 import type { Order, OrderDone } from "@wisteriapick/wire";
 import { AccountGate } from "./account_gate.ts";
+import { ClaimSweep } from "./claim_sweep.ts";
 import { Directory } from "./directory.ts";
 import { Entry } from "./entry.ts";
 import type { EntryOptions } from "./entry_options.ts";
@@ -33,6 +34,8 @@
 }
 
 const ORDER_TIMEOUT_MS = 10_000;
+/** New idempotency keys of all entries together; at two writes each a part of what the object API takes. */
+const STORE_CLAIMS_PER_SECOND = 60;
 
 /**
  * See the module comment.
@@ -94,6 +97,7 @@
       rng: rng.fork("entry"),
       versions: new MovedVersions(this.#router),
       onOutcome: (outcome) => this.#router.record(outcome),
+      idempotency: { claimsPerSecond: () => STORE_CLAIMS_PER_SECOND / this.#countEntries() },
       ...options.entry,
     });
   }
@@ -143,12 +147,23 @@
       control.membership.registerListener((members) => this.#setEntries(members)),
       this.#followHosts(),
       this.#duty.start(),
+      this.#startSweep(),
       this.#registerOperators(fleet),
     );
   }
 
+  #countEntries(): number {
+    return Math.max(1, this.#parts.control.membership.members().filter(isEntry).length);
+  }
+
+  #startSweep(): Undo {
+    const { store, clock, identity } = this.#o;
+    const rng = this.#parts.rng.fork("sweep");
+    return new ClaimSweep({ store, clock, process: identity.process, rng }).start();
+  }
+
   #setEntries(members: readonly SpreadMember[]): void {
-    const entries = members.filter((m) => m.key.endsWith("/entry"));
+    const entries = members.filter(isEntry);
     this.#duty.setEntries(entries);
     this.#accounts.setMembers(entries);
   }
@@ -220,3 +235,7 @@
     );
   }
 }
+
+function isEntry(member: SpreadMember): boolean {
+  return member.key.endsWith("/entry");
+}
--- a/packages/daemon/src/idempotency.ts
+++ b/packages/daemon/src/idempotency.ts
@@ -55,8 +55,8 @@
 export interface IdempotencyOptions {
   readonly store: ObjectStore;
   readonly clock: Clock;
-  /** Claims a second and in a burst; two store writes each. The store takes several hundred writes a second. */
-  readonly claimsPerSecond?: number;
+  /** Claims a second and in a burst; two store writes each. A function may follow the number of entries. */
+  readonly claimsPerSecond?: number | (() => number);
   readonly burst?: number;
   /** Age after which a key may be used anew. */
   readonly retentionMs?: number;
@@ -93,7 +93,7 @@
 export class IdempotencyClaims {
   readonly #store: ObjectStore;
   readonly #clock: Clock;
-  readonly #rate: number;
+  readonly #rate: () => number;
   readonly #burst: number;
   readonly #retentionMs: number;
   readonly #maxTries: number;
@@ -105,7 +105,8 @@
   constructor(options: IdempotencyOptions) {
     this.#store = options.store;
     this.#clock = options.clock;
-    this.#rate = options.claimsPerSecond ?? 10;
+    const { claimsPerSecond = 10 } = options;
+    this.#rate = typeof claimsPerSecond === "number" ? () => claimsPerSecond : claimsPerSecond;
     this.#burst = options.burst ?? 20;
     this.#retentionMs = options.retentionMs ?? DAY_MS;
     this.#maxTries = options.maxTries ?? 3;
@@ -229,7 +230,7 @@
 
   #takeRate(): void {
     const now = this.#clock.now();
-    const refill = (now - this.#refilledMs) / 1_000 * this.#rate;
+    const refill = (now - this.#refilledMs) / 1_000 * this.#rate();
     this.#allowance = Math.min(this.#burst, this.#allowance + refill);
     this.#refilledMs = now;
     if (this.#allowance >= 1) {
@@ -237,7 +238,7 @@
       return;
     }
     const message = "too many new idempotency keys at this entry";
-    const retryAfterMs = 1_000 / this.#rate;
+    const retryAfterMs = 1_000 / this.#rate();
     refuse({ type: "idempotency_unavailable", message, notRun: true, retryAfterMs });
   }
 }
--- a/packages/daemon/src/mod.ts
+++ b/packages/daemon/src/mod.ts
@@ -4,6 +4,7 @@
  * @module
  */
 export * from "./account_gate.ts";
+export * from "./claim_sweep.ts";
 export * from "./directory.ts";
 export * from "./entry.ts";
 export * from "./entry_auth.ts";
--- a/packages/daemon/src/side_generations.ts
+++ b/packages/daemon/src/side_generations.ts
@@ -203,14 +203,14 @@
     this.#waiting.delete(gen);
     const service = this.#ctx.config.current().services.get(run.service);
     const version = service?.versions.find((v) => v.id === run.version);
-    const { prompt, maxTokens, priority, stop, temperature, route, prefixes } = run;
+    const { prompt, maxTokens, stop, temperature, route, prefixes } = run;
     this.#running.get(gen)?.start({
       gen,
       model: version?.model ?? "",
       version: run.version,
       prompt,
       maxTokens,
-      priority,
+      priority: this.#ctx.admission.enginePriority(gen),
       stop,
       temperature,
       route,
--- a/packages/policy/src/interfaces.ts
+++ b/packages/policy/src/interfaces.ts
@@ -119,6 +119,10 @@
   abstract offer(req: AdmissionRequest, nowMs: number): AdmissionDecision;
   /** Takes over a generation that the engine already runs, after a restart of the side. */
   adopt(_req: AdmissionRequest, _produced: number, _nowMs: number): void {}
+  /** Priority at the engine of a generation that starts, lower first. */
+  enginePriority(_gen: GenerationId): number {
+    return 0;
+  }
   /** Records `count` more tokens of a running generation; `gapMs` is the time since the one before. */
   abstract recordTokens(gen: GenerationId, count: number, gapMs: number, nowMs: number): void;
   abstract recordFirstToken(gen: GenerationId, waitMs: number, nowMs: number): void;
--- a/packages/policy/src/side_admission.ts
+++ b/packages/policy/src/side_admission.ts
@@ -111,7 +111,7 @@
   }
 
   /** Priority at the engine, lower first: when memory fills, heavy accounts are preempted first. */
-  enginePriority(gen: GenerationId): number {
+  override enginePriority(gen: GenerationId): number {
     const run = this.#running.get(gen);
     if (run === undefined) return 0;
     return 2 * run.req.priority + (run.heavy ? 1 : 0);
