--- a/packages/check/src/run_check.ts
+++ b/packages/check/src/run_check.ts
@@ -48,7 +48,13 @@
 
 /** Generates `runs` plans from a seed, checks each, and shrinks the first that breaks a promise. */
 export async function checkRuns(
-  { seed, runs, overrides = {} }: { seed: number; runs: number; overrides?: Overrides },
+  { seed, runs, overrides = {}, onFailingPlan }: {
+    seed: number;
+    runs: number;
+    overrides?: Overrides;
+    /** Told of each failing plan while the smallest one is looked for, which takes minutes. */
+    onFailingPlan?: (plan: RunPlan) => void;
+  },
 ): Promise<CheckReport> {
   const examined: Record<number, number> = {};
   const endings: Record<string, number> = {};
@@ -60,7 +66,9 @@
     requests += countRequests(history);
     events += history.length;
     countEndings(history, endings);
-    return broken(results).length === 0 && provesSomething(history);
+    const held = broken(results).length === 0 && provesSomething(history);
+    if (!held) onFailingPlan?.(plan);
+    return held;
   });
   const res = await fc.check(property, { seed, numRuns: runs });
   const plan = res.counterexample?.[0] ?? null;
@@ -114,7 +122,8 @@
     console.error(`--seed and --runs: expected whole numbers\n${USAGE}`);
     return 2;
   }
-  const report = await checkRuns({ seed, runs });
+  const onFailingPlan = (plan: RunPlan) => console.error(`failing plan: ${JSON.stringify(plan)}`);
+  const report = await checkRuns({ seed, runs, onFailingPlan });
   if (args.json) console.log(JSON.stringify(report));
   else printReport(report);
   return report.failure === null ? 0 : 1;
