--- a/packages/check/tests/found_faults_test.ts
+++ b/packages/check/tests/found_faults_test.ts
@@ -23,6 +23,15 @@
       move: "failing",
     },
   },
+  {
+    fault: "an endpoint that turns cold again while it is cold is given more than it bears",
+    plan: {
+      seed: 0,
+      faults: [{ kind: "turn_cold", atMs: 4674, durationMs: 50, target: 0 }],
+      coldStart: true,
+      move: "failing_later",
+    },
+  },
 ];
 
 for (const { fault, plan } of FOUND) {
