--- a/packages/bench/src/relay_entry.ts
+++ b/packages/bench/src/relay_entry.ts
@@ -16,14 +16,13 @@
 import {
   Directory,
   Entry,
-  formatAddress,
   hashKey,
   LeastInFlightPlacement,
   LinkRouter,
   PooledLinks,
 } from "@wisteriapick/daemon";
 import type { HostRecord } from "@wisteriapick/platform";
-import { type Address, LinkPool } from "@wisteriapick/wire";
+import { type Address, formatAddress, LinkPool } from "@wisteriapick/wire";
 import { CpuMeter } from "./cpu.ts";
 import { LoadThread } from "./load_thread.ts";
 import { liveBytes } from "./memory.ts";
--- a/packages/check/src/memory_pool.ts
+++ b/packages/check/src/memory_pool.ts
@@ -4,9 +4,9 @@
  * @module
  */
 import { type Clock, raise, type Rng, toWpError, type Undo } from "@wisteriapick/core";
-import { formatAddress } from "@wisteriapick/daemon";
 import {
   type Address,
+  formatAddress,
   type Identity,
   type Link,
   type LinkAcceptor,
--- a/packages/control/src/config_document.ts
+++ b/packages/control/src/config_document.ts
@@ -10,6 +10,7 @@
   dataCentreId,
   type EndpointId,
   endpointId,
+  idField,
   type MoveId,
   moveId,
   type RegionId,
@@ -23,22 +24,11 @@
 } from "@wisteriapick/core";
 import { z } from "zod";
 
-function id<T extends string>(check: (s: string) => T, expected: string) {
-  return z.string().transform((s, ctx): T => {
-    try {
-      return check(s);
-    } catch {
-      ctx.addIssue({ code: "custom", message: `expected ${expected}` });
-      return z.NEVER;
-    }
-  });
-}
-
-const serviceKey = id<ServiceId>(serviceId, "a service id");
-const versionKey = id<VersionId>(versionId, "a version id");
-const accountKey = id<AccountId>(accountId, "a client account id");
-const dataCentreKey = id<DataCentreId>(dataCentreId, "a data centre id");
-const endpointKey = id<EndpointId>(endpointId, "an endpoint id");
+const serviceKey = idField<ServiceId>(serviceId, "a service id");
+const versionKey = idField<VersionId>(versionId, "a version id");
+const accountKey = idField<AccountId>(accountId, "a client account id");
+const dataCentreKey = idField<DataCentreId>(dataCentreId, "a data centre id");
+const endpointKey = idField<EndpointId>(endpointId, "an endpoint id");
 
 /** Which routes of a plain service may be repeated. `path` is a `find-my-way` pattern. */
 export const RouteSchema = z.object({
@@ -89,7 +79,7 @@
 /** A data centre. */
 export const DataCentreSchema = z.object({
   id: dataCentreKey,
-  region: id<RegionId>(regionId, "a region id"),
+  region: idField<RegionId>(regionId, "a region id"),
   state: z.enum(["in", "out", "returning"]).default("in"),
   /** Unix ms at which the state was set; `returning` ramps from here. */
   sinceMs: z.number().default(0),
@@ -106,7 +96,7 @@
 
 /** A planned move of a service's traffic between versions. Times are Unix ms. */
 export const MoveSchema = z.object({
-  id: id<MoveId>(moveId, "a move id"),
+  id: idField<MoveId>(moveId, "a move id"),
   service: serviceKey,
   from: versionKey,
   to: versionKey,
--- a/packages/control/src/move_duty.ts
+++ b/packages/control/src/move_duty.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import { createHash } from "node:crypto";
 import type { Clock, ProcessId, Rng, ServiceId, Undo } from "@wisteriapick/core";
 import type { ObjectStore } from "@wisteriapick/platform";
 import type { Evidence, Order, OrderDone } from "@wisteriapick/wire";
@@ -13,7 +12,7 @@
 import { driverDuty, MoveDriver } from "./move_driver.ts";
 import type { MoveRouter } from "./move_router.ts";
 import { OrderPacer, type OrderPacerOptions } from "./order_pacer.ts";
-import type { SpreadMember } from "./tree.ts";
+import { orderMembers, type SpreadMember } from "./tree.ts";
 
 /** Entries that compete for a service's lease. All of them collect evidence, so that a takeover is warm. */
 export const DRIVER_CANDIDATES = 3;
@@ -56,10 +55,7 @@
   service: ServiceId,
   entries: readonly SpreadMember[],
 ): SpreadMember[] {
-  const weight = (m: SpreadMember) =>
-    createHash("sha256").update(`${service}/${m.key}`).digest("hex");
-  const ranked = entries.map((m) => ({ m, w: weight(m) })).sort((a, b) => a.w < b.w ? -1 : 1);
-  return ranked.slice(0, DRIVER_CANDIDATES).map((r) => r.m);
+  return orderMembers(entries, `driver/${service}`).slice(0, DRIVER_CANDIDATES);
 }
 
 /** Time between two reports of one of `entries` entries. */
--- a/packages/control/src/revision_survey.ts
+++ b/packages/control/src/revision_survey.ts
@@ -4,10 +4,9 @@
  * @module
  */
 import type { Clock } from "@wisteriapick/core";
-import type { LinkPool } from "@wisteriapick/wire";
+import { type LinkPool, parseAddress } from "@wisteriapick/wire";
 import type { ConfigState } from "./config_state.ts";
 import type { ProcessStatus } from "./fleet_report.ts";
-import { parseAddress } from "./spread_links.ts";
 import type { SpreadMember } from "./tree.ts";
 
 /** Processes asked at the same time. */
--- a/packages/control/src/spread_links.ts
+++ b/packages/control/src/spread_links.ts
@@ -4,14 +4,15 @@
  * @module
  */
 import type { Revision, Undo } from "@wisteriapick/core";
-import type {
-  ConfigPull,
-  ConfigPush,
-  Link,
-  LinkPool,
-  LinkStream,
-  Message,
-  StreamHandler,
+import {
+  type ConfigPull,
+  type ConfigPush,
+  type Link,
+  type LinkPool,
+  type LinkStream,
+  type Message,
+  parseAddress,
+  type StreamHandler,
 } from "@wisteriapick/wire";
 import type { Membership } from "./membership.ts";
 import type { SpreadPorts } from "./spread_node.ts";
@@ -152,9 +153,3 @@
     this.#node?.onPeerLost(peer);
   }
 }
-
-/** Splits `ip:port`. */
-export function parseAddress(address: string): { host: string; port: number } {
-  const at = address.lastIndexOf(":");
-  return { host: address.slice(0, at), port: Number(address.slice(at + 1)) };
-}
--- a/packages/core/src/settings.ts
+++ b/packages/core/src/settings.ts
@@ -5,7 +5,7 @@
  */
 import { readFileSync } from "node:fs";
 import { parse } from "yaml";
-import type { z } from "zod";
+import { z } from "zod";
 import { raise, type SettingsIssue } from "./errors.ts";
 
 /**
@@ -63,3 +63,22 @@
   }
   return checkSettings(value, schema, file);
 }
+
+/**
+ * A schema of a branded id, which reports what was expected where the id is not valid.
+ *
+ * @example
+ * ```ts
+ * const schema = z.object({ host: idField(hostId, "a host id") });
+ * ```
+ */
+export function idField<T extends string>(check: (s: string) => T, expected: string) {
+  return z.string().transform((s, ctx): T => {
+    try {
+      return check(s);
+    } catch {
+      ctx.addIssue({ code: "custom", message: `expected ${expected}` });
+      return z.NEVER;
+    }
+  });
+}
--- a/packages/daemon/src/link_source.ts
+++ b/packages/daemon/src/link_source.ts
@@ -3,8 +3,8 @@
  *
  * @module
  */
-import { type Clock, raise, SystemClock, type Undo } from "@wisteriapick/core";
-import type { Address, Link, LinkPool } from "@wisteriapick/wire";
+import { type Clock, SystemClock, type Undo } from "@wisteriapick/core";
+import { type Link, type LinkPool, parseAddress } from "@wisteriapick/wire";
 
 /** Gives an open link to an `ip:port`, connecting where needed. Fails with `link` or `timeout`. */
 export abstract class LinkSource {
@@ -13,18 +13,6 @@
   forget(_address: string): void {}
 }
 
-/** Parses `ip:port`; IPv6 addresses stand in brackets. */
-export function parseAddress(text: string): Address {
-  const match = /^(?:\[([^\]]+)\]|([^:]+)):(\d{1,5})$/.exec(text);
-  if (match === null) raise({ type: "unreachable", message: `${text} is not an address` });
-  return { host: (match[1] ?? match[2])!, port: Number(match[3]) };
-}
-
-/** Formats an address as `ip:port`. */
-export function formatAddress({ host, port }: Address): string {
-  return host.includes(":") ? `[${host}]:${port}` : `${host}:${port}`;
-}
-
 /** How long a request waits for a link; a side that cannot be reached in this time is passed over. */
 const CONNECT_TIMEOUT_MS = 500;
 
--- a/packages/daemon/src/process_parts.ts
+++ b/packages/daemon/src/process_parts.ts
@@ -15,10 +15,16 @@
 } from "@wisteriapick/core";
 import { ControlProcess, memberKey } from "@wisteriapick/control";
 import type { HostList, ObjectStore } from "@wisteriapick/platform";
-import { type Identity, LinkPool, listenLinks } from "@wisteriapick/wire";
+import {
+  formatAddress,
+  type Identity,
+  LinkPool,
+  listenLinks,
+  parseAddress,
+} from "@wisteriapick/wire";
 
 import { LinkRouter } from "./link_router.ts";
-import { formatAddress, type LinkSource, parseAddress, PooledLinks } from "./link_source.ts";
+import { type LinkSource, PooledLinks } from "./link_source.ts";
 
 /** What every process is made with. */
 export interface ProcessOptions {
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -8,6 +8,7 @@
   dataCentreId,
   endpointId,
   hostId,
+  idField,
   loadSettings,
   regionId,
   serviceId,
@@ -15,17 +16,6 @@
 import { ConfigDocumentSchema } from "@wisteriapick/control";
 import { z } from "zod";
 
-function id<T extends string>(check: (s: string) => T, expected: string) {
-  return z.string().transform((s, ctx): T => {
-    try {
-      return check(s);
-    } catch {
-      ctx.addIssue({ code: "custom", message: `expected ${expected}` });
-      return z.NEVER;
-    }
-  });
-}
-
 const ADDRESS_PATTERN = /^(\[[0-9a-fA-F:.]+\]|[A-Za-z0-9.-]+):(\d{1,5})$/;
 const MAX_PORT = 65_535;
 // A shorter key could be guessed; links authenticate with nothing else.
@@ -39,8 +29,8 @@
 const milliseconds = z.number().int().nonnegative();
 
 const processShape = {
-  host: id(hostId, "a host id"),
-  dataCentre: id(dataCentreId, "a data centre id"),
+  host: idField(hostId, "a host id"),
+  dataCentre: idField(dataCentreId, "a data centre id"),
   /** Where links are accepted. */
   links: address,
   clusterKey: z.string().min(
@@ -68,8 +58,8 @@
 export const SideSettingsSchema = z.object({
   kind: z.literal("side"),
   ...processShape,
-  endpoint: id(endpointId, "an endpoint id"),
-  service: id(serviceId, "a service id"),
+  endpoint: idField(endpointId, "an endpoint id"),
+  service: idField(serviceId, "a service id"),
   engine: origin.optional(),
   plain: origin.optional(),
   /** Calls at once that a plain service bears. */
@@ -80,21 +70,21 @@
 );
 
 const HostRecordSchema = z.object({
-  host: id(hostId, "a host id"),
-  dataCentre: id(dataCentreId, "a data centre id"),
-  region: id(regionId, "a region id"),
+  host: idField(hostId, "a host id"),
+  dataCentre: idField(dataCentreId, "a data centre id"),
+  region: idField(regionId, "a region id"),
   state: z.enum(["live", "leaving"]).default("live"),
   entry: address.optional(),
   side: address.optional(),
   endpoint: z.object({
-    id: id(endpointId, "an endpoint id"),
-    service: id(serviceId, "a service id"),
+    id: idField(endpointId, "an endpoint id"),
+    service: idField(serviceId, "a service id"),
     address,
   }).strict().optional(),
 }).strict();
 
 const EngineStandinSchema = z.object({
-  id: id(endpointId, "an endpoint id"),
+  id: idField(endpointId, "an endpoint id"),
   listen: address,
   model: z.string().default("scribe-7b"),
   version: z.string().min(1).default("v1"),
@@ -108,7 +98,7 @@
 }).strict();
 
 const PlainStandinSchema = z.object({
-  id: id(endpointId, "an endpoint id"),
+  id: idField(endpointId, "an endpoint id"),
   listen: address,
   version: z.string().min(1).default("v1"),
   workMs: milliseconds.default(4),
--- a/packages/daemon/src/standins_process.ts
+++ b/packages/daemon/src/standins_process.ts
@@ -17,7 +17,7 @@
   serveObjectStore,
   serveWeightStore,
 } from "@wisteriapick/standins";
-import { parseAddress } from "./link_source.ts";
+import { parseAddress } from "@wisteriapick/wire";
 import type { StandinsSettings } from "./settings.ts";
 
 /** The running stand-ins. */
--- a/packages/daemon/src/start.ts
+++ b/packages/daemon/src/start.ts
@@ -7,7 +7,7 @@
 import { type Clock, createLogger, type Logger, processId, SystemClock } from "@wisteriapick/core";
 import { HttpHostList, HttpModelEngine, HttpObjectStore } from "@wisteriapick/platform";
 import { EntryProcess, type EntryProcessOptions } from "./entry_process.ts";
-import { parseAddress } from "./link_source.ts";
+import { parseAddress } from "@wisteriapick/wire";
 import type { ProcessOptions } from "./process_parts.ts";
 import type { EntrySettings, SideSettings } from "./settings.ts";
 import { SideProcess, type SideProcessOptions } from "./side_process.ts";
--- a/packages/daemon/tests/fixtures.ts
+++ b/packages/daemon/tests/fixtures.ts
@@ -28,9 +28,11 @@
 import {
   type Address,
   type Call,
+  formatAddress,
   type Identity,
   LinkPool,
   listenLinks,
+  parseAddress,
   type Role,
 } from "@wisteriapick/wire";
 import {
@@ -38,11 +40,9 @@
   Entry,
   type EntryOptions,
   FixedAdmission,
-  formatAddress,
   hashKey,
   LeastInFlightPlacement,
   LinkRouter,
-  parseAddress,
   PooledLinks,
   Side,
   type SideOptions,
--- a/packages/daemon/tests/scripted_side.ts
+++ b/packages/daemon/tests/scripted_side.ts
@@ -14,6 +14,7 @@
 import {
   type Call,
   type EndpointLoad,
+  formatAddress,
   type Link,
   type LinkStream,
   listenLinks,
@@ -21,7 +22,7 @@
   type Resume,
   type Run,
 } from "@wisteriapick/wire";
-import { formatAddress, LinkRouter } from "../src/mod.ts";
+import { LinkRouter } from "../src/mod.ts";
 import { CLUSTER_KEY, type Fleet, makeIdentity } from "./fixtures.ts";
 
 /** One stream that an entry opened. */
--- a/packages/wire/src/connect.ts
+++ b/packages/wire/src/connect.ts
@@ -25,6 +25,7 @@
   type Undo,
   WpFailure,
 } from "@wisteriapick/core";
+import type { Address } from "./address.ts";
 import { FrameSocket, type LinkError, linkError } from "./frame_socket.ts";
 import { type End, type Established, Handshake, type VersionRange } from "./handshake.ts";
 import type { Identity, LinkAcceptor } from "./link.ts";
@@ -34,12 +35,6 @@
 /** Time within which a connection must be authenticated. */
 export const HANDSHAKE_TIMEOUT_MS = 2_000;
 
-/** Where a process listens for links. */
-export interface Address {
-  readonly host: string;
-  readonly port: number;
-}
-
 /** Options common to both ends. */
 export interface LinkOptions {
   readonly identity: Identity;
--- a/packages/wire/src/mod.ts
+++ b/packages/wire/src/mod.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * from "./address.ts";
 export * from "./messages.ts";
 export * from "./link.ts";
 export * from "./connect.ts";
--- a/packages/wire/src/pool.ts
+++ b/packages/wire/src/pool.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import { type Rng, toWpError, type Undo, type WpError, WpFailure } from "@wisteriapick/core";
-import { type Address, connectLink, type ConnectOptions } from "./connect.ts";
+import type { Address } from "./address.ts";
+import { connectLink, type ConnectOptions } from "./connect.ts";
 import type { Link } from "./link.ts";
 
 /** Longest wait before the first try after a loss; spreads the reconnections of many processes to one. */
