Open links to an entry's subset before the first request

An entry heard load and leaving notices only from sides it had already used: status showed 12 of 13 endpoints as unknown after the start. It now opens a link to each side of its subsets once a second where there is none. One script runs either example.

--- a/examples/kente_lane/run.sh
+++ b/examples/run.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
-# Runs the stand-ins, every side and both entries as separate processes until SIGINT or SIGTERM.
+# Runs a deployment (kente_lane or kitakaze): its stand-ins, every side and both entries as separate processes,
+# until SIGINT or SIGTERM.
 set -euo pipefail
-cd "$(dirname "$0")"
+cd "$(dirname "$0")/${1:?usage: run.sh kente_lane|kitakaze}"
 wisteriapick=(node ../../packages/cli/bin/wisteriapick.js)
 entries=()
 sides=()
--- a/packages/daemon/src/entry_process.ts
+++ b/packages/daemon/src/entry_process.ts
@@ -33,6 +33,7 @@
   readonly entry?: Partial<EntryOptions>;
 }
 
+const OPEN_LINKS_EVERY_MS = 1_000;
 const ORDER_TIMEOUT_MS = 10_000;
 /** New idempotency keys of all entries together; at two writes each a part of what the object API takes. */
 const STORE_CLAIMS_PER_SECOND = 60;
@@ -56,6 +57,7 @@
   readonly #directory: Directory;
   readonly #router: MoveRouter;
   readonly #duty: MoveDuty;
+  readonly #placement: SubsetPlacement;
   readonly #accounts: AccountGate;
   readonly #undos: Undo[] = [];
   #httpAddress = "";
@@ -70,6 +72,11 @@
     this.#directory = new Directory(this.world);
     this.#router = new MoveRouter(control.state, clock, identity.process);
     this.#duty = this.#makeDuty();
+    this.#placement = new SubsetPlacement({
+      entry: identity.host,
+      dataCentre: identity.dataCentre,
+      rng: rng.fork("placement"),
+    });
     this.#accounts = new AccountGate({
       self: memberKey(identity.host, "entry"),
       clock,
@@ -85,11 +92,7 @@
       directory: this.#directory,
       links,
       router,
-      placement: new SubsetPlacement({
-        entry: identity.host,
-        dataCentre: identity.dataCentre,
-        rng: rng.fork("placement"),
-      }),
+      placement: this.#placement,
       world: this.world,
       log,
       metrics,
@@ -148,10 +151,22 @@
       this.#followHosts(),
       this.#duty.start(),
       this.#startSweep(),
+      clock.setRepeating(OPEN_LINKS_EVERY_MS, () => this.#openLinks()),
       this.#registerOperators(fleet),
     );
   }
 
+  /** Opens a link to every side of the subsets, so that load and leaving are known before the first request. */
+  #openLinks(): void {
+    for (const service of this.#parts.control.state.current().services.keys()) {
+      for (const endpoint of this.#placement.subset(service)) {
+        const target = this.#directory.get(endpoint);
+        // A side that cannot be reached is tried again in the next round.
+        if (target !== undefined) this.#parts.links.get(target.side).catch(() => {});
+      }
+    }
+  }
+
   #countEntries(): number {
     return Math.max(1, this.#parts.control.membership.members().filter(isEntry).length);
   }
