--- /dev/null
+++ b/packages/check/tests/unbroken_test.ts
@@ -0,0 +1,14 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { checkPlan } from "../src/mod.ts";
+import { MUTANTS } from "./mutants.ts";
+
+// Without these a mutant's plan could break its promise for another reason.
+for (const { name, promise, plan } of MUTANTS) {
+  test(`promise ${promise} holds without ${name}`, async () => {
+    const { results } = await checkPlan(plan);
+    const result = results.find((r) => r.promise === promise)!;
+    assert.ok(result.examined > 0, "the plan examines nothing");
+    assert.deepEqual(result.violations, []);
+  });
+}
