--- a/packages/check/tests/found_faults_test.ts
+++ b/packages/check/tests/found_faults_test.ts
@@ -24,7 +24,7 @@
     },
   },
   {
-    fault: "an endpoint that turns cold again while it is cold is given more than it bears",
+    fault: "an endpoint that turns cold again soon after a cold start is given more than it bears",
     plan: {
       seed: 0,
       faults: [{ kind: "turn_cold", atMs: 4674, durationMs: 50, target: 0 }],
@@ -32,6 +32,18 @@
       move: "failing_later",
     },
   },
+  {
+    fault: "an endpoint that turns cold again while it is cold is given more than it bears",
+    plan: {
+      seed: 7,
+      faults: [
+        { kind: "turn_cold", atMs: 4741, durationMs: 5195, target: 5 },
+        { kind: "kill_side", atMs: 13182, durationMs: 331, target: 4 },
+      ],
+      coldStart: true,
+      move: "good",
+    },
+  },
 ];
 
 for (const { fault, plan } of FOUND) {
