--- a/packages/cli/src/operator_commands.ts
+++ b/packages/cli/src/operator_commands.ts
@@ -12,11 +12,10 @@
   type Plan,
   type SystemStatus,
 } from "@wisteriapick/control";
-import { raise } from "@wisteriapick/core";
 import Table from "cli-table3";
 import { type CommandDef, defineCommand } from "citty";
 import { parse } from "yaml";
-import { runCommand } from "./outcome.ts";
+import { runCommand, usage } from "./outcome.ts";
 
 const WATCH_WAIT_MS = 15_000;
 
@@ -34,7 +33,7 @@
 
 function makeClient({ url, key = process.env.WISTERIAPICK_KEY }: CommonArgs): OperatorClient {
   if (key === undefined || key === "") {
-    raise({ type: "not_found", message: "no operator key: give --key or WISTERIAPICK_KEY" });
+    usage("no operator key: give --key or WISTERIAPICK_KEY");
   }
   return new OperatorClient({ url, key });
 }
--- a/packages/experiment/src/command.ts
+++ b/packages/experiment/src/command.ts
@@ -6,7 +6,7 @@
 import { toWpError } from "@wisteriapick/core";
 import { writeFileSync } from "node:fs";
 import { parseArgs } from "node:util";
-import { CONTROL_SCENARIOS } from "./control_scenarios.ts";
+import { CONTROL_SCENARIOS, CONTROL_SUMMARIES } from "./control_scenarios.ts";
 import { toOutput, toTable } from "./output.ts";
 import { toHtml } from "./report.ts";
 import { runScenario } from "./run.ts";
@@ -42,7 +42,9 @@
   const { values, positionals } = args;
   if (values.list) {
     for (const s of SCENARIOS) process.stdout.write(`${s.name.padEnd(16)}${s.summary}\n`);
-    for (const name of Object.keys(CONTROL_SCENARIOS)) process.stdout.write(`${name}\n`);
+    for (const [name, summary] of Object.entries(CONTROL_SUMMARIES)) {
+      process.stdout.write(`${name.padEnd(16)}${summary}\n`);
+    }
     return 0;
   }
   const [name, ...rest] = positionals;
--- a/packages/experiment/src/control_scenarios.ts
+++ b/packages/experiment/src/control_scenarios.ts
@@ -14,6 +14,12 @@
   readonly load?: number;
 }
 
+/** One line on each scenario, for `--list`. */
+export const CONTROL_SUMMARIES: Readonly<Record<string, string>> = {
+  zone: "a data centre goes out under load and comes back",
+  versions: "moves to good versions and to bad ones of each kind",
+};
+
 /** Scenarios by name; each runs all its variants. */
 export const CONTROL_SCENARIOS: Readonly<
   Record<
