Keep one fraction of an id and one check of a value's size; drop unused functions

FINISH_MARGIN_MS is now made of the parts that its comment named. Behaviour is the same; nextRevision, countSlowGaps and problemStatus had no caller.

--- a/packages/control/src/data_centre_gate.ts
+++ b/packages/control/src/data_centre_gate.ts
@@ -3,9 +3,9 @@
  *
  * @module
  */
-import { createHash } from "node:crypto";
 import { type Clock, type DataCentreId, raise, type Rng, type Undo } from "@wisteriapick/core";
 import type { ConfigView, DataCentre } from "./config_document.ts";
+import { fractionOf } from "./fraction.ts";
 import type { ConfigLog } from "./config_log.ts";
 import type { Lease } from "./lease.ts";
 
@@ -39,15 +39,11 @@
   for (const dc of view.dataCentres.values()) {
     const share = admittedShare(dc, wallMs);
     if (share === 1) continue;
-    if (share === 0 || fraction(`${dc.id}/${req}`) >= share) closed.add(dc.id);
+    if (share === 0 || fractionOf(`${dc.id}/${req}`) >= share) closed.add(dc.id);
   }
   return closed;
 }
 
-function fraction(text: string): number {
-  return createHash("sha256").update(text).digest().readUInt32BE(0) / 2 ** 32;
-}
-
 /** Data centres whose return is over and that should be set to `in`. */
 export function returnedCentres(view: ConfigView, wallMs: number): DataCentre[] {
   return [...view.dataCentres.values()].filter((dc) =>
--- a/packages/control/src/log_entry.ts
+++ b/packages/control/src/log_entry.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import { raise, type Revision, revision } from "@wisteriapick/core";
+import { raise, revision } from "@wisteriapick/core";
 import { decode, encode } from "cbor-x";
 import { z } from "zod";
 import { applyChanges, ChangeSchema } from "./changes.ts";
@@ -78,8 +78,3 @@
   const raw = decode(bytes) as { revision: number; doc: unknown };
   return indexConfig(ConfigDocumentSchema.parse(raw.doc), revision(raw.revision));
 }
-
-/** The revision after `r`. */
-export function nextRevision(r: Revision): Revision {
-  return revision(r + 1);
-}
--- a/packages/control/src/move_router.ts
+++ b/packages/control/src/move_router.ts
@@ -3,7 +3,6 @@
  *
  * @module
  */
-import { createHash } from "node:crypto";
 import type {
   Clock,
   EndpointId,
@@ -14,8 +13,9 @@
   VersionId,
 } from "@wisteriapick/core";
 import type { Evidence, EvidenceCell } from "@wisteriapick/wire";
+import { fractionOf } from "./fraction.ts";
 import type { ConfigSource, Move } from "./config_document.ts";
-import { MoveEvidence, SLOW_FIRST_TOKEN_MS, SLOW_GAP_MS } from "./move_evidence.ts";
+import { MoveEvidence, SLOW_FIRST_TOKEN_MS } from "./move_evidence.ts";
 import { MoveRule, versionOf } from "./move_rule.ts";
 
 /** Error rate at which one entry stops on its own evidence; a false stop costs only this entry's share. */
@@ -36,7 +36,7 @@
   readonly failed: boolean;
   readonly firstTokenMs?: number;
   readonly gaps?: number;
-  /** Gaps over {@link SLOW_GAP_MS}. */
+  /** Gaps over `SLOW_GAP_MS`. */
   readonly slowGaps?: number;
 }
 
@@ -48,8 +48,7 @@
 
 /** Uniform in [0, 1) from a request's id, so that its retries get the same version. */
 export function shareOf(move: MoveId, request: string): number {
-  const digest = createHash("sha256").update(`${move}/${request}`).digest();
-  return digest.readUInt32BE(0) / 2 ** 32;
+  return fractionOf(`${move}/${request}`);
 }
 
 /**
@@ -187,8 +186,3 @@
     });
   }
 }
-
-/** Counts gaps over the limit in a list of gaps, for callers that keep the list. */
-export function countSlowGaps(gapsMs: readonly number[]): number {
-  return gapsMs.filter((g) => g > SLOW_GAP_MS).length;
-}
--- a/packages/control/src/move_rule.ts
+++ b/packages/control/src/move_rule.ts
@@ -9,10 +9,10 @@
 import type { MoveId, VersionId } from "@wisteriapick/core";
 import type { ConfigView, Move } from "./config_document.ts";
 
-/** `finished` is written only this long before the deadline: 5 s propagation, 2 x 1 s clocks, 3 s slack. */
-export const FINISH_MARGIN_MS = 10_000;
 /** Largest difference between the clocks of two processes. */
 export const CLOCK_DIFFERENCE_MS = 1_000;
+/** `finished` is written only this long before the deadline: 5 s propagation, both clocks, 3 s slack. */
+export const FINISH_MARGIN_MS = 5_000 + 2 * CLOCK_DIFFERENCE_MS + 3_000;
 
 /** What a process does with a move's traffic. */
 export type MoveEffect =
--- a/packages/daemon/src/entry_versions.ts
+++ b/packages/daemon/src/entry_versions.ts
@@ -3,9 +3,8 @@
  *
  * @module
  */
-import { createHash } from "node:crypto";
 import type { RequestId, VersionId } from "@wisteriapick/core";
-import type { ConfigView, MoveRouter, Service } from "@wisteriapick/control";
+import { type ConfigView, type MoveRouter, type Service, shareOf } from "@wisteriapick/control";
 
 /** Chooses versions; the control package's moves plug in here. */
 export abstract class VersionChooser {
@@ -20,7 +19,7 @@
     let chosen = service.activeVersion;
     for (const move of view.moves.values()) {
       if (move.state !== "open" || move.service !== service.id || !usable.has(move.to)) continue;
-      if (fraction(`${move.id}/${req}`) < move.share) chosen = move.to;
+      if (shareOf(move.id, req) < move.share) chosen = move.to;
     }
     const order = [chosen, service.activeVersion].filter((v) => usable.has(v));
     return [...new Set(order)];
@@ -43,8 +42,3 @@
     return [...new Set(order)].filter((v) => usable.has(v));
   }
 }
-
-/** A number in [0, 1) that depends only on the text. */
-function fraction(text: string): number {
-  return createHash("sha256").update(text).digest().readUInt32BE(0) / 2 ** 32;
-}
--- a/packages/delivery/src/problem.ts
+++ b/packages/delivery/src/problem.ts
@@ -73,11 +73,6 @@
   readonly body: string;
 }
 
-/** The HTTP status of a refusal reason, for example 429 for `account_rate_limit`. */
-export function problemStatus(type: RefusalReason): number {
-  return STATUS[type];
-}
-
 /** The problem document of a refusal. */
 export function problemDocument(refusal: Refusal): ProblemDocument {
   return {
--- a/packages/platform/src/http_object_store.ts
+++ b/packages/platform/src/http_object_store.ts
@@ -7,7 +7,7 @@
  *
  * @module
  */
-import { raise, WpFailure } from "@wisteriapick/core";
+import { WpFailure } from "@wisteriapick/core";
 import {
   type HttpAnswer,
   type HttpCall,
@@ -17,8 +17,8 @@
   retryAfterMs,
 } from "./http_caller.ts";
 import {
-  MAX_VALUE_BYTES,
   ObjectStore,
+  requireValueSize,
   type StoredObject,
   type StoreListing,
   type WatchResult,
@@ -88,12 +88,7 @@
     value: Uint8Array,
     { ifVersion }: { ifVersion: number },
   ): Promise<number> {
-    if (value.byteLength > MAX_VALUE_BYTES) {
-      raise({
-        type: "store_value_too_large",
-        message: `${key}: ${value.byteLength} bytes exceed ${MAX_VALUE_BYTES}`,
-      });
-    }
+    requireValueSize(key, value);
     const headers = { "if-version": String(ifVersion), "content-type": "application/octet-stream" };
     const res = await this.#write({ method: "PUT", path: objectPath(key), headers, body: value });
     return parseJson<{ version: number }>(res.body, res.status).version;
--- a/packages/platform/src/object_store.ts
+++ b/packages/platform/src/object_store.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+import { raise } from "@wisteriapick/core";
+
 /** Largest value in bytes. */
 export const MAX_VALUE_BYTES = 1_000_000;
 
@@ -64,3 +66,10 @@
     options: { index: number; waitMs?: number; signal?: AbortSignal },
   ): Promise<WatchResult>;
 }
+
+/** Raises `store_value_too_large` for a value that no store takes. */
+export function requireValueSize(key: string, value: Uint8Array): void {
+  if (value.byteLength <= MAX_VALUE_BYTES) return;
+  const message = `${key}: ${value.byteLength} bytes exceed ${MAX_VALUE_BYTES}`;
+  raise({ type: "store_value_too_large", message });
+}
--- a/packages/standins/src/object_store.ts
+++ b/packages/standins/src/object_store.ts
@@ -5,8 +5,8 @@
  */
 import { type Clock, raise, SystemClock, type Undo } from "@wisteriapick/core";
 import {
-  MAX_VALUE_BYTES,
   ObjectStore,
+  requireValueSize,
   type StoredObject,
   type StoreEvent,
   type StoreListing,
@@ -150,12 +150,7 @@
     value: Uint8Array,
     { ifVersion }: { ifVersion: number },
   ): Promise<number> {
-    if (value.byteLength > MAX_VALUE_BYTES) {
-      raise({
-        type: "store_value_too_large",
-        message: `${key}: ${value.byteLength} bytes exceed ${MAX_VALUE_BYTES}`,
-      });
-    }
+    requireValueSize(key, value);
     const copy = Uint8Array.from(value);
     await this.#begin("put", this.#writes);
     return this.#write(() => this.#apply(key, copy, ifVersion));
