--- a/packages/bench/src/relay_entry.ts
+++ b/packages/bench/src/relay_entry.ts
@@ -21,7 +21,7 @@
   LinkRouter,
   PooledLinks,
 } from "@wisteriapick/daemon";
-import type { HostRecord } from "@wisteriapick/platform";
+import type { HostRecord } from "@wisteriapick/clients";
 import { type Address, formatAddress, LinkPool } from "@wisteriapick/wire";
 import { CpuMeter } from "./cpu.ts";
 import { LoadThread } from "./load_thread.ts";
--- a/packages/bench/src/spread_setup.ts
+++ b/packages/bench/src/spread_setup.ts
@@ -12,7 +12,7 @@
   type HostRecord,
   type HostSnapshot,
   type ObjectStore,
-} from "@wisteriapick/platform";
+} from "@wisteriapick/clients";
 import {
   type Identity,
   type LinkAcceptor,
--- a/packages/check/src/context.ts
+++ b/packages/check/src/context.ts
@@ -19,7 +19,7 @@
   type ProcessParts,
   type VersionChooser,
 } from "@wisteriapick/daemon";
-import type { HostList } from "@wisteriapick/platform";
+import type { HostList } from "@wisteriapick/clients";
 import type { Admission } from "@wisteriapick/policy";
 import type { EngineOptions, MemoryHostList, MemoryObjectStore } from "@wisteriapick/standins";
 import type { Identity } from "@wisteriapick/wire";
--- a/packages/check/src/memory_engine.ts
+++ b/packages/check/src/memory_engine.ts
@@ -25,7 +25,7 @@
   type EngineRequest,
   type EngineState,
   ModelEngine,
-} from "@wisteriapick/platform";
+} from "@wisteriapick/clients";
 import {
   countPromptTokens,
   drawOutputTokens,
--- a/packages/check/tests/mutants.ts
+++ b/packages/check/tests/mutants.ts
@@ -1,7 +1,7 @@
 import type { Undo } from "@wisteriapick/core";
 import { ConfigSource, type ConfigView } from "@wisteriapick/control";
 import { ConfiguredVersions } from "@wisteriapick/daemon";
-import { HostList, type HostSnapshot } from "@wisteriapick/platform";
+import { HostList, type HostSnapshot } from "@wisteriapick/clients";
 import { type AdmissionDecision, SideAdmission } from "@wisteriapick/policy";
 import type { Message } from "@wisteriapick/wire";
 import {
--- a/packages/control/src/config_log.ts
+++ b/packages/control/src/config_log.ts
@@ -13,7 +13,7 @@
   toWpError,
   WpFailure,
 } from "@wisteriapick/core";
-import type { ObjectStore } from "@wisteriapick/platform";
+import type { ObjectStore } from "@wisteriapick/clients";
 import { applyChanges, type Change } from "./changes.ts";
 import { ConfigState } from "./config_state.ts";
 import { type ChangeNote, decodeEntry, encodeEntry, type LogEntry } from "./log_entry.ts";
--- a/packages/control/src/control_process.ts
+++ b/packages/control/src/control_process.ts
@@ -11,7 +11,7 @@
   type Rng,
   type Undo,
 } from "@wisteriapick/core";
-import type { HostList, ObjectStore } from "@wisteriapick/platform";
+import type { HostList, ObjectStore } from "@wisteriapick/clients";
 import type { Identity, LinkPool } from "@wisteriapick/wire";
 import type { Change } from "./changes.ts";
 import { ConfigLog } from "./config_log.ts";
--- a/packages/control/src/lease.ts
+++ b/packages/control/src/lease.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { type Clock, type Fence, fence, type ProcessId, toWpError } from "@wisteriapick/core";
-import type { ObjectStore, StoredObject } from "@wisteriapick/platform";
+import type { ObjectStore, StoredObject } from "@wisteriapick/clients";
 import { decode, encode } from "cbor-x";
 
 const LEASE_PREFIX = "leases/";
--- a/packages/control/src/membership.ts
+++ b/packages/control/src/membership.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Clock, Undo } from "@wisteriapick/core";
-import type { HostRecord, HostSnapshot } from "@wisteriapick/platform";
+import type { HostRecord, HostSnapshot } from "@wisteriapick/clients";
 import type { SpreadMember } from "./tree.ts";
 
 /** A process that cannot be reached is left out this long, unless it is heard from. */
--- a/packages/control/src/move_duty.ts
+++ b/packages/control/src/move_duty.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Clock, ProcessId, Rng, ServiceId, Undo } from "@wisteriapick/core";
-import type { ObjectStore } from "@wisteriapick/platform";
+import type { ObjectStore } from "@wisteriapick/clients";
 import type { Evidence, Order, OrderDone } from "@wisteriapick/wire";
 import type { ConfigView } from "./config_document.ts";
 import type { ConfigLog } from "./config_log.ts";
--- a/packages/control/src/operator_status.ts
+++ b/packages/control/src/operator_status.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { type Clock, type Revision, revision } from "@wisteriapick/core";
-import type { ObjectStore } from "@wisteriapick/platform";
+import type { ObjectStore } from "@wisteriapick/clients";
 import type { ConfigView, Move } from "./config_document.ts";
 import type { ConfigState } from "./config_state.ts";
 import type { EndpointStatus, FleetSource, ProcessStatus } from "./fleet_report.ts";
--- a/packages/control/src/plan_book.ts
+++ b/packages/control/src/plan_book.ts
@@ -13,7 +13,7 @@
   type Rng,
   WpFailure,
 } from "@wisteriapick/core";
-import type { ObjectStore } from "@wisteriapick/platform";
+import type { ObjectStore } from "@wisteriapick/clients";
 import { decode, encode } from "cbor-x";
 import { applyChanges } from "./changes.ts";
 import type { ConfigLog } from "./config_log.ts";
--- a/packages/control/src/snapshot_store.ts
+++ b/packages/control/src/snapshot_store.ts
@@ -5,7 +5,7 @@
  */
 import { createHash } from "node:crypto";
 import { type Revision, revision, toWpError } from "@wisteriapick/core";
-import type { ObjectStore } from "@wisteriapick/platform";
+import type { ObjectStore } from "@wisteriapick/clients";
 import { decode, encode } from "cbor-x";
 import type { ConfigView } from "./config_document.ts";
 import { encodeSnapshot } from "./log_entry.ts";
--- a/packages/control/src/store_watcher.ts
+++ b/packages/control/src/store_watcher.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { type Clock, type Rng, toWpError, type Undo, type WpError } from "@wisteriapick/core";
-import type { ObjectStore } from "@wisteriapick/platform";
+import type { ObjectStore } from "@wisteriapick/clients";
 import { ConfigLog, LOG_PREFIX } from "./config_log.ts";
 import { ConfigState } from "./config_state.ts";
 import { decodeEntry } from "./log_entry.ts";
--- a/packages/control/src/watcher_duty.ts
+++ b/packages/control/src/watcher_duty.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Clock, ProcessId, Rng, Undo } from "@wisteriapick/core";
-import type { ObjectStore } from "@wisteriapick/platform";
+import type { ObjectStore } from "@wisteriapick/clients";
 import { Lease, LEASE_TTL_MS } from "./lease.ts";
 import type { SpreadNode } from "./spread_node.ts";
 import { StoreWatcher } from "./store_watcher.ts";
--- a/packages/control/tests/fixtures.ts
+++ b/packages/control/tests/fixtures.ts
@@ -17,7 +17,7 @@
   type StoreEvent,
   type StoreListing,
   type WatchResult,
-} from "@wisteriapick/platform";
+} from "@wisteriapick/clients";
 import { type Change, type ChangeNote, ChangeSchema, ConfigLog } from "../src/mod.ts";
 
 /** What happens to the next write: lost before or after it took effect, or answered as unavailable. */
--- a/packages/core/src/ids.ts
+++ b/packages/core/src/ids.ts
@@ -32,6 +32,8 @@
 export type GenerationId = Brand<string, "GenerationId">;
 /** One request as received from a caller. */
 export type RequestId = Brand<string, "RequestId">;
+/** A route from callers' paths to services. */
+export type RouteId = Brand<string, "RouteId">;
 /** One running process of this system; a restarted process has a new id. */
 export type ProcessId = Brand<string, "ProcessId">;
 /** A revision of the configuration: 0 is the empty configuration, each accepted change adds 1. */
@@ -79,6 +81,8 @@
 export const generationId: (s: string) => GenerationId = makeId<GenerationId>("generation id");
 /** Checks the syntax of a request id, for example `requestId("r-01")`. */
 export const requestId: (s: string) => RequestId = makeId<RequestId>("request id");
+/** Checks the syntax of a route id, for example `routeId("drafts")`. */
+export const routeId: (s: string) => RouteId = makeId<RouteId>("route id");
 /** Checks the syntax of a process id, for example `processId("entry-1.a8f0")`. */
 export const processId: (s: string) => ProcessId = makeId<ProcessId>("process id");
 
--- a/packages/daemon/src/claim_sweep.ts
+++ b/packages/daemon/src/claim_sweep.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock, ProcessId, Rng, Undo } from "@wisteriapick/core";
 import { Lease, LEASE_TTL_MS } from "@wisteriapick/control";
-import type { ObjectStore } from "@wisteriapick/platform";
+import type { ObjectStore } from "@wisteriapick/clients";
 import { IdempotencyClaims } from "./idempotency.ts";
 
 const SWEEP_EVERY_MS = 600_000;
--- a/packages/daemon/src/directory.ts
+++ b/packages/daemon/src/directory.ts
@@ -13,7 +13,7 @@
   type Undo,
   type World,
 } from "@wisteriapick/core";
-import type { HostList, HostSnapshot } from "@wisteriapick/platform";
+import type { HostList, HostSnapshot } from "@wisteriapick/clients";
 
 /** One endpoint that has a side. */
 export interface DirectoryEntry {
--- a/packages/daemon/src/entry_options.ts
+++ b/packages/daemon/src/entry_options.ts
@@ -5,7 +5,7 @@
  */
 import type { Logger, Metrics, Rng, World } from "@wisteriapick/core";
 import type { ConfigSource, Outcome } from "@wisteriapick/control";
-import type { ObjectStore } from "@wisteriapick/platform";
+import type { ObjectStore } from "@wisteriapick/clients";
 import type { LengthEstimator, Placement, Quarantine } from "@wisteriapick/policy";
 import type { Identity } from "@wisteriapick/wire";
 import type { AccountGate } from "./account_gate.ts";
--- a/packages/daemon/src/fleet_view.ts
+++ b/packages/daemon/src/fleet_view.ts
@@ -11,7 +11,7 @@
   type ProcessStatus,
   surveyRevisions,
 } from "@wisteriapick/control";
-import type { HostRecord } from "@wisteriapick/platform";
+import type { HostRecord } from "@wisteriapick/clients";
 import type { EndpointLoad, LinkPool } from "@wisteriapick/wire";
 import type { LinkRouter } from "./link_router.ts";
 
--- a/packages/daemon/src/idempotency.ts
+++ b/packages/daemon/src/idempotency.ts
@@ -12,7 +12,7 @@
   toWpError,
   type WpError,
 } from "@wisteriapick/core";
-import type { ObjectStore, StoredObject } from "@wisteriapick/platform";
+import type { ObjectStore, StoredObject } from "@wisteriapick/clients";
 import { z } from "zod";
 import type { HeaderList } from "./http_headers.ts";
 
--- a/packages/daemon/src/process_parts.ts
+++ b/packages/daemon/src/process_parts.ts
@@ -14,7 +14,7 @@
   type Undo,
 } from "@wisteriapick/core";
 import { ControlProcess, memberKey } from "@wisteriapick/control";
-import type { HostList, ObjectStore } from "@wisteriapick/platform";
+import type { HostList, ObjectStore } from "@wisteriapick/clients";
 import {
   formatAddress,
   type Identity,
--- a/packages/daemon/src/side.ts
+++ b/packages/daemon/src/side.ts
@@ -18,7 +18,7 @@
 } from "@wisteriapick/core";
 import type { ConfigSource } from "@wisteriapick/control";
 import type { GenerationLogStoreOptions } from "@wisteriapick/delivery";
-import type { ModelEngine } from "@wisteriapick/platform";
+import type { ModelEngine } from "@wisteriapick/clients";
 import type { Admission, AdmissionAction, Quarantine } from "@wisteriapick/policy";
 import type { EndpointLoad, Identity, LoadReport, SuspectReport } from "@wisteriapick/wire";
 import type { Dispatcher } from "undici";
--- a/packages/daemon/src/side_generation.ts
+++ b/packages/daemon/src/side_generation.ts
@@ -13,7 +13,7 @@
   type Undo,
 } from "@wisteriapick/core";
 import type { GenerationLog } from "@wisteriapick/delivery";
-import type { EngineEvent, EngineRequest, ModelEngine } from "@wisteriapick/platform";
+import type { EngineEvent, EngineRequest, ModelEngine } from "@wisteriapick/clients";
 import type { EndpointLoad, Fail, LinkStream, StreamHandler } from "@wisteriapick/wire";
 import { Follower, type GenerationEnd, MAX_TOKEN_CHARS } from "./side_follower.ts";
 import { failOnSilence } from "./silence.ts";
--- a/packages/daemon/src/side_generations.ts
+++ b/packages/daemon/src/side_generations.ts
@@ -17,7 +17,7 @@
   GenerationLogStore,
   type GenerationLogStoreOptions,
 } from "@wisteriapick/delivery";
-import type { ModelEngine } from "@wisteriapick/platform";
+import type { ModelEngine } from "@wisteriapick/clients";
 import type { AdmissionAction, AdmissionRequest } from "@wisteriapick/policy";
 import type {
   Fail,
--- a/packages/daemon/src/side_orders.ts
+++ b/packages/daemon/src/side_orders.ts
@@ -14,7 +14,7 @@
   versionId,
 } from "@wisteriapick/core";
 import { FenceGate } from "@wisteriapick/control";
-import type { EngineState, ModelEngine } from "@wisteriapick/platform";
+import type { EngineState, ModelEngine } from "@wisteriapick/clients";
 import type { LinkStream, Message, Order, StreamHandler } from "@wisteriapick/wire";
 import { IGNORE_STREAM } from "./side_context.ts";
 
--- a/packages/daemon/src/side_process.ts
+++ b/packages/daemon/src/side_process.ts
@@ -5,7 +5,7 @@
  */
 import { type EndpointId, fence, type ServiceId, type Undo, World } from "@wisteriapick/core";
 import { driverDuty, readLeaseFence } from "@wisteriapick/control";
-import type { ModelEngine } from "@wisteriapick/platform";
+import type { ModelEngine } from "@wisteriapick/clients";
 import { Quarantine, SideAdmission, type SideAdmissionOptions } from "@wisteriapick/policy";
 import { FixedAdmission } from "./fixed_admission.ts";
 import { makeProcessParts, type ProcessOptions, type ProcessParts } from "./process_parts.ts";
--- a/packages/daemon/src/standins_process.ts
+++ b/packages/daemon/src/standins_process.ts
@@ -5,7 +5,7 @@
  */
 import { type Clock, type EndpointId, Rng, SystemClock } from "@wisteriapick/core";
 import { type Change, type ConfigDocument, ConfigLog } from "@wisteriapick/control";
-import type { ObjectStore } from "@wisteriapick/platform";
+import type { ObjectStore } from "@wisteriapick/clients";
 import {
   EngineStandin,
   MemoryHostList,
--- a/packages/daemon/src/start.ts
+++ b/packages/daemon/src/start.ts
@@ -5,7 +5,7 @@
  */
 import { randomBytes, randomInt } from "node:crypto";
 import { type Clock, createLogger, type Logger, processId, SystemClock } from "@wisteriapick/core";
-import { HttpHostList, HttpModelEngine, HttpObjectStore } from "@wisteriapick/platform";
+import { HttpHostList, HttpModelEngine, HttpObjectStore } from "@wisteriapick/clients";
 import { EntryProcess, type EntryProcessOptions } from "./entry_process.ts";
 import { parseAddress } from "@wisteriapick/wire";
 import type { ProcessOptions } from "./process_parts.ts";
--- a/packages/daemon/tests/fake_engine.ts
+++ b/packages/daemon/tests/fake_engine.ts
@@ -13,7 +13,7 @@
   type EngineRequest,
   type EngineState,
   ModelEngine,
-} from "@wisteriapick/platform";
+} from "@wisteriapick/clients";
 
 interface FakeGeneration {
   readonly req: EngineRequest;
--- a/packages/daemon/tests/fixtures.ts
+++ b/packages/daemon/tests/fixtures.ts
@@ -24,7 +24,7 @@
   indexConfig,
   StaticConfigSource,
 } from "@wisteriapick/control";
-import type { HostRecord, ModelEngine } from "@wisteriapick/platform";
+import type { HostRecord, ModelEngine } from "@wisteriapick/clients";
 import {
   type Address,
   type Call,
--- a/packages/daemon/tests/full_chain_test.ts
+++ b/packages/daemon/tests/full_chain_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { after, test } from "node:test";
 import { dataCentreId, Rng } from "@wisteriapick/core";
-import { HttpModelEngine } from "@wisteriapick/platform";
+import { HttpModelEngine } from "@wisteriapick/clients";
 import { Quarantine, SideAdmission, SubsetPlacement } from "@wisteriapick/policy";
 import { drawOutputTokens, EngineStandin, expectedText } from "@wisteriapick/standins";
 import { Fleet, makeConfig } from "./fixtures.ts";
--- a/packages/daemon/tests/reports_test.ts
+++ b/packages/daemon/tests/reports_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { after, test } from "node:test";
 import { type EndpointId, ManualClock, World } from "@wisteriapick/core";
-import type { CacheEvent, HostRecord } from "@wisteriapick/platform";
+import type { CacheEvent, HostRecord } from "@wisteriapick/clients";
 import type { LoadView } from "@wisteriapick/policy";
 import type { Link, LinkPool } from "@wisteriapick/wire";
 import { Directory, LeastInFlightPlacement, PooledLinks } from "../src/mod.ts";
--- a/packages/daemon/tests/streams_test.ts
+++ b/packages/daemon/tests/streams_test.ts
@@ -3,7 +3,7 @@
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
 import { after, test } from "node:test";
-import type { EngineEvent } from "@wisteriapick/platform";
+import type { EngineEvent } from "@wisteriapick/clients";
 import { MAX_FRAME_BYTES } from "@wisteriapick/wire";
 import { request } from "undici";
 import { CLIENT_KEY, FakeEngine, Fleet, until } from "./fixtures.ts";
--- /dev/null
+++ b/packages/gateway/src/config/route_table.ts
@@ -0,0 +1,92 @@
+/**
+ * Routes and keys of one configuration, compiled for look-up.
+ *
+ * @module
+ */
+import type { ServiceId } from "@wisteriapick/core";
+import type { AccountConfig, GatewayConfig, RouteConfig, ServiceConfig } from "./types.ts";
+
+/** A prefix tree over path segments: a look-up costs one step a segment, however many routes there are. */
+interface Segment {
+  route: RouteConfig | null;
+  readonly children: Map<string, Segment>;
+}
+
+/**
+ * Look-ups in one configuration.
+ *
+ * @example
+ * ```ts
+ * const table = new RouteTable(cfg);
+ * const route = table.find("shop.example", "/orders/7?x=1");
+ * ```
+ */
+export class RouteTable {
+  readonly config: GatewayConfig;
+  readonly #hosts = new Map<string, Segment>();
+  readonly #services = new Map<ServiceId, ServiceConfig>();
+  readonly #accountsByKey = new Map<string, AccountConfig>();
+
+  constructor(config: GatewayConfig) {
+    this.config = config;
+    for (const route of config.routes) this.#add(route);
+    for (const service of config.services) this.#services.set(service.id, service);
+    for (const account of config.accounts) {
+      for (const key of account.keys) this.#accountsByKey.set(key, account);
+    }
+  }
+
+  /** The route with the longest prefix of the path of `target`, which may carry a query. */
+  find(hostname: string, target: string): RouteConfig | null {
+    let segment = this.#hosts.get(normalizeHostname(hostname));
+    if (segment === undefined) return null;
+    const query = target.indexOf("?");
+    const path = query < 0 ? target : target.slice(0, query);
+    let found = segment.route;
+    // Prefixes end with a slash, so only whole segments that a slash follows can match.
+    let start = 1;
+    for (;;) {
+      const slash = path.indexOf("/", start);
+      if (slash < 0) return found;
+      segment = segment.children.get(path.slice(start, slash));
+      if (segment === undefined) return found;
+      if (segment.route !== null) found = segment.route;
+      start = slash + 1;
+    }
+  }
+
+  service(id: ServiceId): ServiceConfig | null {
+    return this.#services.get(id) ?? null;
+  }
+
+  /** The account that holds a key, or `null`. */
+  accountOf(key: string): AccountConfig | null {
+    return this.#accountsByKey.get(key) ?? null;
+  }
+
+  #add(route: RouteConfig): void {
+    const hostname = normalizeHostname(route.hostname);
+    let segment = childOf(this.#hosts, hostname);
+    for (const name of route.pathPrefix.split("/").slice(1, -1)) {
+      segment = childOf(segment.children, name);
+    }
+    segment.route = route;
+  }
+}
+
+/** The segment under a name, made where there is none. */
+function childOf(children: Map<string, Segment>, name: string): Segment {
+  let child = children.get(name);
+  if (child === undefined) {
+    child = { route: null, children: new Map() };
+    children.set(name, child);
+  }
+  return child;
+}
+
+/** Host names are compared without case and port. */
+function normalizeHostname(hostname: string): string {
+  const colon = hostname.lastIndexOf(":");
+  const bare = colon > hostname.lastIndexOf("]") ? hostname.slice(0, colon) : hostname;
+  return bare.toLowerCase();
+}
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,196 @@
+/**
+ * One gateway process: follows the store, serves callers and stops in order.
+ *
+ * @module
+ */
+import { type Clock, type DataCentreId, type RegionId, type Rng, type Undo } from "@wisteriapick/core";
+import { ColdLimiter, RetryBudget } from "@wisteriapick/policy";
+import type { DecisionLog } from "./observe/decision_log.ts";
+import type { GatewayMetrics } from "./observe/metrics.ts";
+import { EngineDispatcher } from "./relay/engine_dispatcher.ts";
+import type { RelayContext } from "./relay/context.ts";
+import { Relay } from "./relay/relay.ts";
+import type { GatewaySettings } from "./settings.ts";
+import { Fleet } from "./state/fleet.ts";
+import type { StateStore } from "./state/state_store.ts";
+import { StoreFollower } from "./state/store_follower.ts";
+import { StoreView } from "./state/store_view.ts";
+import type { CallerDialect } from "./surface/caller_dialect.ts";
+import { ForwardSurface } from "./surface/forward_surface.ts";
+import { PlainServer } from "./surface/plain_server.ts";
+import type { EndpointDialect } from "./upstream/dialect.ts";
+import { Upstreams } from "./upstream/endpoint.ts";
+
+/** Options of {@link Gateway}. */
+export interface GatewayOptions {
+  readonly settings: GatewaySettings;
+  readonly regionOf: (dataCentre: DataCentreId) => RegionId | null;
+  readonly store: StateStore;
+  readonly metrics: GatewayMetrics;
+  readonly callerDialect: CallerDialect;
+  readonly endpointDialect: EndpointDialect;
+  readonly clock: Clock;
+  readonly rng: Rng;
+  readonly log: DecisionLog;
+}
+
+/** Interval of everything that is checked from time to time, in milliseconds. */
+const TICK_MS = 20;
+/** Part of the grace after which open connections are closed, so that the last answers still leave. */
+const CLOSE_MARGIN_MS = 300;
+
+/**
+ * See the module comment.
+ *
+ * @example
+ * ```ts
+ * const gateway = new Gateway(options);
+ * await gateway.start();
+ * await gateway.stop();
+ * ```
+ */
+export class Gateway {
+  readonly #options: GatewayOptions;
+  readonly #fleet: Fleet;
+  readonly #follower: StoreFollower;
+  readonly #upstreams: Upstreams;
+  readonly #dispatcher: EngineDispatcher;
+  readonly #relay: Relay;
+  readonly #surface: ForwardSurface;
+  readonly #servers: PlainServer[] = [];
+  readonly #budget: RetryBudget;
+  readonly #coldLimiter: ColdLimiter;
+  #stoppingSinceMs: number | null = null;
+  #stopTick: Undo = () => {};
+
+  constructor(options: GatewayOptions) {
+    this.#options = options;
+    const { settings, clock, rng, log, store, metrics } = options;
+    const view = new StoreView();
+    this.#follower = new StoreFollower({ store, view, clock, rng: rng.fork("store"), log });
+    this.#fleet = new Fleet({
+      view,
+      clock,
+      log,
+      regionOf: options.regionOf,
+      outage: () => this.#follower.outage,
+    });
+    this.#upstreams = new Upstreams(this.#fleet);
+    this.#budget = new RetryBudget(retryOptions(settings.bounds));
+    this.#coldLimiter = new ColdLimiter(coldOptions(settings.bounds));
+    const ctx: RelayContext = {
+      clock,
+      rng: rng.fork("relay"),
+      log,
+      metrics,
+      dataCentre: settings.data_centre,
+      fleet: this.#fleet,
+      upstreams: this.#upstreams,
+      dialect: options.endpointDialect,
+      budget: this.#budget,
+      coldLimiter: this.#coldLimiter,
+      gateways: () => 4,
+    };
+    this.#dispatcher = new EngineDispatcher(ctx, {
+      onPlaced: () => {},
+      onOver: () => {},
+      onLost: () => false,
+    });
+    this.#relay = new Relay({
+      ctx,
+      dispatcher: this.#dispatcher,
+      remainingMs: () => this.#remainingMs(),
+    });
+    this.#surface = new ForwardSurface({
+      address: settings.listen.callers,
+      dialect: options.callerDialect,
+      handler: this.#relay,
+      clock,
+      log,
+    });
+    this.#fleet.registerConfigListener(() => this.#surface.applyLimits(this.#relay.limits()));
+    this.#servers.push(
+      new PlainServer(settings.listen.readiness, {
+        [options.callerDialect.readyPath]: () => ({ status: this.#isReady ? 200 : 503 }),
+      }),
+    );
+    const { metrics: metricsAddress } = settings.listen;
+    if (metricsAddress !== undefined) {
+      this.#servers.push(
+        new PlainServer(metricsAddress, {
+          [settings.metrics_path]: async () => ({
+            status: 200,
+            contentType: metrics.registry.contentType,
+            body: await metrics.text(),
+          }),
+        }),
+      );
+    }
+  }
+
+  /** Serves. Rejects where an address cannot be bound. */
+  async start(): Promise<void> {
+    this.#follower.start();
+    await Promise.all([this.#surface.listen(), ...this.#servers.map((s) => s.listen())]);
+    this.#stopTick = this.#options.clock.setRepeating(TICK_MS, () => this.#tick());
+    this.#options.log.state("started", { name: this.#options.settings.name, callers: this.#surface.address });
+  }
+
+  /** Takes over settings that may change while the process runs. */
+  reconfigure({ bounds }: GatewaySettings): void {
+    this.#budget.configure(retryOptions(bounds));
+    this.#coldLimiter.configure(coldOptions(bounds));
+  }
+
+  /**
+   * Stops in order: reports itself not ready, answers what is under way, then closes. Resolves within the grace.
+   */
+  async stop(): Promise<void> {
+    const { clock, log, settings } = this.#options;
+    this.#stoppingSinceMs = clock.now();
+    log.state("stopping", { active: this.#surface.active });
+    this.#surface.drain();
+    const until = clock.now() + settings.bounds.grace_ms - CLOSE_MARGIN_MS;
+    while (clock.now() < until && !this.#isIdle()) await clock.sleep(TICK_MS);
+    log.state("stopped", { active: this.#surface.active });
+    this.#surface.destroy();
+    this.#follower.stop();
+    this.#stopTick();
+    for (const server of this.#servers) server.close();
+    this.#upstreams.close();
+    await this.#options.store.close();
+  }
+
+  /** Callers may still be sent here for some seconds after the gateway has said that it is not ready. */
+  #isIdle(): boolean {
+    return this.#surface.active === 0 && this.#remainingMs()! < this.#options.settings.bounds.grace_ms / 2;
+  }
+
+  #remainingMs(): number | null {
+    if (this.#stoppingSinceMs === null) return null;
+    const { clock, settings } = this.#options;
+    return this.#stoppingSinceMs + settings.bounds.grace_ms - CLOSE_MARGIN_MS - clock.now();
+  }
+
+  get #isReady(): boolean {
+    return this.#stoppingSinceMs === null && this.#fleet.routes !== null &&
+      this.#fleet.endpoints.size > 0;
+  }
+
+  #tick(): void {
+    this.#fleet.tick();
+    this.#dispatcher.tick();
+  }
+}
+
+function retryOptions(bounds: GatewaySettings["bounds"]) {
+  return {
+    ratio: bounds.retry_ratio,
+    windowMs: bounds.retry_window_ms,
+    extra: bounds.retry_extra,
+  };
+}
+
+function coldOptions(bounds: GatewaySettings["bounds"]) {
+  return { rateFactor: bounds.cold_rate_factor, slack: bounds.cold_slack };
+}
--- /dev/null
+++ b/packages/gateway/src/mod.ts
@@ -0,0 +1,20 @@
+/**
+ * The gateway: everything between callers and endpoints, apart from the names that a platform uses on the wire.
+ *
+ * @module
+ */
+export * from "./config/route_table.ts";
+export * from "./config/types.ts";
+export * from "./gateway.ts";
+export * from "./observe/decision_log.ts";
+export * from "./observe/metrics.ts";
+export * from "./relay/inbound.ts";
+export * from "./relay/relay.ts";
+export * from "./state/fleet.ts";
+export * from "./state/state_store.ts";
+export * from "./state/store_follower.ts";
+export * from "./state/store_view.ts";
+export * from "./surface/caller_dialect.ts";
+export * from "./upstream/connection.ts";
+export * from "./upstream/dialect.ts";
+export * from "./settings.ts";
--- /dev/null
+++ b/packages/gateway/src/observe/metrics.ts
@@ -0,0 +1,115 @@
+/**
+ * Counters and latency histograms of a gateway.
+ *
+ * @module
+ */
+import type { RefusalReason } from "@wisteriapick/core";
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+
+/** How a caller's request ended. */
+export type RequestOutcome = "answered" | "endpoint_failure" | "rejected" | "cut" | "caller_left";
+
+/** Upper bounds of latency buckets, in seconds: from the fastest plain call to the longest generation. */
+const LATENCY_BUCKETS_S = [0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 20, 40];
+/** Upper bounds of buckets for gaps between events, in seconds. */
+const GAP_BUCKETS_S = [0.02, 0.04, 0.06, 0.08, 0.1, 0.14, 0.18, 0.25, 0.5, 1, 2];
+
+/** The metrics of one gateway process. */
+export class GatewayMetrics {
+  readonly registry = new Registry();
+  readonly #requests: Counter<"route" | "outcome">;
+  readonly #rejections: Counter<"reason">;
+  readonly #attempts: Counter<"outcome">;
+  readonly #repeats: Counter<"reason">;
+  readonly #copies: Counter<"outcome">;
+  readonly #storeCalls: Counter<"call" | "outcome">;
+  readonly #latency: Histogram<"route">;
+  readonly #firstEvent: Histogram<"route">;
+  readonly #gaps: Histogram<string>;
+  readonly #waiting: Gauge<string>;
+  readonly #running: Gauge<string>;
+
+  constructor() {
+    const registers = [this.registry];
+    const counter = <L extends string>(name: string, help: string, labelNames: L[]) =>
+      new Counter<L>({ name: `wisteriapick_${name}`, help, labelNames, registers });
+    this.#requests = counter("requests_total", "Requests by route and outcome", [
+      "route",
+      "outcome",
+    ]);
+    this.#rejections = counter("rejections_total", "Requests answered by the gateway itself", [
+      "reason",
+    ]);
+    this.#attempts = counter("attempts_total", "Requests sent to endpoints", ["outcome"]);
+    this.#repeats = counter("repeats_total", "Requests sent once more", ["reason"]);
+    this.#copies = counter("run_copies_total", "Copies of running requests", ["outcome"]);
+    this.#storeCalls = counter("store_calls_total", "Calls to the store", ["call", "outcome"]);
+    this.#latency = new Histogram({
+      name: "wisteriapick_request_seconds",
+      help: "Time from arrival to the end of the answer",
+      labelNames: ["route"],
+      buckets: LATENCY_BUCKETS_S,
+      registers,
+    });
+    this.#firstEvent = new Histogram({
+      name: "wisteriapick_first_event_seconds",
+      help: "Time from arrival to the first event of a stream",
+      labelNames: ["route"],
+      buckets: LATENCY_BUCKETS_S,
+      registers,
+    });
+    this.#gaps = new Histogram({
+      name: "wisteriapick_event_gap_seconds",
+      help: "Longest gap between events of a stream",
+      buckets: GAP_BUCKETS_S,
+      registers,
+    });
+    const gauge = (name: string, help: string) =>
+      new Gauge({ name: `wisteriapick_${name}`, help, registers });
+    this.#waiting = gauge("waiting_requests", "Requests that wait for an engine");
+    this.#running = gauge("running_streams", "Streams under way");
+  }
+
+  countRequest(route: string, outcome: RequestOutcome, ms: number): void {
+    this.#requests.inc({ route, outcome });
+    this.#latency.observe({ route }, ms / 1_000);
+  }
+
+  countRejection(reason: RefusalReason): void {
+    this.#rejections.inc({ reason });
+  }
+
+  countAttempt(outcome: string): void {
+    this.#attempts.inc({ outcome });
+  }
+
+  countRepeat(reason: string): void {
+    this.#repeats.inc({ reason });
+  }
+
+  countCopy(outcome: string): void {
+    this.#copies.inc({ outcome });
+  }
+
+  countStoreCall(call: string, outcome: string): void {
+    this.#storeCalls.inc({ call, outcome });
+  }
+
+  observeFirstEvent(route: string, ms: number): void {
+    this.#firstEvent.observe({ route }, ms / 1_000);
+  }
+
+  observeLongestGap(ms: number): void {
+    this.#gaps.observe(ms / 1_000);
+  }
+
+  setEngineLoad(waiting: number, running: number): void {
+    this.#waiting.set(waiting);
+    this.#running.set(running);
+  }
+
+  /** The metrics in the text format of Prometheus. */
+  text(): Promise<string> {
+    return this.registry.metrics();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/relay/context.ts
@@ -0,0 +1,28 @@
+/**
+ * What the parts of the relay share.
+ *
+ * @module
+ */
+import type { Clock, DataCentreId, Rng } from "@wisteriapick/core";
+import type { ColdLimiter, RetryBudget } from "@wisteriapick/policy";
+import type { DecisionLog } from "../observe/decision_log.ts";
+import type { GatewayMetrics } from "../observe/metrics.ts";
+import type { Fleet } from "../state/fleet.ts";
+import type { EndpointDialect } from "../upstream/dialect.ts";
+import type { Upstreams } from "../upstream/endpoint.ts";
+
+/** What the parts of the relay share. */
+export interface RelayContext {
+  readonly clock: Clock;
+  readonly rng: Rng;
+  readonly log: DecisionLog;
+  readonly metrics: GatewayMetrics;
+  readonly dataCentre: DataCentreId;
+  readonly fleet: Fleet;
+  readonly upstreams: Upstreams;
+  readonly dialect: EndpointDialect;
+  readonly budget: RetryBudget;
+  readonly coldLimiter: ColdLimiter;
+  /** Gateways that share budgets with this one, itself included. */
+  gateways(): number;
+}
--- /dev/null
+++ b/packages/gateway/src/relay/event_reader.ts
@@ -0,0 +1,119 @@
+/**
+ * Cuts the body of a stream into whole server-sent events and checks that their ids rise by one.
+ *
+ * @module
+ */
+
+/** Whole events in the bytes read so far. */
+export interface EventBatch {
+  /** The events' bytes, unchanged; empty where no event is whole yet. */
+  readonly bytes: Buffer;
+  readonly count: number;
+}
+
+/** Why a stream cannot be passed on. */
+export type StreamFault = "event_missing" | "event_without_id" | "event_too_large";
+
+const LF = 0x0a;
+const EMPTY = Buffer.alloc(0);
+/** Bytes of one event above which a stream is given up; an engine's events hold a few tokens. */
+const MAX_EVENT_BYTES = 262_144;
+const ID_FIELD = "id:";
+
+/**
+ * Reads one stream. Events with ids that were passed on before are dropped, so that a run that goes on elsewhere
+ * brings each event once.
+ *
+ * @example
+ * ```ts
+ * const reader = new EventReader(0);
+ * const batch = reader.push(Buffer.from("id: 1\ndata: a\n\n"));
+ * ```
+ */
+export class EventReader {
+  #rest: Buffer = EMPTY;
+  #lastId: number;
+  #fault: StreamFault | null = null;
+
+  /** `lastId` is the id of the last event that the caller has. */
+  constructor(lastId: number) {
+    this.#lastId = lastId;
+  }
+
+  get lastId(): number {
+    return this.#lastId;
+  }
+
+  get fault(): StreamFault | null {
+    return this.#fault;
+  }
+
+  /** Whether bytes of an event that is not whole are held. */
+  get hasPartialEvent(): boolean {
+    return this.#rest.length > 0;
+  }
+
+  /** Takes the next bytes and returns the events that are whole now. Nothing is returned after a fault. */
+  push(chunk: Buffer): EventBatch {
+    if (this.#fault !== null) return { bytes: EMPTY, count: 0 };
+    const buf = this.#rest.length === 0 ? chunk : Buffer.concat([this.#rest, chunk]);
+    const parts: Buffer[] = [];
+    let start = 0;
+    let count = 0;
+    for (;;) {
+      const end = eventEnd(buf, start);
+      if (end < 0) break;
+      const isNew = this.#accept(buf, start, end);
+      if (this.#fault !== null) break;
+      if (isNew) {
+        parts.push(buf.subarray(start, end));
+        count++;
+      }
+      start = end;
+    }
+    this.#rest = start === buf.length ? EMPTY : buf.subarray(start);
+    if (this.#rest.length > MAX_EVENT_BYTES) this.#fault = "event_too_large";
+    return { bytes: parts.length === 1 ? parts[0]! : Buffer.concat(parts), count };
+  }
+
+  /** Returns whether the event is new to the caller. */
+  #accept(buf: Buffer, start: number, end: number): boolean {
+    const id = eventId(buf, start, end);
+    if (id === null) {
+      this.#fault = "event_without_id";
+      return false;
+    }
+    if (id <= this.#lastId) return false;
+    if (id !== this.#lastId + 1) {
+      this.#fault = "event_missing";
+      return false;
+    }
+    this.#lastId = id;
+    return true;
+  }
+}
+
+/** Position after the blank line that ends the event at `start`, or -1. */
+function eventEnd(buf: Buffer, start: number): number {
+  let at = start;
+  for (;;) {
+    at = buf.indexOf(LF, at);
+    if (at < 0 || at + 1 >= buf.length) return -1;
+    if (buf[at + 1] === LF) return at + 2;
+    at++;
+  }
+}
+
+/** The number in the event's `id` field, or `null`. */
+function eventId(buf: Buffer, start: number, end: number): number | null {
+  let line = start;
+  while (line < end) {
+    const lineEnd = buf.indexOf(LF, line);
+    if (buf.toString("latin1", line, line + ID_FIELD.length) === ID_FIELD) {
+      const text = buf.toString("latin1", line + ID_FIELD.length, lineEnd).trim();
+      return /^\d{1,15}$/.test(text) ? Number(text) : null;
+    }
+    line = lineEnd + 1;
+  }
+  return null;
+}
--- /dev/null
+++ b/packages/gateway/src/relay/service_choice.ts
@@ -0,0 +1,26 @@
+/**
+ * Chooses among the services that a route may use.
+ *
+ * @module
+ */
+import type { Rng, ServiceId } from "@wisteriapick/core";
+import type { RouteConfig } from "../config/types.ts";
+import type { Fleet } from "../state/fleet.ts";
+
+/**
+ * A service of the route, drawn by weight among those that have an endpoint to use; `null` where none has.
+ */
+export function chooseService(fleet: Fleet, route: RouteConfig, rng: Rng): ServiceId | null {
+  const { targets } = route;
+  if (targets.length === 1) return targets[0]!.service;
+  const usable = targets.filter((t) =>
+    t.weight > 0 && fleet.usable(t.service, route.regions).length > 0
+  );
+  const total = usable.reduce((sum, t) => sum + t.weight, 0);
+  let at = rng.next() * total;
+  for (const target of usable) {
+    at -= target.weight;
+    if (at < 0) return target.service;
+  }
+  return usable.at(-1)?.service ?? null;
+}
--- /dev/null
+++ b/packages/gateway/src/settings.ts
@@ -0,0 +1,82 @@
+/**
+ * The settings of a gateway process.
+ *
+ * @module
+ */
+import {
+  type DataCentreId,
+  dataCentreId,
+  idField,
+  loadSettings,
+  type RegionId,
+  regionId,
+} from "@wisteriapick/core";
+import { z } from "zod";
+import type { HostPort } from "./config/types.ts";
+
+/** `host:port` as an address. */
+const address = z.string().transform((s, ctx): HostPort => {
+  const match = /^(.+):(\d{1,5})$/.exec(s);
+  if (match === null) {
+    ctx.addIssue({ code: "custom", message: "expected host:port" });
+    return z.NEVER;
+  }
+  return { host: match[1]!, port: Number(match[2]) };
+});
+
+const dataCentre = idField(dataCentreId, "a data centre id");
+const milliseconds = z.number().nonnegative();
+
+const schema = z.object({
+  /** Name of this process; unique among gateways. */
+  name: z.string().min(1),
+  data_centre: dataCentre,
+  /** The region of each data centre. */
+  regions: z.record(z.string(), idField(regionId, "a region id")),
+  listen: z.object({
+    callers: address,
+    readiness: address,
+    /** Where other gateways reach this one. */
+    peers: address,
+    metrics: address.optional(),
+  }),
+  metrics_path: z.string().default("/metrics"),
+  store: z.object({ address }),
+  /** Gateways to ask for others at the start. */
+  seeds: z.array(address).default([]),
+  bounds: z.object({
+    retry_ratio: z.number().nonnegative(),
+    retry_window_ms: milliseconds,
+    retry_extra: z.number().nonnegative(),
+    cold_rate_factor: z.number().nonnegative(),
+    cold_slack: z.number().nonnegative(),
+    grace_ms: milliseconds,
+    drain_ms: milliseconds,
+    expose_share: z.number().min(0).max(1),
+    expose_extra: z.number().nonnegative(),
+  }),
+});
+
+/** Checked settings of a gateway. */
+export type GatewaySettings = z.infer<typeof schema>;
+
+/**
+ * Reads and checks the settings of a gateway.
+ *
+ * @throws WpFailure of type `settings` that names the file, each key and what was expected there.
+ *
+ * @example
+ * ```ts
+ * const settings = loadGatewaySettings("/etc/wisteriapick/entry.yaml");
+ * ```
+ */
+export function loadGatewaySettings(file: string): GatewaySettings {
+  return loadSettings(file, schema) as GatewaySettings;
+}
+
+/** Looks up the region of a data centre. */
+export function regionLookup(
+  settings: GatewaySettings,
+): (dataCentre: DataCentreId) => RegionId | null {
+  return (dataCentre) => settings.regions[dataCentre] ?? null;
+}
--- /dev/null
+++ b/packages/gateway/src/state/fleet.ts
@@ -0,0 +1,271 @@
+/**
+ * What a gateway believes of its fleet: the routes in force and the endpoints that may be used.
+ *
+ * @module
+ */
+import {
+  type Clock,
+  type DataCentreId,
+  type EndpointId,
+  type RegionId,
+  type ServiceId,
+  type TableView,
+  type Table,
+  type Undo,
+  World,
+} from "@wisteriapick/core";
+import { RouteTable } from "../config/route_table.ts";
+import type { EndpointRecord, GatewayConfig } from "../config/types.ts";
+import type { DecisionLog } from "../observe/decision_log.ts";
+import type { StoreView, ViewSource } from "./store_view.ts";
+
+/**
+ * Whether an endpoint may be used: `ready`; `lapsed`, which is used like `ready` although its registration ran out
+ * while the store was away; `leaving`, which finishes what it has.
+ */
+export type EndpointPhase = "ready" | "lapsed" | "leaving";
+
+/** An endpoint as this gateway believes it to be. */
+export interface EndpointRow {
+  readonly record: EndpointRecord;
+  readonly phase: EndpointPhase;
+  /** Since when, by the monotonic clock. */
+  readonly phaseSinceMs: number;
+  /** Until when the endpoint is cold, by the monotonic clock. */
+  readonly coldUntilMs: number;
+  /** Revision of the store at which it was last seen. */
+  readonly revision: number;
+  readonly isRegistered: boolean;
+}
+
+/** A change of one endpoint. */
+export interface EndpointChange {
+  readonly id: EndpointId;
+  readonly before: EndpointRow | null;
+  readonly after: EndpointRow | null;
+  /** Whether it is another life under the same id. */
+  readonly restarted: boolean;
+}
+
+/** Whether the store was out of reach, which says how a missing registration is to be read. */
+export interface StoreOutage {
+  /** Whether the store is out of reach now. */
+  readonly isDown: boolean;
+  /** When the last outage ended, by the monotonic clock; `-Infinity` where there was none. */
+  readonly endedAtMs: number;
+}
+
+/** Options of {@link Fleet}. */
+export interface FleetOptions {
+  readonly view: StoreView;
+  readonly clock: Clock;
+  readonly log: DecisionLog;
+  readonly regionOf: (dataCentre: DataCentreId) => RegionId | null;
+  readonly outage: () => StoreOutage;
+}
+
+/** Registrations that ran out while the store was away are back about two seconds after its return. */
+const LAPSE_GRACE_MS = 2_300;
+/** Time for which an endpoint that is no longer registered is remembered, for answers still under way. */
+const FORGET_AFTER_MS = 45_000;
+
+/** Endpoints and routes in force. */
+export class Fleet {
+  readonly #options: FleetOptions;
+  readonly #world: World;
+  readonly #endpoints: Table<EndpointId, EndpointRow>;
+  readonly #byService = new Map<ServiceId, EndpointRow[]>();
+  #routes: RouteTable | null = null;
+  #evacuated: ReadonlySet<DataCentreId> = new Set();
+  #listeners: readonly ((change: EndpointChange) => void)[] = [];
+  #configListeners: readonly (() => void)[] = [];
+
+  constructor(options: FleetOptions) {
+    this.#options = options;
+    this.#world = new World({ clock: options.clock });
+    this.#endpoints = this.#world.registerTable<EndpointId, EndpointRow>("endpoints").table;
+    const { config, endpoints, evacuations } = options.view.kinds;
+    config.registerListener(() => this.#takeConfig());
+    endpoints.registerListener(({ source }) => this.#takeEndpoints(source));
+    evacuations.registerListener(() => this.#takeEvacuations());
+  }
+
+  /** Routes in force; `null` until a configuration is known. */
+  get routes(): RouteTable | null {
+    return this.#routes;
+  }
+
+  get endpoints(): TableView<EndpointId, EndpointRow> {
+    return this.#endpoints;
+  }
+
+  /** Data centres that are to be sent nothing. */
+  get evacuated(): ReadonlySet<DataCentreId> {
+    return this.#evacuated;
+  }
+
+  /** Endpoints of a service, whatever their phase. */
+  ofService(service: ServiceId): readonly EndpointRow[] {
+    return this.#byService.get(service) ?? [];
+  }
+
+  /** Endpoints of a service that may be sent new work. */
+  usable(service: ServiceId, regions: readonly RegionId[]): EndpointRow[] {
+    return this.ofService(service).filter((row) =>
+      row.phase !== "leaving" && !this.#evacuated.has(row.record.dataCentre) &&
+      this.#isInRegions(row.record.dataCentre, regions)
+    );
+  }
+
+  /** Whether an endpoint may be sent new work now. */
+  isUsable(id: EndpointId): boolean {
+    const row = this.#endpoints.get(id);
+    return row !== undefined && row.phase !== "leaving" &&
+      !this.#evacuated.has(row.record.dataCentre);
+  }
+
+  /** Marks an endpoint as leaving on its own word, before the store says so. */
+  markLeaving(id: EndpointId, reason: string): void {
+    const row = this.#endpoints.get(id);
+    if (row === undefined || row.phase === "leaving") return;
+    this.#set(row.record.id, { ...row, phase: "leaving", phaseSinceMs: this.#now() }, { reason });
+  }
+
+  /** Calls `fn` after each change of an endpoint. */
+  registerEndpointListener(fn: (change: EndpointChange) => void): Undo {
+    this.#listeners = [...this.#listeners, fn];
+    return () => {
+      this.#listeners = this.#listeners.filter((l) => l !== fn);
+    };
+  }
+
+  /** Calls `fn` after each change of the configuration. */
+  registerConfigListener(fn: () => void): Undo {
+    this.#configListeners = [...this.#configListeners, fn];
+    return () => {
+      this.#configListeners = this.#configListeners.filter((l) => l !== fn);
+    };
+  }
+
+  /** Ends the grace of lapsed registrations and forgets endpoints that are gone. Called each tick. */
+  tick(): void {
+    const now = this.#now();
+    const { isDown, endedAtMs } = this.#options.outage();
+    for (const [id, row] of [...this.#endpoints.entries()]) {
+      if (row.phase === "lapsed" && !isDown && now >= endedAtMs + LAPSE_GRACE_MS) {
+        const gone: EndpointRow = { ...row, phase: "leaving", phaseSinceMs: now };
+        this.#set(id, gone, { reason: "registration did not come back" });
+      }
+      if (!row.isRegistered && row.phase === "leaving" && now >= row.phaseSinceMs + FORGET_AFTER_MS) {
+        this.#set(id, null, { reason: "gone" });
+      }
+    }
+  }
+
+  #now(): number {
+    return this.#options.clock.now();
+  }
+
+  #isInRegions(dataCentre: DataCentreId, regions: readonly RegionId[]): boolean {
+    if (regions.length === 0) return true;
+    const region = this.#options.regionOf(dataCentre);
+    return region !== null && regions.includes(region);
+  }
+
+  #takeConfig(): void {
+    const { items, revision } = this.#options.view.kinds.config.snapshot;
+    const config = newestConfig([...items.values()].map((item) => item.value));
+    if (config === null || config === this.#routes?.config) return;
+    // A version that is older than the one in force is never taken, whatever brought it.
+    if (this.#routes !== null && config.version < this.#routes.config.version) return;
+    this.#routes = new RouteTable(config);
+    const { version, routes, accounts } = config;
+    this.#options.log.state("config_in_force", {
+      version,
+      revision,
+      routes: routes.length,
+      accounts: accounts.length,
+    });
+    for (const listener of this.#configListeners) listener();
+  }
+
+  #takeEvacuations(): void {
+    const { items, revision } = this.#options.view.kinds.evacuations.snapshot;
+    this.#evacuated = new Set([...items.values()].map((item) => item.value.dataCentre));
+    this.#options.log.state("evacuations", { dataCentres: [...this.#evacuated], revision });
+  }
+
+  #takeEndpoints(source: ViewSource): void {
+    const { items, revision } = this.#options.view.kinds.endpoints.snapshot;
+    const now = this.#now();
+    for (const { value: record, revision: changedAt } of items.values()) {
+      const before = this.#endpoints.get(record.id);
+      if (before !== undefined && before.revision === changedAt && before.isRegistered) continue;
+      const phase = record.isDraining ? "leaving" : "ready";
+      this.#set(record.id, {
+        record,
+        phase,
+        phaseSinceMs: before?.phase === phase ? before.phaseSinceMs : now,
+        coldUntilMs: now + record.coldMs,
+        revision: changedAt,
+        isRegistered: true,
+      }, { source, revision });
+    }
+    for (const [id, row] of [...this.#endpoints.entries()]) {
+      if (items.has(id) || !row.isRegistered) continue;
+      this.#set(id, this.#unregistered(row, now), { source, revision });
+    }
+  }
+
+  /** A registration that is missing after an outage of the store may only have run out. */
+  #unregistered(row: EndpointRow, now: number): EndpointRow {
+    const { isDown, endedAtMs } = this.#options.outage();
+    const mayHaveLapsed = isDown || now < endedAtMs + LAPSE_GRACE_MS;
+    if (row.phase === "leaving") return { ...row, isRegistered: false };
+    const phase = mayHaveLapsed ? "lapsed" : "leaving";
+    return { ...row, isRegistered: false, phase, phaseSinceMs: now };
+  }
+
+  #set(id: EndpointId, after: EndpointRow | null, why: Record<string, unknown>): void {
+    const before = this.#endpoints.get(id) ?? null;
+    const restarted = before !== null && after !== null &&
+      (before.record.startedAtUnixMs !== after.record.startedAtUnixMs ||
+        !sameAddress(before.record, after.record));
+    this.#world.update(() => {
+      if (after === null) this.#endpoints.delete(id);
+      else this.#endpoints.set(id, after);
+    });
+    if (before !== null) this.#index(before.record.service);
+    if (after !== null) this.#index(after.record.service);
+    if (before?.phase !== after?.phase || restarted) {
+      this.#options.log.state("endpoint", {
+        endpoint: id,
+        service: (after ?? before)?.record.service,
+        dataCentre: (after ?? before)?.record.dataCentre,
+        from: before?.phase ?? null,
+        to: after?.phase ?? null,
+        restarted,
+        ...why,
+      });
+    }
+    const change: EndpointChange = { id, before, after, restarted };
+    for (const listener of this.#listeners) listener(change);
+  }
+
+  #index(service: ServiceId): void {
+    const rows = [...this.#endpoints.rows()].filter((row) => row.record.service === service);
+    if (rows.length > 0) this.#byService.set(service, rows);
+    else this.#byService.delete(service);
+  }
+}
+
+function newestConfig(configs: readonly GatewayConfig[]): GatewayConfig | null {
+  return configs.reduce<GatewayConfig | null>(
+    (newest, config) => newest === null || config.version > newest.version ? config : newest,
+    null,
+  );
+}
+
+function sameAddress(a: EndpointRecord, b: EndpointRecord): boolean {
+  return a.address.host === b.address.host && a.address.port === b.address.port;
+}
--- /dev/null
+++ b/packages/gateway/src/state/store_follower.ts
@@ -0,0 +1,162 @@
+/**
+ * Keeps a view up to date with the platform's store through outages, refusals, lost connections and dropped history.
+ *
+ * Load pattern: hundreds of gateways that return to a store after an outage. While the store cannot be reached one
+ * kind alone probes it, so that a gateway costs a refusing store about two calls a second.
+ *
+ * @module
+ */
+import { type Clock, type Rng, toWpError, type WpError } from "@wisteriapick/core";
+import type { DecisionLog } from "../observe/decision_log.ts";
+import type { StateStore } from "./state_store.ts";
+import { FOLLOWED_KINDS, type FollowedKind, type StoreView } from "./store_view.ts";
+import type { StoreOutage } from "./fleet.ts";
+
+/** Options of {@link StoreFollower}. */
+export interface StoreFollowerOptions {
+  readonly store: StateStore;
+  readonly view: StoreView;
+  readonly clock: Clock;
+  readonly rng: Rng;
+  readonly log: DecisionLog;
+  /** Longest time a watch waits at the store, in milliseconds. */
+  readonly watchMs?: number;
+}
+
+/**
+ * A connection that went silent is only noticed when a watch does not return; the wait and its slack stay under the
+ * three seconds within which a gateway must be up to date again.
+ */
+const WATCH_MS = 2_000;
+/** Time beyond the wait after which a watch is taken to be lost, in milliseconds. */
+const WATCH_SLACK_MS = 600;
+/** Shortest and longest pause between two probes of a store that cannot be reached, in milliseconds. */
+const PROBE_MIN_MS = 150;
+const PROBE_MAX_MS = 500;
+/** Wait of a watch that only probes the store, in milliseconds. */
+const PROBE_WAIT_MS = 1;
+/** An interruption shorter than this is not taken for an outage: registrations outlive it. */
+const OUTAGE_MS = 1_000;
+
+interface Down {
+  readonly prober: FollowedKind;
+  readonly sinceMs: number;
+  readonly regained: Promise<void>;
+  resolve(): void;
+  failures: number;
+}
+
+/** Follows the store for one gateway. */
+export class StoreFollower {
+  readonly #options: Required<StoreFollowerOptions>;
+  #down: Down | null = null;
+  #outageEndedAtMs = -Infinity;
+  #stopped = false;
+  readonly #aborts = new Set<AbortController>();
+
+  constructor(options: StoreFollowerOptions) {
+    this.#options = { ...options, watchMs: options.watchMs ?? WATCH_MS };
+  }
+
+  /** Whether the store is out of reach, and when it last was. */
+  get outage(): StoreOutage {
+    const since = this.#down?.sinceMs;
+    const isDown = since !== undefined && this.#options.clock.now() - since >= OUTAGE_MS;
+    return { isDown, endedAtMs: this.#outageEndedAtMs };
+  }
+
+  /** Whether the last call to the store succeeded. */
+  get reachable(): boolean {
+    return this.#down === null;
+  }
+
+  start(): void {
+    for (const kind of FOLLOWED_KINDS) void this.#follow(kind);
+  }
+
+  stop(): void {
+    this.#stopped = true;
+    for (const abort of this.#aborts) abort.abort();
+  }
+
+  async #follow<K extends FollowedKind>(kind: K): Promise<void> {
+    let mustList = true;
+    while (!this.#stopped) {
+      try {
+        mustList = mustList ? await this.#list(kind) : await this.#watch(kind);
+        this.#succeeded();
+      } catch (e) {
+        if (this.#stopped) return;
+        await this.#failed(kind, toWpError(e));
+      }
+    }
+  }
+
+  /** Reads the whole kind. Returns whether it must be read again. */
+  async #list<K extends FollowedKind>(kind: K): Promise<boolean> {
+    const snapshot = await this.#options.store.list(kind);
+    this.#options.view.kinds[kind].replace(snapshot as never, "store");
+    return false;
+  }
+
+  async #watch<K extends FollowedKind>(kind: K): Promise<boolean> {
+    const { store, view, clock, watchMs, log } = this.#options;
+    const abort = new AbortController();
+    this.#aborts.add(abort);
+    const stopTimer = clock.setTimer(watchMs + WATCH_SLACK_MS, () => abort.abort());
+    try {
+      const revision = view.kinds[kind].revision;
+      // A probe of a store that was out of reach must not wait for a change to find it back.
+      const waitMs = this.#down === null ? watchMs : PROBE_WAIT_MS;
+      const result = await store.watch(kind, revision, { waitMs, signal: abort.signal });
+      if (result.type === "history_gone") {
+        log.state("store_history_gone", { kind, revision });
+        return true;
+      }
+      view.kinds[kind].apply(
+        result.changes as { revision: number; events: readonly { name: string; item: never }[] },
+        "store",
+      );
+      return false;
+    } finally {
+      stopTimer();
+      this.#aborts.delete(abort);
+    }
+  }
+
+  #succeeded(): void {
+    const down = this.#down;
+    if (down === null) return;
+    this.#down = null;
+    const now = this.#options.clock.now();
+    const downMs = now - down.sinceMs;
+    if (downMs >= OUTAGE_MS) this.#outageEndedAtMs = now;
+    this.#options.log.state("store_regained", { downMs: Math.round(downMs) });
+    down.resolve();
+  }
+
+  async #failed(kind: FollowedKind, err: WpError): Promise<void> {
+    const down = this.#down ?? this.#markDown(kind, err);
+    if (down.prober !== kind) return down.regained;
+    const longest = Math.min(PROBE_MAX_MS, PROBE_MIN_MS * 2 ** down.failures);
+    down.failures++;
+    await this.#options.clock.sleep(longest * (0.7 + 0.3 * this.#options.rng.next()));
+  }
+
+  #markDown(kind: FollowedKind, err: WpError): Down {
+    let resolve = () => {};
+    const regained = new Promise<void>((r) => {
+      resolve = r;
+    });
+    const down: Down = {
+      prober: kind,
+      sinceMs: this.#options.clock.now(),
+      regained,
+      resolve,
+      failures: 0,
+    };
+    this.#down = down;
+    this.#options.log.state("store_lost", { kind, err });
+    return down;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/state/store_view.ts
@@ -0,0 +1,137 @@
+/**
+ * What one gateway has read of the platform's store: one consistent snapshot a kind, with the store's revision at
+ * which it holds. A view only ever moves forward, whoever brings the news: the store or another gateway.
+ *
+ * @module
+ */
+import type { Undo } from "@wisteriapick/core";
+import type {
+  EndpointRecord,
+  EvacuationRecord,
+  GatewayConfig,
+  GatewayRecord,
+  MoveRecord,
+} from "../config/types.ts";
+
+/** What the store holds of each kind. */
+export interface ViewItems {
+  readonly config: GatewayConfig;
+  readonly endpoints: EndpointRecord;
+  readonly evacuations: EvacuationRecord;
+  readonly moves: MoveRecord;
+  readonly gateways: GatewayRecord;
+}
+
+/** A kind of object in the store. */
+export type ViewKind = keyof ViewItems;
+
+/** Kinds that every gateway follows. */
+export const FOLLOWED_KINDS = ["config", "endpoints", "evacuations", "moves"] as const;
+
+/** One of {@link FOLLOWED_KINDS}. */
+export type FollowedKind = typeof FOLLOWED_KINDS[number];
+
+/** An object with the revision of its last change. */
+export interface ViewItem<T> {
+  readonly revision: number;
+  readonly value: T;
+}
+
+/** All objects of a kind at one revision of the store. */
+export interface Snapshot<T> {
+  readonly revision: number;
+  readonly items: ReadonlyMap<string, ViewItem<T>>;
+}
+
+/** One change: `item` is `null` where the object was deleted. */
+export interface ViewEvent<T> {
+  readonly name: string;
+  readonly item: ViewItem<T> | null;
+}
+
+/** Changes of a kind up to a revision of the store. */
+export interface ViewChanges<T> {
+  readonly revision: number;
+  readonly events: readonly ViewEvent<T>[];
+}
+
+/** Who brought a change. */
+export type ViewSource = "store" | "peer";
+
+/** Called after a view has moved, with the names that were removed by it. */
+export type ViewListener = (change: { source: ViewSource; removed: readonly string[] }) => void;
+
+const EMPTY: Snapshot<never> = { revision: 0, items: new Map() };
+
+/** The snapshot of one kind. */
+export class KindView<T> {
+  #snapshot: Snapshot<T> = EMPTY;
+  #known = false;
+  #listeners: readonly ViewListener[] = [];
+
+  /** Whether any snapshot has been read. */
+  get known(): boolean {
+    return this.#known;
+  }
+
+  /** The store's revision at which this view holds. */
+  get revision(): number {
+    return this.#snapshot.revision;
+  }
+
+  get snapshot(): Snapshot<T> {
+    return this.#snapshot;
+  }
+
+  /** Takes over a whole snapshot unless it is older than the view. Returns whether it was taken. */
+  replace(snapshot: Snapshot<T>, source: ViewSource): boolean {
+    if (this.#known && snapshot.revision < this.#snapshot.revision) return false;
+    const removed = [...this.#snapshot.items.keys()].filter((name) => !snapshot.items.has(name));
+    this.#commit(snapshot, source, removed);
+    return true;
+  }
+
+  /** Applies changes that follow the view. Older ones are dropped. */
+  apply({ revision, events }: ViewChanges<T>, source: ViewSource): boolean {
+    if (!this.#known || revision < this.#snapshot.revision) return false;
+    if (events.length === 0) {
+      this.#snapshot = { revision, items: this.#snapshot.items };
+      return true;
+    }
+    const items = new Map(this.#snapshot.items);
+    const removed: string[] = [];
+    for (const { name, item } of events) {
+      const old = items.get(name);
+      if (item === null) {
+        if (items.delete(name)) removed.push(name);
+      } else if (old === undefined || old.revision < item.revision) {
+        items.set(name, item);
+      }
+    }
+    this.#commit({ revision, items }, source, removed);
+    return true;
+  }
+
+  registerListener(listener: ViewListener): Undo {
+    this.#listeners = [...this.#listeners, listener];
+    return () => {
+      this.#listeners = this.#listeners.filter((l) => l !== listener);
+    };
+  }
+
+  #commit(snapshot: Snapshot<T>, source: ViewSource, removed: readonly string[]): void {
+    this.#snapshot = snapshot;
+    this.#known = true;
+    for (const listener of this.#listeners) listener({ source, removed });
+  }
+}
+
+/** The views of all followed kinds. */
+export class StoreView {
+  readonly kinds: { readonly [K in FollowedKind]: KindView<ViewItems[K]> } = {
+    config: new KindView(),
+    endpoints: new KindView(),
+    evacuations: new KindView(),
+    moves: new KindView(),
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/surface/http_responder.ts
@@ -0,0 +1,100 @@
+/**
+ * The way back to one caller over HTTP.
+ *
+ * @module
+ */
+import type { ServerResponse } from "node:http";
+import type { RefusalReason, Undo } from "@wisteriapick/core";
+import { type HeaderList, type Rejection, Responder } from "../relay/inbound.ts";
+
+/** Status of rejections that are not a plain "come back later". */
+const STATUS: Partial<Record<RefusalReason, number>> = {
+  unauthenticated: 401,
+  unknown_route: 404,
+  invalid_request: 400,
+  request_too_large: 413,
+  upstream_failed: 502,
+  engine_lost: 502,
+  quarantined: 503,
+  internal: 500,
+};
+const UNAVAILABLE = 503;
+const GATEWAY_TIMEOUT = 504;
+
+/** Statuses that promise callers that the request has not run and never will. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
+/** Status of a rejection. 503 promises that the request did not run, so it is only used where that is proved. */
+export function statusOf({ reason, notRun }: Rejection): number {
+  const status = STATUS[reason] ?? UNAVAILABLE;
+  if (notRun === true) return status === 502 ? UNAVAILABLE : status;
+  if (reason === "deadline_exceeded") return GATEWAY_TIMEOUT;
+  return NOT_RUN_STATUSES.has(status) ? 502 : status;
+}
+
+/** Options of {@link HttpResponder}. */
+export interface HttpResponderOptions {
+  /** Whether the connection is closed after this answer. */
+  readonly closeAfter: () => boolean;
+}
+
+/** Answers one request of `node:http`. */
+export class HttpResponder extends Responder {
+  readonly #res: ServerResponse;
+  readonly #options: HttpResponderOptions;
+
+  constructor(res: ServerResponse, options: HttpResponderOptions) {
+    super();
+    this.#res = res;
+    this.#options = options;
+  }
+
+  override get closed(): boolean {
+    return this.#res.destroyed || this.#res.socket === null;
+  }
+
+  override head(status: number, headers: HeaderList, contentLength: number | null): void {
+    const res = this.#res;
+    res.sendDate = false;
+    const flat: string[] = [];
+    for (const [name, value] of headers) flat.push(name, value);
+    if (contentLength !== null) flat.push("Content-Length", String(contentLength));
+    if (this.#options.closeAfter()) flat.push("Connection", "close");
+    res.writeHead(status, flat);
+    if (contentLength === null) res.flushHeaders();
+  }
+
+  override write(chunk: Buffer): boolean {
+    return this.#res.write(chunk);
+  }
+
+  override end(): void {
+    this.#res.end();
+  }
+
+  override abort(): void {
+    this.#res.destroy();
+  }
+
+  override reject(rejection: Rejection): void {
+    const headers: [string, string][] = [];
+    if (rejection.retryAfterMs !== undefined) {
+      headers.push(["Retry-After", (rejection.retryAfterMs / 1_000).toFixed(3)]);
+    }
+    this.head(statusOf(rejection), headers, 0);
+    this.#res.end();
+  }
+
+  override registerClose(fn: () => void): Undo {
+    const listener = () => {
+      if (!this.#res.writableFinished) fn();
+    };
+    this.#res.once("close", listener);
+    return () => this.#res.off("close", listener);
+  }
+
+  override registerDrain(fn: () => void): Undo {
+    this.#res.on("drain", fn);
+    return () => this.#res.off("drain", fn);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/surface/plain_server.ts
@@ -0,0 +1,49 @@
+/**
+ * A small HTTP server for the platform's readiness checks and for metrics.
+ *
+ * @module
+ */
+import { createServer, type Server } from "node:http";
+import type { HostPort } from "../config/types.ts";
+
+/** An answer of a {@link PlainServer}. */
+export interface PlainAnswer {
+  readonly status: number;
+  readonly contentType?: string;
+  readonly body?: string;
+}
+
+/** Answers `GET` requests by path. */
+export class PlainServer {
+  readonly #server: Server;
+  readonly #address: HostPort;
+
+  constructor(
+    address: HostPort,
+    routes: Readonly<Record<string, () => PlainAnswer | Promise<PlainAnswer>>>,
+  ) {
+    this.#address = address;
+    this.#server = createServer(async (req, res) => {
+      const path = (req.url ?? "").split("?")[0]!;
+      const route = req.method === "GET" ? routes[path] : undefined;
+      const { status, contentType, body = "" } = route === undefined
+        ? { status: 404 }
+        : await route();
+      if (contentType !== undefined) res.setHeader("Content-Type", contentType);
+      res.writeHead(status, { "Content-Length": Buffer.byteLength(body) });
+      res.end(body);
+    });
+  }
+
+  listen(): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(this.#address, resolve);
+    });
+  }
+
+  close(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/upstream/connection.ts
@@ -0,0 +1,262 @@
+/**
+ * One HTTP/1.1 connection to an endpoint, by `undici`, with the outcomes kept apart that decide whether a request may
+ * be sent again.
+ *
+ * @module
+ */
+import { connect, type Socket } from "node:net";
+import { type buildConnector, Client, type Dispatcher } from "undici";
+import { formatAddress, type HostPort } from "../config/types.ts";
+
+/** A request as it is written to an endpoint. */
+export interface UpstreamRequest {
+  readonly method: string;
+  /** Path and query. */
+  readonly target: string;
+  /** Names and values in turn. */
+  readonly headers: string[];
+  readonly body: Buffer | null;
+}
+
+/** Why a call brought no whole answer. */
+export type UpstreamFailureType = "connect" | "connection_lost" | "malformed" | "aborted";
+
+/** A call that brought no whole answer. */
+export interface UpstreamFailure {
+  readonly type: UpstreamFailureType;
+  /** False where the request is known not to have left this process. */
+  readonly sent: boolean;
+  readonly message: string;
+}
+
+/** Receives one answer. Exactly one of `onEnd` and `onFailure` is called, last. */
+export interface UpstreamSink {
+  /** Status and header fields, names and values in turn. */
+  onHead(status: number, headers: readonly string[]): void;
+  /** Returns false to hold back what follows until {@link UpstreamCall.resume}. */
+  onData(chunk: Buffer): boolean;
+  onEnd(): void;
+  onFailure(failure: UpstreamFailure): void;
+}
+
+/** A call under way. */
+export interface UpstreamCall {
+  /** Drops the connection; the sink hears `aborted` unless the call is over. */
+  abort(): void;
+  resume(): void;
+}
+
+/** Options of {@link UpstreamConnection}. */
+export interface UpstreamConnectionOptions {
+  readonly address: HostPort;
+  /** Time to establish the connection, in milliseconds. */
+  readonly connectTimeoutMs: number;
+  /** Idle time after which the connection is closed where the endpoint names none, in milliseconds. */
+  readonly idleTimeoutMs: number;
+  /** Called once when the connection can no longer be used. */
+  readonly onClosed: () => void;
+}
+
+/** Largest header section accepted from an endpoint. */
+const MAX_ANSWER_HEADER_BYTES = 65_536;
+/** Part of an announced keep-alive time that is left unused, so that no request crosses the endpoint's close. */
+const KEEP_ALIVE_MARGIN_MS = 700;
+/** Longest idle time, whatever an endpoint announces. */
+const MAX_IDLE_MS = 60_000;
+
+/** Marks errors raised by {@link UpstreamCall.abort}. */
+class AbortedError extends Error {}
+
+/** A connection that carries one request at a time. */
+export class UpstreamConnection {
+  readonly #client: Client;
+  readonly #options: UpstreamConnectionOptions;
+  #socket: Socket | null = null;
+  #socketError = false;
+  #busy = false;
+  #closed = false;
+
+  constructor(options: UpstreamConnectionOptions) {
+    this.#options = options;
+    this.#client = new Client(`http://${formatAddress(options.address)}`, {
+      connect: (_opts, callback) => this.#connect(callback),
+      pipelining: 1,
+      headersTimeout: 0,
+      bodyTimeout: 0,
+      keepAliveTimeout: options.idleTimeoutMs,
+      keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
+      keepAliveMaxTimeout: MAX_IDLE_MS,
+      maxHeaderSize: MAX_ANSWER_HEADER_BYTES,
+    });
+    this.#client.on("disconnect", () => this.#drop());
+    this.#client.on("connectionError", () => this.#drop());
+  }
+
+  get busy(): boolean {
+    return this.#busy;
+  }
+
+  get closed(): boolean {
+    return this.#closed;
+  }
+
+  /** Sends one request. The connection must be neither busy nor closed. */
+  send(req: UpstreamRequest, sink: UpstreamSink): UpstreamCall {
+    this.#busy = true;
+    const call = new Exchange(req, sink, {
+      isCutShort: () => this.#socketError,
+      onOver: (reusable) => this.#over(reusable),
+    });
+    const { method, target: path, headers, body } = req;
+    this.#client.dispatch({ method: method as Dispatcher.HttpMethod, path, headers, body }, call);
+    return call;
+  }
+
+  /** Closes the connection, and fails a call that is under way. */
+  destroy(): void {
+    if (this.#closed) return;
+    this.#drop();
+    void this.#client.destroy(new AbortedError("connection closed"));
+  }
+
+  #over(reusable: boolean): void {
+    this.#busy = false;
+    if (!reusable) this.destroy();
+  }
+
+  #drop(): void {
+    if (this.#closed) return;
+    this.#closed = true;
+    this.#options.onClosed();
+    if (!this.#client.destroyed) void this.#client.destroy();
+  }
+
+  #connect(callback: buildConnector.Callback): void {
+    const { address, connectTimeoutMs } = this.#options;
+    const socket = connect({ host: address.host, port: address.port, noDelay: true });
+    this.#socket = socket;
+    const timer = setTimeout(
+      () => socket.destroy(new Error(`no connection after ${connectTimeoutMs} ms`)),
+      connectTimeoutMs,
+    );
+    let done = false;
+    const finish = (err: Error | null) => {
+      if (done) return;
+      done = true;
+      clearTimeout(timer);
+      if (err === null) callback(null, socket);
+      else callback(err, null);
+    };
+    // Registered before the client's own listener: the client takes a reset for the end of an answer without length.
+    socket.on("error", (err) => {
+      this.#socketError = true;
+      finish(err);
+    });
+    socket.once("connect", () => finish(null));
+  }
+
+  /** Local port, for tests. */
+  get localPort(): number | undefined {
+    return this.#socket?.localPort;
+  }
+}
+
+interface ExchangeOptions {
+  /** Whether the connection has failed, so that what came may be only a part. */
+  readonly isCutShort: () => boolean;
+  readonly onOver: (reusable: boolean) => void;
+}
+
+/** Translates the callbacks of `undici` for one request. */
+class Exchange implements Dispatcher.DispatchHandler, UpstreamCall {
+  readonly #req: UpstreamRequest;
+  readonly #sink: UpstreamSink;
+  readonly #options: ExchangeOptions;
+  #abort: ((err?: Error) => void) | null = null;
+  #resume: (() => void) | null = null;
+  #sent = false;
+  #over = false;
+  #abortRequested = false;
+  #hasHead = false;
+
+  constructor(req: UpstreamRequest, sink: UpstreamSink, options: ExchangeOptions) {
+    this.#req = req;
+    this.#sink = sink;
+    this.#options = options;
+  }
+
+  abort(): void {
+    if (this.#over) return;
+    this.#abortRequested = true;
+    this.#finish(() => this.#fail({ type: "aborted", message: "aborted" }), false);
+    this.#abort?.(new AbortedError("aborted"));
+  }
+
+  resume(): void {
+    this.#resume?.();
+  }
+
+  onConnect(abort: (err?: Error) => void): void {
+    if (this.#abortRequested) return abort(new AbortedError("aborted"));
+    if (this.#sent) {
+      // The client would write the request a second time after a connection was lost.
+      this.#finish(() => this.#fail({ type: "connection_lost", message: "connection lost" }), false);
+      return abort(new AbortedError("sent before"));
+    }
+    this.#abort = abort;
+    this.#sent = true;
+  }
+
+  onHeaders(status: number, headers: Buffer[], resume: () => void): boolean {
+    if (this.#over) return false;
+    // Interim answers carry nothing that is passed on.
+    if (status < 200) return true;
+    this.#hasHead = true;
+    this.#resume = resume;
+    this.#sink.onHead(status, headers.map((b) => b.toString("latin1")));
+    return true;
+  }
+
+  onData(chunk: Buffer): boolean {
+    if (this.#over) return false;
+    return this.#sink.onData(chunk);
+  }
+
+  onComplete(): void {
+    if (this.#options.isCutShort()) {
+      const message = "connection reset inside an answer without length";
+      return this.#finish(() => this.#fail({ type: "connection_lost", message }), false);
+    }
+    this.#finish(() => this.#sink.onEnd(), true);
+  }
+
+  onError(err: Error): void {
+    if (err instanceof AbortedError) {
+      return this.#finish(() => this.#fail({ type: "aborted", message: err.message }), false);
+    }
+    const type = !this.#sent ? "connect" : isMalformed(err) ? "malformed" : "connection_lost";
+    this.#finish(() => this.#fail({ type, message: err.message }), false);
+  }
+
+  #fail({ type, message }: { type: UpstreamFailureType; message: string }): void {
+    const part = this.#hasHead ? " inside the answer" : "";
+    this.#sink.onFailure({
+      type,
+      sent: this.#sent,
+      message: `${this.#req.method}: ${message}${part}`,
+    });
+  }
+
+  #finish(report: () => void, reusable: boolean): void {
+    if (this.#over) return;
+    this.#over = true;
+    this.#options.onOver(reusable);
+    report();
+  }
+}
+
+function isMalformed(err: Error): boolean {
+  const { name } = err;
+  return name === "HTTPParserError" || name === "ResponseContentLengthMismatchError" ||
+    name === "HeadersOverflowError";
+}
--- /dev/null
+++ b/packages/gateway/src/upstream/connection_pool.ts
@@ -0,0 +1,117 @@
+/**
+ * The connections of one gateway to one endpoint.
+ *
+ * @module
+ */
+import type { HostPort } from "../config/types.ts";
+import {
+  UpstreamConnection,
+  type UpstreamCall,
+  type UpstreamRequest,
+  type UpstreamSink,
+} from "./connection.ts";
+
+/** Options of {@link ConnectionPool}. */
+export interface ConnectionPoolOptions {
+  readonly address: HostPort;
+  /** Time to establish a connection, in milliseconds. Endpoints answer within a few round trips of at most 10 ms. */
+  readonly connectTimeoutMs?: number;
+  /** Idle time of a connection whose endpoint names none, in milliseconds. */
+  readonly idleTimeoutMs?: number;
+}
+
+/** Half a second covers one lost packet's retransmission; a longer wait costs more than another endpoint. */
+const CONNECT_TIMEOUT_MS = 400;
+/** Below the shortest idle time in common use (5 s), so that a request does not cross the endpoint's close. */
+const IDLE_TIMEOUT_MS = 4_000;
+
+/**
+ * Connections to one endpoint. The most recently used one goes first, so that surplus ones run into their idle time.
+ */
+export class ConnectionPool {
+  readonly #options: Required<ConnectionPoolOptions>;
+  readonly #idle: UpstreamConnection[] = [];
+  readonly #all = new Set<UpstreamConnection>();
+  #opened = 0;
+  #closed = false;
+
+  constructor(options: ConnectionPoolOptions) {
+    this.#options = {
+      address: options.address,
+      connectTimeoutMs: options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
+      idleTimeoutMs: options.idleTimeoutMs ?? IDLE_TIMEOUT_MS,
+    };
+  }
+
+  /** Connections open or being opened. */
+  get size(): number {
+    return this.#all.size;
+  }
+
+  /** Connections opened so far. */
+  get opened(): number {
+    return this.#opened;
+  }
+
+  /** Whether a request can be sent without opening a connection. */
+  get hasIdle(): boolean {
+    return this.#idle.length > 0;
+  }
+
+  /** Sends a request on an idle connection, or on a new one. */
+  send(req: UpstreamRequest, sink: UpstreamSink): UpstreamCall {
+    const connection = this.#take() ?? this.#open();
+    const release = () => this.#release(connection);
+    return connection.send(req, {
+      onHead: (status, headers) => sink.onHead(status, headers),
+      onData: (chunk) => sink.onData(chunk),
+      onEnd: () => {
+        release();
+        sink.onEnd();
+      },
+      onFailure: (failure) => sink.onFailure(failure),
+    });
+  }
+
+  /** Closes idle connections; those in use go on. */
+  retire(): void {
+    for (const connection of this.#idle.splice(0)) connection.destroy();
+    this.#closed = true;
+  }
+
+  /** Closes every connection. */
+  destroy(): void {
+    this.retire();
+    for (const connection of [...this.#all]) connection.destroy();
+  }
+
+  #take(): UpstreamConnection | null {
+    for (;;) {
+      const connection = this.#idle.pop();
+      if (connection === undefined) return null;
+      if (!connection.closed) return connection;
+    }
+  }
+
+  #open(): UpstreamConnection {
+    const connection: UpstreamConnection = new UpstreamConnection({
+      ...this.#options,
+      onClosed: () => this.#forget(connection),
+    });
+    this.#all.add(connection);
+    this.#opened++;
+    return connection;
+  }
+
+  #release(connection: UpstreamConnection): void {
+    if (connection.closed) return;
+    if (this.#closed) connection.destroy();
+    else this.#idle.push(connection);
+  }
+
+  #forget(connection: UpstreamConnection): void {
+    this.#all.delete(connection);
+    const at = this.#idle.indexOf(connection);
+    if (at >= 0) this.#idle.splice(at, 1);
+  }
+}
--- a/packages/policy/src/memory_forecast.ts
+++ b/packages/policy/src/memory_forecast.ts
@@ -51,6 +51,14 @@
     }
   }
 
+  /** Adds what another forecast holds. */
+  merge(other: MemoryForecast): void {
+    for (let i = 0; i < HORIZONS_TOKENS.length; i++) {
+      this.#mean[i]! += other.#mean[i]!;
+      this.#variance[i]! += other.#variance[i]!;
+    }
+  }
+
   /** The largest memory over all horizons that is exceeded only with the chance that `z` stands for. */
   peakTokens(z: number): number {
     let peak = 0;
--- a/packages/policy/src/outlier_ejection.ts
+++ b/packages/policy/src/outlier_ejection.ts
@@ -3,7 +3,19 @@
  *
  * @module
  */
-import type { EndpointState } from "./endpoint_state.ts";
+/** What is known of an endpoint's recent answers. */
+export interface OutlierSubject {
+  /** Share of recent attempts that failed. */
+  readonly failures: number;
+  readonly attempts: number;
+  /** Recent gap between tokens; 0 until known. */
+  readonly gapMs: number;
+  readonly gapCount: number;
+  ejectedUntilMs: number;
+  ejections: number;
+  /** Forgets failures before a return to service. */
+  forgive(): void;
+}
 
 /** Options of {@link OutlierEjection}. */
 export interface OutlierOptions {
@@ -37,7 +49,7 @@
   }
 
   /** Ejects what stands out among `states`. At most once per 50 ms. */
-  update(states: readonly EndpointState[], nowMs: number): void {
+  update(states: readonly OutlierSubject[], nowMs: number): void {
     if (nowMs - this.#updatedAtMs < 50) return;
     this.#updatedAtMs = nowMs;
     const inService = states.filter((s) => s.ejectedUntilMs <= nowMs);
@@ -58,14 +70,14 @@
     }
   }
 
-  #isOutlier(state: EndpointState, medianGap: number, medianFailures: number): boolean {
+  #isOutlier(state: OutlierSubject, medianGap: number, medianFailures: number): boolean {
     const { failureShare, minAttempts, slowFactor, minGaps } = this.#cfg;
     const failing = state.attempts >= minAttempts && state.failures > medianFailures + failureShare;
     const slow = state.gapCount >= minGaps && state.gapMs > medianGap * slowFactor;
     return failing || slow;
   }
 
-  #eject(state: EndpointState, nowMs: number): void {
+  #eject(state: OutlierSubject, nowMs: number): void {
     const ms = this.#cfg.firstEjectionMs * 2 ** Math.min(10, state.ejections);
     state.ejections++;
     state.ejectedUntilMs = nowMs + Math.min(this.#cfg.maxEjectionMs, ms);
--- a/packages/standins/src/engine_server.ts
+++ b/packages/standins/src/engine_server.ts
@@ -17,7 +17,7 @@
   SystemClock,
   type Undo,
 } from "@wisteriapick/core";
-import type { EngineOrder, EngineRequest, EngineState } from "@wisteriapick/platform";
+import type { EngineOrder, EngineRequest, EngineState } from "@wisteriapick/clients";
 import { EngineModel } from "./engine_model.ts";
 import { HeldGenerations, type StreamEnd, type StreamFormat } from "./engine_streams.ts";
 import { countPromptTokens, drawOutputTokens, promptPrefixes, TextSource } from "./engine_text.ts";
--- a/packages/standins/src/engine_streams.ts
+++ b/packages/standins/src/engine_streams.ts
@@ -5,7 +5,7 @@
  */
 import type { ServerResponse } from "node:http";
 import type { Clock, GenerationId } from "@wisteriapick/core";
-import type { EngineEvent, EngineGeneration } from "@wisteriapick/platform";
+import type { EngineEvent, EngineGeneration } from "@wisteriapick/clients";
 import { TextSource } from "./engine_text.ts";
 
 /** How a stream is written: newline-delimited JSON or server-sent events. */
--- a/packages/standins/src/host_list.ts
+++ b/packages/standins/src/host_list.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { type Clock, type HostId, raise, SystemClock } from "@wisteriapick/core";
-import { HostList, type HostRecord, type HostSnapshot } from "@wisteriapick/platform";
+import { HostList, type HostRecord, type HostSnapshot } from "@wisteriapick/clients";
 
 /** Options of {@link MemoryHostList}. */
 export interface MemoryHostListOptions {
--- a/packages/standins/src/object_store.ts
+++ b/packages/standins/src/object_store.ts
@@ -11,7 +11,7 @@
   type StoreEvent,
   type StoreListing,
   type WatchResult,
-} from "@wisteriapick/platform";
+} from "@wisteriapick/clients";
 import { RateLimit } from "./rate_limit.ts";
 
 /** Kinds of call. */
--- a/packages/standins/src/platform_servers.ts
+++ b/packages/standins/src/platform_servers.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { hostId } from "@wisteriapick/core";
-import type { HostRecord } from "@wisteriapick/platform";
+import type { HostRecord } from "@wisteriapick/clients";
 import type { MemoryHostList } from "./host_list.ts";
 import {
   type ListenOptions,
--- a/packages/standins/src/weight_store.ts
+++ b/packages/standins/src/weight_store.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { type Clock, raise, SystemClock } from "@wisteriapick/core";
-import { type WeightInfo, WeightStore } from "@wisteriapick/platform";
+import { type WeightInfo, WeightStore } from "@wisteriapick/clients";
 import { RateLimit } from "./rate_limit.ts";
 
 /** Options of {@link MemoryWeightStore}. */
--- a/packages/standins/tests/engine_server_test.ts
+++ b/packages/standins/tests/engine_server_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { generationId, toWpError, type WpError } from "@wisteriapick/core";
-import { type EngineEvent, type EngineRequest, HttpModelEngine } from "@wisteriapick/platform";
+import { type EngineEvent, type EngineRequest, HttpModelEngine } from "@wisteriapick/clients";
 import { EngineStandin, type EngineStandinOptions, expectedText } from "../src/mod.ts";
 
 function request(gen: string, parts: Partial<EngineRequest> = {}): EngineRequest {
--- a/packages/standins/tests/lists_test.ts
+++ b/packages/standins/tests/lists_test.ts
@@ -8,7 +8,7 @@
   regionId,
   toWpError,
 } from "@wisteriapick/core";
-import { HttpHostList, HttpModelEngine, HttpWeightStore } from "@wisteriapick/platform";
+import { HttpHostList, HttpModelEngine, HttpWeightStore } from "@wisteriapick/clients";
 import {
   EngineStandin,
   MemoryHostList,
--- a/packages/standins/tests/object_store_test.ts
+++ b/packages/standins/tests/object_store_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { ManualClock, toWpError, type WpError } from "@wisteriapick/core";
-import { HttpObjectStore, MAX_VALUE_BYTES, type ObjectStore } from "@wisteriapick/platform";
+import { HttpObjectStore, MAX_VALUE_BYTES, type ObjectStore } from "@wisteriapick/clients";
 import { MemoryObjectStore, serveObjectStore } from "../src/mod.ts";
 
 const bytes = (s: string) => new TextEncoder().encode(s);
