--- a/packages/control/src/data_centre_gate.ts
+++ b/packages/control/src/data_centre_gate.ts
@@ -5,7 +5,7 @@
  */
 import { type Clock, type DataCentreId, raise, type Rng, type Undo } from "@wisteriapick/core";
 import type { ConfigView, DataCentre } from "./config_document.ts";
-import { fractionOf } from "./fraction.ts";
+import { fractionOf } from "@wisteriapick/core";
 import type { ConfigLog } from "./config_log.ts";
 import type { Lease } from "./lease.ts";
 
--- a/packages/control/src/move_router.ts
+++ b/packages/control/src/move_router.ts
@@ -13,7 +13,7 @@
   VersionId,
 } from "@wisteriapick/core";
 import type { Evidence, EvidenceCell } from "@wisteriapick/wire";
-import { fractionOf } from "./fraction.ts";
+import { fractionOf } from "@wisteriapick/core";
 import type { ConfigSource, Move } from "./config_document.ts";
 import { MoveEvidence, SLOW_FIRST_TOKEN_MS } from "./move_evidence.ts";
 import { MoveRule, versionOf } from "./move_rule.ts";
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -5,6 +5,7 @@
  */
 export * from "./clock.ts";
 export * from "./errors.ts";
+export * from "./fraction.ts";
 export * from "./ids.ts";
 export * from "./log.ts";
 export * from "./metrics.ts";
--- a/packages/gateway/src/config/types.ts
+++ b/packages/gateway/src/config/types.ts
@@ -13,6 +13,7 @@
   ServiceId,
   VersionId,
 } from "@wisteriapick/core";
+import type { Address } from "@wisteriapick/wire";
 
 /** What may be repeated: a stream and a non-idempotent call run at most once for each request. */
 export type RouteKind = "idempotent" | "non_idempotent" | "streaming";
@@ -111,17 +112,11 @@
   readonly limits: CallerLimits;
 }
 
-/** An address of a process. */
-export interface HostPort {
-  readonly host: string;
-  readonly port: number;
-}
-
 /** An endpoint as it registered itself. */
 export interface EndpointRecord {
   readonly id: EndpointId;
   readonly service: ServiceId;
-  readonly address: HostPort;
+  readonly address: Address;
   readonly dataCentre: DataCentreId;
   readonly version: VersionId;
   readonly slots: number;
@@ -152,11 +147,6 @@
 /** A gateway as it registered itself. */
 export interface GatewayRecord {
   readonly name: string;
-  readonly address: HostPort;
+  readonly address: Address;
   readonly dataCentre: DataCentreId;
 }
-
-/** `address` as `host:port`. */
-export function formatAddress({ host, port }: HostPort): string {
-  return `${host}:${port}`;
-}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -13,6 +13,9 @@
 import { ColdLimiter, RetryBudget } from "@wisteriapick/policy";
 import type { DecisionLog } from "./observe/decision_log.ts";
 import type { GatewayMetrics } from "./observe/metrics.ts";
+import { shareOccupancy } from "./peers/occupancy_share.ts";
+import { PeerNetwork } from "./peers/peer_network.ts";
+import { shareView } from "./peers/view_share.ts";
 import { EngineDispatcher } from "./relay/engine_dispatcher.ts";
 import type { RelayContext } from "./relay/context.ts";
 import { Relay } from "./relay/relay.ts";
@@ -65,7 +68,9 @@
   readonly #mover: RunMover;
   readonly #relay: Relay;
   readonly #surface: ForwardSurface;
+  readonly #network: PeerNetwork;
   readonly #servers: PlainServer[] = [];
+  readonly #undos: Undo[] = [];
   readonly #budget: RetryBudget;
   readonly #coldLimiter: ColdLimiter;
   #stoppingSinceMs: number | null = null;
@@ -86,6 +91,16 @@
     this.#upstreams = new Upstreams(this.#fleet);
     this.#budget = new RetryBudget(retryOptions(settings.bounds));
     this.#coldLimiter = new ColdLimiter(coldOptions(settings.bounds));
+    this.#network = new PeerNetwork({
+      name: settings.name,
+      address: settings.listen.peers,
+      dataCentre: settings.data_centre,
+      clusterKey: settings.cluster_key,
+      seeds: settings.seeds,
+      clock,
+      rng: rng.fork("peers"),
+      log,
+    });
     const ctx: RelayContext = {
       clock,
       rng: rng.fork("relay"),
@@ -97,14 +112,18 @@
       dialect: options.endpointDialect,
       budget: this.#budget,
       coldLimiter: this.#coldLimiter,
-      gateways: () => 4,
+      gateways: () => this.#network.members(),
     };
     this.#dispatcher = new EngineDispatcher(ctx, {
       onPlaced: () => {},
       onOver: (run) => this.#mover.forget(run),
       onLost: (run, loss) => this.#mover.onLost(run, loss),
     });
-    this.#mover = new RunMover(ctx, this.#dispatcher);
+    this.#mover = new RunMover(ctx, this.#dispatcher, this.#network);
+    this.#undos.push(
+      shareOccupancy(this.#dispatcher.board, this.#network, clock),
+      shareView({ view, follower: this.#follower, network: this.#network, clock, log }),
+    );
     this.#relay = new Relay({
       ctx,
       dispatcher: this.#dispatcher,
@@ -140,7 +159,11 @@
   /** Serves. Rejects where an address cannot be bound. */
   async start(): Promise<void> {
     this.#follower.start();
-    await Promise.all([this.#surface.listen(), ...this.#servers.map((s) => s.listen())]);
+    await Promise.all([
+      this.#surface.listen(),
+      this.#network.start(),
+      ...this.#servers.map((s) => s.listen()),
+    ]);
     this.#stopTick = this.#options.clock.setRepeating(TICK_MS, () => this.#tick());
     this.#options.log.state("started", {
       name: this.#options.settings.name,
@@ -170,6 +193,8 @@
     this.#stopTick();
     for (const server of this.#servers) server.close();
     this.#upstreams.close();
+    for (const undo of this.#undos) undo();
+    await this.#network.stop();
     await this.#options.store.close();
   }
 
@@ -193,6 +218,7 @@
   #tick(): void {
     this.#fleet.tick();
     this.#dispatcher.tick();
+    this.#mover.tick();
   }
 }
 
--- /dev/null
+++ b/packages/gateway/src/peers/occupancy_share.ts
@@ -0,0 +1,42 @@
+/**
+ * Tells peers what this gateway's runs occupy, and takes over what theirs do.
+ *
+ * @module
+ */
+import type { Clock, Undo } from "@wisteriapick/core";
+import type { RunBoard } from "../relay/run_board.ts";
+import type { PeerNetwork } from "./peer_network.ts";
+
+/**
+ * Time for which the runs of a peer that was lost still count, in milliseconds: a peer that is only cut off goes on
+ * with its runs, and the engines of one that died take as long to notice.
+ */
+const KEEP_LOST_MS = 3_000;
+
+/** Connects a board to the network. The undo disconnects it. */
+export function shareOccupancy(board: RunBoard, network: PeerNetwork, clock: Clock): Undo {
+  const undos: Undo[] = [
+    board.registerListener(({ changed, ended }) =>
+      network.broadcast({ kind: "occupancy", full: false, changed, ended })
+    ),
+    network.registerUp((peer) =>
+      void network.send(peer, {
+        kind: "occupancy",
+        full: true,
+        changed: board.announced(),
+        ended: [],
+      })
+    ),
+    network.registerDown((peer) => {
+      clock.setTimer(KEEP_LOST_MS, () => {
+        if (!network.linked().includes(peer)) board.dropPeer(peer);
+      });
+    }),
+    network.registerHandler("occupancy", (peer, { full, changed, ended }) => {
+      board.updatePeer(peer, { changed, ended }, { full, nowMs: clock.now() });
+    }),
+  ];
+  return () => {
+    for (const undo of undos) undo();
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/peers/peer_network.ts
@@ -0,0 +1,260 @@
+/**
+ * The links between gateways: each keeps one to every other that it knows of, from its settings, from the store and
+ * from its peers.
+ *
+ * @module
+ */
+import {
+  type Clock,
+  type DataCentreId,
+  hostId,
+  processId,
+  type Rng,
+  toWpError,
+  type Undo,
+} from "@wisteriapick/core";
+import {
+  type Address,
+  formatAddress,
+  type GatewayAddress,
+  type Identity,
+  type Link,
+  type LinkAcceptor,
+  type LinkListener,
+  LinkPool,
+  listenLinks,
+  type Message,
+} from "@wisteriapick/wire";
+import type { DecisionLog } from "../observe/decision_log.ts";
+
+/** Options of {@link PeerNetwork}. */
+export interface PeerNetworkOptions {
+  readonly name: string;
+  readonly address: Address;
+  readonly dataCentre: DataCentreId;
+  /** Shared by all gateways of one deployment. */
+  readonly clusterKey: string;
+  readonly seeds: readonly Address[];
+  readonly clock: Clock;
+  readonly rng: Rng;
+  readonly log: DecisionLog;
+}
+
+/** Handles messages of one kind; `peer` is the sender's name. */
+export type PeerHandler<K extends Message["kind"]> = (
+  peer: string,
+  msg: Extract<Message, { kind: K }>,
+) => void;
+
+/** Longest pause between two tries to reach a peer, in milliseconds: a peer that is back is found within a second. */
+const RECONNECT_MAX_MS = 1_000;
+/** The gateway with the greater address leaves the connection to the other one for this long, in milliseconds. */
+const DIAL_PATIENCE_MS = 600;
+/** A peer that has not been linked for this long no longer counts as sharing limits, in milliseconds. */
+const MEMBER_TTL_MS = 20_000;
+
+interface Peer {
+  readonly links: Set<Link>;
+  address: string | null;
+  lastLinkedMs: number;
+}
+
+/** See the module comment. */
+export class PeerNetwork {
+  readonly #options: PeerNetworkOptions;
+  readonly #pool: LinkPool;
+  readonly #acceptor: LinkAcceptor;
+  readonly #identity: Identity;
+  readonly #peers = new Map<string, Peer>();
+  /** Addresses that this gateway dials, or will. */
+  readonly #dialled = new Map<string, Undo>();
+  readonly #known = new Map<string, GatewayAddress>();
+  readonly #handlers = new Map<string, PeerHandler<Message["kind"]>>();
+  #upListeners: readonly ((peer: string) => void)[] = [];
+  #downListeners: readonly ((peer: string) => void)[] = [];
+  #listener: LinkListener | null = null;
+  #closed = false;
+
+  constructor(options: PeerNetworkOptions) {
+    this.#options = options;
+    const { name, dataCentre, clusterKey, clock, rng } = options;
+    const life = Math.floor(rng.next() * 2 ** 32).toString(16);
+    this.#identity = {
+      role: "entry",
+      process: processId(`${name}.${life}`),
+      host: hostId(name),
+      dataCentre,
+    };
+    this.#acceptor = {
+      onStream: () => ({ onMessage: () => {}, onClose: () => {} }),
+      onNotify: (link, msg) => this.#onMessage(link, msg),
+      onLink: (link) => this.#onLink(link),
+    };
+    this.#pool = new LinkPool({
+      identity: this.#identity,
+      clusterKey,
+      acceptor: this.#acceptor,
+      clock,
+      rng: rng.fork("links"),
+      backoffMaxMs: RECONNECT_MAX_MS,
+    });
+    this.registerHandler("gateways", (_peer, { gateways }) => this.learn(gateways));
+  }
+
+  async start(): Promise<void> {
+    const { address, clusterKey, clock, seeds } = this.#options;
+    this.#listener = await listenLinks({
+      address,
+      identity: this.#identity,
+      clusterKey,
+      acceptor: this.#acceptor,
+      clock,
+    });
+    for (const seed of seeds) this.#dial(seed);
+  }
+
+  async stop(): Promise<void> {
+    this.#closed = true;
+    for (const undo of this.#dialled.values()) undo();
+    this.#pool.close();
+    await this.#listener?.close();
+  }
+
+  get name(): string {
+    return this.#options.name;
+  }
+
+  /** Names of the peers that are linked. */
+  linked(): string[] {
+    return [...this.#peers].filter(([, peer]) => peer.links.size > 0).map(([name]) => name);
+  }
+
+  /** Gateways that may be sharing limits with this one, itself included. */
+  members(): number {
+    const oldest = this.#options.clock.now() - MEMBER_TTL_MS;
+    let count = 1;
+    for (const peer of this.#peers.values()) {
+      if (peer.links.size > 0 || peer.lastLinkedMs >= oldest) count++;
+    }
+    // Before the first links, the seeds are all that is known.
+    return Math.max(count, this.#options.seeds.length);
+  }
+
+  /** Takes note of gateways that others know. */
+  learn(gateways: readonly GatewayAddress[]): void {
+    for (const gateway of gateways) {
+      if (gateway.name === this.#options.name) continue;
+      this.#known.set(gateway.name, gateway);
+      const peer = this.#peers.get(gateway.name);
+      if (peer !== undefined) peer.address = formatAddress(gateway);
+      this.#dial(gateway);
+    }
+  }
+
+  /** Sends to one peer. Returns false where it is not linked. */
+  send(peer: string, msg: Message): boolean {
+    const link = [...this.#peers.get(peer)?.links ?? []].find((l) => l.open);
+    if (link === undefined) return false;
+    link.notify(msg);
+    return true;
+  }
+
+  /** Sends to every linked peer. */
+  broadcast(msg: Message): void {
+    for (const name of this.#peers.keys()) this.send(name, msg);
+  }
+
+  registerHandler<K extends Message["kind"]>(kind: K, handler: PeerHandler<K>): Undo {
+    this.#handlers.set(kind, handler as unknown as PeerHandler<Message["kind"]>);
+    return () => void this.#handlers.delete(kind);
+  }
+
+  /** Calls `fn` when the first link to a peer opens. */
+  registerUp(fn: (peer: string) => void): Undo {
+    this.#upListeners = [...this.#upListeners, fn];
+    return () => {
+      this.#upListeners = this.#upListeners.filter((l) => l !== fn);
+    };
+  }
+
+  /** Calls `fn` when the last link to a peer is lost. */
+  registerDown(fn: (peer: string) => void): Undo {
+    this.#downListeners = [...this.#downListeners, fn];
+    return () => {
+      this.#downListeners = this.#downListeners.filter((l) => l !== fn);
+    };
+  }
+
+  /** Of two gateways, the one with the smaller address dials; the other steps in where that does not happen. */
+  #dial(address: Address): void {
+    const key = formatAddress(address);
+    const own = formatAddress(this.#options.address);
+    if (key === own || this.#dialled.has(key) || this.#closed) return;
+    if (own < key) {
+      this.#dialled.set(key, this.#pool.keep(address));
+      return;
+    }
+    const undo = this.#options.clock.setTimer(DIAL_PATIENCE_MS, () => {
+      const isLinked = [...this.#peers.values()].some((p) => p.address === key && p.links.size > 0);
+      if (isLinked) this.#dialled.delete(key);
+      else this.#dialled.set(key, this.#pool.keep(address));
+    });
+    this.#dialled.set(key, undo);
+  }
+
+  #onLink(link: Link): void {
+    const name = link.peer.host as string;
+    if (name === this.#options.name) return link.close();
+    const peer = this.#peerOf(name);
+    const wasLinked = peer.links.size > 0;
+    peer.links.add(link);
+    peer.lastLinkedMs = this.#options.clock.now();
+    link.registerCloseListener((err) => this.#onLinkClosed(name, link, err.message));
+    const { address, dataCentre } = this.#options;
+    const self = { name: this.#options.name, ...address, dataCentre };
+    link.notify({ kind: "gateways", gateways: [self, ...this.#known.values()] });
+    if (wasLinked) return;
+    this.#options.log.state("peer_linked", { peer: name, process: link.peer.process });
+    for (const listener of this.#upListeners) listener(name);
+  }
+
+  #onLinkClosed(name: string, link: Link, reason: string): void {
+    const peer = this.#peerOf(name);
+    if (!peer.links.delete(link) || peer.links.size > 0) return;
+    peer.lastLinkedMs = this.#options.clock.now();
+    if (this.#closed) return;
+    this.#options.log.state("peer_lost", { peer: name, reason });
+    for (const listener of this.#downListeners) listener(name);
+    const gateway = this.#known.get(name);
+    if (gateway !== undefined) this.#dial(gateway);
+  }
+
+  #onMessage(link: Link, msg: Message): void {
+    const handler = this.#handlers.get(msg.kind);
+    if (handler === undefined) return;
+    try {
+      handler(link.peer.host as string, msg as never);
+    } catch (e) {
+      // One bad message must not take the link down; the peer repeats what matters.
+      this.#options.log.state("peer_message_failed", {
+        peer: link.peer.host,
+        message: msg.kind,
+        err: toWpError(e),
+      });
+    }
+  }
+
+  #peerOf(name: string): Peer {
+    let peer = this.#peers.get(name);
+    if (peer === undefined) {
+      const known = this.#known.get(name);
+      peer = {
+        links: new Set(),
+        address: known === undefined ? null : formatAddress(known),
+        lastLinkedMs: this.#options.clock.now(),
+      };
+      this.#peers.set(name, peer);
+    }
+    return peer;
+  }
+}
--- a/packages/gateway/src/relay/engine_dispatcher.ts
+++ b/packages/gateway/src/relay/engine_dispatcher.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { EndpointId, ServiceId } from "@wisteriapick/core";
+import type { EndpointId, RegionId, ServiceId } from "@wisteriapick/core";
 import {
   chooseEngine,
   type EngineChoice,
@@ -16,7 +16,7 @@
 import type { EngineConfig } from "../config/types.ts";
 import type { EndpointRow } from "../state/fleet.ts";
 import type { RelayContext } from "./context.ts";
-import type { InboundRequest, Responder } from "./inbound.ts";
+import type { InboundRequest, PromptPart, Responder } from "./inbound.ts";
 import { ALL_ACCOUNTS, lengthKey, RunBoard } from "./run_board.ts";
 import { type RunLoss, StreamRun } from "./stream_run.ts";
 import { chooseService } from "./service_choice.ts";
@@ -45,6 +45,14 @@
   readonly isLocal: boolean;
 }
 
+/** Which engines are candidates. */
+export interface CandidateFilter {
+  readonly regions: readonly RegionId[];
+  /** Parts of the prompt, which some engines may keep. */
+  readonly parts?: readonly PromptPart[];
+  readonly excluded?: ReadonlySet<EndpointId>;
+}
+
 /** What the dispatcher tells others. */
 export interface DispatcherEvents {
   onPlaced(run: StreamRun, endpoint: EndpointId): void;
@@ -53,6 +61,7 @@
   onLost(run: StreamRun, loss: RunLoss): boolean;
 }
 
+const NONE_EXCLUDED: ReadonlySet<EndpointId> = new Set();
 /** When a caller should come back after it found no room, in milliseconds: about when some run ends. */
 const RETRY_FULL_MS = 600;
 /** When a caller should come back where no engine can be used, in milliseconds. */
@@ -135,21 +144,19 @@
     this.#ctx.metrics.setEngineLoad(this.#queue.size, this.#runs.size - this.#queue.size);
   }
 
-  /** Engines of a service that may take a run, but for those in `excluded`. */
+  /** Engines of a service that may take a generation, with their load. */
   candidates(
     service: ServiceId,
     engine: EngineConfig,
-    run: StreamRun,
-    excluded: ReadonlySet<EndpointId> = new Set(),
+    { regions, parts = [], excluded = NONE_EXCLUDED }: CandidateFilter,
   ): EngineRow[] {
     const { fleet, upstreams, clock, dataCentre } = this.#ctx;
     const now = clock.now();
     this.#ejection.update(fleet.ofService(service).map((row) => upstreams.of(row)), now);
-    const rows = fleet.usable(service, run.req.route.regions).filter((row) =>
+    const rows = fleet.usable(service, regions).filter((row) =>
       !excluded.has(row.record.id) && this.#bears(row, now)
     );
     const healthy = rows.filter((row) => upstreams.of(row).isHealthy(now));
-    const parts = run.req.generation?.parts ?? [];
     const held = this.#kept.lookup(parts.map((part) => part.id));
     return (healthy.length > 0 ? healthy : rows).map((row) => {
       const { forecast, running, unreadTokens } = this.board.load(row.record.id, now);
@@ -209,7 +216,9 @@
 
   #choose({ run, service, engine }: Waiting): EngineChoice<EngineRow> | null {
     const item = run.forecastItem(this.board.curve(run.req.route.id));
-    return chooseEngine(item, this.candidates(service, engine, run));
+    const { route, generation } = run.req;
+    const filter = { regions: route.regions, parts: generation?.parts };
+    return chooseEngine(item, this.candidates(service, engine, filter));
   }
 
   #place(waiting: Waiting, { candidate, peak }: EngineChoice<EngineRow>, now: number): void {
--- a/packages/gateway/src/relay/run_board.ts
+++ b/packages/gateway/src/relay/run_board.ts
@@ -1,26 +1,23 @@
 /**
- * The runs of all gateways by engine: this gateway's own, exactly, and those of its peers, as they announce them.
+ * What runs occupy at each engine: this gateway's own, exactly, and those of its peers, as they announce them.
  *
  * @module
  */
-import type { EndpointId, RouteId, ServiceId } from "@wisteriapick/core";
-import { type LengthEstimator, MemoryForecast } from "@wisteriapick/policy";
-import type { AccountId } from "@wisteriapick/core";
+import type { AccountId, EndpointId, RouteId, ServiceId, Undo } from "@wisteriapick/core";
+import { type ForecastItem, type LengthEstimator, MemoryForecast } from "@wisteriapick/policy";
+import type { Occupancy } from "@wisteriapick/wire";
 import type { StreamRun } from "./stream_run.ts";
 
-/** A run as a gateway announces it to its peers. */
-export interface AnnouncedRun {
-  /** Unique for one gateway process. */
+interface OwnOccupancy {
   readonly key: number;
+  readonly run: StreamRun;
   readonly endpoint: EndpointId;
-  readonly route: RouteId;
-  readonly promptTokens: number;
-  readonly maxTokens: number;
-  /** Output tokens when it was announced. */
-  readonly producedTokens: number;
+  readonly isCopy: boolean;
+  /** When the prompt was sent to be read; `null` where it need not be, or has been. */
+  sentAtMs: number | null;
 }
 
-interface PeerRun extends AnnouncedRun {
+interface PeerOccupancy extends Occupancy {
   readonly announcedAtMs: number;
 }
 
@@ -41,10 +38,16 @@
   readonly unreadTokens: number;
 }
 
-/** Reading speed assumed of an engine until its first answers tell. */
+/** A change of what this gateway's runs occupy. */
+export interface OccupancyChange {
+  readonly changed: readonly Occupancy[];
+  readonly ended: readonly number[];
+}
+
+/** Reading speed assumed of an engine. */
 const READ_TOKENS_PER_MS = 10;
 
-/** Where work goes, so that a length is estimated from all callers of a route. */
+/** Lengths are learned from all callers of a route together. */
 export const ALL_ACCOUNTS = "all" as AccountId;
 
 /** Key of a route in the length estimator. */
@@ -55,74 +58,79 @@
 /** See the module comment. */
 export class RunBoard {
   readonly #options: Required<RunBoardOptions>;
-  readonly #own = new Map<EndpointId, Set<StreamRun>>();
-  readonly #sentAt = new Map<StreamRun, number>();
-  readonly #copies = new Map<StreamRun, EndpointId>();
-  readonly #peers = new Map<string, Map<number, PeerRun>>();
+  readonly #own = new Map<number, OwnOccupancy>();
+  readonly #peers = new Map<string, Map<number, PeerOccupancy>>();
+  #nextKey = 1;
+  #listeners: readonly ((change: OccupancyChange) => void)[] = [];
 
   constructor(options: RunBoardOptions) {
     this.#options = { ...options, readTokensPerMs: options.readTokensPerMs ?? READ_TOKENS_PER_MS };
   }
 
   /** Own runs at an engine. */
-  ownRuns(endpoint: EndpointId): Iterable<StreamRun> {
-    return this.#own.get(endpoint) ?? [];
+  ownRuns(endpoint: EndpointId): StreamRun[] {
+    const runs: StreamRun[] = [];
+    for (const own of this.#own.values()) {
+      if (own.endpoint === endpoint && !own.isCopy) runs.push(own.run);
+    }
+    return runs;
   }
 
-  /** Records that an own run was sent to an engine; `unread` says whether the engine must read its prompt. */
+  /** Records that an own run is at an engine; `unread` says whether the engine must read its prompt. */
   place(run: StreamRun, endpoint: EndpointId, nowMs: number, unread: boolean): void {
-    this.remove(run);
-    let runs = this.#own.get(endpoint);
-    if (runs === undefined) this.#own.set(endpoint, runs = new Set());
-    runs.add(run);
-    if (unread) this.#sentAt.set(run, nowMs);
+    const ended = this.#drop((own) => own.run === run && !own.isCopy);
+    const added = this.#add(run, endpoint, false, unread ? nowMs : null);
+    this.#notify({ changed: [added], ended });
   }
 
-  /** Records that an engine has read the prompt of an own run. */
-  recordRead(run: StreamRun): void {
-    this.#sentAt.delete(run);
+  /** Records that a copy of an own run occupies memory at an engine. */
+  addCopy(run: StreamRun, endpoint: EndpointId): void {
+    this.#notify({ changed: [this.#add(run, endpoint, true, null)], ended: [] });
   }
 
-  /** Forgets an own run. */
+  /** Forgets the copies of an own run. */
+  removeCopies(run: StreamRun): void {
+    this.#notify({ changed: [], ended: this.#drop((own) => own.run === run && own.isCopy) });
+  }
+
+  /** Forgets an own run and its copies. */
   remove(run: StreamRun): void {
-    this.#sentAt.delete(run);
-    for (const [endpoint, runs] of this.#own) {
-      if (!runs.delete(run)) continue;
-      if (runs.size === 0) this.#own.delete(endpoint);
-      return;
-    }
+    this.#notify({ changed: [], ended: this.#drop((own) => own.run === run) });
   }
 
-  /** Records that a copy of an own run occupies memory at another engine. */
-  addCopy(run: StreamRun, endpoint: EndpointId): void {
-    this.#copies.set(run, endpoint);
+  /** Records that an engine has read the prompt of an own run. */
+  recordRead(run: StreamRun): void {
+    for (const own of this.#own.values()) if (own.run === run) own.sentAtMs = null;
   }
 
-  removeCopy(run: StreamRun): void {
-    this.#copies.delete(run);
+  /** Everything that this gateway's runs occupy, as it is announced. */
+  announced(): Occupancy[] {
+    return [...this.#own.values()].map(announce);
   }
 
-  /** Takes over all runs of a peer. */
-  replacePeer(peer: string, runs: readonly AnnouncedRun[], nowMs: number): void {
-    const map = new Map<number, PeerRun>();
-    for (const run of runs) map.set(run.key, { ...run, announcedAtMs: nowMs });
-    this.#peers.set(peer, map);
+  /** Calls `fn` after each change of what own runs occupy. */
+  registerListener(fn: (change: OccupancyChange) => void): Undo {
+    this.#listeners = [...this.#listeners, fn];
+    return () => {
+      this.#listeners = this.#listeners.filter((l) => l !== fn);
+    };
   }
 
-  /** Takes over changes of a peer's runs. */
+  /** Takes over what a peer announces; `full` replaces what it announced before. */
   updatePeer(
     peer: string,
-    changed: readonly AnnouncedRun[],
-    ended: readonly number[],
-    nowMs: number,
+    { changed, ended }: OccupancyChange,
+    { full, nowMs }: { readonly full: boolean; readonly nowMs: number },
   ): void {
     let map = this.#peers.get(peer);
-    if (map === undefined) this.#peers.set(peer, map = new Map());
+    if (map === undefined || full) this.#peers.set(peer, map = new Map());
     for (const key of ended) map.delete(key);
-    for (const run of changed) map.set(run.key, { ...run, announcedAtMs: nowMs });
+    for (const occupancy of changed) {
+      map.set(occupancy.key, { ...occupancy, announcedAtMs: nowMs });
+    }
   }
 
-  /** Forgets a peer's runs. */
+  /** Forgets what a peer announced. */
   dropPeer(peer: string): void {
     this.#peers.delete(peer);
   }
@@ -132,38 +140,24 @@
     const forecast = new MemoryForecast();
     let running = 0;
     let unreadTokens = 0;
-    for (const run of this.#own.get(endpoint) ?? []) {
-      forecast.add(run.forecastItem(this.curve(run.req.route.id)));
-      running++;
-      if (run.producedTokens === 0) unreadTokens += this.#unread(run, nowMs);
-    }
-    for (const [run, target] of this.#copies) {
-      if (target !== endpoint) continue;
-      forecast.add(run.forecastItem(this.curve(run.req.route.id)));
+    for (const own of this.#own.values()) {
+      if (own.endpoint !== endpoint) continue;
+      forecast.add(own.run.forecastItem(this.curve(own.run.req.route.id)));
       running++;
+      if (own.sentAtMs !== null) {
+        unreadTokens += this.#unread(own.run.promptTokens, own.sentAtMs, nowMs);
+      }
     }
-    for (const runs of this.#peers.values()) {
-      for (const run of runs.values()) {
-        if (run.endpoint !== endpoint) continue;
-        const readMs = run.producedTokens > 0
-          ? 0
-          : run.promptTokens / this.#options.readTokensPerMs;
-        const streamingMs = Math.max(0, nowMs - run.announcedAtMs - readMs);
-        const produced = run.producedTokens + streamingMs * this.#options.tokensPerMs();
-        forecast.add({
-          curve: this.curve(run.route),
-          promptTokens: run.promptTokens,
-          produced: Math.min(run.maxTokens, Math.floor(produced)),
-          maxTokens: run.maxTokens,
-        });
+    for (const peer of this.#peers.values()) {
+      for (const occupancy of peer.values()) {
+        if (occupancy.endpoint !== endpoint) continue;
+        forecast.add(this.#estimate(occupancy, nowMs));
         running++;
-        if (run.producedTokens === 0 && streamingMs === 0) {
-          unreadTokens += run.promptTokens -
-            (nowMs - run.announcedAtMs) * this.#options.readTokensPerMs;
-        }
+        if (occupancy.producedTokens > 0) continue;
+        unreadTokens += this.#unread(occupancy.promptTokens, occupancy.announcedAtMs, nowMs);
       }
     }
-    return { forecast, running, unreadTokens: Math.max(0, unreadTokens) };
+    return { forecast, running, unreadTokens };
   }
 
   /** Chance to reach each length, for a route. */
@@ -171,9 +165,55 @@
     return this.#options.lengths.curve(lengthKey(route), ALL_ACCOUNTS);
   }
 
-  #unread(run: StreamRun, nowMs: number): number {
-    const sentAt = this.#sentAt.get(run);
-    if (sentAt === undefined) return 0;
-    return Math.max(0, run.promptTokens - (nowMs - sentAt) * this.#options.readTokensPerMs);
+  /** A peer's run as it probably is by now. */
+  #estimate(occupancy: PeerOccupancy, nowMs: number): ForecastItem {
+    const { promptTokens, maxTokens, producedTokens, announcedAtMs, route } = occupancy;
+    const { readTokensPerMs, tokensPerMs } = this.#options;
+    const readMs = producedTokens > 0 ? 0 : promptTokens / readTokensPerMs;
+    const streamingMs = Math.max(0, nowMs - announcedAtMs - readMs);
+    const produced = Math.floor(producedTokens + streamingMs * tokensPerMs());
+    return {
+      curve: this.curve(route),
+      promptTokens,
+      produced: Math.min(maxTokens, produced),
+      maxTokens,
+    };
+  }
+
+  #unread(promptTokens: number, sentAtMs: number, nowMs: number): number {
+    return Math.max(0, promptTokens - (nowMs - sentAtMs) * this.#options.readTokensPerMs);
+  }
+
+  #add(
+    run: StreamRun,
+    endpoint: EndpointId,
+    isCopy: boolean,
+    sentAtMs: number | null,
+  ): Occupancy {
+    const own: OwnOccupancy = { key: this.#nextKey++, run, endpoint, isCopy, sentAtMs };
+    this.#own.set(own.key, own);
+    return announce(own);
   }
+
+  #drop(matches: (own: OwnOccupancy) => boolean): number[] {
+    const keys = [...this.#own.values()].filter(matches).map((own) => own.key);
+    for (const key of keys) this.#own.delete(key);
+    return keys;
+  }
+
+  #notify(change: OccupancyChange): void {
+    if (change.changed.length === 0 && change.ended.length === 0) return;
+    for (const listener of this.#listeners) listener(change);
+  }
+}
+
+function announce({ key, run, endpoint }: OwnOccupancy): Occupancy {
+  return {
+    key,
+    endpoint,
+    route: run.req.route.id,
+    promptTokens: run.promptTokens,
+    maxTokens: run.maxTokens,
+    producedTokens: run.producedTokens,
+  };
 }
--- a/packages/gateway/src/relay/run_mover.ts
+++ b/packages/gateway/src/relay/run_mover.ts
@@ -5,12 +5,19 @@
  * @module
  */
 import type { EndpointId } from "@wisteriapick/core";
-import { chooseEngine } from "@wisteriapick/policy";
+import {
+  chooseEngine,
+  type CopyTarget,
+  type EnginePlacementOptions,
+  type ForecastItem,
+} from "@wisteriapick/policy";
+import type { CopyRequest } from "@wisteriapick/wire";
 import type { EngineConfig } from "../config/types.ts";
+import { CopyKeeper } from "../peers/copy_keeper.ts";
+import type { PeerNetwork } from "../peers/peer_network.ts";
 import type { EndpointRow } from "../state/fleet.ts";
 import { controlCall } from "../upstream/control_call.ts";
 import type { CopyResult, RunMemory } from "../upstream/dialect.ts";
-import type { UpstreamEndpoint } from "../upstream/endpoint.ts";
 import type { RelayContext } from "./context.ts";
 import type { EngineDispatcher, EngineRow } from "./engine_dispatcher.ts";
 import type { RunLoss, StreamRun } from "./stream_run.ts";
@@ -18,15 +25,18 @@
 /** Longest wait for a copy, in milliseconds; a leaving engine is gone after about two seconds. */
 const COPY_TIMEOUT_MS = 2_500;
 /** Pause before a run that cannot be moved yet is looked at again, in milliseconds. */
-const RETRY_MS = 60;
+const RETRY_MS = 30;
 /** Output time below which a run is left to finish where it is, in milliseconds. */
 const NEARLY_DONE_MS = 700;
 /** Time per output token on a shared engine, in milliseconds. */
 const TOKEN_MS = 10;
 /** Memory may be filled to the last token for a run that would be lost otherwise. */
-const RESCUE_PLACEMENT = { z: 0, usedPart: 1 } as const;
-/** Refusals of copies of one run after which it is left where it is. */
-const MAX_REFUSALS = 6;
+const RESCUE_PLACEMENT: EnginePlacementOptions = { z: 0, usedPart: 1 };
+/** Copies between data centres take this many times as long. */
+const REMOTE_COPY_FACTOR = 2;
+const BITS_PER_BYTE = 8;
+/** Bits that a link of one megabit per second carries in a millisecond. */
+const BITS_PER_MS_OF_MBPS = 1_000;
 
 /** Where a run can go on if its new engine does not take it. */
 interface Fallback {
@@ -34,18 +44,30 @@
   readonly memory: Omit<RunMemory, "lastEventId">;
 }
 
+/** What became of one try to move a run. */
+type MoveOutcome = "moved" | "over" | "refused" | "failed";
+
 /** See the module comment. */
 export class RunMover {
   readonly #ctx: RelayContext;
   readonly #dispatcher: EngineDispatcher;
-  readonly #departing = new Set<EndpointId>();
+  readonly #keeper: CopyKeeper;
+  readonly #moving = new Set<StreamRun>();
   readonly #fallbacks = new Map<StreamRun, Fallback>();
+  #nextKey = 1;
 
-  constructor(ctx: RelayContext, dispatcher: EngineDispatcher) {
+  constructor(ctx: RelayContext, dispatcher: EngineDispatcher, network: PeerNetwork) {
     this.#ctx = ctx;
     this.#dispatcher = dispatcher;
+    const { clock, log } = ctx;
+    this.#keeper = new CopyKeeper({
+      network,
+      clock,
+      log,
+      targets: (request) => this.#targets(request),
+    });
     ctx.fleet.registerEndpointListener(({ id, after }) => {
-      if (after?.phase === "leaving") void this.#empty(id);
+      if (after?.phase === "leaving") this.#empty(id);
     });
   }
 
@@ -63,109 +85,120 @@
     this.#fallbacks.delete(run);
   }
 
-  /** Moves the runs of an engine one after the other: each copy has the engine's link for itself. */
-  async #empty(id: EndpointId): Promise<void> {
-    if (this.#departing.has(id)) return;
-    this.#departing.add(id);
-    const refusals = new Map<StreamRun, number>();
-    for (;;) {
-      const row = this.#ctx.fleet.endpoints.get(id);
-      if (row === undefined || row.phase !== "leaving") break;
-      const run = this.#next(id, refusals);
-      if (run === null) {
-        if (!this.#hasMovable(id, refusals)) break;
+  /** Gives leave to copies that have become possible. Called each tick. */
+  tick(): void {
+    this.#keeper.tick();
+  }
+
+  /** Begins to move every run of an engine. */
+  #empty(id: EndpointId): void {
+    for (const run of this.#dispatcher.board.ownRuns(id)) void this.#rescue(run, id);
+  }
+
+  /** Moves one run, trying again while that can help. */
+  async #rescue(run: StreamRun, source: EndpointId): Promise<void> {
+    if (this.#moving.has(run)) return;
+    this.#moving.add(run);
+    const refused = new Set<EndpointId>();
+    while (this.#mustLeave(run, source)) {
+      const row = this.#ctx.fleet.endpoints.get(source);
+      const placed = this.#dispatcher.serviceOf(run);
+      if (row === undefined || placed === null || !placed.engine.canCopyRuns) break;
+      // An engine copies what has begun to run, which shows by the first event.
+      if (run.phase === "sent") {
         await this.#ctx.clock.sleep(RETRY_MS);
         continue;
       }
-      const moved = await this.#move(run, row);
-      if (!moved) refusals.set(run, (refusals.get(run) ?? 0) + 1);
-      if (!moved) await this.#ctx.clock.sleep(RETRY_MS);
+      const outcome = await this.#tryMove(run, row, placed.engine, refused);
+      if (outcome === "moved" || outcome === "over") break;
+      await this.#ctx.clock.sleep(RETRY_MS);
     }
-    this.#departing.delete(id);
+    this.#moving.delete(run);
+    // It may have come to an engine that is leaving as well.
+    const now = run.endpoint;
+    if (run.phase === "over" || now === null || now.id === source) return;
+    if (this.#ctx.fleet.endpoints.get(now.id)?.phase === "leaving") void this.#rescue(run, now.id);
   }
 
-  #isMovable(run: StreamRun, refusals: ReadonlyMap<StreamRun, number>): boolean {
+  #mustLeave(run: StreamRun, source: EndpointId): boolean {
     if (run.phase !== "streaming" && run.phase !== "sent") return false;
-    if ((refusals.get(run) ?? 0) >= MAX_REFUSALS) return false;
+    if (run.endpoint?.id !== source) return false;
     return (run.maxTokens - run.producedTokens) * TOKEN_MS > NEARLY_DONE_MS;
   }
 
-  #hasMovable(id: EndpointId, refusals: ReadonlyMap<StreamRun, number>): boolean {
-    return [...this.#dispatcher.board.ownRuns(id)].some((run) => this.#isMovable(run, refusals));
+  async #tryMove(
+    run: StreamRun,
+    source: EndpointRow,
+    engine: EngineConfig,
+    refused: Set<EndpointId>,
+  ): Promise<MoveOutcome> {
+    const request = this.#requestOf(run, source, [...refused]);
+    const granted = await this.#keeper.ask(request) ?? this.#best(request, engine);
+    try {
+      if (!this.#mustLeave(run, source.record.id)) return "over";
+      const target = granted === null ? undefined : this.#ctx.fleet.endpoints.get(granted);
+      if (target === undefined || target.phase === "leaving") return "failed";
+      const outcome = await this.#move(run, source, target);
+      if (outcome === "refused") refused.add(target.record.id);
+      return outcome;
+    } finally {
+      this.#keeper.done(request.key);
+    }
   }
 
-  /** The run that is quickest to copy, so that most get away in time. */
-  #next(id: EndpointId, refusals: ReadonlyMap<StreamRun, number>): StreamRun | null {
-    const runs = [...this.#dispatcher.board.ownRuns(id)].filter((run) =>
-      run.phase === "streaming" && this.#isMovable(run, refusals)
-    );
-    runs.sort((a, b) =>
-      (refusals.get(a) ?? 0) - (refusals.get(b) ?? 0) || a.memoryTokens - b.memoryTokens
-    );
-    return runs[0] ?? null;
+  #requestOf(
+    run: StreamRun,
+    source: EndpointRow,
+    refused: readonly EndpointId[],
+  ): Omit<CopyRequest, "kind"> {
+    return {
+      key: this.#nextKey++,
+      service: source.record.service,
+      source: source.record.id,
+      route: run.req.route.id,
+      promptTokens: run.promptTokens,
+      producedTokens: run.producedTokens,
+      maxTokens: run.maxTokens,
+      refused,
+    };
   }
 
-  /** Returns whether the run needs no further move. */
-  async #move(run: StreamRun, source: EndpointRow): Promise<boolean> {
-    const placed = this.#dispatcher.serviceOf(run);
-    if (placed === null || !placed.engine.canCopyRuns) return true;
-    const target = this.#chooseTarget(run, source, placed.engine);
-    if (target === null) {
-      this.#ctx.log.request("move_without_room", { req: run.id, source: source.record.id });
-      return false;
-    }
+  async #move(run: StreamRun, source: EndpointRow, target: EndpointRow): Promise<MoveOutcome> {
     const { board } = this.#dispatcher;
-    board.addCopy(run, target.row.record.id);
+    board.addCopy(run, target.record.id);
     try {
-      const first = await this.#copy(run, source, target.row, false);
-      if (first.type !== "copied") return first.type === "no_run" && run.phase !== "streaming";
-      return await this.#stopAndGoOn(run, source, target.row);
+      const first = await this.#copy(run, source, target, false);
+      if (first.type === "refused") return "refused";
+      if (first.type !== "copied") return "failed";
+      if (run.phase !== "streaming") return "over";
+      return await this.#stopAndGoOn(run, source, target);
     } finally {
-      board.removeCopy(run);
+      board.removeCopies(run);
     }
   }
 
-  #chooseTarget(run: StreamRun, source: EndpointRow, engine: EngineConfig): EngineRow | null {
-    const excluded = new Set([source.record.id]);
-    const candidates = this.#dispatcher
-      .candidates(source.record.service, engine, run, excluded)
-      .filter((c) => c.row.record.version === source.record.version)
-      .map((c) => ({
-        ...c,
-        keptTokens: 0,
-        // Copies between data centres take twice as long.
-        isLocal: c.row.record.dataCentre === source.record.dataCentre,
-      }));
-    const item = run.forecastItem(this.#dispatcher.board.curve(run.req.route.id));
-    const choice = chooseEngine(item, candidates) ??
-      chooseEngine(item, candidates, RESCUE_PLACEMENT);
-    return choice?.candidate ?? null;
-  }
-
-  async #stopAndGoOn(run: StreamRun, source: EndpointRow, target: EndpointRow): Promise<boolean> {
-    if (run.phase !== "streaming") return true;
+  async #stopAndGoOn(
+    run: StreamRun,
+    source: EndpointRow,
+    target: EndpointRow,
+  ): Promise<MoveOutcome> {
     run.beginStop();
     const last = await this.#copy(run, source, target, true);
-    if (!run.isStopping) return true;
-    const memory = { source: source.record.address };
-    switch (last.type) {
-      case "copied": {
-        const handle = { ...memory, handle: last.handle };
-        this.#fallbacks.set(run, { source, memory: handle });
-        this.#goOn(run, target, handle, "moved");
-        return true;
-      }
-      case "refused":
-        if (last.handle === null) break;
-        this.#goOn(run, source, { ...memory, handle: last.handle }, "copy refused");
-        return false;
-      case "no_run":
-      case "busy":
-      case "unknown":
-        break;
+    if (!run.isStopping) return "over";
+    if (last.type === "copied") {
+      const memory = { source: source.record.address, handle: last.handle };
+      this.#fallbacks.set(run, { source, memory });
+      this.#goOn(run, target, memory, "moved");
+      return "moved";
+    }
+    if (last.type === "refused" && last.handle !== null) {
+      // The engine has stopped the run and keeps its memory; the run goes on there.
+      const memory = { source: source.record.address, handle: last.handle };
+      this.#goOn(run, source, memory, "copy refused");
+      return "refused";
     }
     run.endStop();
-    return last.type === "no_run";
+    return "failed";
   }
 
   #goOn(
@@ -175,7 +208,7 @@
     why: string,
   ): void {
     const { board } = this.#dispatcher;
-    board.removeCopy(run);
+    board.removeCopies(run);
     board.place(run, row.record.id, this.#ctx.clock.now(), false);
     run.send({
       row,
@@ -184,7 +217,6 @@
       enginePriority: this.#dispatcher.enginePriority(run),
       why,
     });
-    this.#dispatcher.announce(run);
   }
 
   async #copy(
@@ -195,13 +227,13 @@
   ): Promise<CopyResult> {
     const { clock, dialect, log, metrics, upstreams } = this.#ctx;
     const startedAtMs = clock.now();
-    const endpoint: UpstreamEndpoint = upstreams.of(source);
     const request = dialect.copyRequest({
       requestId: run.id,
       target: target.record.address,
       stop,
     });
-    const answer = await controlCall(endpoint, request, { clock, timeoutMs: COPY_TIMEOUT_MS });
+    const options = { clock, timeoutMs: COPY_TIMEOUT_MS };
+    const answer = await controlCall(upstreams.of(source), request, options);
     const result: CopyResult = answer.type === "answer"
       ? dialect.readCopyResult(answer.status, answer.body)
       : { type: "unknown", message: answer.message };
@@ -219,4 +251,73 @@
     });
     return result;
   }
+
+  /** The engine to copy to where no keeper says. */
+  #best(request: Omit<CopyRequest, "kind">, engine: EngineConfig): EndpointId | null {
+    const source = this.#ctx.fleet.endpoints.get(request.source);
+    if (source === undefined) return null;
+    const item = this.#itemOf(request);
+    const candidates = this.#candidates(request, source, engine);
+    const choice = chooseEngine(item, candidates) ??
+      chooseEngine(item, candidates, RESCUE_PLACEMENT);
+    return choice?.candidate.row.record.id ?? null;
+  }
+
+  /** Engines with room for a run, or, where none has it to spare, those into which it just fits. */
+  #targets(request: Omit<CopyRequest, "kind">): CopyTarget[] {
+    const { fleet } = this.#ctx;
+    const source = fleet.endpoints.get(request.source);
+    const engine = fleet.routes?.service(request.service)?.engine ?? null;
+    if (source === undefined || engine === null) return [];
+    const candidates = this.#candidates(request, source, engine);
+    const fitting = this.#fitting(request, candidates, engine, {});
+    return fitting.length > 0
+      ? fitting
+      : this.#fitting(request, candidates, engine, RESCUE_PLACEMENT);
+  }
+
+  #fitting(
+    request: Omit<CopyRequest, "kind">,
+    candidates: readonly EngineRow[],
+    engine: EngineConfig,
+    options: EnginePlacementOptions,
+  ): CopyTarget[] {
+    const item = this.#itemOf(request);
+    const copyMs = copyTimeMs(request.promptTokens + request.producedTokens, engine);
+    return candidates.flatMap((candidate) => {
+      const choice = chooseEngine(item, [candidate], options);
+      if (choice === null) return [];
+      return [{
+        endpoint: candidate.row.record.id,
+        peak: choice.peak,
+        copyMs: candidate.isLocal ? copyMs : REMOTE_COPY_FACTOR * copyMs,
+      }];
+    });
+  }
+
+  #candidates(
+    request: Omit<CopyRequest, "kind">,
+    source: EndpointRow,
+    engine: EngineConfig,
+  ): EngineRow[] {
+    const route = this.#ctx.fleet.routes?.config.routes.find((r) => r.id === request.route);
+    const excluded = new Set([request.source, ...request.refused]);
+    return this.#dispatcher
+      .candidates(request.service, engine, { regions: route?.regions ?? [], excluded })
+      .filter((c) => c.row.record.version === source.record.version)
+      .map((c) => ({ ...c, isLocal: c.row.record.dataCentre === source.record.dataCentre }));
+  }
+
+  #itemOf(
+    { route, promptTokens, producedTokens, maxTokens }: Omit<CopyRequest, "kind">,
+  ): ForecastItem {
+    const curve = this.#dispatcher.board.curve(route);
+    return { curve, promptTokens, produced: producedTokens, maxTokens };
+  }
+}
+
+/** Time to copy a run's memory over an idle link within a data centre, in milliseconds. */
+function copyTimeMs(tokens: number, { tokenBytes, linkMbps }: EngineConfig): number {
+  if (linkMbps <= 0) return 0;
+  return tokens * tokenBytes * BITS_PER_BYTE / (linkMbps * BITS_PER_MS_OF_MBPS);
 }
--- a/packages/gateway/src/relay/stream_run.ts
+++ b/packages/gateway/src/relay/stream_run.ts
@@ -6,7 +6,7 @@
  */
 import type { EndpointId, RefusalReason, Undo } from "@wisteriapick/core";
 import type { ForecastItem } from "@wisteriapick/policy";
-import type { HostPort } from "../config/types.ts";
+import type { Address } from "@wisteriapick/wire";
 import type { EndpointRow } from "../state/fleet.ts";
 import type { UpstreamCall, UpstreamFailure } from "../upstream/connection.ts";
 import type { RunMemory } from "../upstream/dialect.ts";
@@ -52,7 +52,7 @@
 export interface RunTarget {
   readonly row: EndpointRow;
   readonly goOnFrom: RunMemory | null;
-  readonly backupAt: HostPort | null;
+  readonly backupAt: Address | null;
   readonly enginePriority: number;
   readonly why: string;
 }
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -12,16 +12,16 @@
   regionId,
 } from "@wisteriapick/core";
 import { z } from "zod";
-import type { HostPort } from "./config/types.ts";
+import { type Address, parseAddress } from "@wisteriapick/wire";
 
 /** `host:port` as an address. */
-const address = z.string().transform((s, ctx): HostPort => {
-  const match = /^(.+):(\d{1,5})$/.exec(s);
-  if (match === null) {
-    ctx.addIssue({ code: "custom", message: "expected host:port" });
+const address = z.string().transform((s, ctx): Address => {
+  try {
+    return parseAddress(s);
+  } catch {
+    ctx.addIssue({ code: "custom", message: "expected ip:port" });
     return z.NEVER;
   }
-  return { host: match[1]!, port: Number(match[2]) };
 });
 
 const dataCentre = idField(dataCentreId, "a data centre id");
@@ -42,6 +42,8 @@
   }),
   metrics_path: z.string().default("/metrics"),
   store: z.object({ address }),
+  /** Shared by all gateways of one deployment, which prove to each other that they hold it. */
+  cluster_key: z.string().min(1),
   /** Gateways to ask for others at the start. */
   seeds: z.array(address).default([]),
   bounds: z.object({
--- a/packages/gateway/src/state/store_view.ts
+++ b/packages/gateway/src/state/store_view.ts
@@ -67,6 +67,7 @@
 export class KindView<T> {
   #snapshot: Snapshot<T> = EMPTY;
   #known = false;
+  #changedAt = 0;
   #listeners: readonly ViewListener[] = [];
 
   /** Whether any snapshot has been read. */
@@ -79,6 +80,11 @@
     return this.#snapshot.revision;
   }
 
+  /** The store's revision at which the content was last seen to change. */
+  get changedAt(): number {
+    return this.#changedAt;
+  }
+
   get snapshot(): Snapshot<T> {
     return this.#snapshot;
   }
@@ -122,6 +128,7 @@
   #commit(snapshot: Snapshot<T>, source: ViewSource, removed: readonly string[]): void {
     this.#snapshot = snapshot;
     this.#known = true;
+    this.#changedAt = snapshot.revision;
     for (const listener of this.#listeners) listener({ source, removed });
   }
 }
--- a/packages/gateway/src/surface/forward_surface.ts
+++ b/packages/gateway/src/surface/forward_surface.ts
@@ -12,7 +12,8 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import type { Clock } from "@wisteriapick/core";
-import { type CallerLimits, formatAddress, type HostPort } from "../config/types.ts";
+import { type Address, formatAddress } from "@wisteriapick/wire";
+import type { CallerLimits } from "../config/types.ts";
 import type { DecisionLog } from "../observe/decision_log.ts";
 import type { InboundHead } from "../relay/inbound.ts";
 import type { CallerDialect } from "./caller_dialect.ts";
@@ -34,7 +35,7 @@
 
 /** Options of {@link ForwardSurface}. */
 export interface ForwardSurfaceOptions {
-  readonly address: HostPort;
+  readonly address: Address;
   readonly dialect: CallerDialect;
   readonly handler: ForwardHandler;
   readonly clock: Clock;
--- a/packages/gateway/src/surface/plain_server.ts
+++ b/packages/gateway/src/surface/plain_server.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { createServer, type Server } from "node:http";
-import type { HostPort } from "../config/types.ts";
+import type { Address } from "@wisteriapick/wire";
 
 /** An answer of a {@link PlainServer}. */
 export interface PlainAnswer {
@@ -16,10 +16,10 @@
 /** Answers `GET` requests by path. */
 export class PlainServer {
   readonly #server: Server;
-  readonly #address: HostPort;
+  readonly #address: Address;
 
   constructor(
-    address: HostPort,
+    address: Address,
     routes: Readonly<Record<string, () => PlainAnswer | Promise<PlainAnswer>>>,
   ) {
     this.#address = address;
--- a/packages/gateway/src/upstream/connection.ts
+++ b/packages/gateway/src/upstream/connection.ts
@@ -6,7 +6,7 @@
  */
 import { connect, type Socket } from "node:net";
 import { type buildConnector, Client, type Dispatcher } from "undici";
-import { formatAddress, type HostPort } from "../config/types.ts";
+import { type Address, formatAddress } from "@wisteriapick/wire";
 
 /** A request as it is written to an endpoint. */
 export interface UpstreamRequest {
@@ -48,7 +48,7 @@
 
 /** Options of {@link UpstreamConnection}. */
 export interface UpstreamConnectionOptions {
-  readonly address: HostPort;
+  readonly address: Address;
   /** Time to establish the connection, in milliseconds. */
   readonly connectTimeoutMs: number;
   /** Idle time after which the connection is closed where the endpoint names none, in milliseconds. */
--- a/packages/gateway/src/upstream/connection_pool.ts
+++ b/packages/gateway/src/upstream/connection_pool.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { HostPort } from "../config/types.ts";
+import type { Address } from "@wisteriapick/wire";
 import {
   type UpstreamCall,
   UpstreamConnection,
@@ -13,7 +13,7 @@
 
 /** Options of {@link ConnectionPool}. */
 export interface ConnectionPoolOptions {
-  readonly address: HostPort;
+  readonly address: Address;
   /** Time to establish a connection, in milliseconds. Endpoints answer within a few round trips of at most 10 ms. */
   readonly connectTimeoutMs?: number;
   /** Idle time of a connection whose endpoint names none, in milliseconds. */
--- a/packages/gateway/src/upstream/dialect.ts
+++ b/packages/gateway/src/upstream/dialect.ts
@@ -3,14 +3,15 @@
  *
  * @module
  */
-import type { EndpointRecord, HostPort } from "../config/types.ts";
+import type { Address } from "@wisteriapick/wire";
+import type { EndpointRecord } from "../config/types.ts";
 import type { HeaderList, InboundRequest } from "../relay/inbound.ts";
 import type { UpstreamRequest } from "./connection.ts";
 
 /** The memory of a run that stopped, from which the same request goes on. */
 export interface RunMemory {
   /** Where the copy was made from; for a backup, the endpoint that holds it. */
-  readonly source: HostPort;
+  readonly source: Address;
   /** Names the copy at its source. */
   readonly handle: string;
   /** Last event that the caller has. */
@@ -26,7 +27,7 @@
   readonly enginePriority: number | null;
   readonly goOnFrom: RunMemory | null;
   /** The engine to which the run's memory is sent as it grows. */
-  readonly backupAt: HostPort | null;
+  readonly backupAt: Address | null;
 }
 
 /** What the header section of an answer says. */
@@ -96,7 +97,7 @@
 
   /** Orders a copy of a run's memory to another engine; `stop` ends the run at the source first. */
   abstract copyRequest(
-    options: { readonly requestId: string; readonly target: HostPort; readonly stop: boolean },
+    options: { readonly requestId: string; readonly target: Address; readonly stop: boolean },
   ): UpstreamRequest;
   abstract readCopyResult(status: number, body: Buffer): CopyResult;
 
--- /dev/null
+++ b/packages/policy/src/copy_planner.ts
@@ -0,0 +1,137 @@
+/**
+ * Decides which run is copied where and when. Load pattern: engines that leave at two seconds' notice with several long
+ * runs each, owned by different gateways. Copies share the links of the engines at both ends; a run that is stopped for
+ * the rest of its copy must not wait behind another run's first copy. So each link carries one copy at a time.
+ *
+ * @module
+ */
+
+/** A run that must leave its engine. */
+export interface CopyOrder {
+  /** Unique among all orders. */
+  readonly id: string;
+  readonly source: string;
+  /** Memory to copy. */
+  readonly tokens: number;
+  readonly requestedAtMs: number;
+}
+
+/** An engine to which a run may be copied. */
+export interface CopyTarget {
+  readonly endpoint: string;
+  /** Memory that would be used at its peak with the run, as a part of the engine's. */
+  readonly peak: number;
+  /** Time that the copy takes on idle links, in milliseconds. */
+  readonly copyMs: number;
+}
+
+/** Leave to copy a run. */
+export interface CopyLeave<O extends CopyOrder> {
+  readonly order: O;
+  readonly target: CopyTarget;
+}
+
+interface ActiveCopy {
+  readonly source: string;
+  readonly target: string;
+  readonly untilMs: number;
+}
+
+/** Options of {@link CopyPlanner}. */
+export interface CopyPlannerOptions<O extends CopyOrder> {
+  /** Engines to which a run may be copied now, its own and full ones left out. */
+  readonly targets: (order: O) => readonly CopyTarget[];
+}
+
+/** A copy whose end is not reported holds its links for this many times its expected duration. */
+const EXPIRY_FACTOR = 3;
+/** Time for the order and the switch besides the copy itself, in milliseconds. */
+const SWITCH_MS = 150;
+/** An order that could not be met for this long is dropped; its engine is gone by then. */
+const ORDER_TTL_MS = 15_000;
+/** Copy time that weighs as much as all of an engine's memory when a target is chosen, in milliseconds. */
+const COPY_SCALE_MS = 800;
+
+/**
+ * Plans the copies of one service.
+ *
+ * @example
+ * ```ts
+ * const planner = new CopyPlanner({ targets });
+ * planner.add({ id: "run-1", source: "scribe-1", tokens: 4_000, requestedAtMs: nowMs });
+ * for (const { order, target } of planner.grant(nowMs)) copy(order, target);
+ * ```
+ */
+export class CopyPlanner<O extends CopyOrder> {
+  readonly #targets: (order: O) => readonly CopyTarget[];
+  readonly #orders = new Map<string, O>();
+  readonly #active = new Map<string, ActiveCopy>();
+
+  constructor({ targets }: CopyPlannerOptions<O>) {
+    this.#targets = targets;
+  }
+
+  get waiting(): number {
+    return this.#orders.size;
+  }
+
+  /** Adds an order, or replaces the one with its id. */
+  add(order: O): void {
+    this.#active.delete(order.id);
+    this.#orders.set(order.id, order);
+  }
+
+  /** Removes an order, or frees the links of its copy. */
+  remove(id: string): void {
+    this.#orders.delete(id);
+    this.#active.delete(id);
+  }
+
+  /** Gives leave to all copies that can be made now. The smallest goes first, so that most runs get away. */
+  grant(nowMs: number): CopyLeave<O>[] {
+    this.#expire(nowMs);
+    const leaves: CopyLeave<O>[] = [];
+    const orders = [...this.#orders.values()].sort((a, b) => a.tokens - b.tokens);
+    for (const order of orders) {
+      if (this.#isBusy(order.source)) continue;
+      const target = this.#choose(order);
+      if (target === null) continue;
+      this.#orders.delete(order.id);
+      this.#active.set(order.id, {
+        source: order.source,
+        target: target.endpoint,
+        untilMs: nowMs + EXPIRY_FACTOR * target.copyMs + SWITCH_MS,
+      });
+      leaves.push({ order, target });
+    }
+    return leaves;
+  }
+
+  #choose(order: O): CopyTarget | null {
+    let best: CopyTarget | null = null;
+    let bestCost = Infinity;
+    for (const target of this.#targets(order)) {
+      if (this.#isBusy(target.endpoint)) continue;
+      const cost = target.peak + target.copyMs / COPY_SCALE_MS;
+      if (cost < bestCost) {
+        best = target;
+        bestCost = cost;
+      }
+    }
+    return best;
+  }
+
+  #isBusy(endpoint: string): boolean {
+    for (const { source, target } of this.#active.values()) {
+      if (source === endpoint || target === endpoint) return true;
+    }
+    return false;
+  }
+
+  #expire(nowMs: number): void {
+    for (const [id, { untilMs }] of this.#active) if (untilMs <= nowMs) this.#active.delete(id);
+    for (const [id, { requestedAtMs }] of this.#orders) {
+      if (nowMs - requestedAtMs > ORDER_TTL_MS) this.#orders.delete(id);
+    }
+  }
+}
--- a/packages/wire/src/message_codec.ts
+++ b/packages/wire/src/message_codec.ts
@@ -16,6 +16,7 @@
   REFUSAL_REASONS,
   requestId,
   revision,
+  routeId,
   serviceId,
   versionId,
 } from "@wisteriapick/core";
@@ -43,9 +44,12 @@
   CacheNote,
   EndpointLoad,
   EvidenceCell,
+  GatewayAddress,
   Hello,
   Message,
+  Occupancy,
   SuspectReport,
+  ViewRevision,
 } from "./messages.ts";
 
 /** Numbers of frames that belong to the link itself. Messages start at {@link FIRST_MESSAGE_KIND}. */
@@ -253,6 +257,42 @@
       nextReportMs: real,
     })),
   }),
+  occupancy: record<Body<"occupancy">>({
+    full: flag,
+    changed: list(record<Occupancy>({
+      key: count,
+      endpoint,
+      route: id(routeId),
+      promptTokens: count,
+      maxTokens: count,
+      producedTokens: count,
+    })),
+    ended: list(count),
+  }),
+  gateways: record<Body<"gateways">>({
+    gateways: list(record<GatewayAddress>({
+      name: text,
+      host: text,
+      port: count,
+      dataCentre: id(dataCentreId),
+    })),
+  }),
+  copy_request: record<Body<"copy_request">>({
+    key: count,
+    service,
+    source: endpoint,
+    route: id(routeId),
+    promptTokens: count,
+    producedTokens: count,
+    maxTokens: count,
+    refused: list(endpoint),
+  }),
+  copy_grant: record<Body<"copy_grant">>({ key: count, target: endpoint }),
+  copy_done: record<Body<"copy_done">>({ key: count }),
+  view_pull: record<Body<"view_pull">>({
+    revisions: list(record<ViewRevision>({ view: text, revision: count })),
+  }),
+  view_state: record<Body<"view_state">>({ view: text, revision: count, items: bytes }),
 };
 
 const KINDS = Object.keys(BODIES) as Message["kind"][];
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -16,6 +16,7 @@
   RefusalReason,
   RequestId,
   Revision,
+  RouteId,
   ServiceId,
   VersionId,
 } from "@wisteriapick/core";
@@ -306,6 +307,89 @@
   readonly grants: readonly AccountAllowance[];
 }
 
+/** Memory that a run, or a copy of one, occupies at an engine. */
+export interface Occupancy {
+  /** Unique for one gateway process. */
+  readonly key: number;
+  readonly endpoint: EndpointId;
+  readonly route: RouteId;
+  readonly promptTokens: number;
+  readonly maxTokens: number;
+  /** Output tokens when it was announced. */
+  readonly producedTokens: number;
+}
+
+/** What a gateway's runs occupy. */
+export interface OccupancyUpdate {
+  readonly kind: "occupancy";
+  /** Whether this replaces everything announced before. */
+  readonly full: boolean;
+  readonly changed: readonly Occupancy[];
+  readonly ended: readonly number[];
+}
+
+/** Where a gateway listens for its peers. */
+export interface GatewayAddress {
+  readonly name: string;
+  readonly host: string;
+  readonly port: number;
+  readonly dataCentre: DataCentreId;
+}
+
+/** Gateways that the sender knows. */
+export interface KnownGateways {
+  readonly kind: "gateways";
+  readonly gateways: readonly GatewayAddress[];
+}
+
+/** Asks the keeper of a service's copies when and where a run may be copied. */
+export interface CopyRequest {
+  readonly kind: "copy_request";
+  /** Unique for one gateway process. */
+  readonly key: number;
+  readonly service: ServiceId;
+  readonly source: EndpointId;
+  readonly route: RouteId;
+  readonly promptTokens: number;
+  readonly producedTokens: number;
+  readonly maxTokens: number;
+  /** Engines that have refused the run. */
+  readonly refused: readonly EndpointId[];
+}
+
+/** The keeper's leave to copy a run now. */
+export interface CopyGrant {
+  readonly kind: "copy_grant";
+  readonly key: number;
+  readonly target: EndpointId;
+}
+
+/** The copy is made, or will not be. */
+export interface CopyDone {
+  readonly kind: "copy_done";
+  readonly key: number;
+}
+
+/** Asks for what the receiver has read of the store beyond these revisions. */
+export interface ViewPull {
+  readonly kind: "view_pull";
+  readonly revisions: readonly ViewRevision[];
+}
+
+/** Revision at which a view of one kind of object holds. */
+export interface ViewRevision {
+  readonly view: string;
+  readonly revision: number;
+}
+
+/** All objects of one kind, encoded by the gateway package. */
+export interface ViewState {
+  readonly kind: "view_state";
+  readonly view: string;
+  readonly revision: number;
+  readonly items: Uint8Array;
+}
+
 /** Every message that may open a stream. */
 export type Opening = Run | Resume | Call | ConfigPull | AccountReports;
 
@@ -329,4 +413,11 @@
   | Order
   | OrderDone
   | AccountReports
-  | AccountGrants;
+  | AccountGrants
+  | OccupancyUpdate
+  | KnownGateways
+  | CopyRequest
+  | CopyGrant
+  | CopyDone
+  | ViewPull
+  | ViewState;
