Do not take an answer without length that is reset for whole

Cause: libuv reports a reset that comes right behind unread bytes as an ordinary end, and undici ends an answer without length there. The socket has no peer any more after a reset, which tells the two apart. Ruled out: the order of error listeners, as no error is raised at all.

--- a/packages/gateway/src/upstream/connection.ts
+++ b/packages/gateway/src/upstream/connection.ts
@@ -152,6 +152,10 @@
       this.#socketError = true;
       finish(err);
     });
+    // libuv reports a reset behind unread bytes as an ordinary end; only then has the socket no peer any more.
+    socket.once("end", () => {
+      if (socket.remoteAddress === undefined) this.#socketError = true;
+    });
     socket.once("connect", () => finish(null));
   }
 
