--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -16,6 +16,7 @@
 import { shareOccupancy } from "./peers/occupancy_share.ts";
 import { PeerNetwork } from "./peers/peer_network.ts";
 import { shareView } from "./peers/view_share.ts";
+import { EngineWatch } from "./relay/engine_watch.ts";
 import { EngineDispatcher } from "./relay/engine_dispatcher.ts";
 import type { RelayContext } from "./relay/context.ts";
 import { Relay } from "./relay/relay.ts";
@@ -66,6 +67,7 @@
   readonly #upstreams: Upstreams;
   readonly #dispatcher: EngineDispatcher;
   readonly #mover: RunMover;
+  readonly #engineWatch: EngineWatch;
   readonly #relay: Relay;
   readonly #surface: ForwardSurface;
   readonly #network: PeerNetwork;
@@ -119,6 +121,12 @@
       onLost: (run, loss) => this.#mover.onLost(run, loss),
     });
     this.#mover = new RunMover(ctx, this.#dispatcher, this.#network);
+    this.#engineWatch = new EngineWatch({
+      ctx,
+      dispatcher: this.#dispatcher,
+      network: this.#network,
+      storeReachable: () => this.#follower.reachable,
+    });
     this.#undos.push(
       shareOccupancy(this.#dispatcher.board, this.#network, clock),
       shareView({ view, follower: this.#follower, network: this.#network, clock, log }),
@@ -210,13 +218,13 @@
   }
 
   get #isReady(): boolean {
-    return this.#stoppingSinceMs === null && this.#fleet.routes !== null &&
-      this.#fleet.endpoints.size > 0;
+    return this.#stoppingSinceMs === null && this.#fleet.isKnown && this.#fleet.endpoints.size > 0;
   }
 
   #tick(): void {
     this.#fleet.tick();
     this.#dispatcher.tick();
+    this.#engineWatch.tick();
     this.#mover.tick();
   }
 }
--- a/packages/gateway/src/relay/plain_call.ts
+++ b/packages/gateway/src/relay/plain_call.ts
@@ -160,14 +160,18 @@
     attempt.start(request);
   }
 
-  /** An idempotent call whose answer is overdue goes to a second endpoint as well; the first answer counts. */
+  /**
+   * An endpoint whose answer is overdue is passed over for a moment. An idempotent call goes to a second endpoint as
+   * well; the first answer counts.
+   */
   #armSlowTimer(endpoint: UpstreamEndpoint, remainingMs: number): void {
     this.#stopSlowTimer();
-    if (!this.#isIdempotent) return;
     const usual = Math.max(SLOW_MIN_MS, SLOW_FACTOR * endpoint.latencyMs);
     const ms = Math.min(usual, SLOW_PART_OF_TIME_LEFT * remainingMs);
     this.#stopSlowTimer = this.#ctx.clock.setTimer(ms, () => {
-      if (this.#committed === null && !this.#over && this.#canRepeat()) this.#next("slow");
+      if (this.#committed !== null || this.#over) return;
+      endpoint.recordOverdue(this.#ctx.clock.now());
+      if (this.#isIdempotent && this.#canRepeat()) this.#next("slow");
     });
   }
 
@@ -404,6 +408,9 @@
   /** Gives the attempt up. */
   drop(): void {
     if (this.#over) return;
+    const isUnanswered = this.#head === null &&
+      this.#ctx.clock.now() - this.#startedAtMs >= SLOW_MIN_MS;
+    if (isUnanswered) this.endpoint.recordFailure();
     this.#leave();
     this.#call?.abort();
   }
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -50,6 +50,11 @@
     this.#options = options;
   }
 
+  /** Whether routes and endpoints are known. */
+  isReady(): boolean {
+    return this.#options.ctx.fleet.isKnown;
+  }
+
   limits(): CallerLimits {
     return this.#options.ctx.fleet.routes?.config.limits ?? DEFAULT_LIMITS;
   }
--- a/packages/gateway/src/state/fleet.ts
+++ b/packages/gateway/src/state/fleet.ts
@@ -17,7 +17,7 @@
 import { RouteTable } from "../config/route_table.ts";
 import type { EndpointRecord, GatewayConfig } from "../config/types.ts";
 import type { DecisionLog } from "../observe/decision_log.ts";
-import type { StoreView, ViewSource } from "./store_view.ts";
+import { FOLLOWED_KINDS, type StoreView, type ViewSource } from "./store_view.ts";
 
 /**
  * Whether an endpoint may be used: `ready`; `lapsed`, which is used like `ready` although its registration ran out
@@ -90,6 +90,11 @@
     evacuations.registerListener(() => this.#takeEvacuations());
   }
 
+  /** Whether everything that decides where requests go has been read at least once. */
+  get isKnown(): boolean {
+    return FOLLOWED_KINDS.every((kind) => this.#options.view.kinds[kind].known);
+  }
+
   /** Routes in force; `null` until a configuration is known. */
   get routes(): RouteTable | null {
     return this.#routes;
--- a/packages/gateway/src/surface/forward_surface.ts
+++ b/packages/gateway/src/surface/forward_surface.ts
@@ -21,6 +21,8 @@
 
 /** Takes requests that were read. */
 export interface ForwardHandler {
+  /** Whether requests can be answered yet. */
+  isReady(): boolean;
   /** Limits in force. */
   limits(): CallerLimits;
   /** Looks at a head before its body is read. Returns false after it has rejected the request. */
@@ -46,6 +48,10 @@
 const MAX_PARSED_HEADER_BYTES = 131_072;
 /** How often the server looks for connections that are too slow, in milliseconds. */
 const SLOW_CHECK_MS = 250;
+/** Longest time a request waits for the first configuration, in milliseconds; a store answers in a few. */
+const HOLD_MS = 700;
+/** How often a request that waits is looked at, in milliseconds. */
+const HOLD_CHECK_MS = 10;
 /** Bytes of bodies held for all requests together; a gateway has 178 MB or more. */
 const MAX_HELD_BODY_BYTES = 33_554_432;
 
@@ -130,10 +136,27 @@
   }
 
   #onRequest(req: IncomingMessage, res: ServerResponse): void {
-    const { dialect, handler, clock } = this.#options;
+    const { handler, clock } = this.#options;
     const arrivedAtMs = clock.now();
     this.#count(req.socket, 1);
     res.once("close", () => this.#count(req.socket, -1));
+    if (handler.isReady()) this.#read(req, res, arrivedAtMs);
+    else this.#hold(req, res, arrivedAtMs);
+  }
+
+  /** Keeps a request that came before the configuration: callers rarely try more than once more. */
+  #hold(req: IncomingMessage, res: ServerResponse, arrivedAtMs: number): void {
+    const { handler, clock } = this.#options;
+    const undo = clock.setRepeating(HOLD_CHECK_MS, () => {
+      const isOver = clock.now() >= arrivedAtMs + HOLD_MS;
+      if (!res.destroyed && !handler.isReady() && !isOver) return;
+      undo();
+      if (!res.destroyed) this.#read(req, res, arrivedAtMs);
+    });
+  }
+
+  #read(req: IncomingMessage, res: ServerResponse, arrivedAtMs: number): void {
+    const { dialect, handler } = this.#options;
     const responder = new HttpResponder(res, { closeAfter: () => this.#draining });
     const { maxHeaderBytes, maxBodyBytes } = handler.limits();
     if (headerBytes(req) > maxHeaderBytes) return this.#refuse(req, res, 431);
--- a/packages/gateway/src/upstream/endpoint.ts
+++ b/packages/gateway/src/upstream/endpoint.ts
@@ -16,6 +16,9 @@
 const UNREACHABLE_FIRST_MS = 150;
 const UNREACHABLE_MAX_MS = 2_000;
 
+/** Time for which an endpoint with an overdue call is passed over, in milliseconds. */
+const OVERDUE_PAUSE_MS = 250;
+
 /** One endpoint as this gateway uses it. */
 export class UpstreamEndpoint implements OutlierSubject {
   readonly id: EndpointId;
@@ -65,6 +68,11 @@
     this.#unreachableUntilMs = nowMs + Math.min(UNREACHABLE_MAX_MS, pause);
   }
 
+  /** Records that a call has had no answer for much longer than usual; others are tried first for a moment. */
+  recordOverdue(nowMs: number): void {
+    this.#unreachableUntilMs = Math.max(this.#unreachableUntilMs, nowMs + OVERDUE_PAUSE_MS);
+  }
+
   forgive(): void {
     this.failures = 0;
     this.attempts = 0;
--- a/packages/wire/src/message_codec.ts
+++ b/packages/wire/src/message_codec.ts
@@ -107,12 +107,14 @@
   retryAfterMs: optional(real),
 });
 
-const suspects = optional(list(record<SuspectReport>({
+const suspectList = list(record<SuspectReport>({
   digest: text,
   crashIds: list(text),
   remainingMs: real,
   quarantined: flag,
-})));
+}));
+
+const suspects = optional(suspectList);
 
 const cache = optional(list(record<CacheNote>({
   type: oneOf(["stored", "evicted"]),
@@ -293,6 +295,8 @@
     revisions: list(record<ViewRevision>({ view: text, revision: count })),
   }),
   view_state: record<Body<"view_state">>({ view: text, revision: count, items: bytes }),
+  endpoint_leaving: record<Body<"endpoint_leaving">>({ endpoint }),
+  suspects: record<Body<"suspects">>({ suspects: suspectList }),
 };
 
 const KINDS = Object.keys(BODIES) as Message["kind"][];
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -370,6 +370,18 @@
   readonly key: number;
 }
 
+/** An endpoint has said that it leaves. */
+export interface EndpointLeaving {
+  readonly kind: "endpoint_leaving";
+  readonly endpoint: EndpointId;
+}
+
+/** Requests that are suspected of crashing endpoints. */
+export interface Suspects {
+  readonly kind: "suspects";
+  readonly suspects: readonly SuspectReport[];
+}
+
 /** Asks for what the receiver has read of the store beyond these revisions. */
 export interface ViewPull {
   readonly kind: "view_pull";
@@ -420,4 +432,6 @@
   | CopyGrant
   | CopyDone
   | ViewPull
-  | ViewState;
+  | ViewState
+  | EndpointLeaving
+  | Suspects;
