Refuse requests that crash endpoints; pace moves between versions; no run goes on in an evacuated data centre

Backups and copies now go to engines that may be used, and a run returns to its engine only shortly after the notice.

--- a/packages/control/src/move_driver.ts
+++ b/packages/control/src/move_driver.ts
@@ -20,7 +20,7 @@
 import type { ConfigView, Move } from "./config_document.ts";
 import type { ConfigLog } from "./config_log.ts";
 import type { ConfigState } from "./config_state.ts";
-import { MoveEvidence } from "./move_evidence.ts";
+import { MoveEvidence } from "@wisteriapick/policy";
 import { decideMove, type MoveDecision, type StepStart } from "./move_policy.ts";
 import { FINISH_MARGIN_MS, MoveRule } from "./move_rule.ts";
 import type { Lease } from "./lease.ts";
--- a/packages/control/src/move_policy.ts
+++ b/packages/control/src/move_policy.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Move } from "./config_document.ts";
-import type { BadVerdict, MoveEvidence } from "./move_evidence.ts";
+import type { BadVerdict, MoveEvidence } from "@wisteriapick/policy";
 import { FINISH_MARGIN_MS } from "./move_rule.ts";
 
 /** Chance that a good version is ever called bad. */
--- a/packages/control/src/move_router.ts
+++ b/packages/control/src/move_router.ts
@@ -15,7 +15,7 @@
 import type { Evidence, EvidenceCell } from "@wisteriapick/wire";
 import { fractionOf } from "@wisteriapick/core";
 import type { ConfigSource, Move } from "./config_document.ts";
-import { MoveEvidence, SLOW_FIRST_TOKEN_MS } from "./move_evidence.ts";
+import { MoveEvidence, SLOW_FIRST_TOKEN_MS } from "@wisteriapick/policy";
 import { MoveRule, versionOf } from "./move_rule.ts";
 
 /** Error rate at which one entry stops on its own evidence; a false stop costs only this entry's share. */
--- a/packages/control/tests/move_test.ts
+++ b/packages/control/tests/move_test.ts
@@ -1,7 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { ManualClock, processId, revision, Rng } from "@wisteriapick/core";
-import { ConfigState, MoveRouter, SequentialTest } from "../src/mod.ts";
+import { ConfigState, MoveRouter } from "../src/mod.ts";
+import { SequentialTest } from "@wisteriapick/policy";
 import { MOVE, SCRIBE, V1, V2, write } from "./fixtures.ts";
 import { GOOD, MoveSim, type Situation } from "./move_fixtures.ts";
 
--- a/packages/daemon/src/outcome_recorder.ts
+++ b/packages/daemon/src/outcome_recorder.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import type { EndpointId, RefusalReason, ServiceId, VersionId } from "@wisteriapick/core";
-import { type Outcome, SLOW_GAP_MS } from "@wisteriapick/control";
+import type { Outcome } from "@wisteriapick/control";
+import { SLOW_GAP_MS } from "@wisteriapick/policy";
 import type { EndpointLoad } from "@wisteriapick/wire";
 
 /** Share of an endpoint's allowance from which its load counts as high. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -16,9 +16,11 @@
 import { shareOccupancy } from "./peers/occupancy_share.ts";
 import { PeerNetwork } from "./peers/peer_network.ts";
 import { shareView } from "./peers/view_share.ts";
+import { CrashRecord } from "./relay/crash_record.ts";
 import { EngineWatch } from "./relay/engine_watch.ts";
 import { EngineDispatcher } from "./relay/engine_dispatcher.ts";
 import type { RelayContext } from "./relay/context.ts";
+import { VersionMoves } from "./moves/version_moves.ts";
 import { Relay } from "./relay/relay.ts";
 import { RunMover } from "./relay/run_mover.ts";
 import type { GatewaySettings } from "./settings.ts";
@@ -67,6 +69,7 @@
   readonly #upstreams: Upstreams;
   readonly #dispatcher: EngineDispatcher;
   readonly #mover: RunMover;
+  readonly #moves: VersionMoves;
   readonly #engineWatch: EngineWatch;
   readonly #relay: Relay;
   readonly #surface: ForwardSurface;
@@ -103,6 +106,15 @@
       rng: rng.fork("peers"),
       log,
     });
+    const crashes = new CrashRecord({ clock, log });
+    this.#moves = new VersionMoves({
+      view,
+      store,
+      network: this.#network,
+      clock,
+      log,
+      limits: () => ({ share: settings.bounds.expose_share, extra: settings.bounds.expose_extra }),
+    });
     const ctx: RelayContext = {
       clock,
       rng: rng.fork("relay"),
@@ -114,6 +126,8 @@
       dialect: options.endpointDialect,
       budget: this.#budget,
       coldLimiter: this.#coldLimiter,
+      crashes,
+      moves: this.#moves,
       gateways: () => this.#network.members(),
     };
     this.#dispatcher = new EngineDispatcher(ctx, {
@@ -129,6 +143,7 @@
     });
     this.#undos.push(
       shareOccupancy(this.#dispatcher.board, this.#network, clock),
+      crashes.share(this.#network),
       shareView({ view, follower: this.#follower, network: this.#network, clock, log }),
     );
     this.#relay = new Relay({
@@ -226,6 +241,7 @@
     this.#dispatcher.tick();
     this.#engineWatch.tick();
     this.#mover.tick();
+    this.#moves.tick();
   }
 }
 
--- /dev/null
+++ b/packages/gateway/src/moves/version_moves.ts
@@ -0,0 +1,264 @@
+/**
+ * Moves of a service's traffic from the versions that it runs to a new one, by a deadline.
+ *
+ * Every gateway counts what the versions answer and tells its peers; all pace the new version's traffic by the same
+ * counts. One of them, the same by rendezvous hash, writes the move's status. Two that both believe to hold the duty
+ * do no harm: a status is written under the revision it was decided on.
+ *
+ * @module
+ */
+import {
+  type Clock,
+  fractionOf,
+  type RouteId,
+  type ServiceId,
+  toWpError,
+  type Undo,
+  type VersionId,
+} from "@wisteriapick/core";
+import {
+  type ExposureLimits,
+  MoveEvidence,
+  paceMove,
+  type VersionCounts,
+} from "@wisteriapick/policy";
+import type { MoveRecord, MoveState } from "../config/types.ts";
+import type { DecisionLog } from "../observe/decision_log.ts";
+import type { PeerNetwork } from "../peers/peer_network.ts";
+import type { EndpointRow } from "../state/fleet.ts";
+import type { StateStore } from "../state/state_store.ts";
+import type { StoreView, ViewItem } from "../state/store_view.ts";
+
+/** How a request ended at an endpoint of a version. */
+export interface VersionOutcome {
+  readonly service: ServiceId;
+  readonly version: VersionId;
+  readonly route: RouteId;
+  /** Whether the endpoint failed it. */
+  readonly failed: boolean;
+  /** Whether its answer, or its first event, came late. */
+  readonly slow: boolean;
+}
+
+/** Options of {@link VersionMoves}. */
+export interface VersionMovesOptions {
+  readonly view: StoreView;
+  readonly store: StateStore;
+  readonly network: PeerNetwork;
+  readonly clock: Clock;
+  readonly log: DecisionLog;
+  readonly limits: () => ExposureLimits;
+}
+
+/** Chance that a good version is ever called bad. */
+const CONDEMN_ALPHA = 0.01;
+/** A version is accepted where it is worse by at most this part of its requests, but for a chance of `ACCEPT_BETA`. */
+const ACCEPTED_EXCESS = 0.15;
+const ACCEPT_BETA = 0.1;
+/** Interval at which counts are told to peers and evidence is weighed, in milliseconds. */
+const STEP_MS = 100;
+/** Pause after a status could not be written, in milliseconds. */
+const WRITE_RETRY_MS = 300;
+
+interface Totals {
+  requests: number;
+  exposed: number;
+  bad: number;
+}
+
+interface OpenMove {
+  record: MoveRecord;
+  revision: number;
+  readonly startedAtMs: number;
+  readonly evidence: MoveEvidence;
+  readonly totals: Totals;
+  share: number;
+  end: MoveState | null;
+  lastWriteMs: number;
+  isWriting: boolean;
+}
+
+/** See the module comment. */
+export class VersionMoves {
+  readonly #options: VersionMovesOptions;
+  readonly #open = new Map<ServiceId, OpenMove>();
+  readonly #unsent = new Map<string, VersionCounts & { readonly service: ServiceId }>();
+  readonly #undos: Undo[];
+  #seq = 0;
+  #lastStepMs = -Infinity;
+
+  constructor(options: VersionMovesOptions) {
+    this.#options = options;
+    this.#undos = [
+      options.view.kinds.moves.registerListener(() => this.#refresh()),
+      options.network.registerHandler("version_counts", (_peer, { counts }) => {
+        for (const { service, ...rest } of counts) this.#count(service, rest);
+      }),
+    ];
+  }
+
+  /**
+   * Endpoints of a service whose version a request may go to now. The same request gets the same version every time,
+   * but where the new one has no endpoint left for it.
+   */
+  allowed(
+    service: ServiceId,
+    rows: readonly EndpointRow[],
+    requestId: string,
+  ): readonly EndpointRow[] {
+    const move = this.#open.get(service);
+    if (move === undefined) return rows;
+    const { target, state } = move.record;
+    const ofNew = () => rows.filter(({ record }) => record.version === target);
+    const ofOld = () => rows.filter(({ record }) => record.version !== target);
+    if (state === "completed") return ofNew();
+    if (state === "rolled_back") return ofOld();
+    if (fractionOf(`${service}/${requestId}`) >= move.share) return ofOld();
+    const chosen = ofNew();
+    return chosen.length > 0 ? chosen : ofOld();
+  }
+
+  /** Records how a request ended. */
+  record({ service, version, route, failed, slow }: VersionOutcome): void {
+    const move = this.#open.get(service);
+    if (move === undefined || isSettled(move.record)) return;
+    const counts: VersionCounts = {
+      version,
+      route,
+      loadLevel: "low",
+      requests: 1,
+      failures: failed ? 1 : 0,
+      slowFirstTokens: slow ? 1 : 0,
+      gaps: 0,
+      slowGaps: 0,
+    };
+    this.#count(service, counts);
+    const key = `${service}/${version}/${route}`;
+    const old = this.#unsent.get(key);
+    this.#unsent.set(key, { service, ...(old === undefined ? counts : add(old, counts)) });
+  }
+
+  /** Tells peers what was counted, and takes the next step of each move. Called each tick. */
+  tick(): void {
+    const now = this.#options.clock.now();
+    if (this.#open.size === 0 || now - this.#lastStepMs < STEP_MS) return;
+    this.#lastStepMs = now;
+    if (this.#unsent.size > 0) {
+      const counts = [...this.#unsent.values()];
+      this.#unsent.clear();
+      this.#options.network.broadcast({ kind: "version_counts", seq: ++this.#seq, counts });
+    }
+    for (const [service, move] of this.#open) this.#step(service, move, now);
+  }
+
+  close(): void {
+    for (const undo of this.#undos) undo();
+  }
+
+  #step(service: ServiceId, move: OpenMove, now: number): void {
+    if (isSettled(move.record)) return;
+    move.evidence.closeBatch();
+    const step = paceMove({
+      elapsedMs: now - move.startedAtMs,
+      durationMs: move.record.durationMs,
+      ...move.totals,
+      isCondemned: move.evidence.verdict(CONDEMN_ALPHA) !== null,
+      isAccepted: move.evidence.accepts(ACCEPTED_EXCESS, ACCEPT_BETA),
+    }, this.#options.limits());
+    // An end that was decided stands, whatever comes in until it is written.
+    const end = move.end ?? step.end;
+    const share = move.end === "rolled_back" ? 0 : step.share;
+    if (share !== move.share || end !== move.end) {
+      this.#options.log.state("move_step", {
+        service,
+        target: move.record.target,
+        share,
+        end,
+        ...move.totals,
+        elapsedMs: Math.round(now - move.startedAtMs),
+      });
+    }
+    move.share = share;
+    move.end = end;
+    const wanted = end ?? "running";
+    if (move.record.state !== wanted) void this.#write(service, move, wanted, now);
+  }
+
+  async #write(service: ServiceId, move: OpenMove, state: MoveState, now: number): Promise<void> {
+    const { network, store, log } = this.#options;
+    if (network.keeperOf(service) !== network.name) return;
+    if (move.isWriting || now - move.lastWriteMs < WRITE_RETRY_MS) return;
+    move.isWriting = true;
+    move.lastWriteMs = now;
+    try {
+      const { target } = move.record;
+      const result = await store.writeMoveStatus({ service, target, state }, move.revision);
+      log.state("move_status", { service, target, state, result, revision: move.revision });
+    } catch (e) {
+      // The next step tries again, unless the view shows that it was written.
+      log.state("move_status_failed", { service, state, err: toWpError(e) });
+    } finally {
+      move.isWriting = false;
+    }
+  }
+
+  #count(service: ServiceId, counts: VersionCounts): void {
+    const move = this.#open.get(service);
+    if (move === undefined) return;
+    move.evidence.add({ ...counts, version: move.record.target === counts.version ? NEW : OLD });
+    move.totals.requests += counts.requests;
+    if (counts.version !== move.record.target) return;
+    move.totals.exposed += counts.requests;
+    move.totals.bad += counts.failures + counts.slowFirstTokens;
+  }
+
+  #refresh(): void {
+    const { items } = this.#options.view.kinds.moves.snapshot;
+    const seen = new Set<ServiceId>();
+    for (const item of items.values()) {
+      seen.add(item.value.service);
+      this.#takeOrder(item);
+    }
+    for (const service of this.#open.keys()) if (!seen.has(service)) this.#open.delete(service);
+  }
+
+  #takeOrder({ value: record, revision }: ViewItem<MoveRecord>): void {
+    const known = this.#open.get(record.service);
+    if (known !== undefined && known.record.target === record.target) {
+      known.record = record;
+      known.revision = revision;
+      return;
+    }
+    this.#options.log.state("move_ordered", { ...record, revision });
+    this.#open.set(record.service, {
+      record,
+      revision,
+      startedAtMs: this.#options.clock.now(),
+      evidence: new MoveEvidence({ from: OLD, to: NEW }),
+      totals: { requests: 0, exposed: 0, bad: 0 },
+      share: 0,
+      end: null,
+      lastWriteMs: -Infinity,
+      isWriting: false,
+    });
+  }
+}
+
+/** All versions but the new one are compared with it together. */
+const OLD = "old" as VersionId;
+const NEW = "new" as VersionId;
+
+function isSettled({ state }: MoveRecord): boolean {
+  return state === "completed" || state === "rolled_back";
+}
+
+function add(a: VersionCounts, b: VersionCounts): VersionCounts {
+  return {
+    ...a,
+    requests: a.requests + b.requests,
+    failures: a.failures + b.failures,
+    slowFirstTokens: a.slowFirstTokens + b.slowFirstTokens,
+    gaps: a.gaps + b.gaps,
+    slowGaps: a.slowGaps + b.slowGaps,
+  };
+}
--- a/packages/gateway/src/peers/copy_keeper.ts
+++ b/packages/gateway/src/peers/copy_keeper.ts
@@ -3,13 +3,7 @@
  *
  * @module
  */
-import {
-  type Clock,
-  type EndpointId,
-  fractionOf,
-  type ServiceId,
-  type Undo,
-} from "@wisteriapick/core";
+import type { Clock, EndpointId, Undo } from "@wisteriapick/core";
 import { type CopyOrder, CopyPlanner, type CopyTarget } from "@wisteriapick/policy";
 import type { CopyRequest } from "@wisteriapick/wire";
 import type { DecisionLog } from "../observe/decision_log.ts";
@@ -59,7 +53,7 @@
    */
   ask(request: Omit<CopyRequest, "kind">): Promise<EndpointId | null> {
     const { network, clock } = this.#options;
-    const keeper = this.#keeperOf(request.service);
+    const keeper = network.keeperOf(request.service);
     return new Promise((resolve) => {
       const stopTimer = clock.setTimer(LEAVE_TIMEOUT_MS, () => this.#onGrant(request.key, null));
       this.#waiting.set(request.key, (target) => {
@@ -93,21 +87,6 @@
     for (const undo of this.#undos) undo();
   }
 
-  /** The same gateway for all that are linked with each other; another one where views differ does no harm. */
-  #keeperOf(service: ServiceId): string {
-    const { network } = this.#options;
-    let best = network.name;
-    let bestScore = fractionOf(`${service}/${best}`);
-    for (const peer of network.linked()) {
-      const score = fractionOf(`${service}/${peer}`);
-      if (score > bestScore) {
-        best = peer;
-        bestScore = score;
-      }
-    }
-    return best;
-  }
-
   #onRequest(peer: string, request: Omit<CopyRequest, "kind">): void {
     this.#planner.add({
       id: orderId(peer, request.key),
--- a/packages/gateway/src/peers/peer_network.ts
+++ b/packages/gateway/src/peers/peer_network.ts
@@ -7,6 +7,7 @@
 import {
   type Clock,
   type DataCentreId,
+  fractionOf,
   hostId,
   processId,
   type Rng,
@@ -129,6 +130,23 @@
     return [...this.#peers].filter(([, peer]) => peer.links.size > 0).map(([name]) => name);
   }
 
+  /**
+   * The gateway that keeps a duty: the same for all that are linked with each other. Where views differ, two may both
+   * be named, which duties must bear.
+   */
+  keeperOf(duty: string): string {
+    let best = this.#options.name;
+    let bestScore = fractionOf(`${duty}/${best}`);
+    for (const peer of this.linked()) {
+      const score = fractionOf(`${duty}/${peer}`);
+      if (score > bestScore) {
+        best = peer;
+        bestScore = score;
+      }
+    }
+    return best;
+  }
+
   /** Gateways that may be sharing limits with this one, itself included. */
   members(): number {
     const oldest = this.#options.clock.now() - MEMBER_TTL_MS;
--- a/packages/gateway/src/relay/context.ts
+++ b/packages/gateway/src/relay/context.ts
@@ -7,9 +7,11 @@
 import type { ColdLimiter, RetryBudget } from "@wisteriapick/policy";
 import type { DecisionLog } from "../observe/decision_log.ts";
 import type { GatewayMetrics } from "../observe/metrics.ts";
+import type { VersionMoves } from "../moves/version_moves.ts";
 import type { Fleet } from "../state/fleet.ts";
 import type { EndpointDialect } from "../upstream/dialect.ts";
 import type { Upstreams } from "../upstream/endpoint.ts";
+import type { CrashRecord } from "./crash_record.ts";
 
 /** What the parts of the relay share. */
 export interface RelayContext {
@@ -23,6 +25,8 @@
   readonly dialect: EndpointDialect;
   readonly budget: RetryBudget;
   readonly coldLimiter: ColdLimiter;
+  readonly crashes: CrashRecord;
+  readonly moves: VersionMoves;
   /** Gateways that share budgets with this one, itself included. */
   gateways(): number;
 }
--- /dev/null
+++ b/packages/gateway/src/relay/crash_record.ts
@@ -0,0 +1,104 @@
+/**
+ * Remembers which requests ran at endpoints that crashed, and keeps one that crashed several from running again at
+ * any gateway.
+ *
+ * @module
+ */
+import { createHash } from "node:crypto";
+import type { Clock, Undo } from "@wisteriapick/core";
+import { Quarantine } from "@wisteriapick/policy";
+import type { PeerNetwork } from "../peers/peer_network.ts";
+import type { EndpointRecord } from "../config/types.ts";
+import type { DecisionLog } from "../observe/decision_log.ts";
+import type { InboundRequest } from "./inbound.ts";
+
+/** Crashes after which a request is refused: what an innocent one is unlucky to meet, a harmful one reaches soon. */
+const CRASHES = 3;
+/** Time without a crash after which a request is no longer suspected, in milliseconds. */
+const SUSPECT_MS = 60_000;
+/** Length of the first refusal, in milliseconds. */
+const QUARANTINE_MS = 60_000;
+const DIGEST_LENGTH = 24;
+
+/** Options of {@link CrashRecord}. */
+export interface CrashRecordOptions {
+  readonly clock: Clock;
+  readonly log: DecisionLog;
+}
+
+/** See the module comment. */
+export class CrashRecord {
+  readonly #clock: Clock;
+  readonly #log: DecisionLog;
+  readonly #quarantine = new Quarantine({
+    crashes: CRASHES,
+    suspectMs: SUSPECT_MS,
+    quarantineMs: QUARANTINE_MS,
+  });
+  #listeners: readonly (() => void)[] = [];
+
+  constructor({ clock, log }: CrashRecordOptions) {
+    this.#clock = clock;
+    this.#log = log;
+  }
+
+  /** Time for which a request is refused; 0 for one that may run. */
+  refusedForMs(req: InboundRequest): number {
+    if (this.#quarantine.size === 0) return 0;
+    return this.#quarantine.remainingMs(digestOf(req), this.#clock.now());
+  }
+
+  /** Whether a request has been at more than one crash. */
+  isSuspected(req: InboundRequest): boolean {
+    return this.#quarantine.crashes(digestOf(req), this.#clock.now()) > 1;
+  }
+
+  /** Records that an endpoint broke off while it ran a request. */
+  recordCrash(req: InboundRequest, endpoint: EndpointRecord): void {
+    const digest = digestOf(req);
+    const crashId = `${endpoint.id}/${endpoint.startedAtUnixMs}`;
+    const now = this.#clock.now();
+    this.#quarantine.recordCrash(digest, crashId, now);
+    this.#log.state("request_suspected", {
+      req: req.requestId,
+      digest,
+      endpoint: endpoint.id,
+      crashes: this.#quarantine.crashes(digest, now),
+      refusedForMs: Math.round(this.#quarantine.remainingMs(digest, now)),
+    });
+    for (const listener of this.#listeners) listener();
+  }
+
+  /** Records that a request ran to its end. */
+  recordCompleted(req: InboundRequest): void {
+    if (this.#quarantine.size === 0) return;
+    this.#quarantine.recordCleared(digestOf(req), this.#clock.now());
+  }
+
+  /** Shares what is suspected with all gateways. The undo ends that. */
+  share(network: PeerNetwork): Undo {
+    const message = () => ({
+      kind: "suspects" as const,
+      suspects: this.#quarantine.entries(this.#clock.now()),
+    });
+    const listener = () => network.broadcast(message());
+    this.#listeners = [...this.#listeners, listener];
+    const undos = [
+      network.registerUp((peer) => void network.send(peer, message())),
+      network.registerHandler("suspects", (_peer, { suspects }) => {
+        this.#quarantine.merge(suspects, this.#clock.now());
+      }),
+    ];
+    return () => {
+      this.#listeners = this.#listeners.filter((l) => l !== listener);
+      for (const undo of undos) undo();
+    };
+  }
+}
+
+/** The same for every try of a request, at any gateway: the caller's id differs, path, account and body do not. */
+function digestOf({ method, target, account, body }: InboundRequest): string {
+  const hash = createHash("sha256").update(`${method} ${target}\n${account?.id ?? ""}\n`);
+  if (body !== null) hash.update(body);
+  return hash.digest("hex").slice(0, DIGEST_LENGTH);
+}
--- a/packages/gateway/src/relay/engine_dispatcher.ts
+++ b/packages/gateway/src/relay/engine_dispatcher.ts
@@ -15,7 +15,7 @@
   PrefixDirectory,
   SHARED_READ_TOKENS_PER_MS,
 } from "@wisteriapick/policy";
-import type { EngineConfig } from "../config/types.ts";
+import type { EndpointRecord, EngineConfig } from "../config/types.ts";
 import type { EndpointRow } from "../state/fleet.ts";
 import type { RelayContext } from "./context.ts";
 import type { InboundRequest, PromptPart, Responder } from "./inbound.ts";
@@ -53,6 +53,8 @@
   /** Parts of the prompt, which some engines may keep. */
   readonly parts?: readonly PromptPart[];
   readonly excluded?: ReadonlySet<EndpointId>;
+  /** The request, where moves between versions decide which engines it may go to. */
+  readonly requestId?: string;
 }
 
 /** What the dispatcher tells others. */
@@ -161,14 +163,17 @@
   candidates(
     service: ServiceId,
     engine: EngineConfig,
-    { regions, parts = [], excluded = NONE_EXCLUDED }: CandidateFilter,
+    { regions, parts = [], excluded = NONE_EXCLUDED, requestId }: CandidateFilter,
   ): EngineRow[] {
     const { fleet, upstreams, clock, dataCentre } = this.#ctx;
     const now = clock.now();
     this.#ejection.update(fleet.ofService(service).map((row) => upstreams.of(row)), now);
-    const rows = fleet.usable(service, regions).filter((row) =>
+    const usable = fleet.usable(service, regions).filter((row) =>
       !excluded.has(row.record.id) && this.#bears(row, now)
     );
+    const rows = requestId === undefined
+      ? usable
+      : this.#ctx.moves.allowed(service, usable, requestId);
     const healthy = rows.filter((row) => upstreams.of(row).isHealthy(now));
     const held = this.#kept.lookup(parts.map((part) => part.id));
     return (healthy.length > 0 ? healthy : rows).map((row) => {
@@ -244,7 +249,7 @@
   #choose({ run, service, engine }: Waiting): EngineChoice<EngineRow> | null {
     const item = run.forecastItem(this.board.curve(run.req.route.id));
     const { route, generation } = run.req;
-    const filter = { regions: route.regions, parts: generation?.parts };
+    const filter = { regions: route.regions, parts: generation?.parts, requestId: run.id };
     const options = { targetMs: route.targetLatencyMs };
     return chooseEngine(item, this.candidates(service, engine, filter), options);
   }
@@ -301,6 +306,10 @@
     if (loss.type === "misdirected" && endpoint !== null) {
       this.#ctx.fleet.markLeaving(endpoint.id, "another endpoint answers at its address");
     }
+    if (loss.type === "lost" && endpoint !== null && this.#ctx.fleet.isUsable(endpoint.id)) {
+      this.#recordVersion(run, endpoint.record, true);
+      this.#ctx.crashes.recordCrash(run.req, endpoint.record);
+    }
     if (this.#events.onLost(run, loss)) return;
     const placed = this.#services.get(run);
     if (loss.type !== "lost" && !run.hasDelivered && placed !== undefined) {
@@ -310,6 +319,12 @@
     run.fail({ reason: "engine_lost", notRun: "unknown" });
   }
 
+  #recordVersion(run: StreamRun, { service, version }: EndpointRecord, failed: boolean): void {
+    const { route } = run.req;
+    const slow = run.firstEventMs !== null && run.firstEventMs > route.targetLatencyMs;
+    this.#ctx.moves.record({ service, version, route: route.id, failed, slow });
+  }
+
   #onOver(run: StreamRun): void {
     const now = this.#ctx.clock.now();
     this.board.remove(run);
@@ -318,6 +333,9 @@
     const waiting = this.#queue.inOrder().find((w) => w.run === run);
     if (waiting !== undefined) this.#queue.remove(waiting);
     this.#learnLength(run);
+    if (run.isComplete && run.endpoint !== null) {
+      this.#recordVersion(run, run.endpoint.record, false);
+    }
     this.#events.onOver(run);
     if (this.#queue.size > 0) this.#drain(now);
   }
@@ -326,6 +344,7 @@
   #learnLength(run: StreamRun): void {
     if (run.producedTokens === 0) return;
     const key = lengthKey(run.req.route.id);
+    if (run.isComplete) this.#ctx.crashes.recordCompleted(run.req);
     if (run.isComplete) this.#lengths.recordEnd(key, ALL_ACCOUNTS, run.producedTokens);
     else this.#lengths.recordProgress(key, ALL_ACCOUNTS, 0, run.producedTokens);
   }
--- a/packages/gateway/src/relay/plain_call.ts
+++ b/packages/gateway/src/relay/plain_call.ts
@@ -95,9 +95,9 @@
     const { route } = this.#req;
     const service = chooseService(fleet, route, rng);
     if (service === null) return null;
-    const rows = fleet.usable(service, route.regions).filter((row) =>
-      !this.#tried.has(row.record.id)
-    );
+    const untried = fleet.usable(service, route.regions)
+      .filter((row) => !this.#tried.has(row.record.id));
+    const rows = this.#ctx.moves.allowed(service, untried, this.#req.requestId);
     this.#ejection.update(fleet.ofService(service).map((row) => upstreams.of(row)), now);
     const healthy = rows.filter((row) => upstreams.of(row).isHealthy(now));
     const bearing = (healthy.length > 0 ? healthy : rows).filter((row) => this.#bears(row, now));
@@ -116,6 +116,17 @@
     return chooseCallEndpoint(candidates, options)?.row ?? null;
   }
 
+  #recordVersion(attempt: Attempt, failed: boolean): void {
+    const { record } = attempt.endpoint;
+    this.#ctx.moves.record({
+      service: record.service,
+      version: record.version,
+      route: this.#req.route.id,
+      failed,
+      slow: attempt.elapsedMs > this.#req.route.targetLatencyMs,
+    });
+  }
+
   /** Whether a cold endpoint bears one more request. */
   #bears(row: EndpointRow, now: number): boolean {
     if (row.coldUntilMs <= now) return true;
@@ -197,6 +208,7 @@
         return this.#retry("misdirected");
       case "foreign":
       case "spoiled":
+        this.#recordVersion(attempt, true);
         this.#mayHaveRun = true;
         attempt.endpoint.recordFailure();
         this.#ctx.metrics.countAttempt(verdict);
@@ -212,6 +224,7 @@
       return this.#finish("answered", attempt);
     }
     const { head, body } = attempt.answer();
+    this.#recordVersion(attempt, head.status >= 500);
     if (head.status >= 500 && this.#isIdempotent) {
       this.#failure = { head, body };
       this.#mayHaveRun = true;
@@ -238,6 +251,8 @@
     }
     this.#mayHaveRun = true;
     attempt.endpoint.recordFailure();
+    this.#recordVersion(attempt, true);
+    this.#ctx.crashes.recordCrash(this.#req, attempt.endpoint.record);
     this.#retry("lost");
   }
 
@@ -265,6 +280,7 @@
   }
 
   #deliver(head: AnswerHead, body: Buffer, attempt: Attempt | null): void {
+    this.#ctx.crashes.recordCompleted(this.#req);
     this.#dropAttempts();
     this.#responder.head(head.status, head.headers, body.length);
     if (body.length > 0) this.#responder.write(body);
@@ -390,6 +406,10 @@
     });
   }
 
+  get elapsedMs(): number {
+    return this.#ctx.clock.now() - this.#startedAtMs;
+  }
+
   /** Head and the body held so far. */
   answer(): { head: AnswerHead; body: Buffer } {
     return { head: this.#head!, body: Buffer.concat(this.#chunks) };
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -84,6 +84,15 @@
       dueAtMs: arrivedAtMs + waitMs,
     };
     ctx.budget.recordRequest(arrivedAtMs);
+    const refusedForMs = ctx.crashes.refusedForMs(req);
+    if (refusedForMs > 0) {
+      const rejection = {
+        reason: "quarantined",
+        notRun: true,
+        retryAfterMs: refusedForMs,
+      } as const;
+      return this.#reject(head, rejection, responder);
+    }
     if (route.kind === "streaming" && this.#isGeneration(route)) {
       if (this.#endsBefore(MIN_STREAM_TIME_MS)) {
         return this.#reject(head, {
--- a/packages/gateway/src/relay/run_mover.ts
+++ b/packages/gateway/src/relay/run_mover.ts
@@ -34,6 +34,8 @@
 const RESCUE_PLACEMENT: EnginePlacementOptions = { z: 0, usedPart: 1 };
 /** Time from the start of a run after which its backup holds all but its last tokens, in milliseconds. */
 const BACKUP_COMPLETE_MS = 2_500;
+/** Time from an engine's notice for which it may be sent a run back, in milliseconds. */
+const RETURN_MS = 1_500;
 /** Copies between data centres take this many times as long. */
 const REMOTE_COPY_FACTOR = 2;
 const BITS_PER_BYTE = 8;
@@ -77,22 +79,31 @@
   onLost(run: StreamRun, loss: RunLoss): boolean {
     const fallback = this.#fallbacks.get(run);
     this.#fallbacks.delete(run);
-    if (fallback !== undefined && loss.type !== "lost") {
+    if (fallback !== undefined && loss.type !== "lost" && this.#mayReturn(fallback.source)) {
       this.#goOn(run, fallback.source, fallback.memory, "new engine did not take it");
       return true;
     }
     const backup = this.#usableBackup(run);
     if (backup === null || !run.hasDelivered) return false;
+    // A request that has crashed engines before would crash the one with the backup as well.
+    if (this.#ctx.crashes.isSuspected(run.req)) return false;
     this.#goOn(run, backup, backupMemory(run, backup), "engine lost, backup goes on");
     return true;
   }
 
+  /** Whether a run may still go back to the engine that it left. */
+  #mayReturn({ record, phaseSinceMs }: EndpointRow): boolean {
+    const { fleet, clock } = this.#ctx;
+    return !fleet.evacuated.has(record.dataCentre) && clock.now() - phaseSinceMs < RETURN_MS;
+  }
+
   /** The engine that keeps a run's memory, if it is still the process that was asked to, and can be reached. */
   #usableBackup(run: StreamRun): EndpointRow | null {
     const asked = run.backup;
     const now = asked === null ? undefined : this.#ctx.fleet.endpoints.get(asked.record.id);
-    if (asked === null || now === undefined || now.phase === "leaving") return null;
+    if (asked === null || now === undefined) return null;
     if (now.record.startedAtUnixMs !== asked.record.startedAtUnixMs) return null;
+    if (!this.#ctx.fleet.isUsable(now.record.id)) return null;
     return this.#ctx.upstreams.of(now).isHealthy(this.#ctx.clock.now()) ? now : null;
   }
 
@@ -159,7 +170,7 @@
     try {
       if (!this.#mustLeave(run, source.record.id)) return "over";
       const target = granted === null ? undefined : this.#ctx.fleet.endpoints.get(granted);
-      if (target === undefined || target.phase === "leaving") return "failed";
+      if (target === undefined || !this.#ctx.fleet.isUsable(target.record.id)) return "failed";
       const outcome = await this.#move(run, source, target);
       if (outcome === "refused") refused.add(target.record.id);
       return outcome;
--- a/packages/gateway/src/relay/stream_run.ts
+++ b/packages/gateway/src/relay/stream_run.ts
@@ -138,6 +138,11 @@
     return this.#isComplete;
   }
 
+  /** Time from arrival to the first event; `null` before it. */
+  get firstEventMs(): number | null {
+    return this.#firstEventMs;
+  }
+
   /** Time since the run was sent to its engine. */
   sentMs(nowMs: number): number {
     return this.#part === null ? 0 : nowMs - this.#part.startedAtMs;
--- a/packages/control/src/move_evidence.ts
+++ b/packages/policy/src/move_evidence.ts
@@ -4,8 +4,6 @@
  * @module
  */
 import type { VersionId } from "@wisteriapick/core";
-import type { EvidenceCell } from "@wisteriapick/wire";
-import type { Move } from "./config_document.ts";
 import { SequentialTest } from "./sequential_test.ts";
 
 /** A first token after this is slow. */
@@ -22,12 +20,24 @@
 
 const METRICS = ["failures", "slow_first_token", "slow_gaps"] as const;
 
+/** Counts of one version on one route at one load level. Times are sums in milliseconds. */
+export interface VersionCounts {
+  readonly version: VersionId;
+  readonly route: string;
+  readonly loadLevel: "low" | "high";
+  readonly requests: number;
+  readonly failures: number;
+  readonly slowFirstTokens: number;
+  readonly gaps: number;
+  readonly slowGaps: number;
+}
+
 /** What is compared. */
 export type Metric = typeof METRICS[number];
 
 /** Sums of one version in one stratum since the last batch. */
 type Counts = Pick<
-  EvidenceCell,
+  VersionCounts,
   "requests" | "failures" | "slowFirstTokens" | "gaps" | "slowGaps"
 >;
 
@@ -112,13 +122,13 @@
   readonly #strata = new Map<string, Stratum>();
   readonly #all = new Stratum();
 
-  constructor({ from, to }: Pick<Move, "from" | "to">) {
+  constructor({ from, to }: { readonly from: VersionId; readonly to: VersionId }) {
     this.#from = from;
     this.#to = to;
   }
 
   /** Adds the counts of one cell to the present batch. */
-  add(cell: Omit<EvidenceCell, "move">): void {
+  add(cell: VersionCounts): void {
     if (cell.version !== this.#from && cell.version !== this.#to) return;
     for (const stratum of [this.#stratum(`${cell.route} ${cell.loadLevel}`), this.#all]) {
       if (cell.version === this.#to) stratum.pendingNew = sum(stratum.pendingNew, cell);
--- a/packages/wire/src/message_codec.ts
+++ b/packages/wire/src/message_codec.ts
@@ -49,6 +49,7 @@
   Message,
   Occupancy,
   SuspectReport,
+  VersionCount,
   ViewRevision,
 } from "./messages.ts";
 
@@ -297,6 +298,20 @@
   view_state: record<Body<"view_state">>({ view: text, revision: count, items: bytes }),
   endpoint_leaving: record<Body<"endpoint_leaving">>({ endpoint }),
   suspects: record<Body<"suspects">>({ suspects: suspectList }),
+  version_counts: record<Body<"version_counts">>({
+    seq: count,
+    counts: list(record<VersionCount>({
+      service,
+      version,
+      route: text,
+      loadLevel: oneOf(["low", "high"]),
+      requests: count,
+      failures: count,
+      slowFirstTokens: count,
+      gaps: count,
+      slowGaps: count,
+    })),
+  }),
 };
 
 const KINDS = Object.keys(BODIES) as Message["kind"][];
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -376,6 +376,26 @@
   readonly endpoint: EndpointId;
 }
 
+/** What a gateway has seen of the versions of a service since it last told. */
+export interface VersionCount {
+  readonly service: ServiceId;
+  readonly version: VersionId;
+  readonly route: string;
+  readonly loadLevel: "low" | "high";
+  readonly requests: number;
+  readonly failures: number;
+  readonly slowFirstTokens: number;
+  readonly gaps: number;
+  readonly slowGaps: number;
+}
+
+/** Counts for the moves that are open. */
+export interface VersionCountsReport {
+  readonly kind: "version_counts";
+  readonly seq: number;
+  readonly counts: readonly VersionCount[];
+}
+
 /** Requests that are suspected of crashing endpoints. */
 export interface Suspects {
   readonly kind: "suspects";
@@ -434,4 +454,5 @@
   | ViewPull
   | ViewState
   | EndpointLeaving
-  | Suspects;
+  | Suspects
+  | VersionCountsReport;
