--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,7 +15,7 @@
 import type { GatewayMetrics } from "./observe/metrics.ts";
 import { shareOccupancy } from "./peers/occupancy_share.ts";
 import { PeerNetwork } from "./peers/peer_network.ts";
-import { shareView } from "./peers/view_share.ts";
+import { StoreReaders } from "./peers/store_readers.ts";
 import { CrashRecord } from "./relay/crash_record.ts";
 import { EngineWatch } from "./relay/engine_watch.ts";
 import { EngineDispatcher } from "./relay/engine_dispatcher.ts";
@@ -70,6 +70,7 @@
   readonly #dispatcher: EngineDispatcher;
   readonly #mover: RunMover;
   readonly #moves: VersionMoves;
+  readonly #readers: StoreReaders;
   readonly #engineWatch: EngineWatch;
   readonly #relay: Relay;
   readonly #surface: ForwardSurface;
@@ -141,10 +142,18 @@
       network: this.#network,
       storeReachable: () => this.#follower.reachable,
     });
+    this.#readers = new StoreReaders({
+      view,
+      follower: this.#follower,
+      network: this.#network,
+      clock,
+      log,
+      dataCentre: settings.data_centre,
+      regionOf: options.regionOf,
+    });
     this.#undos.push(
       shareOccupancy(this.#dispatcher.board, this.#network, clock),
       crashes.share(this.#network),
-      shareView({ view, follower: this.#follower, network: this.#network, clock, log }),
     );
     this.#relay = new Relay({
       ctx,
@@ -237,6 +246,7 @@
   }
 
   #tick(): void {
+    this.#readers.tick();
     this.#fleet.tick();
     this.#dispatcher.tick();
     this.#engineWatch.tick();
--- a/packages/gateway/src/peers/peer_network.ts
+++ b/packages/gateway/src/peers/peer_network.ts
@@ -147,6 +147,20 @@
     return best;
   }
 
+  /**
+   * Place of this gateway in the line for a duty, among those that are linked and whose data centre passes `among`.
+   */
+  rankOf(duty: string, among: (dataCentre: DataCentreId) => boolean): number {
+    const own = fractionOf(`${duty}/${this.#options.name}`);
+    let rank = 0;
+    for (const [name, { links }] of this.#peers) {
+      const [link] = links;
+      if (link === undefined || !among(link.peer.dataCentre)) continue;
+      if (fractionOf(`${duty}/${name}`) > own) rank++;
+    }
+    return rank;
+  }
+
   /** Gateways that may be sharing limits with this one, itself included. */
   members(): number {
     const oldest = this.#options.clock.now() - MEMBER_TTL_MS;
--- a/packages/gateway/src/state/store_follower.ts
+++ b/packages/gateway/src/state/store_follower.ts
@@ -6,7 +6,7 @@
  *
  * @module
  */
-import { type Clock, type Rng, toWpError, type WpError } from "@wisteriapick/core";
+import { type Clock, type Rng, toWpError, type Undo, type WpError } from "@wisteriapick/core";
 import type { DecisionLog } from "../observe/decision_log.ts";
 import type { StateStore } from "./state_store.ts";
 import { FOLLOWED_KINDS, type FollowedKind, type StoreView } from "./store_view.ts";
@@ -19,17 +19,26 @@
   readonly clock: Clock;
   readonly rng: Rng;
   readonly log: DecisionLog;
-  /** Longest time a watch waits at the store, in milliseconds. */
-  readonly watchMs?: number;
+  /** Longest time a watch of each kind waits at the store, in milliseconds. */
+  readonly watchMs?: Readonly<Record<FollowedKind, number>>;
 }
 
+/** Called after a kind was read; `from` is the revision of the view before. */
+export type ReadListener = (kind: FollowedKind, from: number) => void;
+
 /**
- * A connection that went silent is only noticed when a watch does not return; the wait and its slack stay under the
- * three seconds within which a gateway must be up to date again.
+ * A watch that returns proves that nothing has changed, to this gateway and to those that it reads for. A connection
+ * that went silent is only noticed when a watch does not return. What changes within bounds of two seconds is therefore
+ * asked for often.
  */
-const WATCH_MS = 2_000;
+const WATCH_MS: Readonly<Record<FollowedKind, number>> = {
+  config: 900,
+  endpoints: 900,
+  evacuations: 2_200,
+  moves: 2_200,
+};
 /** Time beyond the wait after which a watch is taken to be lost, in milliseconds. */
-const WATCH_SLACK_MS = 600;
+const WATCH_SLACK_MS = 400;
 /** Shortest and longest pause between two probes of a store that cannot be reached, in milliseconds. */
 const PROBE_MIN_MS = 150;
 const PROBE_MAX_MS = 500;
@@ -52,6 +61,8 @@
   #down: Down | null = null;
   #outageEndedAtMs = -Infinity;
   #stopped = false;
+  #suspended: { readonly over: Promise<void>; resolve(): void } | null = null;
+  #listeners: readonly ReadListener[] = [];
   readonly #aborts = new Set<AbortController>();
 
   constructor(options: StoreFollowerOptions) {
@@ -74,17 +85,50 @@
     for (const kind of FOLLOWED_KINDS) void this.#follow(kind);
   }
 
+  /** Suspends reading while others vouch for the view. */
+  setSuspended(suspended: boolean): void {
+    if (suspended === (this.#suspended !== null)) return;
+    this.#options.log.state(suspended ? "store_reading_left_to_peer" : "store_reading_resumed", {});
+    if (!suspended) {
+      this.#suspended!.resolve();
+      this.#suspended = null;
+      return;
+    }
+    let resolve = () => {};
+    const over = new Promise<void>((r) => {
+      resolve = r;
+    });
+    this.#suspended = { over, resolve };
+  }
+
+  /** Takes note that peers have what the store has, so that this gateway is not blind. */
+  recordRegained(): void {
+    this.#succeeded();
+  }
+
+  /** Calls `fn` after each reading of the store. */
+  registerListener(fn: ReadListener): Undo {
+    this.#listeners = [...this.#listeners, fn];
+    return () => {
+      this.#listeners = this.#listeners.filter((l) => l !== fn);
+    };
+  }
+
   stop(): void {
     this.#stopped = true;
+    this.setSuspended(false);
     for (const abort of this.#aborts) abort.abort();
   }
 
   async #follow<K extends FollowedKind>(kind: K): Promise<void> {
     let mustList = true;
     while (!this.#stopped) {
+      if (this.#suspended !== null && !mustList) await this.#suspended.over;
+      const from = this.#options.view.kinds[kind].revision;
       try {
         mustList = mustList ? await this.#list(kind) : await this.#watch(kind);
         this.#succeeded();
+        for (const listener of this.#listeners) listener(kind, from);
       } catch (e) {
         if (this.#stopped) return;
         await this.#failed(kind, toWpError(e));
@@ -103,11 +147,11 @@
     const { store, view, clock, watchMs, log } = this.#options;
     const abort = new AbortController();
     this.#aborts.add(abort);
-    const stopTimer = clock.setTimer(watchMs + WATCH_SLACK_MS, () => abort.abort());
+    const stopTimer = clock.setTimer(watchMs[kind] + WATCH_SLACK_MS, () => abort.abort());
     try {
       const revision = view.kinds[kind].revision;
       // A probe of a store that was out of reach must not wait for a change to find it back.
-      const waitMs = this.#down === null ? watchMs : PROBE_WAIT_MS;
+      const waitMs = this.#down === null ? watchMs[kind] : PROBE_WAIT_MS;
       const result = await store.watch(kind, revision, { waitMs, signal: abort.signal });
       if (result.type === "history_gone") {
         log.state("store_history_gone", { kind, revision });
--- a/packages/gateway/src/state/store_view.ts
+++ b/packages/gateway/src/state/store_view.ts
@@ -61,6 +61,9 @@
 /** Called after a view has moved, with the names that were removed by it. */
 export type ViewListener = (change: { source: ViewSource; removed: readonly string[] }) => void;
 
+/** Removals that are remembered; more than a data centre loses between two watches. */
+const MAX_REMOVED = 1_024;
+
 const EMPTY: Snapshot<never> = { revision: 0, items: new Map() };
 
 /** The snapshot of one kind. */
@@ -68,6 +71,8 @@
   #snapshot: Snapshot<T> = EMPTY;
   #known = false;
   #changedAt = 0;
+  /** Names that were removed, with the revision of the view that no longer has them; the newest ones only. */
+  #removed: { readonly name: string; readonly revision: number }[] = [];
   #listeners: readonly ViewListener[] = [];
 
   /** Whether any snapshot has been read. */
@@ -118,6 +123,14 @@
     return true;
   }
 
+  /** Names that were removed after a revision and are not there again. */
+  removedSince(revision: number): string[] {
+    const { items } = this.#snapshot;
+    return this.#removed
+      .filter((r) => r.revision > revision && !items.has(r.name))
+      .map((r) => r.name);
+  }
+
   registerListener(listener: ViewListener): Undo {
     this.#listeners = [...this.#listeners, listener];
     return () => {
@@ -129,6 +142,10 @@
     this.#snapshot = snapshot;
     this.#known = true;
     this.#changedAt = snapshot.revision;
+    for (const name of removed) this.#removed.push({ name, revision: snapshot.revision });
+    if (this.#removed.length > MAX_REMOVED) {
+      this.#removed.splice(0, this.#removed.length - MAX_REMOVED);
+    }
     for (const listener of this.#listeners) listener({ source, removed });
   }
 }
--- a/packages/wire/src/message_codec.ts
+++ b/packages/wire/src/message_codec.ts
@@ -312,6 +312,12 @@
       slowGaps: count,
     })),
   }),
+  view_changes: record<Body<"view_changes">>({
+    view: text,
+    from: count,
+    revision: count,
+    events: bytes,
+  }),
 };
 
 const KINDS = Object.keys(BODIES) as Message["kind"][];
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -414,6 +414,16 @@
   readonly revision: number;
 }
 
+/** What the sender has read of one kind since revision `from`; also sent where nothing has changed. */
+export interface ViewChangesReport {
+  readonly kind: "view_changes";
+  readonly view: string;
+  readonly from: number;
+  readonly revision: number;
+  /** Changed objects and names of removed ones, encoded by the gateway package. */
+  readonly events: Uint8Array;
+}
+
 /** All objects of one kind, encoded by the gateway package. */
 export interface ViewState {
   readonly kind: "view_state";
@@ -455,4 +465,5 @@
   | ViewState
   | EndpointLeaving
   | Suspects
-  | VersionCountsReport;
+  | VersionCountsReport
+  | ViewChangesReport;
