Take only what a stopping entry can answer; try endpoints that have not answered yet

It now refuses what probably outlasts it, at once and with the truth that it has not run; where every entry stops, a fair chance is taken. Entries tell their peers that they stop.

A test found that a call endpoint that had not answered yet was never tried while others were quick, for example after an evacuation.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -50,7 +50,7 @@
 /** Interval of everything that is checked from time to time, in milliseconds. */
 const TICK_MS = 20;
 /** Part of the grace after which open connections are closed, so that the last answers still leave. */
-const CLOSE_MARGIN_MS = 300;
+const CLOSE_MARGIN_MS = 100;
 
 /**
  * See the module comment.
@@ -159,6 +159,7 @@
       ctx,
       dispatcher: this.#dispatcher,
       remainingMs: () => this.#remainingMs(),
+      othersServe: () => this.#network.staying().length > 0,
     });
     this.#surface = new ForwardSurface({
       address: settings.listen.callers,
@@ -170,7 +171,7 @@
     this.#fleet.registerConfigListener(() => this.#surface.applyLimits(this.#relay.limits()));
     this.#servers.push(
       new PlainServer(settings.listen.readiness, {
-        [options.callerDialect.readyPath]: () => ({ status: this.#isReady ? 200 : 503 }),
+        [options.callerDialect.readyPath]: () => ({ status: this.isReady ? 200 : 503 }),
       }),
     );
     const { metrics: metricsAddress } = settings.listen;
@@ -217,17 +218,11 @@
     this.#stoppingSinceMs = clock.now();
     log.state("stopping", { active: this.#surface.active });
     this.#surface.drain();
+    this.#network.announceStop();
     const until = clock.now() + settings.bounds.grace_ms - CLOSE_MARGIN_MS;
     while (clock.now() < until && !this.#isIdle()) await clock.sleep(TICK_MS);
     log.state("stopped", { active: this.#surface.active });
-    this.#surface.destroy();
-    this.#follower.stop();
-    this.#stopTick();
-    for (const server of this.#servers) server.close();
-    this.#upstreams.close();
-    for (const undo of this.#undos) undo();
-    await this.#network.stop();
-    await this.#options.store.close();
+    await this.kill();
   }
 
   /** Callers may still be sent here for some seconds after the gateway has said that it is not ready. */
@@ -242,7 +237,20 @@
     return this.#stoppingSinceMs + settings.bounds.grace_ms - CLOSE_MARGIN_MS - clock.now();
   }
 
-  get #isReady(): boolean {
+  /** Drops everything at once, as the end of the process does. */
+  async kill(): Promise<void> {
+    this.#surface.destroy();
+    this.#follower.stop();
+    this.#stopTick();
+    for (const server of this.#servers) server.close();
+    this.#upstreams.close();
+    for (const undo of this.#undos) undo();
+    await this.#network.stop();
+    await this.#options.store.close();
+  }
+
+  /** Whether callers may be sent here. */
+  get isReady(): boolean {
     return this.#stoppingSinceMs === null && this.#fleet.isKnown && this.#fleet.endpoints.size > 0;
   }
 
--- a/packages/gateway/src/peers/peer_network.ts
+++ b/packages/gateway/src/peers/peer_network.ts
@@ -69,6 +69,7 @@
   readonly #peers = new Map<string, Peer>();
   /** Addresses that this gateway dials, or will. */
   readonly #dialled = new Map<string, Undo>();
+  readonly #stopping = new Set<string>();
   readonly #known = new Map<string, GatewayAddress>();
   readonly #handlers = new Map<string, PeerHandler<Message["kind"]>>();
   #upListeners: readonly ((peer: string) => void)[] = [];
@@ -100,6 +101,7 @@
       backoffMaxMs: RECONNECT_MAX_MS,
     });
     this.registerHandler("gateways", (_peer, { gateways }) => this.learn(gateways));
+    this.registerHandler("gateway_stopping", (peer) => void this.#stopping.add(peer));
   }
 
   async start(): Promise<void> {
@@ -161,6 +163,16 @@
     return rank;
   }
 
+  /** Tells peers that this gateway stops. */
+  announceStop(): void {
+    this.broadcast({ kind: "gateway_stopping" });
+  }
+
+  /** Peers that are linked and have not said that they stop. */
+  staying(): string[] {
+    return this.linked().filter((name) => !this.#stopping.has(name));
+  }
+
   /** Gateways that may be sharing limits with this one, itself included. */
   members(): number {
     const oldest = this.#options.clock.now() - MEMBER_TTL_MS;
@@ -246,6 +258,8 @@
     const self = { name: this.#options.name, ...address, dataCentre };
     link.notify({ kind: "gateways", gateways: [self, ...this.#known.values()] });
     if (wasLinked) return;
+    // A first link after a loss may be to the next process of that name.
+    this.#stopping.delete(name);
     this.#options.log.state("peer_linked", { peer: name, process: link.peer.process });
     for (const listener of this.#upListeners) listener(name);
   }
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -16,6 +16,8 @@
   readonly dispatcher: EngineDispatcher;
   /** Time until this process ends; `null` while it is not stopping. */
   readonly remainingMs: () => number | null;
+  /** Whether a caller that is sent away finds another gateway that is not stopping. */
+  readonly othersServe: () => boolean;
 }
 
 /** Limits before a configuration is known. */
@@ -27,8 +29,14 @@
 };
 /** When a caller should come back where no configuration is known yet, in milliseconds. */
 const RETRY_NOT_READY_MS = 500;
-/** Time left to a stopping process below which a generation is not begun, in milliseconds. */
-const MIN_STREAM_TIME_MS = 6_000;
+/** Time that a call is given by a stopping process, in milliseconds: several times what almost all take. */
+const CALL_TIME_MS = 600;
+/** Time to a generation's first event that a stopping process must have left, in milliseconds. */
+const FIRST_EVENT_TIME_MS = 1_500;
+/** Time for each output token that a generation may have, in milliseconds: half of it for most. */
+const OUTPUT_TOKEN_MS = 5;
+/** Output time in which about half of the long generations end, in milliseconds. */
+const FAIR_CHANCE_MS = 4_500;
 /** When a caller should come back to another gateway, in milliseconds. */
 const RETRY_ELSEWHERE_MS = 20;
 
@@ -93,19 +101,29 @@
       } as const;
       return this.#reject(head, rejection, responder);
     }
+    if (this.#endsBefore(this.#timeNeededMs(req))) {
+      const rejection = {
+        reason: "draining",
+        notRun: true,
+        retryAfterMs: RETRY_ELSEWHERE_MS,
+      } as const;
+      return this.#reject(head, rejection, responder);
+    }
     if (route.kind === "streaming" && this.#isGeneration(route)) {
-      if (this.#endsBefore(MIN_STREAM_TIME_MS)) {
-        return this.#reject(head, {
-          reason: "draining",
-          notRun: true,
-          retryAfterMs: RETRY_ELSEWHERE_MS,
-        }, responder);
-      }
       return dispatcher.submit(req, responder);
     }
     new PlainCall(ctx, req, responder, this.#ejection).start();
   }
 
+  /** Time that a stopping process must have left to take a request. */
+  #timeNeededMs({ generation }: InboundRequest): number {
+    if (generation === null) return CALL_TIME_MS;
+    const outputMs = OUTPUT_TOKEN_MS * generation.maxOutputTokens;
+    // Where every gateway stops, a fair chance here is better than none.
+    const worthTrying = this.#options.othersServe() ? Infinity : FAIR_CHANCE_MS;
+    return FIRST_EVENT_TIME_MS + Math.min(outputMs, worthTrying);
+  }
+
   #isGeneration(route: RouteConfig): boolean {
     const { fleet } = this.#options.ctx;
     return route.targets.some((t) => fleet.routes?.service(t.service)?.engine !== null);
--- a/packages/policy/src/call_placement.ts
+++ b/packages/policy/src/call_placement.ts
@@ -30,7 +30,7 @@
 const REMOTE_COST_MS = 6;
 /** Disadvantage of an endpoint to which a connection must be opened, in milliseconds: a round trip and accept time. */
 const CONNECT_COST_MS = 3;
-/** Answer time assumed of an endpoint that has not answered yet, in milliseconds. */
+/** Answer time assumed where no endpoint has answered yet, in milliseconds. */
 const UNKNOWN_LATENCY_MS = 20;
 /** Random part of each cost, so that gateways with equal knowledge do not all choose the same endpoint. */
 const JITTER_MS = 4;
@@ -49,8 +49,11 @@
 ): T | null {
   let best: T | null = null;
   let bestCost = Infinity;
+  // An endpoint that has not answered yet is taken to be as quick as the best, or it would never be tried.
+  const known = candidates.map((c) => c.latencyMs).filter((ms) => ms > 0);
+  const assumedMs = known.length > 0 ? Math.min(...known) : UNKNOWN_LATENCY_MS;
   for (const candidate of candidates) {
-    const cost = expectedCostMs(candidate, gateways) + JITTER_MS * rng.next();
+    const cost = expectedCostMs(candidate, gateways, assumedMs) + JITTER_MS * rng.next();
     if (cost < bestCost) {
       best = candidate;
       bestCost = cost;
@@ -59,9 +62,13 @@
   return best;
 }
 
-function expectedCostMs(candidate: CallCandidate, gateways: number): number {
+function expectedCostMs(
+  candidate: CallCandidate,
+  gateways: number,
+  assumedMs: number,
+): number {
   const { inFlight, slots, latencyMs, isLocal, isConnected } = candidate;
-  const latency = latencyMs > 0 ? latencyMs : UNKNOWN_LATENCY_MS;
+  const latency = latencyMs > 0 ? latencyMs : assumedMs;
   // The other gateways are taken to have as much under way as this one.
   const ahead = inFlight * gateways;
   const waiting = Math.max(0, ahead + 1 - slots) / slots;
--- a/packages/policy/src/move_pace.ts
+++ b/packages/policy/src/move_pace.ts
@@ -43,8 +43,10 @@
 const SWITCH_PART = 0.85;
 /** The end is written this long before the deadline, so that a slow store still takes it in time. */
 const WRITE_MARGIN_MS = 700;
-/** Requests without a bad answer after which a version with little traffic is taken for good at the deadline. */
+/** Requests after which a version with little traffic is judged by the part of its answers that is bad. */
 const FEW_REQUESTS = 8;
+/** Part of its answers that may be bad, besides a single one that says nothing. */
+const TOLERATED_BAD_PART = 0.1;
 /** Bad answers after which a version gets no more, whatever the statistics say. */
 const MAX_BAD = 20;
 /** Part of its answers that must be bad for that. */
@@ -65,7 +67,8 @@
   }
   const allowance = USED_PART * (limits.share * requests + limits.extra) - exposed;
   const isDue = elapsedMs >= durationMs - WRITE_MARGIN_MS;
-  const looksGood = isAccepted || (bad === 0 && exposed >= FEW_REQUESTS);
+  const looksGood = isAccepted ||
+    (exposed >= FEW_REQUESTS && bad <= 1 + TOLERATED_BAD_PART * exposed);
   if (isDue) return { share: looksGood ? 1 : 0, end: looksGood ? "completed" : "rolled_back" };
   if (allowance <= 0) return { share: 0, end: null };
   const isSwitching = looksGood && elapsedMs >= SWITCH_PART * durationMs;
--- a/packages/wire/src/message_codec.ts
+++ b/packages/wire/src/message_codec.ts
@@ -318,6 +318,7 @@
     revision: count,
     events: bytes,
   }),
+  gateway_stopping: record<Body<"gateway_stopping">>({}),
 };
 
 const KINDS = Object.keys(BODIES) as Message["kind"][];
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -396,6 +396,11 @@
   readonly counts: readonly VersionCount[];
 }
 
+/** The sender stops and takes little more. */
+export interface GatewayStopping {
+  readonly kind: "gateway_stopping";
+}
+
 /** Requests that are suspected of crashing endpoints. */
 export interface Suspects {
   readonly kind: "suspects";
@@ -466,4 +471,5 @@
   | EndpointLeaving
   | Suspects
   | VersionCountsReport
-  | ViewChangesReport;
+  | ViewChangesReport
+  | GatewayStopping;
