--- a/packages/gateway/src/surface/forward_surface.ts
+++ b/packages/gateway/src/surface/forward_surface.ts
@@ -55,11 +55,21 @@
 /** Bytes of bodies held for all requests together; a gateway has 178 MB or more. */
 const MAX_HELD_BODY_BYTES = 33_554_432;
 
+/** What is under way on one connection. */
+interface Connection {
+  /** Requests that are being read or answered. */
+  requests: number;
+  /** Whether the body of the newest request is being read. */
+  isReading: boolean;
+  /** Whether a request was refused: what follows it is not trusted. */
+  isRefused: boolean;
+}
+
 /** Serves callers. */
 export class ForwardSurface {
   readonly #options: ForwardSurfaceOptions;
   readonly #server: Server;
-  readonly #sockets = new Map<Socket, number>();
+  readonly #connections = new Map<Socket, Connection>();
   #draining = false;
   #heldBytes = 0;
 
@@ -104,7 +114,7 @@
   /** Requests that are being answered. */
   get active(): number {
     let active = 0;
-    for (const requests of this.#sockets.values()) active += requests;
+    for (const { requests } of this.#connections.values()) active += requests;
     return active;
   }
 
@@ -126,20 +136,18 @@
   }
 
   #onConnection(socket: Socket): void {
-    this.#sockets.set(socket, 0);
-    socket.once("close", () => this.#sockets.delete(socket));
-  }
-
-  #count(socket: Socket, change: number): void {
-    const requests = this.#sockets.get(socket);
-    if (requests !== undefined) this.#sockets.set(socket, requests + change);
+    this.#connections.set(socket, { requests: 0, isReading: false, isRefused: false });
+    socket.once("close", () => this.#connections.delete(socket));
   }
 
   #onRequest(req: IncomingMessage, res: ServerResponse): void {
     const { handler, clock } = this.#options;
     const arrivedAtMs = clock.now();
-    this.#count(req.socket, 1);
-    res.once("close", () => this.#count(req.socket, -1));
+    const connection = this.#connections.get(req.socket);
+    // The parser hands over what came behind a refused request before the connection is closed.
+    if (connection === undefined || connection.isRefused) return void req.resume();
+    connection.requests++;
+    res.once("close", () => connection.requests--);
     if (handler.isReady()) this.#read(req, res, arrivedAtMs);
     else this.#hold(req, res, arrivedAtMs);
   }
@@ -189,6 +197,8 @@
       req.resume();
       return done(null);
     }
+    const connection = this.#connections.get(req.socket);
+    if (connection !== undefined) connection.isReading = true;
     const chunks: Buffer[] = [];
     let size = 0;
     let over = false;
@@ -209,6 +219,7 @@
       this.#refuse(req, res, size > maxBytes ? 413 : 503);
     });
     req.on("end", () => {
+      if (connection !== undefined) connection.isReading = false;
       if (!over) done(Buffer.concat(chunks));
     });
     // The caller's own failure; its connection closes by itself.
@@ -218,6 +229,8 @@
   /** Refuses a request that cannot be passed on, and closes its connection: the rest of it is not trusted. */
   #refuse(req: IncomingMessage, res: ServerResponse, status: number): void {
     const { log } = this.#options;
+    const connection = this.#connections.get(req.socket);
+    if (connection !== undefined) connection.isRefused = true;
     log.request("request_refused", {
       status,
       method: req.method,
@@ -234,8 +247,12 @@
   #onClientError(err: NodeJS.ErrnoException, socket: Socket): void {
     const { log } = this.#options;
     log.request("connection_refused", { code: err.code, remote: socket.remoteAddress });
-    const isBusy = (this.#sockets.get(socket) ?? 0) > 0;
-    if (isBusy || !socket.writable || err.code === "ECONNRESET") return void socket.destroy();
+    const connection = this.#connections.get(socket);
+    // A request whose body is broken has no answer yet; one before it may have.
+    const unanswered = (connection?.requests ?? 0) - (connection?.isReading ? 1 : 0);
+    if (unanswered > 0 || !socket.writable || err.code === "ECONNRESET") {
+      return void socket.destroy();
+    }
     const status = statusOfParserError(err.code);
     socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
     socket.destroySoon();
