Register entries in the store; test readers, moves, copies, outages and decoding

The tests found: a gateway that could not reach the store counted as blind while its peers told it everything; an address with a port out of range was taken.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -13,6 +13,7 @@
 import { ColdLimiter, RetryBudget } from "@wisteriapick/policy";
 import type { DecisionLog } from "./observe/decision_log.ts";
 import type { GatewayMetrics } from "./observe/metrics.ts";
+import { Registration } from "./peers/registration.ts";
 import { shareOccupancy } from "./peers/occupancy_share.ts";
 import { PeerNetwork } from "./peers/peer_network.ts";
 import { StoreReaders } from "./peers/store_readers.ts";
@@ -75,6 +76,7 @@
   readonly #relay: Relay;
   readonly #surface: ForwardSurface;
   readonly #network: PeerNetwork;
+  readonly #registration: Registration;
   readonly #servers: PlainServer[] = [];
   readonly #undos: Undo[] = [];
   readonly #budget: RetryBudget;
@@ -92,7 +94,7 @@
       clock,
       log,
       regionOf: options.regionOf,
-      outage: () => this.#follower.outage,
+      outage: () => this.#readers.outage,
     });
     this.#upstreams = new Upstreams(this.#fleet);
     this.#budget = new RetryBudget(retryOptions(settings.bounds));
@@ -107,6 +109,19 @@
       rng: rng.fork("peers"),
       log,
     });
+    this.#registration = new Registration({
+      record: {
+        name: settings.name,
+        address: settings.listen.peers,
+        dataCentre: settings.data_centre,
+      },
+      store,
+      clock,
+      rng: rng.fork("registration"),
+      log,
+      onFound: (gateways) => this.#network.learn(gateways),
+      isLinked: (name) => this.#network.isLinked(name),
+    });
     const crashes = new CrashRecord({ clock, log });
     this.#moves = new VersionMoves({
       view,
@@ -140,7 +155,7 @@
       ctx,
       dispatcher: this.#dispatcher,
       network: this.#network,
-      storeReachable: () => this.#follower.reachable,
+      storeKnown: () => this.#readers.isInformed,
     });
     this.#readers = new StoreReaders({
       view,
@@ -191,6 +206,7 @@
   /** Serves. Rejects where an address cannot be bound. */
   async start(): Promise<void> {
     this.#follower.start();
+    this.#registration.start();
     await Promise.all([
       this.#surface.listen(),
       this.#network.start(),
@@ -219,9 +235,11 @@
     log.state("stopping", { active: this.#surface.active });
     this.#surface.drain();
     this.#network.announceStop();
+    const unregistered = this.#registration.remove();
     const until = clock.now() + settings.bounds.grace_ms - CLOSE_MARGIN_MS;
     while (clock.now() < until && !this.#isIdle()) await clock.sleep(TICK_MS);
     log.state("stopped", { active: this.#surface.active });
+    await Promise.race([unregistered, clock.sleep(CLOSE_MARGIN_MS / 2)]);
     await this.kill();
   }
 
@@ -240,6 +258,7 @@
   /** Drops everything at once, as the end of the process does. */
   async kill(): Promise<void> {
     this.#surface.destroy();
+    this.#registration.stop();
     this.#follower.stop();
     this.#stopTick();
     for (const server of this.#servers) server.close();
--- a/packages/gateway/src/moves/version_moves.ts
+++ b/packages/gateway/src/moves/version_moves.ts
@@ -24,7 +24,7 @@
 } from "@wisteriapick/policy";
 import type { MoveRecord, MoveState } from "../config/types.ts";
 import type { DecisionLog } from "../observe/decision_log.ts";
-import type { PeerNetwork } from "../peers/peer_network.ts";
+import type { PeerGroup } from "../peers/peer_group.ts";
 import type { EndpointRow } from "../state/fleet.ts";
 import type { StateStore } from "../state/state_store.ts";
 import type { StoreView, ViewItem } from "../state/store_view.ts";
@@ -44,7 +44,7 @@
 export interface VersionMovesOptions {
   readonly view: StoreView;
   readonly store: StateStore;
-  readonly network: PeerNetwork;
+  readonly network: PeerGroup;
   readonly clock: Clock;
   readonly log: DecisionLog;
   readonly limits: () => ExposureLimits;
--- a/packages/gateway/src/peers/copy_keeper.ts
+++ b/packages/gateway/src/peers/copy_keeper.ts
@@ -7,7 +7,7 @@
 import { type CopyOrder, CopyPlanner, type CopyTarget } from "@wisteriapick/policy";
 import type { CopyRequest } from "@wisteriapick/wire";
 import type { DecisionLog } from "../observe/decision_log.ts";
-import type { PeerNetwork } from "./peer_network.ts";
+import type { PeerGroup } from "./peer_group.ts";
 
 /** A request as the planner sees it. */
 export interface KeptOrder extends CopyOrder {
@@ -17,7 +17,7 @@
 
 /** Options of {@link CopyKeeper}. */
 export interface CopyKeeperOptions {
-  readonly network: PeerNetwork;
+  readonly network: PeerGroup;
   readonly clock: Clock;
   readonly log: DecisionLog;
   /** Engines to which a run may be copied now. */
--- a/packages/gateway/src/peers/occupancy_share.ts
+++ b/packages/gateway/src/peers/occupancy_share.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock, Undo } from "@wisteriapick/core";
 import type { RunBoard } from "../relay/run_board.ts";
-import type { PeerNetwork } from "./peer_network.ts";
+import type { PeerGroup } from "./peer_group.ts";
 
 /**
  * Time for which the runs of a peer that was lost still count, in milliseconds: a peer that is only cut off goes on
@@ -14,7 +14,7 @@
 const KEEP_LOST_MS = 3_000;
 
 /** Connects a board to the network. The undo disconnects it. */
-export function shareOccupancy(board: RunBoard, network: PeerNetwork, clock: Clock): Undo {
+export function shareOccupancy(board: RunBoard, network: PeerGroup, clock: Clock): Undo {
   const undos: Undo[] = [
     board.registerListener(({ changed, ended }) =>
       network.broadcast({ kind: "occupancy", full: false, changed, ended })
@@ -29,7 +29,7 @@
     ),
     network.registerDown((peer) => {
       clock.setTimer(KEEP_LOST_MS, () => {
-        if (!network.linked().includes(peer)) board.dropPeer(peer);
+        if (!network.isLinked(peer)) board.dropPeer(peer);
       });
     }),
     network.registerHandler("occupancy", (peer, { full, changed, ended }) => {
--- a/packages/gateway/src/peers/peer_network.ts
+++ b/packages/gateway/src/peers/peer_network.ts
@@ -7,7 +7,6 @@
 import {
   type Clock,
   type DataCentreId,
-  fractionOf,
   hostId,
   processId,
   type Rng,
@@ -27,6 +26,7 @@
   type Message,
 } from "@wisteriapick/wire";
 import type { DecisionLog } from "../observe/decision_log.ts";
+import { type LinkedPeer, PeerGroup, type PeerHandler } from "./peer_group.ts";
 
 /** Options of {@link PeerNetwork}. */
 export interface PeerNetworkOptions {
@@ -41,12 +41,6 @@
   readonly log: DecisionLog;
 }
 
-/** Handles messages of one kind; `peer` is the sender's name. */
-export type PeerHandler<K extends Message["kind"]> = (
-  peer: string,
-  msg: Extract<Message, { kind: K }>,
-) => void;
-
 /** Longest pause between two tries to reach a peer, in milliseconds: a peer that is back is found within a second. */
 const RECONNECT_MAX_MS = 1_000;
 /** The gateway with the greater address leaves the connection to the other one for this long, in milliseconds. */
@@ -61,7 +55,7 @@
 }
 
 /** See the module comment. */
-export class PeerNetwork {
+export class PeerNetwork extends PeerGroup {
   readonly #options: PeerNetworkOptions;
   readonly #pool: LinkPool;
   readonly #acceptor: LinkAcceptor;
@@ -78,6 +72,7 @@
   #closed = false;
 
   constructor(options: PeerNetworkOptions) {
+    super();
     this.#options = options;
     const { name, dataCentre, clusterKey, clock, rng } = options;
     const life = Math.floor(rng.next() * 2 ** 32).toString(16);
@@ -123,44 +118,17 @@
     await this.#listener?.close();
   }
 
-  get name(): string {
+  override get name(): string {
     return this.#options.name;
   }
 
-  /** Names of the peers that are linked. */
-  linked(): string[] {
-    return [...this.#peers].filter(([, peer]) => peer.links.size > 0).map(([name]) => name);
-  }
-
-  /**
-   * The gateway that keeps a duty: the same for all that are linked with each other. Where views differ, two may both
-   * be named, which duties must bear.
-   */
-  keeperOf(duty: string): string {
-    let best = this.#options.name;
-    let bestScore = fractionOf(`${duty}/${best}`);
-    for (const peer of this.linked()) {
-      const score = fractionOf(`${duty}/${peer}`);
-      if (score > bestScore) {
-        best = peer;
-        bestScore = score;
-      }
-    }
-    return best;
-  }
-
-  /**
-   * Place of this gateway in the line for a duty, among those that are linked and whose data centre passes `among`.
-   */
-  rankOf(duty: string, among: (dataCentre: DataCentreId) => boolean): number {
-    const own = fractionOf(`${duty}/${this.#options.name}`);
-    let rank = 0;
+  override linked(): LinkedPeer[] {
+    const linked: LinkedPeer[] = [];
     for (const [name, { links }] of this.#peers) {
       const [link] = links;
-      if (link === undefined || !among(link.peer.dataCentre)) continue;
-      if (fractionOf(`${duty}/${name}`) > own) rank++;
+      if (link !== undefined) linked.push({ name, dataCentre: link.peer.dataCentre });
     }
-    return rank;
+    return linked;
   }
 
   /** Tells peers that this gateway stops. */
@@ -169,8 +137,8 @@
   }
 
   /** Peers that are linked and have not said that they stop. */
-  staying(): string[] {
-    return this.linked().filter((name) => !this.#stopping.has(name));
+  staying(): LinkedPeer[] {
+    return this.linked().filter(({ name }) => !this.#stopping.has(name));
   }
 
   /** Gateways that may be sharing limits with this one, itself included. */
@@ -195,34 +163,26 @@
     }
   }
 
-  /** Sends to one peer. Returns false where it is not linked. */
-  send(peer: string, msg: Message): boolean {
+  override send(peer: string, msg: Message): boolean {
     const link = [...this.#peers.get(peer)?.links ?? []].find((l) => l.open);
     if (link === undefined) return false;
     link.notify(msg);
     return true;
   }
 
-  /** Sends to every linked peer. */
-  broadcast(msg: Message): void {
-    for (const name of this.#peers.keys()) this.send(name, msg);
-  }
-
-  registerHandler<K extends Message["kind"]>(kind: K, handler: PeerHandler<K>): Undo {
+  override registerHandler<K extends Message["kind"]>(kind: K, handler: PeerHandler<K>): Undo {
     this.#handlers.set(kind, handler as unknown as PeerHandler<Message["kind"]>);
     return () => void this.#handlers.delete(kind);
   }
 
-  /** Calls `fn` when the first link to a peer opens. */
-  registerUp(fn: (peer: string) => void): Undo {
+  override registerUp(fn: (peer: string) => void): Undo {
     this.#upListeners = [...this.#upListeners, fn];
     return () => {
       this.#upListeners = this.#upListeners.filter((l) => l !== fn);
     };
   }
 
-  /** Calls `fn` when the last link to a peer is lost. */
-  registerDown(fn: (peer: string) => void): Undo {
+  override registerDown(fn: (peer: string) => void): Undo {
     this.#downListeners = [...this.#downListeners, fn];
     return () => {
       this.#downListeners = this.#downListeners.filter((l) => l !== fn);
--- /dev/null
+++ b/packages/gateway/src/peers/registration.ts
@@ -0,0 +1,100 @@
+/**
+ * Registers a gateway in the platform's store, so that others find it where no seed is alive.
+ *
+ * @module
+ */
+import { type Clock, type Rng, toWpError, type Undo } from "@wisteriapick/core";
+import { formatAddress, type GatewayAddress } from "@wisteriapick/wire";
+import type { GatewayRecord } from "../config/types.ts";
+import type { DecisionLog } from "../observe/decision_log.ts";
+import type { StateStore } from "../state/state_store.ts";
+
+/** Options of {@link Registration}. */
+export interface RegistrationOptions {
+  readonly record: GatewayRecord;
+  readonly store: StateStore;
+  readonly clock: Clock;
+  readonly rng: Rng;
+  readonly log: DecisionLog;
+  /** Called with the gateways that are registered. */
+  readonly onFound: (gateways: readonly GatewayAddress[]) => void;
+  /** Whether a gateway is linked, so that its registration is not stale. */
+  readonly isLinked: (name: string) => boolean;
+}
+
+/** Interval at which registrations are read, in milliseconds. Links tell of most gateways much sooner. */
+const READ_INTERVAL_MS = 60_000;
+/** First reading after a start, in milliseconds: links by seeds come first, and starts of many are spread. */
+const FIRST_READ_MS = 1_000;
+/** Time for which a gateway is unlinked before its registration is removed, in milliseconds. */
+const STALE_MS = 600_000;
+
+/** See the module comment. */
+export class Registration {
+  readonly #options: RegistrationOptions;
+  readonly #missingSinceMs = new Map<string, number>();
+  #stopTimer: Undo = () => {};
+  #stopped = false;
+
+  constructor(options: RegistrationOptions) {
+    this.#options = options;
+  }
+
+  start(): void {
+    this.#schedule(FIRST_READ_MS);
+  }
+
+  /** Removes the registration of a gateway that stops for good or until its next start. */
+  async remove(): Promise<void> {
+    this.stop();
+    const { store, record, log } = this.#options;
+    try {
+      await store.removeGateway(record.name);
+    } catch (e) {
+      // Others remove it when it is stale.
+      log.state("registration_left", { err: toWpError(e) });
+    }
+  }
+
+  stop(): void {
+    this.#stopped = true;
+    this.#stopTimer();
+  }
+
+  #schedule(ms: number): void {
+    const { clock, rng } = this.#options;
+    this.#stopTimer = clock.setTimer(ms * (1 + rng.next()), () => void this.#run());
+  }
+
+  async #run(): Promise<void> {
+    try {
+      await this.#refresh();
+    } catch (e) {
+      this.#options.log.state("registration_failed", { err: toWpError(e) });
+    }
+    if (!this.#stopped) this.#schedule(READ_INTERVAL_MS);
+  }
+
+  async #refresh(): Promise<void> {
+    const { store, record, onFound } = this.#options;
+    const { items } = await store.list("gateways");
+    const records = [...items.values()].map((item) => item.value);
+    onFound(records.map(({ name, address, dataCentre }) => ({ name, ...address, dataCentre })));
+    const own = records.find((r) => r.name === record.name);
+    const isCurrent = own !== undefined &&
+      formatAddress(own.address) === formatAddress(record.address);
+    if (!isCurrent && !this.#stopped) await store.writeGateway(record);
+    for (const { name } of records) await this.#removeStale(name);
+  }
+
+  async #removeStale(name: string): Promise<void> {
+    const { store, record, clock, isLinked } = this.#options;
+    if (name === record.name || isLinked(name)) return void this.#missingSinceMs.delete(name);
+    const now = clock.now();
+    const since = this.#missingSinceMs.get(name) ?? now;
+    this.#missingSinceMs.set(name, since);
+    if (now - since < STALE_MS) return;
+    await store.removeGateway(name);
+    this.#missingSinceMs.delete(name);
+  }
+}
--- a/packages/gateway/src/peers/store_readers.ts
+++ b/packages/gateway/src/peers/store_readers.ts
@@ -11,6 +11,7 @@
 import type { Clock, DataCentreId, RegionId, Undo } from "@wisteriapick/core";
 import { Decoder, Encoder } from "cbor-x";
 import type { DecisionLog } from "../observe/decision_log.ts";
+import type { StoreOutage } from "../state/fleet.ts";
 import type { StoreFollower } from "../state/store_follower.ts";
 import {
   FOLLOWED_KINDS,
@@ -19,13 +20,13 @@
   type ViewEvent,
   type ViewItem,
 } from "../state/store_view.ts";
-import type { PeerNetwork } from "./peer_network.ts";
+import type { PeerGroup } from "./peer_group.ts";
 
 /** Options of {@link StoreReaders}. */
 export interface StoreReadersOptions {
   readonly view: StoreView;
   readonly follower: StoreFollower;
-  readonly network: PeerNetwork;
+  readonly network: PeerGroup;
   readonly clock: Clock;
   readonly log: DecisionLog;
   readonly dataCentre: DataCentreId;
@@ -46,6 +47,8 @@
 const NEXT_IN_LINE_MS = 100;
 /** Gateways in line after which all step in at the same age. */
 const MAX_IN_LINE = 5;
+/** An interruption shorter than this is not taken for an outage, in milliseconds: registrations outlive it. */
+const OUTAGE_MS = 1_000;
 /** Interval at which a gateway that cannot read asks its peers for what they have, in milliseconds. */
 const PULL_MS = 200;
 
@@ -58,6 +61,8 @@
   readonly #freshAtMs = new Map<FollowedKind, number>();
   readonly #undos: Undo[];
   #lastPullMs = -Infinity;
+  #blindSinceMs: number | null = null;
+  #outageEndedAtMs = -Infinity;
 
   constructor(options: StoreReadersOptions) {
     this.#options = options;
@@ -87,16 +92,36 @@
     const now = clock.now();
     const isFresh = this.#isFresh(now);
     follower.setSuspended(isFresh && this.#rank() > 0);
-    if (isFresh) follower.recordRegained();
-    if (isFresh || follower.reachable || now - this.#lastPullMs < PULL_MS) return;
+    this.#trackBlindness(isFresh || follower.reachable, now);
+    if (this.isInformed || now - this.#lastPullMs < PULL_MS) return;
     this.#lastPullMs = now;
     this.#pull();
   }
 
+  /** Whether what the store holds is known here, by a reading of one's own or through peers. */
+  get isInformed(): boolean {
+    return this.#blindSinceMs === null;
+  }
+
+  /** Whether nobody could tell what the store holds, and when that last ended. */
+  get outage(): StoreOutage {
+    const isDown = this.#blindSinceMs !== null &&
+      this.#options.clock.now() - this.#blindSinceMs >= OUTAGE_MS;
+    return { isDown, endedAtMs: this.#outageEndedAtMs };
+  }
+
   close(): void {
     for (const undo of this.#undos) undo();
   }
 
+  #trackBlindness(isInformed: boolean, now: number): void {
+    const since = this.#blindSinceMs;
+    if (isInformed === (since === null)) return;
+    this.#blindSinceMs = isInformed ? null : now;
+    if (since !== null && now - since >= OUTAGE_MS) this.#outageEndedAtMs = now;
+    this.#options.log.state(isInformed ? "store_content_known" : "store_content_unknown", {});
+  }
+
   /** Whether peers vouch for every kind. */
   #isFresh(now: number): boolean {
     const patience = NEXT_IN_LINE_MS * Math.min(this.#rank(), MAX_IN_LINE);
--- a/packages/gateway/src/relay/crash_record.ts
+++ b/packages/gateway/src/relay/crash_record.ts
@@ -7,7 +7,7 @@
 import { createHash } from "node:crypto";
 import type { Clock, Undo } from "@wisteriapick/core";
 import { Quarantine } from "@wisteriapick/policy";
-import type { PeerNetwork } from "../peers/peer_network.ts";
+import type { PeerGroup } from "../peers/peer_group.ts";
 import type { EndpointRecord } from "../config/types.ts";
 import type { DecisionLog } from "../observe/decision_log.ts";
 import type { InboundRequest } from "./inbound.ts";
@@ -76,7 +76,7 @@
   }
 
   /** Shares what is suspected with all gateways. The undo ends that. */
-  share(network: PeerNetwork): Undo {
+  share(network: PeerGroup): Undo {
     const message = () => ({
       kind: "suspects" as const,
       suspects: this.#quarantine.entries(this.#clock.now()),
--- a/packages/gateway/src/relay/engine_watch.ts
+++ b/packages/gateway/src/relay/engine_watch.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import type { EndpointId } from "@wisteriapick/core";
-import type { PeerNetwork } from "../peers/peer_network.ts";
+import type { PeerGroup } from "../peers/peer_group.ts";
 import { controlCall } from "../upstream/control_call.ts";
 import type { EngineReport } from "../upstream/dialect.ts";
 import type { RelayContext } from "./context.ts";
@@ -16,9 +16,9 @@
 export interface EngineWatchOptions {
   readonly ctx: RelayContext;
   readonly dispatcher: EngineDispatcher;
-  readonly network: PeerNetwork;
-  /** Whether the store tells what happens. */
-  readonly storeReachable: () => boolean;
+  readonly network: PeerGroup;
+  /** Whether what the store holds is known here. */
+  readonly storeKnown: () => boolean;
 }
 
 /** Interval of questions to an engine while the store cannot be reached, in milliseconds: notice is two seconds. */
@@ -46,9 +46,9 @@
 
   /** Asks where a question is due. Called each tick. */
   tick(): void {
-    const { ctx, dispatcher, storeReachable } = this.#options;
+    const { ctx, dispatcher, storeKnown } = this.#options;
     const now = ctx.clock.now();
-    const isBlind = !storeReachable();
+    const isBlind = !storeKnown();
     for (const [endpoint, runs] of runsByEngine(dispatcher.runs)) {
       if (ctx.fleet.endpoints.get(endpoint)?.phase === "leaving") continue;
       const isSilent = runs.every((run) =>
--- a/packages/gateway/src/relay/run_mover.ts
+++ b/packages/gateway/src/relay/run_mover.ts
@@ -14,7 +14,7 @@
 import type { CopyRequest } from "@wisteriapick/wire";
 import type { EngineConfig } from "../config/types.ts";
 import { CopyKeeper } from "../peers/copy_keeper.ts";
-import type { PeerNetwork } from "../peers/peer_network.ts";
+import type { PeerGroup } from "../peers/peer_group.ts";
 import type { EndpointRow } from "../state/fleet.ts";
 import { controlCall } from "../upstream/control_call.ts";
 import type { CopyResult, RunMemory } from "../upstream/dialect.ts";
@@ -60,7 +60,7 @@
   readonly #fallbacks = new Map<StreamRun, Fallback>();
   #nextKey = 1;
 
-  constructor(ctx: RelayContext, dispatcher: EngineDispatcher, network: PeerNetwork) {
+  constructor(ctx: RelayContext, dispatcher: EngineDispatcher, network: PeerGroup) {
     this.#ctx = ctx;
     this.#dispatcher = dispatcher;
     const { clock, log } = ctx;
--- a/packages/gateway/src/state/store_follower.ts
+++ b/packages/gateway/src/state/store_follower.ts
@@ -10,7 +10,6 @@
 import type { DecisionLog } from "../observe/decision_log.ts";
 import type { StateStore } from "./state_store.ts";
 import { FOLLOWED_KINDS, type FollowedKind, type StoreView } from "./store_view.ts";
-import type { StoreOutage } from "./fleet.ts";
 
 /** Options of {@link StoreFollower}. */
 export interface StoreFollowerOptions {
@@ -44,8 +43,6 @@
 const PROBE_MAX_MS = 500;
 /** Wait of a watch that only probes the store, in milliseconds. */
 const PROBE_WAIT_MS = 1;
-/** An interruption shorter than this is not taken for an outage: registrations outlive it. */
-const OUTAGE_MS = 1_000;
 
 interface Down {
   readonly prober: FollowedKind;
@@ -59,7 +56,6 @@
 export class StoreFollower {
   readonly #options: Required<StoreFollowerOptions>;
   #down: Down | null = null;
-  #outageEndedAtMs = -Infinity;
   #stopped = false;
   #suspended: { readonly over: Promise<void>; resolve(): void } | null = null;
   #listeners: readonly ReadListener[] = [];
@@ -69,13 +65,6 @@
     this.#options = { ...options, watchMs: options.watchMs ?? WATCH_MS };
   }
 
-  /** Whether the store is out of reach, and when it last was. */
-  get outage(): StoreOutage {
-    const since = this.#down?.sinceMs;
-    const isDown = since !== undefined && this.#options.clock.now() - since >= OUTAGE_MS;
-    return { isDown, endedAtMs: this.#outageEndedAtMs };
-  }
-
   /** Whether the last call to the store succeeded. */
   get reachable(): boolean {
     return this.#down === null;
@@ -101,11 +90,6 @@
     this.#suspended = { over, resolve };
   }
 
-  /** Takes note that peers have what the store has, so that this gateway is not blind. */
-  recordRegained(): void {
-    this.#succeeded();
-  }
-
   /** Calls `fn` after each reading of the store. */
   registerListener(fn: ReadListener): Undo {
     this.#listeners = [...this.#listeners, fn];
@@ -172,9 +156,7 @@
     const down = this.#down;
     if (down === null) return;
     this.#down = null;
-    const now = this.#options.clock.now();
-    const downMs = now - down.sinceMs;
-    if (downMs >= OUTAGE_MS) this.#outageEndedAtMs = now;
+    const downMs = this.#options.clock.now() - down.sinceMs;
     this.#options.log.state("store_regained", { downMs: Math.round(downMs) });
     down.resolve();
   }
--- /dev/null
+++ b/packages/gateway/tests/copy_keeper_test.ts
@@ -0,0 +1,79 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { endpointId, ManualClock, routeId } from "@wisteriapick/core";
+import type { CopyTarget } from "@wisteriapick/policy";
+import { CopyKeeper } from "../src/peers/copy_keeper.ts";
+import { MemoryLog, SCRIBE, settle } from "./fixtures.ts";
+import { MemoryLinks } from "./memory_peers.ts";
+
+const TARGETS: readonly CopyTarget[] = [{ endpoint: "scribe-2", peak: 0.4, copyMs: 200 }];
+
+function makeKeepers(names: readonly string[]) {
+  const clock = new ManualClock();
+  const links = new MemoryLinks();
+  const networks = names.map((name) => links.join(name));
+  const log = new MemoryLog();
+  const keepers = networks.map((network) =>
+    new CopyKeeper({ network, clock, log, targets: () => TARGETS })
+  );
+  return { clock, links, networks, keepers, log };
+}
+
+function makeRequest(key: number) {
+  return {
+    key,
+    service: SCRIBE,
+    source: endpointId("scribe-1"),
+    route: routeId("drafts"),
+    promptTokens: 3_000,
+    producedTokens: 100 * key,
+    maxTokens: 2_000,
+    refused: [],
+  };
+}
+
+test("gateways that move runs off one engine get leave one after the other", async () => {
+  const { keepers } = makeKeepers(["entry-1", "entry-2", "entry-3"]);
+  const granted: number[] = [];
+  keepers.forEach((keeper, i) => void keeper.ask(makeRequest(i + 1)).then(() => granted.push(i)));
+  await settle();
+  assert.equal(granted.length, 1);
+  keepers[granted[0]!]!.done(granted[0]! + 1);
+  await settle();
+  assert.equal(granted.length, 2);
+  keepers[granted[1]!]!.done(granted[1]! + 1);
+  await settle();
+  assert.equal(granted.length, 3);
+});
+
+test("a gateway whose keeper is lost copies without leave", async () => {
+  const { links, networks, keepers } = makeKeepers(["entry-1", "entry-2", "entry-3"]);
+  const keeperName = networks[0]!.keeperOf(SCRIBE);
+  const asking = networks.findIndex((n) => n.name !== keeperName);
+  // The keeper's link is taken by another run of its own.
+  const keeping = networks.findIndex((n) => n.name === keeperName);
+  void keepers[keeping]!.ask(makeRequest(1));
+  const answer = keepers[asking]!.ask(makeRequest(2));
+  await settle();
+  links.cutOff(keeperName);
+  assert.equal(await answer, null);
+});
+
+test("leave that does not come in time is not waited for", async () => {
+  const { clock, keepers, networks } = makeKeepers(["entry-1", "entry-2"]);
+  const keeping = networks.findIndex((n) => n.name === n.keeperOf(SCRIBE));
+  void keepers[keeping]!.ask(makeRequest(1));
+  const answer = keepers[1 - keeping]!.ask(makeRequest(2));
+  await settle();
+  clock.advance(3_000);
+  assert.equal(await answer, null);
+});
+
+test("each leave is logged with what decided it", async () => {
+  const { keepers, log } = makeKeepers(["entry-1"]);
+  assert.equal(await keepers[0]!.ask(makeRequest(1)), "scribe-2");
+  const { fields } = log.events.find((e) => e.event === "copy_granted")!;
+  assert.equal(fields.source, "scribe-1");
+  assert.equal(fields.target, "scribe-2");
+  assert.equal(fields.tokens, 3_100);
+});
--- /dev/null
+++ b/packages/gateway/tests/fixtures.ts
@@ -0,0 +1,267 @@
+/** Records, a store in memory and a network without sockets for tests of the gateway's parts. */
+import {
+  accountId,
+  type Clock,
+  dataCentreId,
+  endpointId,
+  regionId,
+  routeId,
+  serviceId,
+  versionId,
+  WpFailure,
+} from "@wisteriapick/core";
+import type {
+  EndpointRecord,
+  GatewayConfig,
+  GatewayRecord,
+  MoveRecord,
+  RouteConfig,
+} from "../src/config/types.ts";
+import { DecisionLog } from "../src/observe/decision_log.ts";
+import {
+  type MoveStatus,
+  StateStore,
+  type WatchResult,
+  type WriteResult,
+} from "../src/state/state_store.ts";
+import type { Snapshot, ViewItem, ViewItems, ViewKind } from "../src/state/store_view.ts";
+
+export const SCRIBE = serviceId("scribe");
+export const OSU = dataCentreId("accra-osu");
+export const TEMA = dataCentreId("accra-tema");
+export const ACCRA = regionId("accra");
+
+export function makeRoute(part: Partial<RouteConfig> = {}): RouteConfig {
+  return {
+    id: routeId("drafts"),
+    hostname: "shop.example",
+    pathPrefix: "/drafts/",
+    kind: "streaming",
+    timeoutMs: 39_000,
+    targetLatencyMs: 1_800,
+    targetGapMs: 180,
+    priority: 0,
+    targets: [{ service: SCRIBE, weight: 1 }],
+    maxEndpoints: 1,
+    isPublic: false,
+    isResumable: false,
+    regions: [],
+    ...part,
+  };
+}
+
+export function makeConfig(part: Partial<GatewayConfig> = {}): GatewayConfig {
+  return {
+    version: 1,
+    routes: [makeRoute()],
+    services: [],
+    accounts: [{ id: accountId("museum-shop"), keys: ["k1", "k2"], priority: null, regions: [] }],
+    requiresKeys: true,
+    limits: {
+      maxHeaderBytes: 8_192,
+      maxBodyBytes: 65_536,
+      headerTimeoutMs: 2_000,
+      idleTimeoutMs: 10_000,
+    },
+    ...part,
+  };
+}
+
+export function makeEndpoint(id: string, part: Partial<EndpointRecord> = {}): EndpointRecord {
+  return {
+    id: endpointId(id),
+    service: SCRIBE,
+    address: { host: "10.0.0.1", port: 8_000 },
+    dataCentre: OSU,
+    version: versionId("v1"),
+    slots: 24,
+    isDraining: false,
+    coldMs: 0,
+    startedAtUnixMs: 1_700_000_000_000,
+    ...part,
+  };
+}
+
+export function makeMove(part: Partial<MoveRecord> = {}): MoveRecord {
+  return { service: SCRIBE, target: versionId("v2"), durationMs: 12_000, state: null, ...part };
+}
+
+export function makeSnapshot<T>(
+  revision: number,
+  values: Readonly<Record<string, T>>,
+  changedAt: number = revision,
+): Snapshot<T> {
+  const items = new Map<string, ViewItem<T>>();
+  for (const [name, value] of Object.entries(values)) {
+    items.set(name, { revision: changedAt, value });
+  }
+  return { revision, items };
+}
+
+/** A line that was logged. */
+export interface LoggedEvent {
+  readonly event: string;
+  readonly fields: Record<string, unknown>;
+}
+
+/** Keeps what is logged. */
+export class MemoryLog extends DecisionLog {
+  readonly events: LoggedEvent[] = [];
+
+  override request(event: string, fields: Record<string, unknown>): void {
+    this.events.push({ event, fields });
+  }
+
+  override state(event: string, fields: Record<string, unknown>): void {
+    this.events.push({ event, fields });
+  }
+
+  count(event: string): number {
+    return this.events.filter((e) => e.event === event).length;
+  }
+}
+
+/** How calls to a {@link MemoryStore} are treated. */
+export type StoreMood = "serving" | "refusing" | "silent";
+
+interface Change {
+  readonly kind: ViewKind;
+  readonly revision: number;
+  readonly name: string;
+  readonly item: ViewItem<unknown> | null;
+}
+
+/** The platform's store in memory, with watches on an injected clock. */
+export class MemoryStore extends StateStore {
+  readonly #clock: Clock;
+  readonly #kinds = new Map<ViewKind, Map<string, ViewItem<unknown>>>();
+  readonly #waiters = new Set<() => void>();
+  #history: Change[] = [];
+  #oldest = 0;
+  #revision = 1;
+  mood: StoreMood = "serving";
+  readonly calls = { list: 0, watch: 0, write: 0 };
+  readonly statuses: MoveStatus[] = [];
+
+  constructor(clock: Clock) {
+    super();
+    this.#clock = clock;
+  }
+
+  get revision(): number {
+    return this.#revision;
+  }
+
+  set<K extends ViewKind>(kind: K, name: string, value: ViewItems[K] | null): void {
+    const revision = ++this.#revision;
+    const items = this.#itemsOf(kind);
+    const item = value === null ? null : { revision, value };
+    if (item === null) items.delete(name);
+    else items.set(name, item);
+    this.#history.push({ kind, revision, name, item });
+    this.#wake();
+  }
+
+  setMood(mood: StoreMood): void {
+    this.mood = mood;
+    this.#wake();
+  }
+
+  dropHistory(): void {
+    this.#history = [];
+    this.#oldest = this.#revision;
+    this.#wake();
+  }
+
+  override async list<K extends ViewKind>(kind: K): Promise<Snapshot<ViewItems[K]>> {
+    this.calls.list++;
+    await this.#answer();
+    const items = new Map(this.#itemsOf(kind)) as Map<string, ViewItem<ViewItems[K]>>;
+    return { revision: this.#revision, items };
+  }
+
+  override async watch<K extends ViewKind>(
+    kind: K,
+    revision: number,
+    { waitMs, signal }: { readonly waitMs: number; readonly signal: AbortSignal },
+  ): Promise<WatchResult<ViewItems[K]>> {
+    this.calls.watch++;
+    await this.#answer(signal);
+    const until = this.#clock.now() + waitMs;
+    for (;;) {
+      if (this.mood !== "serving") await this.#answer(signal);
+      if (revision < this.#oldest) return { type: "history_gone" };
+      const changes = this.#history.filter((c) => c.kind === kind && c.revision > revision);
+      if (changes.length > 0 || this.#clock.now() >= until) {
+        const events = changes.map(({ name, item }) => ({ name, item: item as never }));
+        return { type: "changes", changes: { revision: this.#revision, events } };
+      }
+      await this.#untilChange(until - this.#clock.now(), signal);
+    }
+  }
+
+  override async writeMoveStatus(status: MoveStatus, revision: number): Promise<WriteResult> {
+    this.calls.write++;
+    await this.#answer();
+    const item = this.#itemsOf("moves").get(status.service);
+    if (item === undefined) return "missing";
+    if (item.revision !== revision) return "conflict";
+    this.statuses.push(status);
+    const value = item.value as MoveRecord;
+    this.set("moves", status.service, { ...value, state: status.state });
+    return "written";
+  }
+
+  override writeGateway(record: GatewayRecord): Promise<void> {
+    this.set("gateways", record.name, record);
+    return Promise.resolve();
+  }
+
+  override removeGateway(name: string): Promise<void> {
+    this.set("gateways", name, null);
+    return Promise.resolve();
+  }
+
+  override close(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  #itemsOf(kind: ViewKind): Map<string, ViewItem<unknown>> {
+    let items = this.#kinds.get(kind);
+    if (items === undefined) this.#kinds.set(kind, items = new Map());
+    return items;
+  }
+
+  async #answer(signal?: AbortSignal): Promise<void> {
+    while (this.mood === "silent") await this.#untilChange(Infinity, signal);
+    if (this.mood === "refusing") {
+      throw new WpFailure({ type: "store_unavailable", message: "refused" });
+    }
+  }
+
+  #untilChange(ms: number, signal?: AbortSignal): Promise<void> {
+    return new Promise((resolve, reject) => {
+      const stopTimer = ms === Infinity ? () => {} : this.#clock.setTimer(ms, () => finish());
+      const finish = () => {
+        stopTimer();
+        this.#waiters.delete(finish);
+        resolve();
+      };
+      this.#waiters.add(finish);
+      signal?.addEventListener("abort", () => {
+        stopTimer();
+        this.#waiters.delete(finish);
+        reject(new WpFailure({ type: "store_unavailable", message: "given up" }));
+      });
+    });
+  }
+
+  #wake(): void {
+    for (const waiter of [...this.#waiters]) waiter();
+  }
+}
+
+/** Lets promises that are settled run their handlers. */
+export async function settle(): Promise<void> {
+  for (let i = 0; i < 20; i++) await new Promise((resolve) => setImmediate(resolve));
+}
--- /dev/null
+++ b/packages/gateway/tests/fleet_test.ts
@@ -0,0 +1,136 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { endpointId, ManualClock } from "@wisteriapick/core";
+import { Fleet, type StoreOutage } from "../src/state/fleet.ts";
+import { StoreView } from "../src/state/store_view.ts";
+import {
+  ACCRA,
+  makeConfig,
+  makeEndpoint,
+  makeSnapshot,
+  MemoryLog,
+  OSU,
+  SCRIBE,
+  TEMA,
+} from "./fixtures.ts";
+
+const NO_OUTAGE: StoreOutage = { isDown: false, endedAtMs: -Infinity };
+
+function makeFleet() {
+  const clock = new ManualClock();
+  const view = new StoreView();
+  const log = new MemoryLog();
+  const state = { outage: NO_OUTAGE };
+  const fleet = new Fleet({
+    view,
+    clock,
+    log,
+    regionOf: () => ACCRA,
+    outage: () => state.outage,
+  });
+  return { clock, view, log, fleet, state };
+}
+
+const usable = (fleet: Fleet) => fleet.usable(SCRIBE, []).map((row) => row.record.id as string);
+
+test("an endpoint that drains or loses its registration gets no new work", () => {
+  const { view, fleet } = makeFleet();
+  const { endpoints } = view.kinds;
+  const [a, b, c] = [makeEndpoint("a"), makeEndpoint("b"), makeEndpoint("c")];
+  endpoints.replace(makeSnapshot(1, { a, b, c }), "store");
+  assert.deepEqual(usable(fleet), ["a", "b", "c"]);
+  endpoints.replace(
+    makeSnapshot(2, { a: makeEndpoint("a", { isDraining: true }), c }),
+    "store",
+  );
+  assert.deepEqual(usable(fleet), ["c"]);
+});
+
+test("registrations that ran out while the store was away are used until two seconds after its return", () => {
+  const { clock, view, fleet, state } = makeFleet();
+  const { endpoints } = view.kinds;
+  const [a, b] = [makeEndpoint("a"), makeEndpoint("b")];
+  endpoints.replace(makeSnapshot(1, { a, b }), "store");
+  clock.advance(10_000);
+  state.outage = { isDown: false, endedAtMs: clock.now() };
+  endpoints.replace(makeSnapshot(2, { a }), "store");
+  assert.deepEqual(usable(fleet), ["a", "b"]);
+  clock.advance(2_000);
+  fleet.tick();
+  assert.deepEqual(usable(fleet), ["a", "b"]);
+  clock.advance(400);
+  fleet.tick();
+  assert.deepEqual(usable(fleet), ["a"]);
+});
+
+test("a registration that is back within the grace is used as before", () => {
+  const { clock, view, fleet, state } = makeFleet();
+  const { endpoints } = view.kinds;
+  const [a, b] = [makeEndpoint("a"), makeEndpoint("b")];
+  endpoints.replace(makeSnapshot(1, { a, b }), "store");
+  state.outage = { isDown: false, endedAtMs: clock.now() };
+  endpoints.replace(makeSnapshot(2, { a }), "store");
+  clock.advance(1_500);
+  endpoints.replace(makeSnapshot(3, { a, b }), "store");
+  clock.advance(5_000);
+  fleet.tick();
+  assert.deepEqual(usable(fleet), ["a", "b"]);
+});
+
+test("an endpoint that had drained before the outage is not taken for lapsed", () => {
+  const { clock, view, fleet, state } = makeFleet();
+  const { endpoints } = view.kinds;
+  const a = makeEndpoint("a", { isDraining: true });
+  endpoints.replace(makeSnapshot(1, { a }), "store");
+  state.outage = { isDown: false, endedAtMs: clock.now() };
+  endpoints.replace(makeSnapshot(2, {}), "store");
+  assert.deepEqual(usable(fleet), []);
+});
+
+test("another process under the same id is told apart by its start", () => {
+  const { view, fleet } = makeFleet();
+  const restarts: string[] = [];
+  fleet.registerEndpointListener(({ id, restarted }) => {
+    if (restarted) restarts.push(id);
+  });
+  const { endpoints } = view.kinds;
+  endpoints.replace(makeSnapshot(1, { a: makeEndpoint("a") }), "store");
+  endpoints.replace(makeSnapshot(2, { a: makeEndpoint("a", { startedAtUnixMs: 5 }) }), "store");
+  assert.deepEqual(restarts, ["a"]);
+});
+
+test("an endpoint that says itself that it leaves is believed before the store", () => {
+  const { view, fleet, log } = makeFleet();
+  view.kinds.endpoints.replace(makeSnapshot(1, { a: makeEndpoint("a") }), "store");
+  fleet.markLeaving(endpointId("a"), "its own report");
+  assert.deepEqual(usable(fleet), []);
+  assert.equal(log.events.at(-1)?.fields.reason, "its own report");
+});
+
+test("an evacuated data centre and a foreign region are left out", () => {
+  const { view, fleet } = makeFleet();
+  const a = makeEndpoint("a", { dataCentre: OSU });
+  const b = makeEndpoint("b", { dataCentre: TEMA });
+  view.kinds.endpoints.replace(makeSnapshot(1, { a, b }), "store");
+  view.kinds.evacuations.replace(makeSnapshot(2, { tema: { dataCentre: TEMA } }), "store");
+  assert.deepEqual(usable(fleet), ["a"]);
+  assert.deepEqual(fleet.usable(SCRIBE, ["elsewhere" as typeof ACCRA]), []);
+});
+
+test("a configuration of an older version never replaces a newer one", () => {
+  const { view, fleet } = makeFleet();
+  const { config } = view.kinds;
+  config.replace(makeSnapshot(1, { main: makeConfig({ version: 7 }) }), "store");
+  config.replace(makeSnapshot(2, { main: makeConfig({ version: 5 }) }), "store");
+  assert.equal(fleet.routes?.config.version, 7);
+});
+
+test("nothing is known until every kind has been read", () => {
+  const { view, fleet } = makeFleet();
+  view.kinds.config.replace(makeSnapshot(1, { main: makeConfig() }), "store");
+  view.kinds.endpoints.replace(makeSnapshot(1, {}), "store");
+  view.kinds.evacuations.replace(makeSnapshot(1, {}), "store");
+  assert.equal(fleet.isKnown, false);
+  view.kinds.moves.replace(makeSnapshot(1, {}), "store");
+  assert.equal(fleet.isKnown, true);
+});
--- /dev/null
+++ b/packages/gateway/tests/memory_peers.ts
@@ -0,0 +1,97 @@
+/** Gateways linked in memory: messages arrive at once, unless a link is cut. */
+import type { DataCentreId, Undo } from "@wisteriapick/core";
+import type { Message } from "@wisteriapick/wire";
+import { type LinkedPeer, PeerGroup, type PeerHandler } from "../src/peers/peer_group.ts";
+import { OSU } from "./fixtures.ts";
+
+/** All gateways of one test. */
+export class MemoryLinks {
+  readonly members = new Map<string, MemoryPeers>();
+  readonly #cut = new Set<string>();
+
+  join(name: string, dataCentre: DataCentreId = OSU): MemoryPeers {
+    const peers = new MemoryPeers(name, dataCentre, this);
+    for (const other of this.members.values()) {
+      other.notifyUp(name);
+      peers.notifyUp(other.name);
+    }
+    this.members.set(name, peers);
+    return peers;
+  }
+
+  isCut(a: string, b: string): boolean {
+    return this.#cut.has(pair(a, b));
+  }
+
+  /** Cuts a gateway off from all others. */
+  cutOff(name: string): void {
+    for (const other of this.members.keys()) {
+      if (other === name) continue;
+      this.#cut.add(pair(name, other));
+      this.members.get(name)!.notifyDown(other);
+      this.members.get(other)!.notifyDown(name);
+    }
+  }
+}
+
+function pair(a: string, b: string): string {
+  return a < b ? `${a}|${b}` : `${b}|${a}`;
+}
+
+/** One gateway's view of the others. */
+export class MemoryPeers extends PeerGroup {
+  override readonly name: string;
+  readonly dataCentre: DataCentreId;
+  readonly sent: Message[] = [];
+  readonly #links: MemoryLinks;
+  readonly #handlers = new Map<string, PeerHandler<Message["kind"]>>();
+  readonly #up = new Set<(peer: string) => void>();
+  readonly #down = new Set<(peer: string) => void>();
+
+  constructor(name: string, dataCentre: DataCentreId, links: MemoryLinks) {
+    super();
+    this.name = name;
+    this.dataCentre = dataCentre;
+    this.#links = links;
+  }
+
+  override linked(): LinkedPeer[] {
+    return [...this.#links.members.values()]
+      .filter((m) => m.name !== this.name && !this.#links.isCut(m.name, this.name))
+      .map(({ name, dataCentre }) => ({ name, dataCentre }));
+  }
+
+  override send(peer: string, msg: Message): boolean {
+    if (!this.isLinked(peer)) return false;
+    this.sent.push(msg);
+    this.#links.members.get(peer)!.receive(this.name, msg);
+    return true;
+  }
+
+  override registerUp(fn: (peer: string) => void): Undo {
+    this.#up.add(fn);
+    return () => this.#up.delete(fn);
+  }
+
+  override registerDown(fn: (peer: string) => void): Undo {
+    this.#down.add(fn);
+    return () => this.#down.delete(fn);
+  }
+
+  override registerHandler<K extends Message["kind"]>(kind: K, handler: PeerHandler<K>): Undo {
+    this.#handlers.set(kind, handler as unknown as PeerHandler<Message["kind"]>);
+    return () => this.#handlers.delete(kind);
+  }
+
+  receive(peer: string, msg: Message): void {
+    this.#handlers.get(msg.kind)?.(peer, msg as never);
+  }
+
+  notifyUp(peer: string): void {
+    for (const fn of this.#up) fn(peer);
+  }
+
+  notifyDown(peer: string): void {
+    for (const fn of this.#down) fn(peer);
+  }
+}
--- /dev/null
+++ b/packages/gateway/tests/store_view_test.ts
@@ -0,0 +1,56 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { KindView } from "../src/state/store_view.ts";
+import { makeSnapshot } from "./fixtures.ts";
+
+function makeView(): KindView<string> {
+  const view = new KindView<string>();
+  view.replace(makeSnapshot(10, { a: "1", b: "1" }), "store");
+  return view;
+}
+
+test("a snapshot that is older than the view is not taken", () => {
+  const view = makeView();
+  assert.equal(view.replace(makeSnapshot(9, {}), "peer"), false);
+  assert.equal(view.snapshot.items.size, 2);
+});
+
+test("changes that are older than the view are dropped", () => {
+  const view = makeView();
+  view.apply(
+    { revision: 12, events: [{ name: "a", item: { revision: 12, value: "2" } }] },
+    "store",
+  );
+  const late = { revision: 11, events: [{ name: "a", item: { revision: 11, value: "late" } }] };
+  assert.equal(view.apply(late, "peer"), false);
+  assert.equal(view.snapshot.items.get("a")?.value, "2");
+});
+
+test("changes without events move the view's revision but not its content", () => {
+  const view = makeView();
+  view.apply({ revision: 15, events: [] }, "store");
+  assert.equal(view.revision, 15);
+  assert.equal(view.changedAt, 10);
+});
+
+test("removed names are remembered until they are back", () => {
+  const view = makeView();
+  view.apply({ revision: 11, events: [{ name: "a", item: null }] }, "store");
+  assert.deepEqual(view.removedSince(10), ["a"]);
+  assert.deepEqual(view.removedSince(11), []);
+  view.apply(
+    { revision: 12, events: [{ name: "a", item: { revision: 12, value: "3" } }] },
+    "store",
+  );
+  assert.deepEqual(view.removedSince(10), []);
+});
+
+test("listeners hear what a snapshot removed", () => {
+  const view = makeView();
+  const heard: string[][] = [];
+  const undo = view.registerListener(({ removed }) => heard.push([...removed]));
+  view.replace(makeSnapshot(20, { b: "1" }), "store");
+  undo();
+  view.replace(makeSnapshot(30, {}), "store");
+  assert.deepEqual(heard, [["a"]]);
+});
--- a/packages/wire/src/address.ts
+++ b/packages/wire/src/address.ts
@@ -11,11 +11,16 @@
   readonly port: number;
 }
 
+const MAX_PORT = 65_535;
+
 /** Parses `ip:port`; IPv6 addresses stand in brackets. */
 export function parseAddress(text: string): Address {
   const match = /^(?:\[([^\]]+)\]|([^:]+)):(\d{1,5})$/.exec(text);
-  if (match === null) raise({ type: "unreachable", message: `${text} is not an address` });
-  return { host: (match[1] ?? match[2])!, port: Number(match[3]) };
+  const port = Number(match?.[3]);
+  if (match === null || port > MAX_PORT) {
+    raise({ type: "unreachable", message: `${text} is not an address` });
+  }
+  return { host: (match[1] ?? match[2])!, port };
 }
 
 /** Formats an address as `ip:port`. */
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -18,12 +18,13 @@
 /** Lists the compiled tests that still have a source file, so stale output is never run. */
 function testFiles() {
   const found = [];
-  for (const pkg of readdirSync(`${root}packages`).sort()) {
-    const dir = `${root}packages/${pkg}/tests`;
+  const packages = readdirSync(`${root}packages`).sort().map((name) => `packages/${name}`);
+  for (const pkg of [...packages, "platform"]) {
+    const dir = `${root}${pkg}/tests`;
     if (!existsSync(dir)) continue;
     for (const name of readdirSync(dir).sort()) {
       if (!name.endsWith("_test.ts")) continue;
-      found.push(`packages/${pkg}/dist/tests/${name.replace(/\.ts$/, ".js")}`);
+      found.push(`${pkg}/dist/tests/${name.replace(/\.ts$/, ".js")}`);
     }
   }
   return found;
