Keep copies of runs ahead by move orders instead of engine backups

Cause: an engine that crashes or leaves with little notice took its drafts along, and backups sent by the engines themselves made every move wait on their links. Change: each run of length has a copy at another engine, ordered by the one keeper of copies, only while no run must leave, brought up to date every half handle time; given up where memory runs short. A leaving run sends its holder the last part only; a crashed one goes on there. Also: board rows are found by engine.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -155,6 +155,7 @@
       ctx,
       dispatcher: this.#dispatcher,
       network: this.#network,
+      hasCopy: (run) => this.#mover.hasCopy(run),
       storeKnown: () => this.#readers.isInformed,
     });
     this.#readers = new StoreReaders({
--- a/packages/gateway/src/peers/copy_keeper.ts
+++ b/packages/gateway/src/peers/copy_keeper.ts
@@ -9,10 +9,21 @@
 import type { DecisionLog } from "../observe/decision_log.ts";
 import type { PeerGroup } from "./peer_group.ts";
 
+/** A request as gateways send it to the keeper of the order. */
+type NumberedRequest = Omit<CopyRequest, "kind">;
+
 /** A request as the planner sees it. */
 export interface KeptOrder extends CopyOrder {
   readonly peer: string;
-  readonly request: Omit<CopyRequest, "kind">;
+  readonly request: NumberedRequest;
+}
+
+/** A request that has been made. */
+export interface AskedLeave {
+  /** The engine to copy to; `null` where the keeper does not answer or cannot be reached, or leave is given up. */
+  readonly target: Promise<EndpointId | null>;
+  /** Says that the copy is made, or will not be. Gives up leave that has not come yet. */
+  done(): void;
 }
 
 /** Options of {@link CopyKeeper}. */
@@ -21,7 +32,7 @@
   readonly clock: Clock;
   readonly log: DecisionLog;
   /** Engines to which a run may be copied now. */
-  readonly targets: (request: Omit<CopyRequest, "kind">) => readonly CopyTarget[];
+  readonly targets: (request: Omit<NumberedRequest, "key">) => readonly CopyTarget[];
 }
 
 /** Time without an answer after which a gateway copies without leave, in milliseconds. */
@@ -34,6 +45,7 @@
   readonly #waiting = new Map<number, (target: EndpointId | null) => void>();
   readonly #keepers = new Map<number, string>();
   readonly #undos: Undo[];
+  #nextKey = 1;
 
   constructor(options: CopyKeeperOptions) {
     this.#options = options;
@@ -47,35 +59,23 @@
     ];
   }
 
-  /**
-   * Waits for leave to copy a run. Resolves with the engine to copy to, or with `null` where the keeper does not
-   * answer or cannot be reached. `done` must follow.
-   */
-  ask(request: Omit<CopyRequest, "kind">): Promise<EndpointId | null> {
+  /** Asks for leave to copy a run; `done` of the answer must be called. */
+  ask(order: Omit<NumberedRequest, "key">): AskedLeave {
     const { network, clock } = this.#options;
+    const request = { ...order, key: this.#nextKey++ };
     const keeper = network.keeperOf(request.service);
-    return new Promise((resolve) => {
+    const target = new Promise<EndpointId | null>((resolve) => {
       const stopTimer = clock.setTimer(LEAVE_TIMEOUT_MS, () => this.#onGrant(request.key, null));
-      this.#waiting.set(request.key, (target) => {
+      this.#waiting.set(request.key, (endpoint) => {
         stopTimer();
-        resolve(target);
+        resolve(endpoint);
       });
       this.#keepers.set(request.key, keeper);
       if (keeper === network.name) return this.#onRequest(keeper, request);
       const sent = network.send(keeper, { kind: "copy_request", ...request });
       if (!sent) this.#onGrant(request.key, null);
     });
-  }
-
-  /** Says that a copy is made, or will not be. */
-  done(key: number): void {
-    const { network } = this.#options;
-    const keeper = this.#keepers.get(key);
-    this.#keepers.delete(key);
-    this.#waiting.delete(key);
-    if (keeper === undefined) return;
-    if (keeper === network.name) this.#onDone(keeper, key);
-    else network.send(keeper, { kind: "copy_done", key });
+    return { target, done: () => this.#done(request.key) };
   }
 
   /** Gives leave to what has become possible. Called each tick. */
@@ -87,13 +87,24 @@
     for (const undo of this.#undos) undo();
   }
 
-  #onRequest(peer: string, request: Omit<CopyRequest, "kind">): void {
+  #done(key: number): void {
+    const { network } = this.#options;
+    const keeper = this.#keepers.get(key);
+    this.#keepers.delete(key);
+    if (keeper === undefined) return;
+    this.#onGrant(key, null);
+    if (keeper === network.name) this.#onDone(keeper, key);
+    else network.send(keeper, { kind: "copy_done", key });
+  }
+
+  #onRequest(peer: string, request: NumberedRequest): void {
     this.#planner.add({
       id: orderId(peer, request.key),
       peer,
       request,
       source: request.source,
-      tokens: request.promptTokens + request.producedTokens,
+      tokens: request.promptTokens + request.producedTokens - request.heldTokens,
+      isAhead: request.isAhead,
       requestedAtMs: this.#options.clock.now(),
     });
     this.#grant();
--- a/packages/gateway/src/relay/engine_dispatcher.ts
+++ b/packages/gateway/src/relay/engine_dispatcher.ts
@@ -5,7 +5,6 @@
  */
 import type { EndpointId, RegionId, ServiceId } from "@wisteriapick/core";
 import {
-  chooseBackup,
   chooseEngine,
   type EngineChoice,
   EngineQueue,
@@ -73,15 +72,6 @@
 const FIRST_EVENT_MS = 150;
 /** Output tokens per millisecond of one run until events tell. */
 const TOKENS_PER_MS = 0.1;
-/**
- * Time without a notice after which runs are backed up, in milliseconds. A backup first sends a whole prompt over the
- * links that runs need to move; where engines leave every few seconds, moves delayed by it cost more than crashes.
- */
-const BACKUPS_AFTER_NOTICE_MS = 15_000;
-/** Time per output token on a shared engine, in milliseconds. */
-const TOKEN_MS = 10;
-/** Output time below which a run is not worth a second copy, in milliseconds. */
-const MIN_BACKED_UP_MS = 2_000;
 /** Rank at the engine of requests with rank 0; lower ranks of the gateway follow it. */
 const ENGINE_PRIORITY_BASE = 3;
 const ENGINE_PRIORITY_MAX = 9;
@@ -97,19 +87,14 @@
   readonly #ejection = new OutlierEjection();
   readonly #runs = new Set<StreamRun>();
   readonly #services = new Map<StreamRun, { service: ServiceId; engine: EngineConfig }>();
-  /** When an engine of a service last gave notice that it leaves. */
-  readonly #lastNoticeMs = new Map<ServiceId, number>();
   #tokensPerMs = TOKENS_PER_MS;
 
   constructor(ctx: RelayContext, events: DispatcherEvents) {
     this.#ctx = ctx;
     this.#events = events;
     this.board = new RunBoard({ lengths: this.#lengths, tokensPerMs: () => this.#tokensPerMs });
-    ctx.fleet.registerEndpointListener(({ id, before, after, restarted }) => {
+    ctx.fleet.registerEndpointListener(({ id, after, restarted }) => {
       if (after === null || restarted) this.#kept.forgetEndpoint(id);
-      if (after?.phase === "leaving" && before !== null && before.phase !== "leaving") {
-        this.#lastNoticeMs.set(after.record.service, ctx.clock.now());
-      }
     });
   }
 
@@ -198,26 +183,6 @@
     return Math.min(ENGINE_PRIORITY_MAX, ENGINE_PRIORITY_BASE + rankOf(run.req));
   }
 
-  /** Another engine to keep a run's memory, where there is room to spare. */
-  chooseBackup(run: StreamRun, primary: EndpointRow): EndpointRow | null {
-    const placed = this.#services.get(run);
-    if (placed === undefined || !placed.engine.canBackUpRuns) return null;
-    const noticeMs = this.#lastNoticeMs.get(placed.service) ?? -Infinity;
-    if (this.#ctx.clock.now() - noticeMs < BACKUPS_AFTER_NOTICE_MS) return null;
-    if ((run.maxTokens - run.producedTokens) * TOKEN_MS < MIN_BACKED_UP_MS) return null;
-    const { route } = run.req;
-    const excluded = new Set([primary.record.id]);
-    const candidates = this
-      .candidates(placed.service, placed.engine, { regions: route.regions, excluded })
-      .filter((c) => c.row.record.version === primary.record.version)
-      .map((c) => ({
-        ...c,
-        sharesDataCentre: c.row.record.dataCentre === primary.record.dataCentre,
-      }));
-    const item = run.forecastItem(this.board.curve(route.id));
-    return chooseBackup(item, candidates)?.row ?? null;
-  }
-
   #enqueue(run: StreamRun, service: ServiceId, engine: EngineConfig): void {
     const { req } = run;
     const readMs = run.promptTokens / SHARED_READ_TOKENS_PER_MS + FIRST_EVENT_MS;
@@ -267,14 +232,11 @@
       unreadTokens: Math.round(candidate.unreadTokens),
       expectedFirstEventMs: Math.round(firstEventMs),
     });
-    const backup = this.chooseBackup(run, candidate.row);
     this.board.place(run, id, now, true);
-    if (backup !== null) this.board.addCopy(run, backup.record.id);
     this.#kept.recordSent(id, (run.req.generation?.parts ?? []).map((part) => part.id));
     run.send({
       row: candidate.row,
       goOnFrom: null,
-      backup,
       enginePriority: this.enginePriority(run),
       why: "first",
     });
--- a/packages/gateway/src/relay/engine_watch.ts
+++ b/packages/gateway/src/relay/engine_watch.ts
@@ -17,6 +17,8 @@
   readonly ctx: RelayContext;
   readonly dispatcher: EngineDispatcher;
   readonly network: PeerGroup;
+  /** Whether a run goes on elsewhere at once if its engine is given up. */
+  readonly hasCopy: (run: StreamRun) => boolean;
   /** Whether what the store holds is known here. */
   readonly storeKnown: () => boolean;
 }
@@ -84,14 +86,14 @@
     network.broadcast({ kind: "endpoint_leaving", endpoint: id });
   }
 
-  /** Neither events nor a report: the engine is gone, or cut off. Runs with a backup go on there. */
+  /** Neither events nor a report: the engine is gone, or cut off. Runs with a copy go on there. */
   #onSilent(id: EndpointId, message: string): void {
-    const { ctx, dispatcher } = this.#options;
+    const { ctx, dispatcher, hasCopy } = this.#options;
     const endpoint = ctx.upstreams.get(id);
     ctx.log.state("engine_silent", { endpoint: id, message });
     endpoint?.recordUnreachable(ctx.clock.now());
     for (const run of [...dispatcher.runs]) {
-      if (run.endpoint?.id !== id || run.phase !== "streaming" || run.backup === null) continue;
+      if (run.endpoint?.id !== id || run.phase !== "streaming" || !hasCopy(run)) continue;
       if (run.silentMs(ctx.clock.now()) >= SILENCE_MS) run.giveUpPart("engine fell silent");
     }
   }
--- a/packages/gateway/src/relay/plain_call.ts
+++ b/packages/gateway/src/relay/plain_call.ts
@@ -147,7 +147,6 @@
       remainingMs,
       enginePriority: null,
       goOnFrom: null,
-      backupAt: null,
     });
     log.request("call_sent", {
       req: this.#req.requestId,
--- a/packages/gateway/src/relay/run_board.ts
+++ b/packages/gateway/src/relay/run_board.ts
@@ -57,11 +57,42 @@
   return route as string as ServiceId;
 }
 
+/** Occupancies by key and by engine. */
+class OccupancyTable<T extends { readonly key: number; readonly endpoint: EndpointId }> {
+  readonly #byKey = new Map<number, T>();
+  readonly #byEndpoint = new Map<EndpointId, Set<T>>();
+
+  values(): Iterable<T> {
+    return this.#byKey.values();
+  }
+
+  at(endpoint: EndpointId): Iterable<T> {
+    return this.#byEndpoint.get(endpoint) ?? [];
+  }
+
+  set(row: T): void {
+    this.delete(row.key);
+    this.#byKey.set(row.key, row);
+    const rows = this.#byEndpoint.get(row.endpoint);
+    if (rows === undefined) this.#byEndpoint.set(row.endpoint, new Set([row]));
+    else rows.add(row);
+  }
+
+  delete(key: number): void {
+    const row = this.#byKey.get(key);
+    if (row === undefined) return;
+    this.#byKey.delete(key);
+    const rows = this.#byEndpoint.get(row.endpoint);
+    rows?.delete(row);
+    if (rows?.size === 0) this.#byEndpoint.delete(row.endpoint);
+  }
+}
+
 /** See the module comment. */
 export class RunBoard {
   readonly #options: Required<RunBoardOptions>;
-  readonly #own = new Map<number, OwnOccupancy>();
-  readonly #peers = new Map<string, Map<number, PeerOccupancy>>();
+  readonly #own = new OccupancyTable<OwnOccupancy>();
+  readonly #peers = new Map<string, OccupancyTable<PeerOccupancy>>();
   #nextKey = 1;
   #listeners: readonly ((change: OccupancyChange) => void)[] = [];
 
@@ -75,9 +106,7 @@
   /** Own runs at an engine. */
   ownRuns(endpoint: EndpointId): StreamRun[] {
     const runs: StreamRun[] = [];
-    for (const own of this.#own.values()) {
-      if (own.endpoint === endpoint && !own.isCopy) runs.push(own.run);
-    }
+    for (const own of this.#own.at(endpoint)) if (!own.isCopy) runs.push(own.run);
     return runs;
   }
 
@@ -133,12 +162,10 @@
     { changed, ended }: OccupancyChange,
     { full, nowMs }: { readonly full: boolean; readonly nowMs: number },
   ): void {
-    let map = this.#peers.get(peer);
-    if (map === undefined || full) this.#peers.set(peer, map = new Map());
-    for (const key of ended) map.delete(key);
-    for (const occupancy of changed) {
-      map.set(occupancy.key, { ...occupancy, announcedAtMs: nowMs });
-    }
+    let table = this.#peers.get(peer);
+    if (table === undefined || full) this.#peers.set(peer, table = new OccupancyTable());
+    for (const key of ended) table.delete(key);
+    for (const occupancy of changed) table.set({ ...occupancy, announcedAtMs: nowMs });
   }
 
   /** Forgets what a peer announced. */
@@ -151,8 +178,7 @@
     const forecast = new MemoryForecast();
     let running = 0;
     let unreadTokens = 0;
-    for (const own of this.#own.values()) {
-      if (own.endpoint !== endpoint) continue;
+    for (const own of this.#own.at(endpoint)) {
       forecast.add(own.run.forecastItem(this.curve(own.run.req.route.id)));
       running++;
       if (own.sentAtMs !== null) {
@@ -160,8 +186,7 @@
       }
     }
     for (const peer of this.#peers.values()) {
-      for (const occupancy of peer.values()) {
-        if (occupancy.endpoint !== endpoint) continue;
+      for (const occupancy of peer.at(endpoint)) {
         forecast.add(this.#estimate(occupancy, nowMs));
         running++;
         if (occupancy.producedTokens > 0) continue;
@@ -202,7 +227,7 @@
     sentAtMs: number | null,
   ): Occupancy {
     const own: OwnOccupancy = { key: this.#nextKey++, run, endpoint, isCopy, sentAtMs };
-    this.#own.set(own.key, own);
+    this.#own.set(own);
     return announce(own);
   }
 
@@ -218,8 +243,9 @@
   }
 }
 
-function announce({ key, run, endpoint }: OwnOccupancy): Occupancy {
+function announce({ key, run, endpoint, isCopy }: OwnOccupancy): Occupancy {
   return {
+    isCopy,
     key,
     endpoint,
     route: run.req.route.id,
--- a/packages/gateway/src/relay/run_mover.ts
+++ b/packages/gateway/src/relay/run_mover.ts
@@ -1,53 +1,43 @@
 /**
- * Moves running generations off engines that leave: a copy of the memory while the run goes on, then a short stop, the
- * rest of the copy, and the same run goes on at the other engine.
+ * Moves running generations between engines: off engines that leave, by a copy of the memory while the run goes on, a
+ * short stop, the rest of the copy, and the same run at the other engine; and off engines that crashed, where a copy
+ * was made ahead.
  *
  * @module
  */
 import type { EndpointId } from "@wisteriapick/core";
-import {
-  chooseEngine,
-  type CopyTarget,
-  type EnginePlacementOptions,
-  type ForecastItem,
-} from "@wisteriapick/policy";
-import type { CopyRequest } from "@wisteriapick/wire";
 import type { EngineConfig } from "../config/types.ts";
 import { CopyKeeper } from "../peers/copy_keeper.ts";
 import type { PeerGroup } from "../peers/peer_group.ts";
 import type { EndpointRow } from "../state/fleet.ts";
-import { controlCall } from "../upstream/control_call.ts";
 import type { CopyResult, RunMemory } from "../upstream/dialect.ts";
+import { AheadCopies } from "./ahead_copies.ts";
 import type { RelayContext } from "./context.ts";
-import type { EngineDispatcher, EngineRow } from "./engine_dispatcher.ts";
+import { CopyTargets, requestOf } from "./copy_targets.ts";
+import type { EngineDispatcher } from "./engine_dispatcher.ts";
+import { copyRun } from "./run_copy.ts";
 import type { RunLoss, StreamRun } from "./stream_run.ts";
 
-/** Longest wait for a copy, in milliseconds; a leaving engine is gone after about two seconds. */
-const COPY_TIMEOUT_MS = 2_500;
 /** Pause before a run that cannot be moved yet is looked at again, in milliseconds. */
 const RETRY_MS = 30;
 /** Output time below which a run is left to finish where it is, in milliseconds. */
 const NEARLY_DONE_MS = 700;
-/** Time per output token on a shared engine, in milliseconds. */
-const TOKEN_MS = 10;
-/** Memory may be filled to the last token for a run that would be lost otherwise. */
-const RESCUE_PLACEMENT: EnginePlacementOptions = { z: 0, usedPart: 1 };
-/** Time from the start of a run after which its backup holds all but its last tokens, in milliseconds. */
-const BACKUP_COMPLETE_MS = 2_500;
 /** Time from an engine's notice for which it may be sent a run back, in milliseconds. */
 const RETURN_MS = 1_500;
-/** Copies between data centres take this many times as long. */
-const REMOTE_COPY_FACTOR = 2;
-const BITS_PER_BYTE = 8;
-/** Bits that a link of one megabit per second carries in a millisecond. */
-const BITS_PER_MS_OF_MBPS = 1_000;
-
 /** Where a run can go on if its new engine does not take it. */
 interface Fallback {
   readonly source: EndpointRow;
   readonly memory: Omit<RunMemory, "lastEventId">;
 }
 
+/** A move of a run. */
+interface MovePath {
+  readonly source: EndpointRow;
+  readonly target: EndpointRow;
+  /** Whether the target holds a copy that was made ahead. */
+  readonly isHeld: boolean;
+}
+
 /** What became of one try to move a run. */
 type MoveOutcome = "moved" | "over" | "refused" | "failed";
 
@@ -56,20 +46,23 @@
   readonly #ctx: RelayContext;
   readonly #dispatcher: EngineDispatcher;
   readonly #keeper: CopyKeeper;
+  readonly #targets: CopyTargets;
+  readonly #ahead: AheadCopies;
   readonly #moving = new Set<StreamRun>();
   readonly #fallbacks = new Map<StreamRun, Fallback>();
-  #nextKey = 1;
 
   constructor(ctx: RelayContext, dispatcher: EngineDispatcher, network: PeerGroup) {
     this.#ctx = ctx;
     this.#dispatcher = dispatcher;
+    this.#targets = new CopyTargets(ctx.fleet, dispatcher);
     const { clock, log } = ctx;
     this.#keeper = new CopyKeeper({
       network,
       clock,
       log,
-      targets: (request) => this.#targets(request),
+      targets: (request) => this.#targets.of(request),
     });
+    this.#ahead = new AheadCopies({ ctx, dispatcher, keeper: this.#keeper });
     ctx.fleet.registerEndpointListener(({ id, after }) => {
       if (after?.phase === "leaving") this.#empty(id);
     });
@@ -83,11 +76,11 @@
       this.#goOn(run, fallback.source, fallback.memory, "new engine did not take it");
       return true;
     }
-    const backup = this.#usableBackup(run);
-    if (backup === null || !run.hasDelivered) return false;
-    // A request that has crashed engines before would crash the one with the backup as well.
-    if (this.#ctx.crashes.isSuspected(run.req)) return false;
-    this.#goOn(run, backup, backupMemory(run, backup), "engine lost, backup goes on");
+    // A request that has crashed engines before would crash the one with the copy as well.
+    if (!run.hasDelivered || this.#ctx.crashes.isSuspected(run.req)) return false;
+    const copy = this.#ahead.take(run);
+    if (copy === null) return false;
+    this.#goOn(run, copy.row, copy.memory, "engine lost, copy goes on");
     return true;
   }
 
@@ -97,23 +90,24 @@
     return !fleet.evacuated.has(record.dataCentre) && clock.now() - phaseSinceMs < RETURN_MS;
   }
 
-  /** The engine that keeps a run's memory, if it is still the process that was asked to, and can be reached. */
-  #usableBackup(run: StreamRun): EndpointRow | null {
-    const asked = run.backup;
-    const now = asked === null ? undefined : this.#ctx.fleet.endpoints.get(asked.record.id);
-    if (asked === null || now === undefined) return null;
-    if (now.record.startedAtUnixMs !== asked.record.startedAtUnixMs) return null;
-    if (!this.#ctx.fleet.isUsable(now.record.id)) return null;
-    return this.#ctx.upstreams.of(now).isHealthy(this.#ctx.clock.now()) ? now : null;
-  }
-
+  /** Forgets a run that is over, and frees its copy. */
   forget(run: StreamRun): void {
     this.#fallbacks.delete(run);
+    this.#ahead.forget(run);
+  }
+
+  /** Whether a run goes on elsewhere at once if its engine is given up. */
+  hasCopy(run: StreamRun): boolean {
+    return this.#ahead.heldPart(run) !== null;
   }
 
-  /** Gives leave to copies that have become possible. Called each tick. */
+  /** Gives leave to copies that have become possible, and makes copies ahead. Called each tick. */
   tick(): void {
     this.#keeper.tick();
+    const now = this.#ctx.clock.now();
+    for (const run of this.#dispatcher.runs) {
+      if (!this.#moving.has(run)) this.#ahead.keep(run, now);
+    }
   }
 
   /** Begins to move every run of an engine. */
@@ -130,8 +124,9 @@
       const row = this.#ctx.fleet.endpoints.get(source);
       const placed = this.#dispatcher.serviceOf(run);
       if (row === undefined || placed === null || !placed.engine.canCopyRuns) break;
-      // An engine copies what has begun to run, which shows by the first event.
-      if (run.phase === "sent") {
+      this.#ahead.giveWay(run);
+      // An engine copies what has begun to run, which shows by the first event; one copy of a run at a time.
+      if (run.phase === "sent" || this.#ahead.isBusy(run)) {
         await this.#ctx.clock.sleep(RETRY_MS);
         continue;
       }
@@ -149,7 +144,7 @@
   #mustLeave(run: StreamRun, source: EndpointId): boolean {
     if (run.phase !== "streaming" && run.phase !== "sent") return false;
     if (run.endpoint?.id !== source) return false;
-    return (run.maxTokens - run.producedTokens) * TOKEN_MS > NEARLY_DONE_MS;
+    return run.remainingMs > NEARLY_DONE_MS;
   }
 
   async #tryMove(
@@ -158,15 +153,10 @@
     engine: EngineConfig,
     refused: Set<EndpointId>,
   ): Promise<MoveOutcome> {
-    const backup = this.#usableBackup(run);
-    if (backup !== null && run.sentMs(this.#ctx.clock.now()) >= BACKUP_COMPLETE_MS) {
-      this.#goOn(run, backup, backupMemory(run, backup), "backup goes on");
-      return "moved";
-    }
-    // The engine with the backup holds the run's memory already; a second copy there would take it twice.
-    const avoided = run.backup === null ? [] : [run.backup.record.id];
-    const request = this.#requestOf(run, source, [...refused, ...avoided]);
-    const granted = await this.#keeper.ask(request) ?? this.#best(request, engine);
+    const held = this.#ahead.heldPart(run);
+    const request = requestOf(run, source, { held, refused: [...refused], isAhead: false });
+    const leave = this.#keeper.ask(request);
+    const granted = await leave.target ?? this.#targets.best(request, engine);
     try {
       if (!this.#mustLeave(run, source.record.id)) return "over";
       const target = granted === null ? undefined : this.#ctx.fleet.endpoints.get(granted);
@@ -175,36 +165,22 @@
       if (outcome === "refused") refused.add(target.record.id);
       return outcome;
     } finally {
-      this.#keeper.done(request.key);
+      leave.done();
     }
   }
 
-  #requestOf(
-    run: StreamRun,
-    source: EndpointRow,
-    refused: readonly EndpointId[],
-  ): Omit<CopyRequest, "kind"> {
-    return {
-      key: this.#nextKey++,
-      service: source.record.service,
-      source: source.record.id,
-      route: run.req.route.id,
-      promptTokens: run.promptTokens,
-      producedTokens: run.producedTokens,
-      maxTokens: run.maxTokens,
-      refused,
-    };
-  }
-
   async #move(run: StreamRun, source: EndpointRow, target: EndpointRow): Promise<MoveOutcome> {
     const { board } = this.#dispatcher;
-    board.addCopy(run, target.record.id);
+    const isHeld = this.#ahead.heldPart(run)?.endpoint === target.record.id;
+    if (!isHeld) board.addCopy(run, target.record.id);
     try {
-      const first = await this.#copy(run, source, target, false);
+      const first: CopyResult = isHeld
+        ? { type: "copied", handle: "", events: 0 }
+        : await copyRun(this.#ctx, run, { source, target, stop: false });
       if (first.type === "refused") return "refused";
       if (first.type !== "copied") return "failed";
       if (run.phase !== "streaming") return "over";
-      return await this.#stopAndGoOn(run, source, target);
+      return await this.#stopAndGoOn(run, { source, target, isHeld });
     } finally {
       board.removeCopy(run, target.record.id);
     }
@@ -212,15 +188,16 @@
 
   async #stopAndGoOn(
     run: StreamRun,
-    source: EndpointRow,
-    target: EndpointRow,
+    { source, target, isHeld }: MovePath,
   ): Promise<MoveOutcome> {
     run.beginStop();
-    const last = await this.#copy(run, source, target, true);
+    const last = await copyRun(this.#ctx, run, { source, target, stop: true });
     if (!run.isStopping) return "over";
     if (last.type === "copied") {
       const memory = { source: source.record.address, handle: last.handle };
       this.#fallbacks.set(run, { source, memory });
+      if (isHeld) this.#ahead.take(run);
+      else this.#ahead.drop(run);
       this.#goOn(run, target, memory, "moved");
       return "moved";
     }
@@ -242,122 +219,12 @@
   ): void {
     const { board } = this.#dispatcher;
     board.removeCopies(run);
-    const backup = this.#dispatcher.chooseBackup(run, row);
     board.place(run, row.record.id, this.#ctx.clock.now(), false);
-    if (backup !== null) board.addCopy(run, backup.record.id);
     run.send({
       row,
       goOnFrom: { ...memory, lastEventId: run.lastEventId },
-      backup,
       enginePriority: this.#dispatcher.enginePriority(run),
       why,
     });
   }
-
-  async #copy(
-    run: StreamRun,
-    source: EndpointRow,
-    target: EndpointRow,
-    stop: boolean,
-  ): Promise<CopyResult> {
-    const { clock, dialect, log, metrics, upstreams } = this.#ctx;
-    const startedAtMs = clock.now();
-    const request = dialect.copyRequest({
-      requestId: run.id,
-      target: target.record.address,
-      stop,
-    });
-    const options = { clock, timeoutMs: COPY_TIMEOUT_MS };
-    const answer = await controlCall(upstreams.of(source), request, options);
-    const result: CopyResult = answer.type === "answer"
-      ? dialect.readCopyResult(answer.status, answer.body)
-      : { type: "unknown", message: answer.message };
-    metrics.countCopy(`${stop ? "last" : "first"}_${result.type}`);
-    log.request("run_copy", {
-      req: run.id,
-      source: source.record.id,
-      target: target.record.id,
-      stop,
-      result: result.type,
-      message: result.type === "unknown" ? result.message : undefined,
-      memoryTokens: run.memoryTokens,
-      ms: Math.round(clock.now() - startedAtMs),
-      leavingForMs: Math.round(clock.now() - source.phaseSinceMs),
-    });
-    return result;
-  }
-
-  /** The engine to copy to where no keeper says. */
-  #best(request: Omit<CopyRequest, "kind">, engine: EngineConfig): EndpointId | null {
-    const source = this.#ctx.fleet.endpoints.get(request.source);
-    if (source === undefined) return null;
-    const item = this.#itemOf(request);
-    const candidates = this.#candidates(request, source, engine);
-    const choice = chooseEngine(item, candidates) ??
-      chooseEngine(item, candidates, RESCUE_PLACEMENT);
-    return choice?.candidate.row.record.id ?? null;
-  }
-
-  /** Engines with room for a run, or, where none has it to spare, those into which it just fits. */
-  #targets(request: Omit<CopyRequest, "kind">): CopyTarget[] {
-    const { fleet } = this.#ctx;
-    const source = fleet.endpoints.get(request.source);
-    const engine = fleet.routes?.service(request.service)?.engine ?? null;
-    if (source === undefined || engine === null) return [];
-    const candidates = this.#candidates(request, source, engine);
-    const fitting = this.#fitting(request, candidates, engine, {});
-    return fitting.length > 0
-      ? fitting
-      : this.#fitting(request, candidates, engine, RESCUE_PLACEMENT);
-  }
-
-  #fitting(
-    request: Omit<CopyRequest, "kind">,
-    candidates: readonly EngineRow[],
-    engine: EngineConfig,
-    options: EnginePlacementOptions,
-  ): CopyTarget[] {
-    const item = this.#itemOf(request);
-    const copyMs = copyTimeMs(request.promptTokens + request.producedTokens, engine);
-    return candidates.flatMap((candidate) => {
-      const choice = chooseEngine(item, [candidate], options);
-      if (choice === null) return [];
-      return [{
-        endpoint: candidate.row.record.id,
-        peak: choice.peak,
-        copyMs: candidate.isLocal ? copyMs : REMOTE_COPY_FACTOR * copyMs,
-      }];
-    });
-  }
-
-  #candidates(
-    request: Omit<CopyRequest, "kind">,
-    source: EndpointRow,
-    engine: EngineConfig,
-  ): EngineRow[] {
-    const route = this.#ctx.fleet.routes?.config.routes.find((r) => r.id === request.route);
-    const excluded = new Set([request.source, ...request.refused]);
-    return this.#dispatcher
-      .candidates(request.service, engine, { regions: route?.regions ?? [], excluded })
-      .filter((c) => c.row.record.version === source.record.version)
-      .map((c) => ({ ...c, isLocal: c.row.record.dataCentre === source.record.dataCentre }));
-  }
-
-  #itemOf(
-    { route, promptTokens, producedTokens, maxTokens }: Omit<CopyRequest, "kind">,
-  ): ForecastItem {
-    const curve = this.#dispatcher.board.curve(route);
-    return { curve, promptTokens, produced: producedTokens, maxTokens };
-  }
-}
-
-/** The memory of a backup: it is named by the run itself, at the engine that keeps it. */
-function backupMemory(run: StreamRun, backup: EndpointRow): Omit<RunMemory, "lastEventId"> {
-  return { source: backup.record.address, handle: run.id };
-}
-
-/** Time to copy a run's memory over an idle link within a data centre, in milliseconds. */
-function copyTimeMs(tokens: number, { tokenBytes, linkMbps }: EngineConfig): number {
-  if (linkMbps <= 0) return 0;
-  return tokens * tokenBytes * BITS_PER_BYTE / (linkMbps * BITS_PER_MS_OF_MBPS);
 }
--- a/packages/gateway/src/relay/stream_run.ts
+++ b/packages/gateway/src/relay/stream_run.ts
@@ -15,6 +15,9 @@
 import { EventReader } from "./event_reader.ts";
 import type { InboundRequest, Rejection, Responder } from "./inbound.ts";
 
+/** Time per output token on a shared engine, in milliseconds. */
+const OUTPUT_TOKEN_MS = 10;
+
 /**
  * Where a run stands: `waiting` for an engine; `sent`, without an event yet; `streaming`; `stopping`, while its engine
  * is asked to stop it for a move; `over`.
@@ -51,8 +54,6 @@
 export interface RunTarget {
   readonly row: EndpointRow;
   readonly goOnFrom: RunMemory | null;
-  /** The engine to which the run's memory is sent as it grows. */
-  readonly backup: EndpointRow | null;
   readonly enginePriority: number;
   readonly why: string;
 }
@@ -70,7 +71,6 @@
   readonly #engines: EndpointId[] = [];
   #phase: RunPhase = "waiting";
   #part: RunPart | null = null;
-  #backup: EndpointRow | null = null;
   #reader: EventReader;
   #hasHead = false;
   #lastEventAtMs = 0;
@@ -108,11 +108,6 @@
     return this.#part?.endpoint ?? null;
   }
 
-  /** The engine that was asked to keep the run's memory as well. */
-  get backup(): EndpointRow | null {
-    return this.#backup;
-  }
-
   /** Id of the last event that the caller has. */
   get lastEventId(): number {
     return this.#reader.lastId;
@@ -128,6 +123,11 @@
     return this.promptTokens + this.producedTokens;
   }
 
+  /** Longest time that the rest of the output takes, in milliseconds. */
+  get remainingMs(): number {
+    return (this.maxTokens - this.producedTokens) * OUTPUT_TOKEN_MS;
+  }
+
   /** Whether the caller has received a part of the answer. */
   get hasDelivered(): boolean {
     return this.#hasHead;
@@ -143,11 +143,6 @@
     return this.#firstEventMs;
   }
 
-  /** Time since the run was sent to its engine. */
-  sentMs(nowMs: number): number {
-    return this.#part === null ? 0 : nowMs - this.#part.startedAtMs;
-  }
-
   /** Time since the last event, or since the run was sent. */
   silentMs(nowMs: number): number {
     return nowMs - this.#lastEventAtMs;
@@ -174,7 +169,7 @@
   }
 
   /** Sends the request to an engine, or has it go on there. */
-  send({ row, goOnFrom, backup, enginePriority, why }: RunTarget): void {
+  send({ row, goOnFrom, enginePriority, why }: RunTarget): void {
     const { clock, dialect, upstreams, log, metrics } = this.#ctx;
     const now = clock.now();
     this.#part?.drop();
@@ -184,7 +179,6 @@
       remainingMs,
       enginePriority,
       goOnFrom,
-      backupAt: backup?.record.address ?? null,
     });
     const part = new RunPart(this.#ctx, this.req.requestId, upstreams.of(row), {
       onSignedHead: (p, status, headers, isSuccess) =>
@@ -198,7 +192,6 @@
     // Bytes of an event that was cut off come again, whole, from the engine that goes on.
     this.#reader = new EventReader(this.#reader.lastId);
     this.#part = part;
-    this.#backup = backup;
     this.#phase = this.#hasHead ? "streaming" : "sent";
     if (this.#lastEventAtMs === 0) this.#lastEventAtMs = now;
     metrics.countAttempt("sent");
@@ -208,7 +201,6 @@
       why,
       promptTokens: this.promptTokens,
       afterEvent: this.#reader.lastId,
-      backupAt: backup?.record.id,
       remainingMs: Math.round(remainingMs),
       revision: row.revision,
     });
--- a/packages/gateway/src/upstream/dialect.ts
+++ b/packages/gateway/src/upstream/dialect.ts
@@ -10,7 +10,7 @@
 
 /** The memory of a run that stopped, from which the same request goes on. */
 export interface RunMemory {
-  /** Where the copy was made from; for a backup, the endpoint that holds it. */
+  /** Where the copy was made from. */
   readonly source: Address;
   /** Names the copy at its source. */
   readonly handle: string;
@@ -26,8 +26,6 @@
   /** Rank at the engine, 0 first; `null` for a plain service. */
   readonly enginePriority: number | null;
   readonly goOnFrom: RunMemory | null;
-  /** The engine to which the run's memory is sent as it grows. */
-  readonly backupAt: Address | null;
 }
 
 /** What the header section of an answer says. */
--- a/packages/gateway/tests/copy_keeper_test.ts
+++ b/packages/gateway/tests/copy_keeper_test.ts
@@ -2,7 +2,7 @@
 import { test } from "node:test";
 import { endpointId, ManualClock, routeId } from "@wisteriapick/core";
 import type { CopyTarget } from "@wisteriapick/policy";
-import { CopyKeeper } from "../src/peers/copy_keeper.ts";
+import { type AskedLeave, CopyKeeper } from "../src/peers/copy_keeper.ts";
 import { MemoryLog, SCRIBE, settle } from "./fixtures.ts";
 import { MemoryLinks } from "./memory_peers.ts";
 
@@ -19,29 +19,34 @@
   return { clock, links, networks, keepers, log };
 }
 
-function makeRequest(key: number) {
+function makeRequest(part: number) {
   return {
-    key,
     service: SCRIBE,
     source: endpointId("scribe-1"),
     route: routeId("drafts"),
     promptTokens: 3_000,
-    producedTokens: 100 * key,
+    producedTokens: 100 * part,
     maxTokens: 2_000,
     refused: [],
+    heldBy: null,
+    heldTokens: 0,
+    isAhead: false,
   };
 }
 
 test("gateways that move runs off one engine get leave one after the other", async () => {
   const { keepers } = makeKeepers(["entry-1", "entry-2", "entry-3"]);
-  const granted: number[] = [];
-  keepers.forEach((keeper, i) => void keeper.ask(makeRequest(i + 1)).then(() => granted.push(i)));
+  const granted: AskedLeave[] = [];
+  keepers.forEach((keeper, i) => {
+    const leave = keeper.ask(makeRequest(i + 1));
+    void leave.target.then(() => granted.push(leave));
+  });
   await settle();
   assert.equal(granted.length, 1);
-  keepers[granted[0]!]!.done(granted[0]! + 1);
+  granted[0]!.done();
   await settle();
   assert.equal(granted.length, 2);
-  keepers[granted[1]!]!.done(granted[1]! + 1);
+  granted[1]!.done();
   await settle();
   assert.equal(granted.length, 3);
 });
@@ -56,7 +61,7 @@
   const answer = keepers[asking]!.ask(makeRequest(2));
   await settle();
   links.cutOff(keeperName);
-  assert.equal(await answer, null);
+  assert.equal(await answer.target, null);
 });
 
 test("leave that does not come in time is not waited for", async () => {
@@ -66,14 +71,26 @@
   const answer = keepers[1 - keeping]!.ask(makeRequest(2));
   await settle();
   clock.advance(3_000);
-  assert.equal(await answer, null);
+  assert.equal(await answer.target, null);
 });
 
 test("each leave is logged with what decided it", async () => {
   const { keepers, log } = makeKeepers(["entry-1"]);
-  assert.equal(await keepers[0]!.ask(makeRequest(1)), "scribe-2");
+  assert.equal(await keepers[0]!.ask(makeRequest(1)).target, "scribe-2");
   const { fields } = log.events.find((e) => e.event === "copy_granted")!;
   assert.equal(fields.source, "scribe-1");
   assert.equal(fields.target, "scribe-2");
   assert.equal(fields.tokens, 3_100);
 });
+
+test("leave that is given up before it comes is not kept for the one who gave it up", async () => {
+  const { keepers } = makeKeepers(["entry-1"]);
+  const keeper = keepers[0]!;
+  const first = keeper.ask(makeRequest(1));
+  const second = keeper.ask({ ...makeRequest(2), isAhead: true });
+  const third = keeper.ask(makeRequest(3));
+  second.done();
+  assert.equal(await second.target, null);
+  first.done();
+  assert.equal(await third.target, "scribe-2");
+});
--- a/packages/policy/src/backup_choice.ts
+++ b/packages/policy/src/backup_choice.ts
@@ -19,6 +19,14 @@
  */
 const MAX_PEAK = 0.68;
 
+/** Memory in use from which on backups are given up: new generations need what they hold. */
+const GIVE_UP_PEAK = 0.85;
+
+/** Whether an engine needs the memory that a backup occupies, at a peak that counts the backup. */
+export function needsMemoryOfBackup(peakTokens: number, memoryTokens: number): boolean {
+  return peakTokens > GIVE_UP_PEAK * memoryTokens;
+}
+
 /**
  * The engine for a backup, in another data centre where one has room; `null` where memory is short.
  *
--- a/packages/policy/src/copy_planner.ts
+++ b/packages/policy/src/copy_planner.ts
@@ -14,6 +14,8 @@
   /** Memory to copy. */
   readonly tokens: number;
   readonly requestedAtMs: number;
+  /** Whether the copy is made ahead, while the engine stays. */
+  readonly isAhead: boolean;
 }
 
 /** An engine to which a run may be copied. */
@@ -34,6 +36,7 @@
 interface ActiveCopy {
   readonly source: string;
   readonly target: string;
+  readonly isAhead: boolean;
   readonly untilMs: number;
 }
 
@@ -87,12 +90,19 @@
     this.#active.delete(id);
   }
 
-  /** Gives leave to all copies that can be made now. The smallest goes first, so that most runs get away. */
+  /**
+   * Gives leave to all copies that can be made now. The smallest goes first, so that most runs get away; copies are
+   * made ahead only while no run has to leave.
+   */
   grant(nowMs: number): CopyLeave<O>[] {
     this.#expire(nowMs);
     const leaves: CopyLeave<O>[] = [];
-    const orders = [...this.#orders.values()].sort((a, b) => a.tokens - b.tokens);
+    const orders = [...this.#orders.values()].sort((a, b) =>
+      Number(a.isAhead) - Number(b.isAhead) || a.tokens - b.tokens
+    );
+    const mustLeave = orders.some((order) => !order.isAhead) || this.#isAnyLeaving();
     for (const order of orders) {
+      if (order.isAhead && mustLeave) break;
       if (this.#isBusy(order.source)) continue;
       const target = this.#choose(order);
       if (target === null) continue;
@@ -100,6 +110,7 @@
       this.#active.set(order.id, {
         source: order.source,
         target: target.endpoint,
+        isAhead: order.isAhead,
         untilMs: nowMs + EXPIRY_FACTOR * target.copyMs + SWITCH_MS,
       });
       leaves.push({ order, target });
@@ -121,6 +132,10 @@
     return best;
   }
 
+  #isAnyLeaving(): boolean {
+    return [...this.#active.values()].some((copy) => !copy.isAhead);
+  }
+
   #isBusy(endpoint: string): boolean {
     for (const { source, target } of this.#active.values()) {
       if (source === endpoint || target === endpoint) return true;
--- a/packages/policy/tests/copy_planner_test.ts
+++ b/packages/policy/tests/copy_planner_test.ts
@@ -5,7 +5,7 @@
 const MS_PER_TOKEN = 0.055;
 
 function makeOrder(id: string, source: string, tokens = 4_000): CopyOrder {
-  return { id, source, tokens, requestedAtMs: 0 };
+  return { id, source, tokens, requestedAtMs: 0, isAhead: false };
 }
 
 function makePlanner(targets: readonly string[]): CopyPlanner<CopyOrder> {
@@ -91,3 +91,13 @@
   planner.add(makeOrder("a", "s1"));
   assert.equal(planner.grant(0)[0]?.target.endpoint, "near");
 });
+
+test("copies are made ahead only while no run has to leave", () => {
+  const planner = makePlanner(["t1", "t2"]);
+  planner.add({ ...makeOrder("ahead", "s1", 100), isAhead: true });
+  planner.add(makeOrder("leaving", "s2"));
+  assert.deepEqual(planner.grant(0).map((l) => l.order.id), ["leaving"]);
+  assert.deepEqual(planner.grant(10), []);
+  planner.remove("leaving");
+  assert.deepEqual(planner.grant(20).map((l) => l.order.id), ["ahead"]);
+});
--- a/packages/policy/tests/engine_placement_test.ts
+++ b/packages/policy/tests/engine_placement_test.ts
@@ -8,6 +8,7 @@
   type ForecastItem,
   LengthEstimator,
   MemoryForecast,
+  needsMemoryOfBackup,
 } from "../src/mod.ts";
 
 const MEMORY_TOKENS = 34_282;
@@ -99,3 +100,22 @@
   const engines = [makeEngine("a", 6), makeEngine("b", 6, { sharesDataCentre: false })];
   assert.equal(chooseBackup(makeItem(), engines), null);
 });
+
+test("a copy made ahead is given up where new drafts find an engine full", () => {
+  const isNeeded = (runs: number) =>
+    needsMemoryOfBackup(makeEngine("a", runs).forecast.peakTokens(1), MEMORY_TOKENS);
+  const counts = Array.from({ length: 12 }, (_, runs) => runs);
+  const full = counts.find((runs) => chooseEngine(makeItem(), [makeEngine("a", runs)]) === null)!;
+  assert.equal(isNeeded(full), true);
+  assert.equal(isNeeded(4), false);
+});
+
+test("a copy is not given up on an engine that would take one", () => {
+  for (let runs = 0; runs < 10; runs++) {
+    const engine = makeEngine("far", runs, { sharesDataCentre: false });
+    if (chooseBackup(makeItem(), [engine]) === null) continue;
+    const { forecast } = engine;
+    forecast.add(makeItem());
+    assert.equal(needsMemoryOfBackup(forecast.peakTokens(1), MEMORY_TOKENS), false);
+  }
+});
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -317,6 +317,8 @@
   readonly maxTokens: number;
   /** Output tokens when it was announced. */
   readonly producedTokens: number;
+  /** Whether it is a copy, which may be given up for a run. */
+  readonly isCopy: boolean;
 }
 
 /** What a gateway's runs occupy. */
@@ -355,6 +357,11 @@
   readonly maxTokens: number;
   /** Engines that have refused the run. */
   readonly refused: readonly EndpointId[];
+  /** The engine that holds a copy already, and how many tokens are in it. */
+  readonly heldBy: EndpointId | null;
+  readonly heldTokens: number;
+  /** Whether the copy is made ahead, while the engine stays; others go first. */
+  readonly isAhead: boolean;
 }
 
 /** The keeper's leave to copy a run now. */
