Make the keeper of copies cheap; forget requests whose callers left during a stall

Cause: on sites of 60 machines one gateway weighed every order for a copy against every engine, with all runs of each, at every tick. It stood still for up to six seconds. Change: busy engines are left out before any load is computed, the load of an engine is kept for 50 ms, and an order that found no engine waits 150 ms. A process that has stalled looks at its connections once more before it passes a request on, and counts the stall as time used up.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,6 +12,7 @@
 } from "@wisteriapick/core";
 import { ColdLimiter, RetryBudget } from "@wisteriapick/policy";
 import type { DecisionLog } from "./observe/decision_log.ts";
+import { LoopMonitor } from "./observe/loop_monitor.ts";
 import type { GatewayMetrics } from "./observe/metrics.ts";
 import { Registration } from "./peers/registration.ts";
 import { shareOccupancy } from "./peers/occupancy_share.ts";
@@ -75,6 +76,7 @@
   readonly #engineWatch: EngineWatch;
   readonly #relay: Relay;
   readonly #surface: ForwardSurface;
+  readonly #loop: LoopMonitor;
   readonly #network: PeerNetwork;
   readonly #registration: Registration;
   readonly #servers: PlainServer[] = [];
@@ -177,12 +179,14 @@
       remainingMs: () => this.#remainingMs(),
       othersServe: () => this.#network.staying().length > 0,
     });
+    this.#loop = new LoopMonitor(clock, log);
     this.#surface = new ForwardSurface({
       address: settings.listen.callers,
       dialect: options.callerDialect,
       handler: this.#relay,
       clock,
       log,
+      loop: this.#loop,
     });
     this.#fleet.registerConfigListener(() => this.#surface.applyLimits(this.#relay.limits()));
     this.#servers.push(
@@ -213,7 +217,12 @@
       this.#network.start(),
       ...this.#servers.map((s) => s.listen()),
     ]);
-    this.#stopTick = this.#options.clock.setRepeating(TICK_MS, () => this.#tick());
+    const stopLoop = this.#loop.start();
+    const stopTick = this.#options.clock.setRepeating(TICK_MS, () => this.#tick());
+    this.#stopTick = () => {
+      stopLoop();
+      stopTick();
+    };
     this.#options.log.state("started", {
       sinceStartMs: Math.round(performance.now()),
       name: this.#options.settings.name,
--- a/packages/gateway/src/peers/copy_keeper.ts
+++ b/packages/gateway/src/peers/copy_keeper.ts
@@ -32,7 +32,10 @@
   readonly clock: Clock;
   readonly log: DecisionLog;
   /** Engines to which a run may be copied now. */
-  readonly targets: (request: Omit<NumberedRequest, "key">) => readonly CopyTarget[];
+  readonly targets: (
+    request: Omit<NumberedRequest, "key">,
+    isBusy: (endpoint: string) => boolean,
+  ) => readonly CopyTarget[];
 }
 
 /** Time without an answer after which a gateway copies without leave, in milliseconds. */
@@ -49,7 +52,9 @@
 
   constructor(options: CopyKeeperOptions) {
     this.#options = options;
-    this.#planner = new CopyPlanner({ targets: ({ request }) => options.targets(request) });
+    this.#planner = new CopyPlanner({
+      targets: ({ request }, isBusy) => options.targets(request, isBusy),
+    });
     const { network } = options;
     this.#undos = [
       network.registerHandler("copy_request", (peer, msg) => this.#onRequest(peer, msg)),
--- a/packages/gateway/src/relay/copy_targets.ts
+++ b/packages/gateway/src/relay/copy_targets.ts
@@ -76,7 +76,7 @@
   }
 
   /** Engines to which a run may be copied. */
-  of(request: CopyOrderRequest): CopyTarget[] {
+  of(request: CopyOrderRequest, isBusy: (endpoint: string) => boolean): CopyTarget[] {
     const fleet = this.#fleet;
     const source = fleet.endpoints.get(request.source);
     const engine = fleet.routes?.service(request.service)?.engine ?? null;
@@ -88,7 +88,8 @@
       return [{ endpoint: request.heldBy, peak: 0, copyMs: REMOTE_COPY_FACTOR * copyMs }];
     }
     const copyMs = tokens * tokenMs;
-    const candidates = this.#candidates(request, source, engine);
+    const candidates = this.#candidates(request, source, engine)
+      .filter(({ row }) => !isBusy(row.record.id));
     if (request.isAhead) return this.#aheadTargets(request, candidates, copyMs);
     // Where no engine has memory to spare, one into which the run just fits will do.
     const fitting = this.#fitting(request, candidates, copyMs, {});
--- a/packages/gateway/src/relay/run_board.ts
+++ b/packages/gateway/src/relay/run_board.ts
@@ -49,6 +49,12 @@
   readonly ended: readonly number[];
 }
 
+/**
+ * Time for which the load of an engine is not computed again unless what occupies it changes, in milliseconds; runs
+ * grow by a few tokens in it.
+ */
+const LOAD_TTL_MS = 50;
+
 /** Lengths are learned from all callers of a route together. */
 export const ALL_ACCOUNTS = "all" as AccountId;
 
@@ -61,6 +67,11 @@
 class OccupancyTable<T extends { readonly key: number; readonly endpoint: EndpointId }> {
   readonly #byKey = new Map<number, T>();
   readonly #byEndpoint = new Map<EndpointId, Set<T>>();
+  readonly #onChange: (endpoint: EndpointId) => void;
+
+  constructor(onChange: (endpoint: EndpointId) => void) {
+    this.#onChange = onChange;
+  }
 
   values(): Iterable<T> {
     return this.#byKey.values();
@@ -76,6 +87,7 @@
     const rows = this.#byEndpoint.get(row.endpoint);
     if (rows === undefined) this.#byEndpoint.set(row.endpoint, new Set([row]));
     else rows.add(row);
+    this.#onChange(row.endpoint);
   }
 
   delete(key: number): void {
@@ -85,14 +97,17 @@
     const rows = this.#byEndpoint.get(row.endpoint);
     rows?.delete(row);
     if (rows?.size === 0) this.#byEndpoint.delete(row.endpoint);
+    this.#onChange(row.endpoint);
   }
 }
 
 /** See the module comment. */
 export class RunBoard {
   readonly #options: Required<RunBoardOptions>;
-  readonly #own = new OccupancyTable<OwnOccupancy>();
+  readonly #forgetLoad = (endpoint: EndpointId): void => void this.#loads.delete(endpoint);
+  readonly #own = new OccupancyTable<OwnOccupancy>(this.#forgetLoad);
   readonly #peers = new Map<string, OccupancyTable<PeerOccupancy>>();
+  readonly #loads = new Map<EndpointId, { readonly load: EngineLoad; readonly atMs: number }>();
   #nextKey = 1;
   #listeners: readonly ((change: OccupancyChange) => void)[] = [];
 
@@ -140,7 +155,11 @@
 
   /** Records that an engine has read the prompt of an own run. */
   recordRead(run: StreamRun): void {
-    for (const own of this.#own.values()) if (own.run === run) own.sentAtMs = null;
+    for (const own of this.#own.values()) {
+      if (own.run !== run) continue;
+      own.sentAtMs = null;
+      this.#forgetLoad(own.endpoint);
+    }
   }
 
   /** Everything that this gateway's runs occupy, as it is announced. */
@@ -163,7 +182,10 @@
     { full, nowMs }: { readonly full: boolean; readonly nowMs: number },
   ): void {
     let table = this.#peers.get(peer);
-    if (table === undefined || full) this.#peers.set(peer, table = new OccupancyTable());
+    if (table === undefined || full) {
+      this.#loads.clear();
+      this.#peers.set(peer, table = new OccupancyTable(this.#forgetLoad));
+    }
     for (const key of ended) table.delete(key);
     for (const occupancy of changed) table.set({ ...occupancy, announcedAtMs: nowMs });
   }
@@ -171,10 +193,19 @@
   /** Forgets what a peer announced. */
   dropPeer(peer: string): void {
     this.#peers.delete(peer);
+    this.#loads.clear();
   }
 
-  /** Load of an engine by all gateways. */
+  /** Load of an engine by all gateways, at most {@link LOAD_TTL_MS} old. */
   load(endpoint: EndpointId, nowMs: number): EngineLoad {
+    const cached = this.#loads.get(endpoint);
+    if (cached !== undefined && nowMs - cached.atMs < LOAD_TTL_MS) return cached.load;
+    const load = this.#computeLoad(endpoint, nowMs);
+    this.#loads.set(endpoint, { load, atMs: nowMs });
+    return load;
+  }
+
+  #computeLoad(endpoint: EndpointId, nowMs: number): EngineLoad {
     const forecast = new MemoryForecast();
     let running = 0;
     let unreadTokens = 0;
--- a/packages/gateway/src/relay/run_mover.ts
+++ b/packages/gateway/src/relay/run_mover.ts
@@ -60,7 +60,7 @@
       network,
       clock,
       log,
-      targets: (request) => this.#targets.of(request),
+      targets: (request, isBusy) => this.#targets.of(request, isBusy),
     });
     this.#ahead = new AheadCopies({ ctx, dispatcher, keeper: this.#keeper });
     ctx.fleet.registerEndpointListener(({ id, after }) => {
--- a/packages/gateway/src/surface/forward_surface.ts
+++ b/packages/gateway/src/surface/forward_surface.ts
@@ -15,6 +15,7 @@
 import { type Address, formatAddress } from "@wisteriapick/wire";
 import type { CallerLimits } from "../config/types.ts";
 import type { DecisionLog } from "../observe/decision_log.ts";
+import type { LoopMonitor } from "../observe/loop_monitor.ts";
 import type { InboundHead } from "../relay/inbound.ts";
 import type { CallerDialect } from "./caller_dialect.ts";
 import { HttpResponder } from "./http_responder.ts";
@@ -42,6 +43,7 @@
   readonly handler: ForwardHandler;
   readonly clock: Clock;
   readonly log: DecisionLog;
+  readonly loop: LoopMonitor;
 }
 
 /** Bytes of a header section that the parser takes; the limit in force is checked against what was read. */
@@ -180,7 +182,18 @@
     }
     if (!handler.accept(head, responder)) return void req.resume();
     this.#readBody(req, res, maxBodyBytes, (body) => {
-      handler.handle(head, body, arrivedAtMs, responder);
+      const stallMs = this.#options.loop.stallMs();
+      if (stallMs === 0) return handler.handle(head, body, arrivedAtMs, responder);
+      this.#options.loop.afterNextPoll(() => {
+        if (!hasLeft(req, res)) {
+          return handler.handle(head, body, arrivedAtMs - stallMs, responder);
+        }
+        this.#options.log.request("caller_left_unread", {
+          req: head.requestId,
+          stallMs: Math.round(stallMs),
+        });
+        res.destroy();
+      });
     });
   }
 
@@ -264,6 +277,11 @@
   }
 }
 
+/** Whether a caller has closed its connection. */
+function hasLeft(req: IncomingMessage, res: ServerResponse): boolean {
+  return res.destroyed || req.socket.destroyed || req.socket.readableEnded;
+}
+
 function statusOfParserError(code: string | undefined): string {
   if (code === "HPE_HEADER_OVERFLOW") return "431 Request Header Fields Too Large";
   if (code === "ERR_HTTP_REQUEST_TIMEOUT") return "408 Request Timeout";
--- a/packages/policy/src/copy_planner.ts
+++ b/packages/policy/src/copy_planner.ts
@@ -42,8 +42,8 @@
 
 /** Options of {@link CopyPlanner}. */
 export interface CopyPlannerOptions<O extends CopyOrder> {
-  /** Engines to which a run may be copied now, its own and full ones left out. */
-  readonly targets: (order: O) => readonly CopyTarget[];
+  /** Engines to which a run may be copied now; its own, full and busy ones are left out. */
+  readonly targets: (order: O, isBusy: (endpoint: string) => boolean) => readonly CopyTarget[];
 }
 
 /** A copy whose end is not reported holds its links for this many times its expected duration. */
@@ -52,6 +52,8 @@
 const SWITCH_MS = 150;
 /** An order that could not be met for this long is dropped; its engine is gone by then. */
 const ORDER_TTL_MS = 15_000;
+/** Time before an order for a copy ahead that found no engine is looked at again, in milliseconds. */
+const AHEAD_RETRY_MS = 150;
 /** Copy time that weighs as much as all of an engine's memory when a target is chosen, in milliseconds. */
 const COPY_SCALE_MS = 800;
 
@@ -66,9 +68,13 @@
  * ```
  */
 export class CopyPlanner<O extends CopyOrder> {
-  readonly #targets: (order: O) => readonly CopyTarget[];
+  readonly #targets: CopyPlannerOptions<O>["targets"];
   readonly #orders = new Map<string, O>();
+  readonly #notBeforeMs = new Map<string, number>();
   readonly #active = new Map<string, ActiveCopy>();
+  readonly #isBusy = (endpoint: string): boolean => this.#busy.has(endpoint);
+  /** Engines at either end of an active copy. */
+  #busy = new Set<string>();
 
   constructor({ targets }: CopyPlannerOptions<O>) {
     this.#targets = targets;
@@ -80,14 +86,15 @@
 
   /** Adds an order, or replaces the one with its id. */
   add(order: O): void {
-    this.#active.delete(order.id);
+    this.remove(order.id);
     this.#orders.set(order.id, order);
   }
 
   /** Removes an order, or frees the links of its copy. */
   remove(id: string): void {
     this.#orders.delete(id);
-    this.#active.delete(id);
+    this.#notBeforeMs.delete(id);
+    if (this.#active.delete(id)) this.#findBusy();
   }
 
   /**
@@ -103,26 +110,31 @@
     const mustLeave = orders.some((order) => !order.isAhead) || this.#isAnyLeaving();
     for (const order of orders) {
       if (order.isAhead && mustLeave) break;
-      if (this.#isBusy(order.source)) continue;
+      if (this.#busy.has(order.source)) continue;
+      if (nowMs < (this.#notBeforeMs.get(order.id) ?? -Infinity)) continue;
       const target = this.#choose(order);
-      if (target === null) continue;
-      this.#orders.delete(order.id);
-      this.#active.set(order.id, {
-        source: order.source,
-        target: target.endpoint,
-        isAhead: order.isAhead,
-        untilMs: nowMs + EXPIRY_FACTOR * target.copyMs + SWITCH_MS,
-      });
+      if (target === null) {
+        if (order.isAhead) this.#notBeforeMs.set(order.id, nowMs + AHEAD_RETRY_MS);
+        continue;
+      }
+      this.#begin(order, target, nowMs);
       leaves.push({ order, target });
     }
     return leaves;
   }
 
+  #begin({ id, source, isAhead }: O, { endpoint, copyMs }: CopyTarget, nowMs: number): void {
+    this.remove(id);
+    const untilMs = nowMs + EXPIRY_FACTOR * copyMs + SWITCH_MS;
+    this.#active.set(id, { source, target: endpoint, isAhead, untilMs });
+    this.#findBusy();
+  }
+
   #choose(order: O): CopyTarget | null {
     let best: CopyTarget | null = null;
     let bestCost = Infinity;
-    for (const target of this.#targets(order)) {
-      if (this.#isBusy(target.endpoint)) continue;
+    for (const target of this.#targets(order, this.#isBusy)) {
+      if (this.#busy.has(target.endpoint)) continue;
       const cost = target.peak + target.copyMs / COPY_SCALE_MS;
       if (cost < bestCost) {
         best = target;
@@ -136,17 +148,15 @@
     return [...this.#active.values()].some((copy) => !copy.isAhead);
   }
 
-  #isBusy(endpoint: string): boolean {
-    for (const { source, target } of this.#active.values()) {
-      if (source === endpoint || target === endpoint) return true;
-    }
-    return false;
+  #findBusy(): void {
+    const ends = [...this.#active.values()].flatMap(({ source, target }) => [source, target]);
+    this.#busy = new Set(ends);
   }
 
   #expire(nowMs: number): void {
-    for (const [id, { untilMs }] of this.#active) if (untilMs <= nowMs) this.#active.delete(id);
+    for (const [id, { untilMs }] of this.#active) if (untilMs <= nowMs) this.remove(id);
     for (const [id, { requestedAtMs }] of this.#orders) {
-      if (nowMs - requestedAtMs > ORDER_TTL_MS) this.#orders.delete(id);
+      if (nowMs - requestedAtMs > ORDER_TTL_MS) this.remove(id);
     }
   }
 }
