Pass over a silent keeper of copy orders; weak hosts keep no duties while stronger ones are there

Cause: on the grown sites the keeper named by rendezvous order could be a host with a quarter of a core, or one that stands still; every copy of a service waited for it, up to 2.5 s, and engines left before their runs were copied.

Change: the keeper acknowledges requests, one that gives no sign for 180 ms is passed over for 2 s and grants it gives later are given back; gateways announce their processor share and duties go to those near the strongest.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -105,6 +105,7 @@
       name: settings.name,
       address: settings.listen.peers,
       dataCentre: settings.data_centre,
+      processorShare: settings.processor_share,
       clusterKey: settings.cluster_key,
       seeds: settings.seeds,
       clock,
--- a/packages/gateway/src/peers/copy_keeper.ts
+++ b/packages/gateway/src/peers/copy_keeper.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock, EndpointId, Undo } from "@wisteriapick/core";
 import { type CopyOrder, CopyPlanner, type CopyTarget } from "@wisteriapick/policy";
-import type { CopyRequest } from "@wisteriapick/wire";
+import type { CopyGrant, CopyRequest } from "@wisteriapick/wire";
 import type { DecisionLog } from "../observe/decision_log.ts";
 import type { PeerGroup } from "./peer_group.ts";
 
@@ -26,6 +26,16 @@
   done(): void;
 }
 
+/** A request of this gateway. */
+interface Asked {
+  readonly request: NumberedRequest;
+  readonly resolve: (target: EndpointId | null) => void;
+  readonly undos: Undo[];
+  keeper: string;
+  /** Whether the keeper has shown that it has the request. */
+  isQueued: boolean;
+}
+
 /** Options of {@link CopyKeeper}. */
 export interface CopyKeeperOptions {
   readonly network: PeerGroup;
@@ -38,15 +48,22 @@
   ) => readonly CopyTarget[];
 }
 
-/** Time without an answer after which a gateway copies without leave, in milliseconds. */
+/** Time without leave after which a gateway copies without it, in milliseconds; a leaving engine is gone by then. */
 const LEAVE_TIMEOUT_MS = 2_500;
+/**
+ * Time without a sign of the keeper after which another one is asked, in milliseconds: many round trips, and a tenth of
+ * the notice of an engine that leaves.
+ */
+const KEEPER_TIMEOUT_MS = 180;
+/** Time for which a keeper that gave no sign is not asked, in milliseconds. */
+const KEEPER_PAUSE_MS = 2_000;
 
 /** See the module comment. */
 export class CopyKeeper {
   readonly #options: CopyKeeperOptions;
   readonly #planner: CopyPlanner<KeptOrder>;
-  readonly #waiting = new Map<number, (target: EndpointId | null) => void>();
-  readonly #keepers = new Map<number, string>();
+  readonly #asked = new Map<number, Asked>();
+  readonly #silentUntilMs = new Map<string, number>();
   readonly #undos: Undo[];
   #nextKey = 1;
 
@@ -58,7 +75,8 @@
     const { network } = options;
     this.#undos = [
       network.registerHandler("copy_request", (peer, msg) => this.#onRequest(peer, msg)),
-      network.registerHandler("copy_grant", (_peer, { key, target }) => this.#onGrant(key, target)),
+      network.registerHandler("copy_queued", (_peer, { key }) => this.#onQueued(key)),
+      network.registerHandler("copy_grant", (peer, msg) => this.#onPeerGrant(peer, msg)),
       network.registerHandler("copy_done", (peer, { key }) => this.#onDone(peer, key)),
       network.registerDown((peer) => this.#onKeeperLost(peer)),
     ];
@@ -66,21 +84,39 @@
 
   /** Asks for leave to copy a run; `done` of the answer must be called. */
   ask(order: Omit<NumberedRequest, "key">): AskedLeave {
-    const { network, clock } = this.#options;
+    const { clock } = this.#options;
     const request = { ...order, key: this.#nextKey++ };
-    const keeper = network.keeperOf(request.service);
+    const { key } = request;
     const target = new Promise<EndpointId | null>((resolve) => {
-      const stopTimer = clock.setTimer(LEAVE_TIMEOUT_MS, () => this.#onGrant(request.key, null));
-      this.#waiting.set(request.key, (endpoint) => {
-        stopTimer();
-        resolve(endpoint);
-      });
-      this.#keepers.set(request.key, keeper);
-      if (keeper === network.name) return this.#onRequest(keeper, request);
-      const sent = network.send(keeper, { kind: "copy_request", ...request });
-      if (!sent) this.#onGrant(request.key, null);
+      const undos = [clock.setTimer(LEAVE_TIMEOUT_MS, () => this.#onGrant(key, null))];
+      const asked: Asked = { request, resolve, undos, keeper: "", isQueued: false };
+      this.#asked.set(key, asked);
+      this.#askKeeper(asked);
     });
-    return { target, done: () => this.#done(request.key) };
+    return { target, done: () => this.#done(key) };
+  }
+
+  #askKeeper(asked: Asked): void {
+    const { network, clock, log } = this.#options;
+    const now = clock.now();
+    const silent = new Set(
+      [...this.#silentUntilMs].filter(([, until]) => until > now).map(([name]) => name),
+    );
+    const { request } = asked;
+    asked.keeper = network.keeperOf(request.service, silent);
+    if (asked.keeper === network.name) {
+      asked.isQueued = true;
+      return this.#onRequest(asked.keeper, request);
+    }
+    const sent = network.send(asked.keeper, { kind: "copy_request", ...request });
+    if (!sent) return this.#onGrant(request.key, null);
+    asked.undos.push(clock.setTimer(KEEPER_TIMEOUT_MS, () => {
+      if (asked.isQueued) return;
+      this.#silentUntilMs.set(asked.keeper, clock.now() + KEEPER_PAUSE_MS);
+      log.state("copy_keeper_silent", { keeper: asked.keeper, service: request.service });
+      network.send(asked.keeper, { kind: "copy_done", key: request.key });
+      this.#askKeeper(asked);
+    }));
   }
 
   /** Gives leave to what has become possible. Called each tick. */
@@ -94,12 +130,12 @@
 
   #done(key: number): void {
     const { network } = this.#options;
-    const keeper = this.#keepers.get(key);
-    this.#keepers.delete(key);
-    if (keeper === undefined) return;
+    const asked = this.#asked.get(key);
+    if (asked === undefined) return;
     this.#onGrant(key, null);
-    if (keeper === network.name) this.#onDone(keeper, key);
-    else network.send(keeper, { kind: "copy_done", key });
+    this.#asked.delete(key);
+    if (asked.keeper === network.name) this.#onDone(asked.keeper, key);
+    else network.send(asked.keeper, { kind: "copy_done", key });
   }
 
   #onRequest(peer: string, request: NumberedRequest): void {
@@ -112,6 +148,8 @@
       isAhead: request.isAhead,
       requestedAtMs: this.#options.clock.now(),
     });
+    const { network } = this.#options;
+    if (peer !== network.name) network.send(peer, { kind: "copy_queued", key: request.key });
     this.#grant();
   }
 
@@ -139,14 +177,27 @@
     }
   }
 
+  #onQueued(key: number): void {
+    const asked = this.#asked.get(key);
+    if (asked !== undefined) asked.isQueued = true;
+  }
+
+  #onPeerGrant(peer: string, { key, target }: Omit<CopyGrant, "kind">): void {
+    if (this.#asked.get(key)?.keeper === peer) return this.#onGrant(key, target);
+    // Leave that is no longer waited for keeps links busy until it is given back.
+    this.#options.network.send(peer, { kind: "copy_done", key });
+  }
+
   #onGrant(key: number, target: EndpointId | null): void {
-    const resolve = this.#waiting.get(key);
-    this.#waiting.delete(key);
-    resolve?.(target);
+    const asked = this.#asked.get(key);
+    if (asked === undefined) return;
+    asked.isQueued = true;
+    for (const undo of asked.undos.splice(0)) undo();
+    asked.resolve(target);
   }
 
   #onKeeperLost(peer: string): void {
-    for (const [key, keeper] of this.#keepers) if (keeper === peer) this.#onGrant(key, null);
+    for (const [key, { keeper }] of this.#asked) if (keeper === peer) this.#onGrant(key, null);
   }
 }
 
--- a/packages/gateway/src/peers/peer_group.ts
+++ b/packages/gateway/src/peers/peer_group.ts
@@ -10,6 +10,8 @@
 export interface LinkedPeer {
   readonly name: string;
   readonly dataCentre: DataCentreId;
+  /** Cores that it may use; `null` where that is not known. */
+  readonly processorShare: number | null;
 }
 
 /** Handles messages of one kind; `peer` is the sender's name. */
@@ -23,6 +25,9 @@
   /** This gateway's name. */
   abstract readonly name: string;
 
+  /** Cores that this gateway may use. */
+  abstract readonly processorShare: number;
+
   /** Peers that can be sent to now. */
   abstract linked(): readonly LinkedPeer[];
 
@@ -50,12 +55,16 @@
 
   /**
    * The gateway that keeps a duty: the same for all that are linked with each other. Where views differ, two may both
-   * be named, which duties must bear.
+   * be named, which duties must bear. Weak hosts keep none while stronger ones are there.
    */
-  keeperOf(duty: string): string {
+  keeperOf(duty: string, excluded: ReadonlySet<string> = NONE_EXCLUDED): string {
+    const self = { name: this.name, processorShare: this.processorShare };
+    const all = [self, ...this.linked()].filter(({ name }) => !excluded.has(name));
+    const most = Math.max(0, ...all.map(({ processorShare }) => processorShare ?? 0));
     let best = this.name;
-    let bestWeight = weightOf(duty, best);
-    for (const { name } of this.linked()) {
+    let bestWeight = -1;
+    for (const { name, processorShare } of all) {
+      if ((processorShare ?? 0) < STRONG_PART * most) continue;
       const weight = weightOf(duty, name);
       if (weight > bestWeight) {
         best = name;
@@ -74,6 +83,9 @@
   }
 }
 
+const NONE_EXCLUDED: ReadonlySet<string> = new Set();
+/** A gateway with this part of the strongest one's processor or more takes duties for all. */
+const STRONG_PART = 0.6;
 /** Weights that are kept, as duties are looked up every few milliseconds. */
 const MAX_WEIGHTS = 4_096;
 const weights = new Map<string, number>();
--- a/packages/gateway/src/peers/peer_network.ts
+++ b/packages/gateway/src/peers/peer_network.ts
@@ -33,6 +33,8 @@
   readonly name: string;
   readonly address: Address;
   readonly dataCentre: DataCentreId;
+  /** Cores that this gateway may use. */
+  readonly processorShare: number;
   /** Shared by all gateways of one deployment. */
   readonly clusterKey: string;
   readonly seeds: readonly Address[];
@@ -122,11 +124,17 @@
     return this.#options.name;
   }
 
+  override get processorShare(): number {
+    return this.#options.processorShare;
+  }
+
   override linked(): LinkedPeer[] {
     const linked: LinkedPeer[] = [];
     for (const [name, { links }] of this.#peers) {
       const [link] = links;
-      if (link !== undefined) linked.push({ name, dataCentre: link.peer.dataCentre });
+      if (link === undefined) continue;
+      const processorShare = this.#known.get(name)?.processorShare ?? null;
+      linked.push({ name, dataCentre: link.peer.dataCentre, processorShare });
     }
     return linked;
   }
@@ -156,7 +164,9 @@
   learn(gateways: readonly GatewayAddress[]): void {
     for (const gateway of gateways) {
       if (gateway.name === this.#options.name) continue;
-      this.#known.set(gateway.name, gateway);
+      const processorShare = gateway.processorShare ??
+        this.#known.get(gateway.name)?.processorShare ?? null;
+      this.#known.set(gateway.name, { ...gateway, processorShare });
       const peer = this.#peers.get(gateway.name);
       if (peer !== undefined) peer.address = formatAddress(gateway);
       this.#dial(gateway);
@@ -214,8 +224,8 @@
     peer.links.add(link);
     peer.lastLinkedMs = this.#options.clock.now();
     link.registerCloseListener((err) => this.#onLinkClosed(name, link, err.message));
-    const { address, dataCentre } = this.#options;
-    const self = { name: this.#options.name, ...address, dataCentre };
+    const { address, dataCentre, processorShare } = this.#options;
+    const self = { name: this.#options.name, ...address, dataCentre, processorShare };
     link.notify({ kind: "gateways", gateways: [self, ...this.#known.values()] });
     if (wasLinked) return;
     // A first link after a loss may be to the next process of that name.
--- a/packages/gateway/src/peers/registration.ts
+++ b/packages/gateway/src/peers/registration.ts
@@ -79,7 +79,9 @@
     const { store, record, onFound } = this.#options;
     const { items } = await store.list("gateways");
     const records = [...items.values()].map((item) => item.value);
-    onFound(records.map(({ name, address, dataCentre }) => ({ name, ...address, dataCentre })));
+    onFound(records.map(({ name, address, dataCentre }) => {
+      return { name, ...address, dataCentre, processorShare: null };
+    }));
     const own = records.find((r) => r.name === record.name);
     const isCurrent = own !== undefined &&
       formatAddress(own.address) === formatAddress(record.address);
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -31,6 +31,8 @@
   /** Name of this process; unique among gateways. */
   name: z.string().min(1),
   data_centre: dataCentre,
+  /** Cores that this process may use; the strongest gateways do what is done once for all. */
+  processor_share: z.number().positive().default(1),
   /** The region of each data centre. */
   regions: z.record(z.string(), idField(regionId, "a region id")),
   listen: z.object({
--- a/packages/gateway/tests/copy_keeper_test.ts
+++ b/packages/gateway/tests/copy_keeper_test.ts
@@ -94,3 +94,40 @@
   first.done();
   assert.equal(await third.target, "scribe-2");
 });
+
+test("a keeper that stands still is passed over, and what it grants later is given back", async () => {
+  const { clock, links, networks, keepers, log } = makeKeepers(["entry-1", "entry-2", "entry-3"]);
+  const keeperName = networks[0]!.keeperOf(SCRIBE);
+  const asking = networks.findIndex((n) => n.name !== keeperName);
+  links.stalled.add(keeperName);
+  const leave = keepers[asking]!.ask(makeRequest(1));
+  clock.advance(200);
+  assert.equal(await leave.target, "scribe-2");
+  assert.equal(log.events.filter((e) => e.event === "copy_keeper_silent").length, 1);
+  leave.done();
+  // The next request does not wait for it again.
+  const next = keepers[asking]!.ask(makeRequest(2));
+  assert.equal(await next.target, "scribe-2");
+  networks[asking]!.sent.length = 0;
+  networks[asking]!.receive(keeperName, {
+    kind: "copy_grant",
+    key: 1,
+    target: endpointId("scribe-2"),
+  });
+  assert.deepEqual(networks[asking]!.sent, [{ kind: "copy_done", key: 1 }]);
+});
+
+test("a weak host keeps no order while stronger ones are there", () => {
+  const links = new MemoryLinks();
+  const strong = ["entry-1", "entry-2", "entry-3"].map((name) => links.join(name));
+  const weak = ["weak-1", "weak-2", "weak-3"].map((name) =>
+    links.join(name, { processorShare: 0.2 })
+  );
+  for (let i = 0; i < 50; i++) {
+    const keepers = [...strong, ...weak].map((n) => n.keeperOf(`duty-${i}`));
+    assert.equal(new Set(keepers).size, 1, "all name the same");
+    assert.match(keepers[0]!, /^entry/);
+  }
+  for (const { name } of strong) links.cutOff(name);
+  assert.match(weak[0]!.keeperOf("duty-1"), /^weak/);
+});
--- a/packages/gateway/tests/memory_peers.ts
+++ b/packages/gateway/tests/memory_peers.ts
@@ -4,13 +4,21 @@
 import { type LinkedPeer, PeerGroup, type PeerHandler } from "../src/peers/peer_group.ts";
 import { OSU } from "./fixtures.ts";
 
+/** How a gateway joins the others. */
+interface JoinOptions {
+  readonly dataCentre: DataCentreId;
+  readonly processorShare: number;
+}
+
 /** All gateways of one test. */
 export class MemoryLinks {
   readonly members = new Map<string, MemoryPeers>();
   readonly #cut = new Set<string>();
+  /** Gateways that stand still: what is sent to them is not handled. */
+  readonly stalled = new Set<string>();
 
-  join(name: string, dataCentre: DataCentreId = OSU): MemoryPeers {
-    const peers = new MemoryPeers(name, dataCentre, this);
+  join(name: string, options: Partial<JoinOptions> = {}): MemoryPeers {
+    const peers = new MemoryPeers(name, { dataCentre: OSU, processorShare: 1, ...options }, this);
     for (const other of this.members.values()) {
       other.notifyUp(name);
       peers.notifyUp(other.name);
@@ -42,14 +50,16 @@
 export class MemoryPeers extends PeerGroup {
   override readonly name: string;
   readonly dataCentre: DataCentreId;
+  override readonly processorShare: number;
   readonly sent: Message[] = [];
   readonly #links: MemoryLinks;
   readonly #handlers = new Map<string, PeerHandler<Message["kind"]>>();
   readonly #up = new Set<(peer: string) => void>();
   readonly #down = new Set<(peer: string) => void>();
 
-  constructor(name: string, dataCentre: DataCentreId, links: MemoryLinks) {
+  constructor(name: string, { dataCentre, processorShare }: JoinOptions, links: MemoryLinks) {
     super();
+    this.processorShare = processorShare;
     this.name = name;
     this.dataCentre = dataCentre;
     this.#links = links;
@@ -58,13 +68,13 @@
   override linked(): LinkedPeer[] {
     return [...this.#links.members.values()]
       .filter((m) => m.name !== this.name && !this.#links.isCut(m.name, this.name))
-      .map(({ name, dataCentre }) => ({ name, dataCentre }));
+      .map(({ name, dataCentre, processorShare }) => ({ name, dataCentre, processorShare }));
   }
 
   override send(peer: string, msg: Message): boolean {
     if (!this.isLinked(peer)) return false;
     this.sent.push(msg);
-    this.#links.members.get(peer)!.receive(this.name, msg);
+    if (!this.#links.stalled.has(peer)) this.#links.members.get(peer)!.receive(this.name, msg);
     return true;
   }
 
--- a/packages/wire/src/message_codec.ts
+++ b/packages/wire/src/message_codec.ts
@@ -279,6 +279,7 @@
       host: text,
       port: count,
       dataCentre: id(dataCentreId),
+      processorShare: nullable(real),
     })),
   }),
   copy_request: record<Body<"copy_request">>({
@@ -294,6 +295,7 @@
     heldTokens: count,
     isAhead: flag,
   }),
+  copy_queued: record<Body<"copy_queued">>({ key: count }),
   copy_grant: record<Body<"copy_grant">>({ key: count, target: endpoint }),
   copy_done: record<Body<"copy_done">>({ key: count }),
   view_pull: record<Body<"view_pull">>({
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -336,6 +336,8 @@
   readonly host: string;
   readonly port: number;
   readonly dataCentre: DataCentreId;
+  /** Cores that the gateway may use; `null` where the sender does not know. */
+  readonly processorShare: number | null;
 }
 
 /** Gateways that the sender knows. */
@@ -364,6 +366,12 @@
   readonly isAhead: boolean;
 }
 
+/** The keeper has taken a request in. */
+export interface CopyQueued {
+  readonly kind: "copy_queued";
+  readonly key: number;
+}
+
 /** The keeper's leave to copy a run now. */
 export interface CopyGrant {
   readonly kind: "copy_grant";
@@ -471,6 +479,7 @@
   | OccupancyUpdate
   | KnownGateways
   | CopyRequest
+  | CopyQueued
   | CopyGrant
   | CopyDone
   | ViewPull
