Ping only links that are silent, and let all links of a process beat together

Cause: with 30 gateways each link sent a ping and a pong each way every 500 ms, and each link woke its process at a moment of its own: about 230 frames and 60 wake-ups a second on hosts with a quarter of a core, while occupancy messages prove the peers anyway.

--- a/packages/wire/src/socket_link.ts
+++ b/packages/wire/src/socket_link.ts
@@ -19,7 +19,7 @@
 import type { Message } from "./messages.ts";
 import { encodeMessage, SocketStream, type StreamHost } from "./stream.ts";
 
-/** Time between two pings. */
+/** Time without a frame after which an end pings. */
 export const HEARTBEAT_MS = 500;
 /** A link that has received nothing for this long is dead. */
 export const HEARTBEAT_TIMEOUT_MS = 2_000;
@@ -53,7 +53,7 @@
   readonly #streams = new Map<number, SocketStream>();
   readonly #awaitingDrain = new Set<SocketStream>();
   readonly #listeners = new Set<(err: WpError) => void>();
-  readonly #stopHeartbeat: Undo;
+  #stopHeartbeat: Undo;
   #nextId: number;
   #highestPeerId = 0;
   #lastReceivedMs: number;
@@ -72,7 +72,12 @@
     this.#nextId = options.end === "connector" ? 1 : 2;
     this.#lastReceivedMs = this.#clock.now();
     this.#lastBeatMs = this.#lastReceivedMs;
-    this.#stopHeartbeat = this.#clock.setRepeating(HEARTBEAT_MS, () => this.#beat());
+    // All links of a process beat at the same moments, so that a process with many of them wakes once.
+    const untilBeatMs = HEARTBEAT_MS - this.#clock.now() % HEARTBEAT_MS;
+    this.#stopHeartbeat = this.#clock.setTimer(untilBeatMs, () => {
+      this.#stopHeartbeat = this.#clock.setRepeating(HEARTBEAT_MS, () => this.#beat());
+      this.#beat();
+    });
     socket.acceptLargeFrames();
     socket.events = {
       onFrame: (frame) => this.#onFrame(frame),
@@ -257,7 +262,8 @@
       const message = `nothing received for ${HEARTBEAT_TIMEOUT_MS} ms`;
       return this.#socket.fail(linkError("heartbeat_timeout", message));
     }
-    this.#socket.write(PING);
+    // A frame that has just arrived proves the peer as well as an answer to a ping would.
+    if (now - this.#lastReceivedMs >= HEARTBEAT_MS) this.#socket.write(PING);
   }
 
   #malformed(message: string): void {
--- a/packages/wire/tests/heartbeat_test.ts
+++ b/packages/wire/tests/heartbeat_test.ts
@@ -73,6 +73,31 @@
   assert.equal(link.open, true);
 });
 
+test("links that carry messages send no pings", async (t) => {
+  const { address, recorder, listener } = await makeScene(t);
+  const clock = new ManualClock();
+  const link = await connectLink(connectOptions(address, { clock }));
+  t.after(() => link.close());
+  await until(() => listener.links.size === 1);
+  const [accepted] = [...listener.links] as SocketLink[];
+  const bytesOfOneMessage = async () => {
+    const before = accepted!.bytesReceived;
+    const opened = recorder.streams.length + 1;
+    link.openStream(makeResume(), recordStream().handler);
+    await until(() => recorder.streams.length === opened);
+    return accepted!.bytesReceived - before;
+  };
+  const alone = await bytesOfOneMessage();
+  const before = accepted!.bytesReceived;
+  for (let i = 0; i < 10; i++) {
+    clock.advance(HEARTBEAT_MS / 2);
+    accepted!.notify(makeResume());
+    await until(() => link.lastReceivedMs === clock.now());
+  }
+  await bytesOfOneMessage();
+  assert.equal(accepted!.bytesReceived - before, alone, "only the message was sent");
+});
+
 test("a connection that goes silent closes with heartbeat_timeout and breaks its streams", async (t) => {
   const { address, relay, recorder } = await makeScene(t);
   const clock = new ManualClock();
