--- a/packages/gateway/src/peers/copy_keeper.ts
+++ b/packages/gateway/src/peers/copy_keeper.ts
@@ -168,6 +168,7 @@
         source: order.source,
         target: target.endpoint,
         tokens: order.tokens,
+        isAhead: order.isAhead,
         peak: Number(target.peak.toFixed(3)),
         waitedMs: Math.round(clock.now() - order.requestedAtMs),
       });
