Turn new streams away from hosts that stand still while others have time

Change: a host that stood still for 150 ms or more answers new streams with 503 and a Retry-After of 20 ms, which promises that they have not run, until it has kept up for a second. Hosts tell each other, and where most are slow none turns anything away.

--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -19,6 +19,7 @@
   "account_concurrency_limit",
   "account_token_limit",
   "overloaded",
+  "host_overloaded",
   "queue_full",
   "cold_start",
   "memory_pressure",
--- a/packages/delivery/src/problem.ts
+++ b/packages/delivery/src/problem.ts
@@ -16,6 +16,7 @@
   account_concurrency_limit: 429,
   account_token_limit: 429,
   overloaded: 503,
+  host_overloaded: 503,
   queue_full: 503,
   cold_start: 503,
   memory_pressure: 503,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -10,7 +10,7 @@
   type Rng,
   type Undo,
 } from "@wisteriapick/core";
-import { ColdLimiter, RetryBudget } from "@wisteriapick/policy";
+import { canOthersTake, ColdLimiter, HostOverload, RetryBudget } from "@wisteriapick/policy";
 import type { DecisionLog } from "./observe/decision_log.ts";
 import { LoopMonitor } from "./observe/loop_monitor.ts";
 import type { GatewayMetrics } from "./observe/metrics.ts";
@@ -83,6 +83,8 @@
   readonly #undos: Undo[] = [];
   readonly #budget: RetryBudget;
   readonly #coldLimiter: ColdLimiter;
+  readonly #overload = new HostOverload();
+  #isOverloaded = false;
   #stoppingSinceMs: number | null = null;
   #stopTick: Undo = () => {};
 
@@ -179,8 +181,14 @@
       dispatcher: this.#dispatcher,
       remainingMs: () => this.#remainingMs(),
       othersServe: () => this.#network.staying().length > 0,
+      turnsStreamsAway: () => this.#isOverloaded && canOthersTake(this.#network.loads()),
     });
-    this.#loop = new LoopMonitor(clock, log);
+    this.#network.registerUp((peer) => {
+      if (this.#isOverloaded) {
+        this.#network.send(peer, { kind: "gateway_overload", isOverloaded: true });
+      }
+    });
+    this.#loop = new LoopMonitor(clock, log, (delayMs) => this.#onLook(delayMs));
     this.#surface = new ForwardSurface({
       address: settings.listen.callers,
       dialect: options.callerDialect,
@@ -284,6 +292,17 @@
     return this.#stoppingSinceMs === null && this.#fleet.isKnown && this.#fleet.endpoints.size > 0;
   }
 
+  #onLook(delayMs: number): void {
+    const { clock, log } = this.#options;
+    const now = clock.now();
+    this.#overload.recordDelay(delayMs, now);
+    const isOverloaded = this.#overload.isOverloaded(now);
+    if (isOverloaded === this.#isOverloaded) return;
+    this.#isOverloaded = isOverloaded;
+    log.state("host_overload", { isOverloaded, delayMs: Math.round(delayMs) });
+    this.#network.announceOverload(isOverloaded);
+  }
+
   #tick(): void {
     this.#readers.tick();
     this.#fleet.tick();
--- a/packages/gateway/src/observe/loop_monitor.ts
+++ b/packages/gateway/src/observe/loop_monitor.ts
@@ -18,10 +18,13 @@
 export class LoopMonitor {
   readonly #clock: Clock;
   readonly #log: DecisionLog;
+  readonly #onLook: (delayMs: number) => void;
   #lastLookMs: number;
   #lastDelayMs = 0;
 
-  constructor(clock: Clock, log: DecisionLog) {
+  /** `onLook` is called after each look with its delay in milliseconds. */
+  constructor(clock: Clock, log: DecisionLog, onLook: (delayMs: number) => void = () => {}) {
+    this.#onLook = onLook;
     this.#clock = clock;
     this.#log = log;
     this.#lastLookMs = clock.now();
@@ -33,6 +36,7 @@
       const now = this.#clock.now();
       this.#lastDelayMs = now - this.#lastLookMs - LOOK_MS;
       this.#lastLookMs = now;
+      this.#onLook(this.#lastDelayMs);
       if (this.#lastDelayMs < STALL_MS) return;
       this.#log.state("process_stalled", { ms: Math.round(this.#lastDelayMs) });
     });
--- a/packages/gateway/src/peers/peer_network.ts
+++ b/packages/gateway/src/peers/peer_network.ts
@@ -66,6 +66,7 @@
   /** Addresses that this gateway dials, or will. */
   readonly #dialled = new Map<string, Undo>();
   readonly #stopping = new Set<string>();
+  readonly #overloaded = new Set<string>();
   readonly #known = new Map<string, GatewayAddress>();
   readonly #handlers = new Map<string, PeerHandler<Message["kind"]>>();
   #upListeners: readonly ((peer: string) => void)[] = [];
@@ -99,6 +100,10 @@
     });
     this.registerHandler("gateways", (_peer, { gateways }) => this.learn(gateways));
     this.registerHandler("gateway_stopping", (peer) => void this.#stopping.add(peer));
+    this.registerHandler("gateway_overload", (peer, { isOverloaded }) => {
+      if (isOverloaded) this.#overloaded.add(peer);
+      else this.#overloaded.delete(peer);
+    });
   }
 
   async start(): Promise<void> {
@@ -149,6 +154,18 @@
     return this.linked().filter(({ name }) => !this.#stopping.has(name));
   }
 
+  /** Tells peers whether this gateway is too slow for new streams. */
+  announceOverload(isOverloaded: boolean): void {
+    this.broadcast({ kind: "gateway_overload", isOverloaded });
+  }
+
+  /** How many of the peers that stay are there, and how many of them are too slow for new streams. */
+  loads(): { readonly total: number; readonly overloaded: number } {
+    const staying = this.staying();
+    const overloaded = staying.filter(({ name }) => this.#overloaded.has(name)).length;
+    return { total: staying.length, overloaded };
+  }
+
   /** Gateways that may be sharing limits with this one, itself included. */
   members(): number {
     const oldest = this.#options.clock.now() - MEMBER_TTL_MS;
@@ -230,6 +247,7 @@
     if (wasLinked) return;
     // A first link after a loss may be to the next process of that name.
     this.#stopping.delete(name);
+    this.#overloaded.delete(name);
     this.#options.log.state("peer_linked", { peer: name, process: link.peer.process });
     for (const listener of this.#upListeners) listener(name);
   }
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -18,6 +18,8 @@
   readonly remainingMs: () => number | null;
   /** Whether a caller that is sent away finds another gateway that is not stopping. */
   readonly othersServe: () => boolean;
+  /** Whether this host is too slow for new streams while others have time for them. */
+  readonly turnsStreamsAway: () => boolean;
 }
 
 /** Limits before a configuration is known. */
@@ -110,6 +112,14 @@
       return this.#reject(head, rejection, responder);
     }
     if (route.kind === "streaming" && this.#isGeneration(route)) {
+      if (this.#options.turnsStreamsAway()) {
+        const rejection = {
+          reason: "host_overloaded",
+          notRun: true,
+          retryAfterMs: RETRY_ELSEWHERE_MS,
+        } as const;
+        return this.#reject(head, rejection, responder);
+      }
       return dispatcher.submit(req, responder);
     }
     new PlainCall(ctx, req, responder, this.#ejection).start();
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -13,6 +13,7 @@
 export * from "./engine_placement.ts";
 export * from "./engine_queue.ts";
 export * from "./fair_queue.ts";
+export * from "./host_overload.ts";
 export * from "./interfaces.ts";
 export * from "./length_estimator.ts";
 export * from "./memory_forecast.ts";
--- a/packages/wire/src/message_codec.ts
+++ b/packages/wire/src/message_codec.ts
@@ -295,7 +295,6 @@
     heldTokens: count,
     isAhead: flag,
   }),
-  copy_queued: record<Body<"copy_queued">>({ key: count }),
   copy_grant: record<Body<"copy_grant">>({ key: count, target: endpoint }),
   copy_done: record<Body<"copy_done">>({ key: count }),
   view_pull: record<Body<"view_pull">>({
@@ -325,6 +324,8 @@
     events: bytes,
   }),
   gateway_stopping: record<Body<"gateway_stopping">>({}),
+  copy_queued: record<Body<"copy_queued">>({ key: count }),
+  gateway_overload: record<Body<"gateway_overload">>({ isOverloaded: flag }),
 };
 
 const KINDS = Object.keys(BODIES) as Message["kind"][];
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -416,6 +416,12 @@
   readonly kind: "gateway_stopping";
 }
 
+/** Whether the sender is too slow for new streams. */
+export interface GatewayOverload {
+  readonly kind: "gateway_overload";
+  readonly isOverloaded: boolean;
+}
+
 /** Requests that are suspected of crashing endpoints. */
 export interface Suspects {
   readonly kind: "suspects";
@@ -488,4 +494,5 @@
   | Suspects
   | VersionCountsReport
   | ViewChangesReport
-  | GatewayStopping;
+  | GatewayStopping
+  | GatewayOverload;
