--- /dev/null
+++ b/packages/gateway/tests/peer_network_test.ts
@@ -0,0 +1,57 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type DataCentreId, Rng, SystemClock } from "@wisteriapick/core";
+import type { Address } from "@wisteriapick/wire";
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import { PeerNetwork } from "../src/peers/peer_network.ts";
+import { MemoryLog, OSU } from "./fixtures.ts";
+
+async function freeAddress(): Promise<Address> {
+  const server = createServer();
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  await new Promise<void>((resolve) => server.close(() => resolve()));
+  return { host: "127.0.0.1", port };
+}
+
+function makeNetwork(name: string, address: Address, seeds: readonly Address[]): PeerNetwork {
+  const dataCentre: DataCentreId = OSU;
+  return new PeerNetwork({
+    name,
+    address,
+    dataCentre,
+    processorShare: 0.25,
+    clusterKey: "test",
+    seeds,
+    clock: new SystemClock(),
+    rng: new Rng(name.length),
+    log: new MemoryLog(),
+  });
+}
+
+async function until(holds: () => boolean): Promise<void> {
+  while (!holds()) await new Promise((resolve) => setTimeout(resolve, 5));
+}
+
+test("gateways know which of their peers are too slow, until these say otherwise or stop", async (t) => {
+  const [first, second] = [await freeAddress(), await freeAddress()];
+  const a = makeNetwork("entry-1", first, []);
+  const b = makeNetwork("entry-2", second, [first]);
+  t.after(async () => {
+    await a.stop();
+    await b.stop();
+  });
+  await a.start();
+  await b.start();
+  await until(() => a.linked().length === 1 && b.linked().length === 1);
+  assert.deepEqual(a.loads(), { total: 1, overloaded: 0 });
+  b.announceOverload(true);
+  await until(() => a.loads().overloaded === 1);
+  b.announceOverload(false);
+  await until(() => a.loads().overloaded === 0);
+  b.announceOverload(true);
+  b.announceStop();
+  await until(() => a.loads().total === 0);
+  assert.deepEqual(a.loads(), { total: 0, overloaded: 0 });
+});
--- /dev/null
+++ b/packages/gateway/tests/relay_test.ts
@@ -0,0 +1,110 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ManualClock, type Undo } from "@wisteriapick/core";
+import { canOthersTake, HostOverload, RetryBudget } from "@wisteriapick/policy";
+import type { ServiceConfig } from "../src/config/types.ts";
+import { RouteTable } from "../src/config/route_table.ts";
+import { GatewayMetrics } from "../src/observe/metrics.ts";
+import type { RelayContext } from "../src/relay/context.ts";
+import type { EngineDispatcher } from "../src/relay/engine_dispatcher.ts";
+import { type InboundHead, type Rejection, Responder } from "../src/relay/inbound.ts";
+import { Relay } from "../src/relay/relay.ts";
+import { makeConfig, makeRoute, MemoryLog, SCRIBE } from "./fixtures.ts";
+
+class RecordingResponder extends Responder {
+  override readonly closed = false;
+  rejection: Rejection | null = null;
+
+  override head(): void {}
+  override write(): boolean {
+    return true;
+  }
+  override end(): void {}
+  override abort(): void {}
+  override reject(rejection: Rejection): void {
+    this.rejection = rejection;
+  }
+  override registerClose(): Undo {
+    return () => {};
+  }
+  override registerDrain(): Undo {
+    return () => {};
+  }
+}
+
+function makeHead(): InboundHead {
+  return {
+    requestId: "r-1",
+    method: "POST",
+    target: "/drafts/7",
+    hostname: "shop.example",
+    headers: [],
+    deadlineMs: 39_000,
+    key: "k1",
+    generation: {
+      model: "m",
+      promptTokens: 3_000,
+      maxOutputTokens: 900,
+      lengthHintTokens: null,
+      parts: [],
+    },
+    lastEventId: null,
+  };
+}
+
+/** A relay on a host whose delays a test records, with peers of which some are overloaded. */
+function makeRelay(peers: { readonly total: number; readonly overloaded: number }) {
+  const clock = new ManualClock();
+  const overload = new HostOverload();
+  const log = new MemoryLog();
+  const engine = { id: SCRIBE, engine: {} } as unknown as ServiceConfig;
+  const config = makeConfig({ routes: [makeRoute()], services: [engine] });
+  const submitted: string[] = [];
+  const ctx = {
+    clock,
+    log,
+    metrics: new GatewayMetrics(),
+    fleet: { isKnown: true, routes: new RouteTable(config) },
+    budget: new RetryBudget({ ratio: 0.2, extra: 50, windowMs: 10_000 }),
+    crashes: { refusedForMs: () => 0 },
+  } as unknown as RelayContext;
+  const relay = new Relay({
+    ctx,
+    dispatcher: {
+      submit: ({ requestId }: InboundHead) => void submitted.push(requestId),
+    } as unknown as EngineDispatcher,
+    remainingMs: () => null,
+    othersServe: () => true,
+    turnsStreamsAway: () => overload.isOverloaded(clock.now()) && canOthersTake(peers),
+  });
+  const ask = () => {
+    const responder = new RecordingResponder();
+    relay.handle(makeHead(), null, clock.now(), responder);
+    return responder.rejection;
+  };
+  return { clock, overload, log, submitted, ask };
+}
+
+test("a host that stands still sends new drafts on at once, with the promise that they have not run", () => {
+  const { clock, overload, log, submitted, ask } = makeRelay({ total: 29, overloaded: 5 });
+  assert.equal(ask(), null);
+  overload.recordDelay(400, clock.now());
+  const rejection = ask();
+  assert.equal(rejection?.reason, "host_overloaded");
+  assert.equal(rejection?.notRun, true);
+  assert.ok(
+    rejection!.retryAfterMs! > 0 && rejection!.retryAfterMs! < 100,
+    "it is served elsewhere",
+  );
+  assert.equal(log.count("request_rejected"), 1);
+  clock.advance(1_100);
+  assert.equal(ask(), null);
+  assert.equal(submitted.length, 2);
+});
+
+test("where most hosts stand still, drafts are taken rather than sent from one to the next", () => {
+  const { clock, overload, submitted, ask } = makeRelay({ total: 29, overloaded: 20 });
+  overload.recordDelay(400, clock.now());
+  assert.equal(ask(), null);
+  assert.equal(submitted.length, 1);
+});
