Log and count bytes between gateways and from the store

Logs could not tell the hypotheses of the CONFIG incident apart: no line had bytes sent, queued or received by kind of message, the size of a response of the store, or why a watch was aborted.

Adds peer_traffic, store_read and store_watch_aborted, the bytes queued at peer_lost, and metrics for the same. Lines are written only in seconds with 64 KiB or more and for responses of that size.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -95,7 +95,14 @@
     this.#options = options;
     const { settings, clock, rng, log, store, metrics } = options;
     const view = new StoreView();
-    this.#follower = new StoreFollower({ store, view, clock, rng: rng.fork("store"), log });
+    this.#follower = new StoreFollower({
+      store,
+      view,
+      clock,
+      rng: rng.fork("store"),
+      log,
+      countBytes: (kind, bytes) => metrics.countStoreBytes(kind, bytes),
+    });
     this.#fleet = new Fleet({
       view,
       clock,
@@ -116,6 +123,7 @@
       clock,
       rng: rng.fork("peers"),
       log,
+      metrics,
     });
     this.#registration = new Registration({
       record: {
--- a/packages/gateway/src/observe/metrics.ts
+++ b/packages/gateway/src/observe/metrics.ts
@@ -23,6 +23,9 @@
   readonly #retries: Counter<"reason">;
   readonly #copies: Counter<"outcome">;
   readonly #storeCalls: Counter<"call" | "outcome">;
+  readonly #storeBytes: Counter<"kind">;
+  readonly #peerBytes: Counter<"direction" | "message">;
+  readonly #peerQueue: Gauge<string>;
   readonly #latency: Histogram<"route">;
   readonly #firstEvent: Histogram<"route">;
   readonly #gaps: Histogram<string>;
@@ -44,6 +47,13 @@
     this.#retries = counter("repeats_total", "Requests sent once more", ["reason"]);
     this.#copies = counter("run_copies_total", "Copies of running requests", ["outcome"]);
     this.#storeCalls = counter("store_calls_total", "Calls to the store", ["call", "outcome"]);
+    this.#storeBytes = counter("store_read_bytes_total", "Bytes of the store's responses", [
+      "kind",
+    ]);
+    this.#peerBytes = counter("peer_bytes_total", "Bytes of messages between gateways", [
+      "direction",
+      "message",
+    ]);
     this.#latency = new Histogram({
       name: "wisteriapick_request_seconds",
       help: "Time from arrival to the end of the response",
@@ -66,6 +76,7 @@
     });
     const gauge = (name: string, help: string) =>
       new Gauge({ name: `wisteriapick_${name}`, help, registers });
+    this.#peerQueue = gauge("peer_queued_bytes", "Bytes that wait to be sent to other gateways");
     this.#queued = gauge("waiting_requests", "Requests that wait for an engine");
     this.#running = gauge("running_streams", "Streams under way");
   }
@@ -95,6 +106,18 @@
     this.#storeCalls.inc({ call, outcome });
   }
 
+  countStoreBytes(kind: string, bytes: number): void {
+    this.#storeBytes.inc({ kind }, bytes);
+  }
+
+  countPeerBytes(direction: "sent" | "received", message: string, bytes: number): void {
+    this.#peerBytes.inc({ direction, message }, bytes);
+  }
+
+  setPeerQueue(bytes: number): void {
+    this.#peerQueue.set(bytes);
+  }
+
   observeFirstEvent(route: string, ms: number): void {
     this.#firstEvent.observe({ route }, ms / 1_000);
   }
--- a/packages/gateway/src/peers/peer_network.ts
+++ b/packages/gateway/src/peers/peer_network.ts
@@ -26,6 +26,8 @@
   type Message,
 } from "@wisteriapick/wire";
 import type { DecisionLog } from "../observe/decision_log.ts";
+import type { GatewayMetrics } from "../observe/metrics.ts";
+import { PeerTraffic } from "../observe/peer_traffic.ts";
 import { type LinkedPeer, PeerGroup, type PeerHandler } from "./peer_group.ts";
 
 /** Options of {@link PeerNetwork}. */
@@ -41,6 +43,7 @@
   readonly clock: Clock;
   readonly rng: Rng;
   readonly log: DecisionLog;
+  readonly metrics: GatewayMetrics;
 }
 
 /** Longest pause between connection attempts, so that a peer that returns is found within a second. */
@@ -62,6 +65,7 @@
   readonly #pool: LinkPool;
   readonly #acceptor: LinkAcceptor;
   readonly #identity: Identity;
+  readonly #traffic: PeerTraffic;
   readonly #peers = new Map<string, Peer>();
   /** Addresses that this gateway dials now or will dial after the fallback delay, with how to stop. */
   readonly #dialled = new Map<string, Undo>();
@@ -73,11 +77,12 @@
   #downListeners: readonly ((peer: string) => void)[] = [];
   #listener: LinkListener | null = null;
   #closed = false;
+  #stopTraffic: Undo = () => {};
 
   constructor(options: PeerNetworkOptions) {
     super();
     this.#options = options;
-    const { name, dataCentre, clusterKey, clock, rng } = options;
+    const { name, dataCentre, clusterKey, clock, rng, log, metrics } = options;
     const incarnation = Math.floor(rng.next() * 2 ** 32).toString(16);
     this.#identity = {
       role: "entry",
@@ -90,11 +95,18 @@
       onNotify: (link, msg) => this.#onMessage(link, msg),
       onLink: (link) => this.#onLink(link),
     };
+    this.#traffic = new PeerTraffic({
+      clock,
+      log,
+      metrics,
+      queuedBytes: () => this.#links().map((link) => link.queuedBytes),
+    });
     this.#pool = new LinkPool({
       identity: this.#identity,
       clusterKey,
       acceptor: this.#acceptor,
       clock,
+      traffic: this.#traffic,
       rng: rng.fork("links"),
       backoffMaxMs: RECONNECT_MAX_MS,
     });
@@ -114,12 +126,15 @@
       clusterKey,
       acceptor: this.#acceptor,
       clock,
+      traffic: this.#traffic,
     });
+    this.#stopTraffic = this.#traffic.start();
     for (const seed of seeds) this.#dial(seed);
   }
 
   async stop(): Promise<void> {
     this.#closed = true;
+    this.#stopTraffic();
     for (const undo of this.#dialled.values()) undo();
     this.#pool.close();
     await this.#listener?.close();
@@ -257,7 +272,7 @@
     if (!peer.links.delete(link) || peer.links.size > 0) return;
     peer.lastLinkedMs = this.#options.clock.now();
     if (this.#closed) return;
-    this.#options.log.state("peer_lost", { peer: name, reason });
+    this.#options.log.state("peer_lost", { peer: name, reason, queuedBytes: link.queuedBytes });
     for (const listener of this.#downListeners) listener(name);
     const gateway = this.#known.get(name);
     if (gateway !== undefined) this.#dial(gateway);
@@ -278,6 +293,10 @@
     }
   }
 
+  #links(): Link[] {
+    return [...this.#peers.values()].flatMap(({ links }) => [...links]);
+  }
+
   #peerOf(name: string): Peer {
     let peer = this.#peers.get(name);
     if (peer === undefined) {
--- a/packages/gateway/src/state/state_store.ts
+++ b/packages/gateway/src/state/state_store.ts
@@ -22,6 +22,20 @@
 /** Result of a conditional write. */
 export type WriteResult = "written" | "conflict" | "missing";
 
+/** Options of a read. */
+export interface ReadOptions {
+  /** Aborts the call. */
+  readonly signal?: AbortSignal;
+  /** Called when bytes of the response arrive, with the number of body bytes received so far. */
+  readonly onProgress?: (receivedBytes: number) => void;
+}
+
+/** Options of a watch. */
+export interface WatchOptions extends ReadOptions {
+  /** Longest time for which the store waits for a change, in milliseconds. */
+  readonly waitMs: number;
+}
+
 /**
  * Access to the platform's store.
  *
@@ -30,13 +44,16 @@
  */
 export abstract class StateStore {
   /** Reads all objects of a kind. Objects that cannot be decoded are omitted. */
-  abstract list<K extends ViewKind>(kind: K): Promise<Snapshot<ViewItems[K]>>;
+  abstract list<K extends ViewKind>(
+    kind: K,
+    options?: ReadOptions,
+  ): Promise<Snapshot<ViewItems[K]>>;
 
-  /** Waits up to `waitMs` milliseconds for changes after `revision`. `signal` aborts the call. */
+  /** Waits for changes after `revision`. */
   abstract watch<K extends ViewKind>(
     kind: K,
     revision: number,
-    options: { readonly waitMs: number; readonly signal: AbortSignal },
+    options: WatchOptions,
   ): Promise<WatchResult<ViewItems[K]>>;
 
   /** Writes a move's status if the move is still at `revision`. */
--- a/packages/gateway/src/state/store_follower.ts
+++ b/packages/gateway/src/state/store_follower.ts
@@ -18,6 +18,8 @@
   readonly clock: Clock;
   readonly rng: Rng;
   readonly log: DecisionLog;
+  /** Counts the bytes of each response. */
+  readonly countBytes?: (kind: FollowedKind, bytes: number) => void;
   /** Longest time for which the store holds a watch of each kind open, in milliseconds. */
   readonly watchMs?: Readonly<Record<FollowedKind, number>>;
 }
@@ -43,6 +45,9 @@
 /** Wait of a watch that only probes whether the store is reachable. */
 const PROBE_WAIT_MS = 1;
 
+/** Size of a response from which its reading is logged. */
+const LARGE_RESPONSE_BYTES = 65_536;
+
 interface StoreDownState {
   readonly prober: FollowedKind;
   readonly sinceMs: number;
@@ -61,7 +66,11 @@
   readonly #aborts = new Set<AbortController>();
 
   constructor(options: StoreFollowerOptions) {
-    this.#options = { ...options, watchMs: options.watchMs ?? WATCH_WAIT_MS };
+    this.#options = {
+      ...options,
+      countBytes: options.countBytes ?? (() => {}),
+      watchMs: options.watchMs ?? WATCH_WAIT_MS,
+    };
   }
 
   /** Whether the last call to the store succeeded. */
@@ -121,7 +130,9 @@
 
   /** Reads all objects of a kind. Returns whether they must be listed again, which is never the case. */
   async #list<K extends FollowedKind>(kind: K): Promise<boolean> {
-    const snapshot = await this.#options.store.list(kind);
+    const response = new ResponseProgress(this.#options.clock);
+    const snapshot = await this.#options.store.list(kind, { onProgress: response.record });
+    this.#recordRead(kind, "list", response);
     this.#options.view.kinds[kind].replace(snapshot as never, "store");
     return false;
   }
@@ -130,12 +141,21 @@
     const { store, view, clock, watchMs, log } = this.#options;
     const abort = new AbortController();
     this.#aborts.add(abort);
-    const stopTimer = clock.setTimer(watchMs[kind] + WATCH_SLACK_MS, () => abort.abort());
+    const response = new ResponseProgress(clock);
+    const stopTimer = clock.setTimer(watchMs[kind] + WATCH_SLACK_MS, () => {
+      log.state("store_watch_aborted", { kind, waitMs: watchMs[kind], ...response.summary() });
+      abort.abort();
+    });
     try {
       const revision = view.kinds[kind].revision;
       // A probe must return at once when the store is back, not when something changes.
       const waitMs = this.#down === null ? watchMs[kind] : PROBE_WAIT_MS;
-      const result = await store.watch(kind, revision, { waitMs, signal: abort.signal });
+      const result = await store.watch(kind, revision, {
+        waitMs,
+        signal: abort.signal,
+        onProgress: response.record,
+      });
+      this.#recordRead(kind, "watch", response);
       if (result.type === "history_gone") {
         log.state("store_history_gone", { kind, revision });
         return true;
@@ -151,6 +171,12 @@
     }
   }
 
+  #recordRead(kind: FollowedKind, call: "list" | "watch", response: ResponseProgress): void {
+    this.#options.countBytes(kind, response.receivedBytes);
+    if (response.receivedBytes < LARGE_RESPONSE_BYTES) return;
+    this.#options.log.state("store_read", { kind, call, ...response.summary() });
+  }
+
   #succeeded(): void {
     const down = this.#down;
     if (down === null) return;
@@ -185,3 +211,37 @@
     return down;
   }
 }
+
+/** Tracks how a response arrives. */
+class ResponseProgress {
+  readonly #clock: Clock;
+  readonly #startedAtMs: number;
+  #firstByteAtMs: number | null = null;
+  #lastByteAtMs: number | null = null;
+  receivedBytes = 0;
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+    this.#startedAtMs = clock.now();
+  }
+
+  /** Records the number of bytes received so far. */
+  readonly record = (receivedBytes: number): void => {
+    this.receivedBytes = receivedBytes;
+    this.#lastByteAtMs = this.#clock.now();
+    this.#firstByteAtMs ??= this.#lastByteAtMs;
+  };
+
+  /** Fields of a log line; times are in milliseconds and `null` if no byte has arrived. */
+  summary(): Record<string, number | null> {
+    const now = this.#clock.now();
+    const first = this.#firstByteAtMs;
+    const last = this.#lastByteAtMs;
+    return {
+      receivedBytes: this.receivedBytes,
+      firstByteMs: first === null ? null : Math.round(first - this.#startedAtMs),
+      transferMs: first === null || last === null ? null : Math.round(last - first),
+      silentMs: last === null ? null : Math.round(now - last),
+    };
+  }
+}
--- a/packages/gateway/tests/fixtures.ts
+++ b/packages/gateway/tests/fixtures.ts
@@ -21,6 +21,7 @@
 import {
   type MoveStatus,
   StateStore,
+  type WatchOptions,
   type WatchResult,
   type WriteResult,
 } from "../src/state/state_store.ts";
@@ -189,7 +190,7 @@
   override async watch<K extends ViewKind>(
     kind: K,
     revision: number,
-    { waitMs, signal }: { readonly waitMs: number; readonly signal: AbortSignal },
+    { waitMs, signal }: WatchOptions,
   ): Promise<WatchResult<ViewItems[K]>> {
     this.calls.watch++;
     await this.#respond(signal);
--- a/packages/gateway/tests/peer_network_test.ts
+++ b/packages/gateway/tests/peer_network_test.ts
@@ -4,6 +4,7 @@
 import type { Address } from "@wisteriapick/wire";
 import { createServer } from "node:net";
 import type { AddressInfo } from "node:net";
+import { GatewayMetrics } from "../src/observe/metrics.ts";
 import { PeerNetwork } from "../src/peers/peer_network.ts";
 import { MemoryLog, OSU } from "./fixtures.ts";
 
@@ -27,6 +28,7 @@
     clock: new SystemClock(),
     rng: new Rng(name.length),
     log: new MemoryLog(),
+    metrics: new GatewayMetrics(),
   });
 }
 
--- a/packages/wire/src/connect.ts
+++ b/packages/wire/src/connect.ts
@@ -28,7 +28,7 @@
 import type { Address } from "./address.ts";
 import { FrameSocket, type LinkError, linkError } from "./frame_socket.ts";
 import { type Established, Handshake, type LinkEnd, type VersionRange } from "./handshake.ts";
-import type { Identity, LinkAcceptor } from "./link.ts";
+import type { Identity, LinkAcceptor, LinkTrafficObserver } from "./link.ts";
 import { PROTOCOL_VERSIONS } from "./messages.ts";
 import { SocketLink } from "./socket_link.ts";
 
@@ -44,6 +44,7 @@
   readonly clock: Clock;
   readonly metrics?: Metrics;
   readonly log?: Logger;
+  readonly traffic?: LinkTrafficObserver;
   /** Protocol versions to offer; by default all that this build supports. */
   readonly versions?: VersionRange;
 }
@@ -191,8 +192,8 @@
   options: LinkOptions,
   events: HandshakeEvents,
 ): void {
-  const { acceptor, clock, log } = options;
-  const link = new SocketLink(frames, { end, established, acceptor, clock, log });
+  const { acceptor, clock, log, traffic } = options;
+  const link = new SocketLink(frames, { end, established, acceptor, clock, log, traffic });
   link.registerCloseListener((err) => recordClosed(options, err as LinkError));
   events.onOpen(link);
   try {
--- a/packages/wire/src/frame_socket.ts
+++ b/packages/wire/src/frame_socket.ts
@@ -56,9 +56,14 @@
     socket.on("close", () => this.#onSocketEnd());
   }
 
+  /** Bytes that wait to be sent, without those in the buffers of the operating system. */
+  get queuedBytes(): number {
+    return this.#socket.writableLength + this.#batchedBytes;
+  }
+
   /** Whether more than `CONGESTED_BYTES` are waiting to be sent. */
   get isCongested(): boolean {
-    return this.#socket.writableLength + this.#batchedBytes > CONGESTED_BYTES;
+    return this.queuedBytes > CONGESTED_BYTES;
   }
 
   get bytesReceived(): number {
--- a/packages/wire/src/link.ts
+++ b/packages/wire/src/link.ts
@@ -52,6 +52,10 @@
 export abstract class Link {
   abstract readonly peer: Identity;
   abstract readonly open: boolean;
+  /** Bytes that wait to be sent, without those in the buffers of the operating system. */
+  get queuedBytes(): number {
+    return 0;
+  }
   /**
    * Opens a stream with its first message.
    *
@@ -70,6 +74,12 @@
   abstract registerCloseListener(fn: (err: WpError) => void): Undo;
 }
 
+/** Observes the notifications on links. Sizes are those of frames, without their length field. */
+export interface LinkTrafficObserver {
+  recordSent(kind: Message["kind"], bytes: number): void;
+  recordReceived(kind: Message["kind"], bytes: number): void;
+}
+
 /** Handles the links, streams and notifications that peers open or send. */
 export interface LinkAcceptor {
   onStream(link: Link, msg: Message, stream: LinkStream): StreamHandler;
--- a/packages/wire/src/socket_link.ts
+++ b/packages/wire/src/socket_link.ts
@@ -14,7 +14,13 @@
 import { encodePayload, type Frame } from "./frame.ts";
 import { type FrameSocket, type LinkError, linkError } from "./frame_socket.ts";
 import type { Established, LinkEnd } from "./handshake.ts";
-import { type Identity, Link, type LinkAcceptor, type StreamHandler } from "./link.ts";
+import {
+  type Identity,
+  Link,
+  type LinkAcceptor,
+  type LinkTrafficObserver,
+  type StreamHandler,
+} from "./link.ts";
 import { decodeMessage, FIRST_MESSAGE_KIND, FRAME } from "./message_codec.ts";
 import type { Message } from "./messages.ts";
 import { encodeMessage, SocketStream, type StreamTransport } from "./stream.ts";
@@ -39,6 +45,7 @@
   readonly acceptor: LinkAcceptor;
   readonly clock: Clock;
   readonly log?: Logger;
+  readonly traffic?: LinkTrafficObserver;
 }
 
 /** A {@link Link} over a socket that has completed its handshake. */
@@ -50,6 +57,7 @@
   readonly #acceptor: LinkAcceptor;
   readonly #clock: Clock;
   readonly #log: Logger | undefined;
+  readonly #traffic: LinkTrafficObserver | undefined;
   readonly #streams = new Map<number, SocketStream>();
   readonly #awaitingDrain = new Set<SocketStream>();
   readonly #closeListeners = new Set<(err: WpError) => void>();
@@ -66,6 +74,7 @@
     this.#acceptor = options.acceptor;
     this.#clock = options.clock;
     this.#log = options.log;
+    this.#traffic = options.traffic;
     this.peer = options.established.peer;
     this.version = options.established.version;
     // The connector uses odd stream ids and the acceptor even ones, so they never collide.
@@ -90,6 +99,10 @@
     return this.#closed === null;
   }
 
+  override get queuedBytes(): number {
+    return this.#socket.queuedBytes;
+  }
+
   /** Number of open streams. */
   get streams(): number {
     return this.#streams.size;
@@ -118,7 +131,10 @@
   }
 
   override notify(msg: Message): void {
-    if (this.#closed === null) this.#socket.write(encodeMessage(0, msg));
+    if (this.#closed !== null) return;
+    const payload = encodeMessage(0, msg);
+    this.#traffic?.recordSent(msg.kind, payload.length);
+    this.#socket.write(payload);
   }
 
   override request(
@@ -218,7 +234,10 @@
       return this.#failMalformed(toWpError(e).message);
     }
     const id = frame.correlationId;
-    if (id === 0) return this.#onNotify(msg);
+    if (id === 0) {
+      this.#traffic?.recordReceived(msg.kind, frame.bytes);
+      return this.#onNotify(msg);
+    }
     const stream = this.#streams.get(id);
     if (stream === undefined) return this.#onUnknownStream(id, msg, frame.bytes);
     if (!stream.acceptMessage(msg, frame.bytes)) this.#failFlowControl("message without credit");
