--- a/packages/gateway/tests/memory_peers.ts
+++ b/packages/gateway/tests/memory_peers.ts
@@ -31,6 +31,11 @@
     return this.#cut.has(pair(a, b));
   }
 
+  /** Carries a message to a linked gateway. */
+  deliver(from: string, to: string, msg: Message): void {
+    if (!this.stalled.has(to)) this.members.get(to)!.receive(from, msg);
+  }
+
   /** Cuts a gateway off from all others. */
   cutOff(name: string): void {
     for (const other of this.members.keys()) {
@@ -74,7 +79,7 @@
   override send(peer: string, msg: Message): boolean {
     if (!this.isLinked(peer)) return false;
     this.sent.push(msg);
-    if (!this.#links.stalled.has(peer)) this.#links.members.get(peer)!.receive(this.name, msg);
+    this.#links.deliver(this.name, peer, msg);
     return true;
   }
 
--- a/packages/wire/src/mod.ts
+++ b/packages/wire/src/mod.ts
@@ -9,5 +9,5 @@
 export * from "./connect.ts";
 export * from "./pool.ts";
 export { MAX_FRAME_BYTES } from "./frame.ts";
-export { STREAM_WINDOW_BYTES } from "./stream.ts";
+export { encodeMessage, STREAM_WINDOW_BYTES } from "./stream.ts";
 export { HEARTBEAT_MS, HEARTBEAT_TIMEOUT_MS, type SocketLink } from "./socket_link.ts";
