Keep a link open while bytes of a large frame arrive

Cause: a link counted only whole frames as signs of life. A frame of 335 kB on a link of 7 Mbit/s that 29 links share takes longer than the timeout of 2 s, so both ends closed it as dead and sent the same again on the next one.

Change: any bytes received count. The deadline is one for progress, not for a transfer.

The new test fails before the change (the link is closed after four parts of the frame) and passes after; tests of wire: 83 passed.

--- a/packages/wire/src/frame_socket.ts
+++ b/packages/wire/src/frame_socket.ts
@@ -16,6 +16,8 @@
 
 /** Events of a {@link FrameSocket}. */
 export interface FrameSocketEvents {
+  /** Bytes have arrived, perhaps of a frame that is not complete yet. */
+  onBytes?(): void;
   onFrame(frame: Frame): void;
   /** The socket accepts data again after `isCongested` was true. */
   onDrain(): void;
@@ -120,6 +122,7 @@
 
   #receive(chunk: Buffer): void {
     if (!this.#isOpen) return;
+    this.events.onBytes?.();
     const fault = this.#reader.push(chunk, (frame) => {
       this.events.onFrame(frame);
       return this.#isOpen;
--- a/packages/wire/src/socket_link.ts
+++ b/packages/wire/src/socket_link.ts
@@ -25,7 +25,7 @@
 import type { Message } from "./messages.ts";
 import { encodeMessage, SocketStream, type StreamTransport } from "./stream.ts";
 
-/** Time without a received frame after which an end sends a ping. */
+/** Time without received bytes after which an end sends a ping. */
 export const HEARTBEAT_MS = 500;
 /** A link that has received nothing for longer than this is closed as dead. */
 export const HEARTBEAT_TIMEOUT_MS = 2_000;
@@ -89,6 +89,7 @@
     });
     socket.acceptLargeFrames();
     socket.events = {
+      onBytes: () => this.#lastReceivedMs = this.#clock.now(),
       onFrame: (frame) => this.#onFrame(frame),
       onDrain: () => this.#onDrain(),
       onClose: (err) => this.#onClose(err),
@@ -108,7 +109,7 @@
     return this.#streams.size;
   }
 
-  /** Time at which the last frame was received, on this end's clock. */
+  /** Time at which the last bytes were received, on this end's clock. A large frame takes seconds on a thin link. */
   get lastReceivedMs(): number {
     return this.#lastReceivedMs;
   }
@@ -204,7 +205,6 @@
   }
 
   #onFrame(frame: Frame): void {
-    this.#lastReceivedMs = this.#clock.now();
     if (frame.kind >= FIRST_MESSAGE_KIND) return this.#onMessageFrame(frame);
     if (frame.correlationId === 0) return this.#onLinkFrame(frame);
     const stream = this.#streams.get(frame.correlationId);
@@ -282,7 +282,7 @@
       const message = `nothing received for ${HEARTBEAT_TIMEOUT_MS} ms`;
       return this.#socket.fail(linkError("heartbeat_timeout", message));
     }
-    // A frame received recently shows that the peer is alive, so no ping is needed.
+    // Bytes received recently show that the peer is alive, so no ping is needed.
     if (now - this.#lastReceivedMs >= HEARTBEAT_MS) this.#socket.write(PING);
   }
 
--- a/packages/wire/tests/heartbeat_test.ts
+++ b/packages/wire/tests/heartbeat_test.ts
@@ -17,10 +17,12 @@
   listenOptions,
   makeRecorder,
   makeResume,
+  makeTokens,
   recordStream,
   until,
 } from "./fixtures.ts";
-import { Relay } from "./raw_peer.ts";
+import { encodeMessage } from "../src/stream.ts";
+import { connectAuthenticated, framed, Relay } from "./raw_peer.ts";
 
 /** Starts a listener behind a relay that can stop forwarding. */
 async function makeScene(t: TestContext) {
@@ -158,6 +160,29 @@
   assert.deepEqual(events.map((event) => event.type), ["up", "down", "up"]);
 });
 
+// Guards against closing a healthy link while a large frame takes longer than the timeout to arrive.
+test("a link on which a large frame arrives slowly stays open", async (t) => {
+  const clock = new ManualClock();
+  const recorder = makeRecorder();
+  const listener = await listenLinks(listenOptions({ acceptor: recorder.acceptor, clock }));
+  t.after(() => listener.close());
+  const socket = await connectAuthenticated(listener.address);
+  t.after(() => socket.destroy());
+  await until(() => listener.links.size === 1);
+  const [link] = [...listener.links];
+  const frame = framed(encodeMessage(0, makeTokens(0, "x".repeat(10_000))));
+  const parts = Math.ceil(2 * HEARTBEAT_TIMEOUT_MS / HEARTBEAT_MS);
+  const partBytes = Math.ceil(frame.length / parts);
+  for (let i = 0; i < parts; i++) {
+    const before = link!.bytesReceived;
+    socket.write(frame.subarray(i * partBytes, (i + 1) * partBytes));
+    await until(() => link!.bytesReceived > before || !link!.open);
+    assert.equal(link!.open, true);
+    clock.advance(HEARTBEAT_MS);
+  }
+  await until(() => recorder.notes.length === 1);
+});
+
 // Guards against a process that closes all its links after a pause, as its timers run before the frames that
 // arrived during the pause are read.
 test("a process that was paused does not close the links to its peers", async (t) => {
