Give the store's responses a deadline for progress

Gateways lost the store, which was never disturbed, and answered 404 for routes in force for seconds.

A response that waits while another one arrives gets 1.6 s instead of 0.4 s past its wait. A dead connection is noticed as before.

The test 'a configuration that takes seconds to read is read once' fails with the follower of before (store_lost on an undisturbed store) and passes now.

--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -11,6 +11,7 @@
 export * from "./relay/inbound.ts";
 export * from "./relay/relay.ts";
 export * from "./state/fleet.ts";
+export * from "./state/response_deadline.ts";
 export * from "./state/state_store.ts";
 export * from "./state/store_follower.ts";
 export * from "./state/store_view.ts";
--- a/packages/gateway/src/state/store_follower.ts
+++ b/packages/gateway/src/state/store_follower.ts
@@ -8,7 +8,8 @@
  */
 import { type Clock, type Rng, toWpError, type Undo, type WpError } from "@wisteriapick/core";
 import type { DecisionLog } from "../observe/decision_log.ts";
-import type { StateStore } from "./state_store.ts";
+import { ResponseDeadline } from "./response_deadline.ts";
+import type { ReadOptions, StateStore } from "./state_store.ts";
 import { FOLLOWED_KINDS, type FollowedKind, type StoreView } from "./store_view.ts";
 
 /** Options of {@link StoreFollower}. */
@@ -37,8 +38,14 @@
   evacuations: 2_200,
   moves: 2_200,
 };
-/** Time past the end of its wait after which a watch counts as lost. */
+/** Time past the end of its wait after which a watch without a response counts as lost. */
 const WATCH_SLACK_MS = 400;
+/** The same while another response of the store occupies the link. */
+const BUSY_WATCH_SLACK_MS = 1_600;
+/** Time until the first byte of a list, in milliseconds. */
+const LIST_FIRST_BYTE_MS = 1_500;
+/** Time without a byte after which a response that has begun counts as lost. */
+const RESPONSE_IDLE_MS = 800;
 /** Shortest and longest pause between two probes of an unreachable store. */
 const PROBE_MIN_MS = 150;
 const PROBE_MAX_MS = 500;
@@ -64,6 +71,8 @@
   #suspended: { readonly resumed: Promise<void>; resolve(): void } | null = null;
   #listeners: readonly ReadListener[] = [];
   readonly #aborts = new Set<AbortController>();
+  /** Deadlines of the calls in progress. */
+  readonly #deadlines = new Set<ResponseDeadline>();
 
   constructor(options: StoreFollowerOptions) {
     this.#options = {
@@ -129,33 +138,27 @@
   }
 
   /** Reads all objects of a kind. Returns whether they must be listed again, which is never the case. */
-  async #list<K extends FollowedKind>(kind: K): Promise<boolean> {
-    const response = new ResponseProgress(this.#options.clock);
-    const snapshot = await this.#options.store.list(kind, { onProgress: response.record });
-    this.#recordRead(kind, "list", response);
-    this.#options.view.kinds[kind].replace(snapshot as never, "store");
-    return false;
+  #list<K extends FollowedKind>(kind: K): Promise<boolean> {
+    const { store, view } = this.#options;
+    const deadline = { firstByteMs: LIST_FIRST_BYTE_MS, busyFirstByteMs: LIST_FIRST_BYTE_MS };
+    return this.#read(kind, "list", deadline, async (options) => {
+      const snapshot = await store.list(kind, options);
+      view.kinds[kind].replace(snapshot as never, "store");
+      return false;
+    });
   }
 
-  async #watch<K extends FollowedKind>(kind: K): Promise<boolean> {
-    const { store, view, clock, watchMs, log } = this.#options;
-    const abort = new AbortController();
-    this.#aborts.add(abort);
-    const response = new ResponseProgress(clock);
-    const stopTimer = clock.setTimer(watchMs[kind] + WATCH_SLACK_MS, () => {
-      log.state("store_watch_aborted", { kind, waitMs: watchMs[kind], ...response.summary() });
-      abort.abort();
-    });
-    try {
+  #watch<K extends FollowedKind>(kind: K): Promise<boolean> {
+    const { store, view, watchMs, log } = this.#options;
+    const deadline = {
+      firstByteMs: watchMs[kind] + WATCH_SLACK_MS,
+      busyFirstByteMs: watchMs[kind] + BUSY_WATCH_SLACK_MS,
+    };
+    return this.#read(kind, "watch", deadline, async (options) => {
       const revision = view.kinds[kind].revision;
       // A probe must return at once when the store is back, not when something changes.
       const waitMs = this.#down === null ? watchMs[kind] : PROBE_WAIT_MS;
-      const result = await store.watch(kind, revision, {
-        waitMs,
-        signal: abort.signal,
-        onProgress: response.record,
-      });
-      this.#recordRead(kind, "watch", response);
+      const result = await store.watch(kind, revision, { ...options, waitMs });
       if (result.type === "history_gone") {
         log.state("store_history_gone", { kind, revision });
         return true;
@@ -165,13 +168,42 @@
         "store",
       );
       return false;
+    });
+  }
+
+  /** Runs one call, and aborts it when its response makes no progress. */
+  async #read(
+    kind: FollowedKind,
+    call: "list" | "watch",
+    limits: { readonly firstByteMs: number; readonly busyFirstByteMs: number },
+    run: (options: ReadOptions) => Promise<boolean>,
+  ): Promise<boolean> {
+    const { clock, log } = this.#options;
+    const abort = new AbortController();
+    const deadline = new ResponseDeadline({
+      clock,
+      ...limits,
+      idleMs: RESPONSE_IDLE_MS,
+      isLinkBusy: () => [...this.#deadlines].some((d) => d.isArriving),
+      onExpired: () => {
+        log.state("store_read_aborted", { kind, call, ...deadline.summary() });
+        abort.abort();
+      },
+    });
+    this.#aborts.add(abort);
+    this.#deadlines.add(deadline);
+    try {
+      const result = await run({ signal: abort.signal, onProgress: deadline.record });
+      this.#recordRead(kind, call, deadline);
+      return result;
     } finally {
-      stopTimer();
+      deadline.stop();
       this.#aborts.delete(abort);
+      this.#deadlines.delete(deadline);
     }
   }
 
-  #recordRead(kind: FollowedKind, call: "list" | "watch", response: ResponseProgress): void {
+  #recordRead(kind: FollowedKind, call: "list" | "watch", response: ResponseDeadline): void {
     this.#options.countBytes(kind, response.receivedBytes);
     if (response.receivedBytes < LARGE_RESPONSE_BYTES) return;
     this.#options.log.state("store_read", { kind, call, ...response.summary() });
@@ -211,37 +243,3 @@
     return down;
   }
 }
-
-/** Tracks how a response arrives. */
-class ResponseProgress {
-  readonly #clock: Clock;
-  readonly #startedAtMs: number;
-  #firstByteAtMs: number | null = null;
-  #lastByteAtMs: number | null = null;
-  receivedBytes = 0;
-
-  constructor(clock: Clock) {
-    this.#clock = clock;
-    this.#startedAtMs = clock.now();
-  }
-
-  /** Records the number of bytes received so far. */
-  readonly record = (receivedBytes: number): void => {
-    this.receivedBytes = receivedBytes;
-    this.#lastByteAtMs = this.#clock.now();
-    this.#firstByteAtMs ??= this.#lastByteAtMs;
-  };
-
-  /** Fields of a log line; times are in milliseconds and `null` if no byte has arrived. */
-  summary(): Record<string, number | null> {
-    const now = this.#clock.now();
-    const first = this.#firstByteAtMs;
-    const last = this.#lastByteAtMs;
-    return {
-      receivedBytes: this.receivedBytes,
-      firstByteMs: first === null ? null : Math.round(first - this.#startedAtMs),
-      transferMs: first === null || last === null ? null : Math.round(last - first),
-      silentMs: last === null ? null : Math.round(now - last),
-    };
-  }
-}
--- a/packages/gateway/tests/fixtures.ts
+++ b/packages/gateway/tests/fixtures.ts
@@ -5,6 +5,7 @@
   dataCentreId,
   endpointId,
   regionId,
+  Rng,
   routeId,
   serviceId,
   versionId,
@@ -51,6 +52,15 @@
   };
 }
 
+/** Routes with names and paths that do not repeat. */
+export function makeRoutes(count: number): RouteConfig[] {
+  const rng = new Rng(5);
+  return Array.from({ length: count }, (_, i) => {
+    const name = Math.floor(rng.next() * 2 ** 40).toString(36);
+    return makeRoute({ id: routeId(`r-${name}`), pathPrefix: `/${name}/${i}/` });
+  });
+}
+
 export function makeConfig(overrides: Partial<GatewayConfig> = {}): GatewayConfig {
   return {
     version: 1,
