Spread views as patches along a tree of gateways

Cause: the gateway that read the store sent the whole state of a kind to each peer, over a link of 7 Mbit/s that a hash had picked. 29 x 335 kB took 11 s. The others, no longer confirmed, read for themselves and sent to all as well, so one change cost bytes in the square of the number of gateways; each pull brought the whole state from every peer. An update older than the receiver's view confirmed it all the same.

Change: a gateway passes news on to at most 8 others, along a tree that each computes from the same order; gateways with little bandwidth or few cores come last in it. A configuration is sent as a patch against the version that the receiver was sent, compressed; a congested link gets the newest state once it has room. A gateway without a view asks one peer at a time, with back-off. Updates carry the age of the read and confirm only a view that is no newer. New kinds of message are sent on links of protocol version 2 only; older builds read the store for themselves meanwhile. The kinds of version 1 keep their numbers.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -118,6 +118,7 @@
       address: settings.listen.peers,
       dataCentre: settings.data_centre,
       processorShare: settings.processor_share,
+      linkMbps: settings.link_mbps ?? null,
       clusterKey: settings.cluster_key,
       seeds: settings.seeds,
       clock,
--- a/packages/gateway/src/peers/peer_network.ts
+++ b/packages/gateway/src/peers/peer_network.ts
@@ -37,6 +37,8 @@
   readonly dataCentre: DataCentreId;
   /** Processor cores that this gateway may use. */
   readonly processorShare: number;
+  /** Bandwidth of this gateway's link; `null` if unknown. */
+  readonly linkMbps: number | null;
   /** Secret shared by all gateways of a deployment. */
   readonly clusterKey: string;
   readonly seeds: readonly Address[];
@@ -50,6 +52,8 @@
 const RECONNECT_MAX_MS = 1_000;
 /** Time after which the gateway with the greater address dials, if the other one has not connected by then. */
 const DIAL_FALLBACK_DELAY_MS = 600;
+/** Bytes waiting on a link from which messages with state wait. At 10 Mbit/s, this much is sent in 50 ms. */
+const CONGESTED_BYTES = 65_536;
 /** Time without a link after which a peer no longer counts as a gateway that shares limits with this one. */
 const MEMBER_TTL_MS = 20_000;
 
@@ -73,10 +77,12 @@
   readonly #overloaded = new Set<string>();
   readonly #known = new Map<string, GatewayAddress>();
   readonly #handlers = new Map<string, PeerHandler<Message["kind"]>>();
+  readonly #roomListeners = new Set<(peer: string) => void>();
   #upListeners: readonly ((peer: string) => void)[] = [];
   #downListeners: readonly ((peer: string) => void)[] = [];
   #listener: LinkListener | null = null;
   #closed = false;
+  #membershipVersion = 0;
   #stopTraffic: Undo = () => {};
 
   constructor(options: PeerNetworkOptions) {
@@ -94,6 +100,7 @@
       onStream: () => ({ onMessage: () => {}, onClose: () => {} }),
       onNotify: (link, msg) => this.#onMessage(link, msg),
       onLink: (link) => this.#onLink(link),
+      onDrain: (link) => this.#onDrain(link),
     };
     this.#traffic = new PeerTraffic({
       clock,
@@ -148,13 +155,27 @@
     return this.#options.processorShare;
   }
 
+  override get membershipVersion(): number {
+    return this.#membershipVersion;
+  }
+
+  override get linkMbps(): number | null {
+    return this.#options.linkMbps;
+  }
+
   override linked(): LinkedPeer[] {
     const linked: LinkedPeer[] = [];
     for (const [name, { links }] of this.#peers) {
       const [link] = links;
       if (link === undefined) continue;
-      const processorShare = this.#known.get(name)?.processorShare ?? null;
-      linked.push({ name, dataCentre: link.peer.dataCentre, processorShare });
+      const { processorShare = null, linkMbps = null } = this.#known.get(name) ?? {};
+      linked.push({
+        name,
+        dataCentre: link.peer.dataCentre,
+        processorShare,
+        linkMbps,
+        protocolVersion: link.version,
+      });
     }
     return linked;
   }
@@ -196,9 +217,13 @@
   addGateways(gateways: readonly GatewayAddress[]): void {
     for (const gateway of gateways) {
       if (gateway.name === this.#options.name) continue;
-      const processorShare = gateway.processorShare ??
-        this.#known.get(gateway.name)?.processorShare ?? null;
-      this.#known.set(gateway.name, { ...gateway, processorShare });
+      this.#membershipVersion++;
+      const known = this.#known.get(gateway.name);
+      this.#known.set(gateway.name, {
+        ...gateway,
+        processorShare: gateway.processorShare ?? known?.processorShare ?? null,
+        linkMbps: gateway.linkMbps ?? known?.linkMbps ?? null,
+      });
       const peer = this.#peers.get(gateway.name);
       if (peer !== undefined) peer.address = formatAddress(gateway);
       this.#dial(gateway);
@@ -206,12 +231,21 @@
   }
 
   override send(peer: string, msg: Message): boolean {
-    const link = [...this.#peers.get(peer)?.links ?? []].find((l) => l.open);
+    const link = this.#linkTo(peer);
     if (link === undefined) return false;
     link.notify(msg);
     return true;
   }
 
+  override isCongested(peer: string): boolean {
+    return (this.#linkTo(peer)?.queuedBytes ?? 0) >= CONGESTED_BYTES;
+  }
+
+  override registerRoom(fn: (peer: string) => void): Undo {
+    this.#roomListeners.add(fn);
+    return () => void this.#roomListeners.delete(fn);
+  }
+
   override registerHandler<K extends Message["kind"]>(kind: K, handler: PeerHandler<K>): Undo {
     this.#handlers.set(kind, handler as unknown as PeerHandler<Message["kind"]>);
     return () => void this.#handlers.delete(kind);
@@ -254,10 +288,11 @@
     const peer = this.#peerOf(name);
     const wasLinked = peer.links.size > 0;
     peer.links.add(link);
+    this.#membershipVersion++;
     peer.lastLinkedMs = this.#options.clock.now();
     link.registerCloseListener((err) => this.#onLinkClosed(name, link, err.message));
-    const { address, dataCentre, processorShare } = this.#options;
-    const self = { name: this.#options.name, ...address, dataCentre, processorShare };
+    const { address, dataCentre, processorShare, linkMbps } = this.#options;
+    const self = { name: this.#options.name, ...address, dataCentre, processorShare, linkMbps };
     link.notify({ kind: "gateways", gateways: [self, ...this.#known.values()] });
     if (wasLinked) return;
     // The first link after a loss may lead to a new process with the same name.
@@ -269,7 +304,9 @@
 
   #onLinkClosed(name: string, link: Link, reason: string): void {
     const peer = this.#peerOf(name);
-    if (!peer.links.delete(link) || peer.links.size > 0) return;
+    if (!peer.links.delete(link)) return;
+    this.#membershipVersion++;
+    if (peer.links.size > 0) return;
     peer.lastLinkedMs = this.#options.clock.now();
     if (this.#closed) return;
     this.#options.log.state("peer_lost", { peer: name, reason, queuedBytes: link.queuedBytes });
@@ -278,6 +315,14 @@
     if (gateway !== undefined) this.#dial(gateway);
   }
 
+  #onDrain(link: Link): void {
+    for (const listener of this.#roomListeners) listener(link.peer.host as string);
+  }
+
+  #linkTo(peer: string): Link | undefined {
+    return [...this.#peers.get(peer)?.links ?? []].find((l) => l.open);
+  }
+
   #onMessage(link: Link, msg: Message): void {
     const handler = this.#handlers.get(msg.kind);
     if (handler === undefined) return;
--- a/packages/gateway/src/peers/registration.ts
+++ b/packages/gateway/src/peers/registration.ts
@@ -80,7 +80,7 @@
     const { items } = await store.list("gateways");
     const records = [...items.values()].map((item) => item.value);
     onFound(records.map(({ name, address, dataCentre }) => {
-      return { name, ...address, dataCentre, processorShare: null };
+      return { name, ...address, dataCentre, processorShare: null, linkMbps: null };
     }));
     const own = records.find((r) => r.name === record.name);
     const isCurrent = own !== undefined &&
--- a/packages/gateway/src/peers/store_view_sync.ts
+++ b/packages/gateway/src/peers/store_view_sync.ts
@@ -1,7 +1,7 @@
 /**
- * Synchronises store views within a region: one gateway reads the store and broadcasts each change, and that nothing
- * changed. Another gateway reads for itself as soon as its view is no longer fresh, so that it misses its freshness
- * bounds only while it cannot read.
+ * Synchronises store views within a region: one gateway reads the store, and passes each change, and that nothing
+ * changed, on along a tree of gateways. Another gateway reads for itself as soon as its view is no longer fresh, so
+ * that it misses its freshness bounds only while it cannot read.
  *
  * Load pattern: the number of store calls, idle watches included, grows with the number of gateways, while the rates
  * that the store allows do not.
@@ -9,18 +9,16 @@
  * @module
  */
 import type { Clock, DataCentreId, RegionId, Undo } from "@wisteriapick/core";
-import { Decoder, Encoder } from "cbor-x";
+import type { ViewUpdate } from "@wisteriapick/wire";
 import type { DecisionLog } from "../observe/decision_log.ts";
 import type { StoreOutage } from "../state/fleet.ts";
 import type { StoreFollower } from "../state/store_follower.ts";
-import {
-  FOLLOWED_KINDS,
-  type FollowedKind,
-  type StoreView,
-  type ViewEvent,
-  type ViewItem,
-} from "../state/store_view.ts";
-import type { PeerGroup } from "./peer_group.ts";
+import { FOLLOWED_KINDS, type FollowedKind, type StoreView } from "../state/store_view.ts";
+import type { LinkedPeer, PeerGroup } from "./peer_group.ts";
+import { childrenOf, MAX_SPREAD_HOPS } from "./spread_tree.ts";
+import { applyEncodedChanges } from "./view_changes.ts";
+import { ViewPuller } from "./view_puller.ts";
+import { ViewSender } from "./view_sender.ts";
 
 /** Options of {@link StoreViewSync}. */
 export interface StoreViewSyncOptions {
@@ -50,53 +48,68 @@
 const MAX_DELAYED_RANK = 5;
 /** Shorter interruptions do not count as outages, as registrations outlive them. */
 const MIN_OUTAGE_MS = 1_000;
-/** Interval at which a gateway that has no current view and cannot read requests the views of its peers. */
-const PULL_INTERVAL_MS = 200;
-
-const encoder = new Encoder({ useRecords: false });
-const decoder = new Decoder({ useRecords: false, mapsAsObjects: true });
+/** Protocol version from which on gateways exchange views as updates along a tree. */
+const UPDATES_SINCE_VERSION = 2;
+/** A confirmation is passed on if it is newer than the last one by more than the time it may have spent on links. */
+const MIN_CONFIRMATION_STEP_MS = 100;
+
+/** What is known of how current a view is. */
+interface Freshness {
+  /** Name of the gateway that read it from the store. */
+  readonly origin: string;
+  /** Number of gateways that passed it on before it came here. */
+  readonly hops: number;
+  /** When the origin read it, by this gateway's monotonic clock. */
+  readonly readAtMs: number;
+}
 
 /** Decides whether this gateway reads the store, and exchanges store views with peers. */
 export class StoreViewSync {
   readonly #options: StoreViewSyncOptions;
-  readonly #freshAtMs = new Map<FollowedKind, number>();
+  readonly #sender: ViewSender;
+  readonly #puller: ViewPuller;
+  /** The most recent read of each kind, by this gateway or by a peer. */
+  readonly #freshness = new Map<FollowedKind, Freshness>();
+  /** When peers last read each kind. */
+  readonly #peerReadAtMs = new Map<FollowedKind, number>();
   readonly #undos: Undo[];
-  #lastPullMs = -Infinity;
   #uninformedSinceMs: number | null = null;
   #outageEndedAtMs = -Infinity;
 
   constructor(options: StoreViewSyncOptions) {
     this.#options = options;
-    const { follower, network } = options;
+    const { follower, network, view, clock } = options;
+    this.#sender = new ViewSender({ view, network, originOf: (kind) => this.#originOf(kind) });
+    this.#puller = new ViewPuller({
+      network,
+      clock,
+      sources: () => this.#order().filter((name) => name !== network.name),
+      revisions: () =>
+        FOLLOWED_KINDS.map((kind) => ({ view: kind, revision: view.kinds[kind].revision })),
+    });
     this.#undos = [
-      follower.registerListener((kind, from) => this.#onRead(kind, from)),
-      network.registerHandler("view_changes", (peer, msg) => {
-        const kind = kindOf(msg.view);
-        if (kind !== null) this.#onChanges(peer, kind, msg.from, msg.revision, msg.events);
-      }),
-      network.registerHandler("view_pull", (peer, { revisions }) => {
-        for (const { view, revision } of revisions) {
-          const kind = kindOf(view);
-          if (kind !== null) this.#onPull(peer, kind, revision);
+      follower.registerListener((kind) => this.#onRead(kind)),
+      network.registerHandler("view_update", (peer, update) => this.#onUpdate(peer, update)),
+      network.registerHandler("view_request", (peer, { revisions }) => {
+        for (const { view: name, revision } of revisions) {
+          const kind = kindOf(name);
+          if (kind !== null) this.#sender.answer(peer, kind, revision);
         }
       }),
-      network.registerHandler("view_state", (peer, { view, revision, items }) => {
-        const kind = kindOf(view);
-        if (kind !== null) this.#onState(peer, kind, revision, items);
-      }),
+      () => this.#sender.close(),
     ];
   }
 
   /** Decides whether this gateway reads the store for itself. Called each tick. */
   tick(): void {
-    const { follower, clock } = this.#options;
+    const { follower, clock, network } = this.#options;
     const now = clock.now();
-    const isFresh = this.#isFresh(now);
-    follower.setSuspended(isFresh && this.#rank() > 0);
+    const rank = this.#order().indexOf(network.name);
+    const isFresh = this.#isFresh(now, rank);
+    follower.setSuspended(isFresh && rank > 0);
     this.#trackInformed(isFresh || follower.reachable, now);
-    if (this.isInformed || now - this.#lastPullMs < PULL_INTERVAL_MS) return;
-    this.#lastPullMs = now;
-    this.#pull();
+    if (this.isInformed) this.#puller.reset();
+    else this.#puller.tick();
   }
 
   /** Whether the content of the store is known here, from this gateway's own reads or from peers. */
@@ -124,92 +137,82 @@
   }
 
   /** Whether peers have confirmed every kind recently. */
-  #isFresh(now: number): boolean {
-    const rankDelayMs = RANK_DELAY_MS * Math.min(this.#rank(), MAX_DELAYED_RANK);
+  #isFresh(now: number, rank: number): boolean {
+    const rankDelayMs = RANK_DELAY_MS * Math.min(rank, MAX_DELAYED_RANK);
     return FOLLOWED_KINDS.every((kind) => {
-      const age = now - (this.#freshAtMs.get(kind) ?? -Infinity);
+      const age = now - (this.#peerReadAtMs.get(kind) ?? -Infinity);
       return age < MAX_AGE_MS[kind] + rankDelayMs;
     });
   }
 
-  /** This gateway's rank among the gateways of its region; rank 0 reads the store. */
-  #rank(): number {
+  /** The gateways of this region that exchange updates; the first one reads the store. */
+  #order(): readonly string[] {
     const { network, dataCentre, regionOf } = this.#options;
     const region = regionOf(dataCentre);
-    return network.rankOf(`store/${region}`, (dc) => regionOf(dc) === region);
+    const among = (peer: LinkedPeer) =>
+      regionOf(peer.dataCentre) === region && peer.protocolVersion >= UPDATES_SINCE_VERSION;
+    return network.orderOf(`store/${region}`, among);
   }
 
-  /** Broadcasts what was read. A message without changes confirms that nothing changed. */
-  #onRead(kind: FollowedKind, from: number): void {
-    const { view, network } = this.#options;
-    const { revision, changedAt, snapshot } = view.kinds[kind];
-    const events = changedAt <= from
-      ? []
-      : [...snapshot.items].filter(([, item]) => item.revision > from);
-    const removed = view.kinds[kind].removedSince(from);
-    network.broadcast({
-      kind: "view_changes",
-      view: kind,
-      from,
-      revision,
-      events: encoder.encode([events, removed]),
-    });
+  #originOf(kind: FollowedKind) {
+    const { clock, network } = this.#options;
+    const freshness = this.#freshness.get(kind);
+    if (freshness === undefined) return { origin: network.name, hops: 0, ageMs: null };
+    const { origin, hops, readAtMs } = freshness;
+    return { origin, hops, ageMs: clock.now() - readAtMs };
   }
 
-  #onChanges(
-    peer: string,
-    kind: FollowedKind,
-    from: number,
-    revision: number,
-    encoded: Uint8Array,
-  ): void {
-    const { view, clock } = this.#options;
-    const current = view.kinds[kind];
-    if (!current.known || current.revision < from) {
-      // Changes in between were missed; the full state of the kind contains them.
-      this.#options.network.send(peer, {
-        kind: "view_pull",
-        revisions: [{ view: kind, revision: current.known ? current.revision : 0 }],
-      });
-      return;
-    }
-    const [items, removed] = decoder.decode(encoded) as [[string, ViewItem<never>][], string[]];
-    const events: ViewEvent<never>[] = [
-      ...removed.map((name) => ({ name, item: null })),
-      ...items.map(([name, item]) => ({ name, item })),
-    ];
-    current.apply({ revision, events }, "peer");
-    this.#freshAtMs.set(kind, clock.now());
+  #onRead(kind: FollowedKind): void {
+    const { clock, network } = this.#options;
+    this.#freshness.set(kind, { origin: network.name, hops: 0, readAtMs: clock.now() });
+    this.#passOn(kind);
   }
 
-  #pull(): void {
-    const { view, network } = this.#options;
-    const revisions = FOLLOWED_KINDS.map((kind) => ({
-      view: kind,
-      revision: view.kinds[kind].revision,
-    }));
-    network.broadcast({ kind: "view_pull", revisions });
+  /** Passes a view on to the gateways below this one. */
+  #passOn(kind: FollowedKind): void {
+    const { network } = this.#options;
+    const { origin, hops } = this.#originOf(kind);
+    if (hops >= MAX_SPREAD_HOPS) return;
+    const children = childrenOf({ order: this.#order(), root: origin, self: network.name });
+    for (const child of children) this.#sender.offer(child, kind);
   }
 
-  #onPull(peer: string, kind: FollowedKind, revision: number): void {
-    const { view, network } = this.#options;
-    const { changedAt, snapshot, known } = view.kinds[kind];
-    if (!known || (changedAt <= revision && revision > 0)) return;
-    network.send(peer, {
-      kind: "view_state",
-      view: kind,
-      revision: snapshot.revision,
-      items: encoder.encode([...snapshot.items]),
-    });
+  #onUpdate(peer: string, update: Omit<ViewUpdate, "kind">): void {
+    const { view, network, log } = this.#options;
+    const { revision, from } = update;
+    const kind = kindOf(update.view);
+    if (kind === null) return;
+    const current = view.kinds[kind];
+    const before = current.known ? current.revision : 0;
+    const isNewer = revision > before;
+    this.#puller.recordAnswer(peer, isNewer);
+    // An older view does not confirm this one, and a peer without a view has nothing to say.
+    if (revision < before || revision === 0) return;
+    const isApplied = from <= before &&
+      applyEncodedChanges(current as never, revision, update);
+    if (!isApplied) {
+      // Without the base of a patch, only the whole content helps.
+      const known = from <= before ? 0 : before;
+      const revisions = [{ view: kind, revision: known }];
+      network.send(peer, { kind: "view_request", revisions });
+      log.state("view_requested", { peer, kind, from, revision, known: before });
+      return;
+    }
+    if (this.#recordFreshness(kind, update) || isNewer) this.#passOn(kind);
   }
 
-  #onState(peer: string, kind: FollowedKind, revision: number, encoded: Uint8Array): void {
-    const { view, log } = this.#options;
-    const current = view.kinds[kind];
-    if (current.known && revision <= current.revision) return;
-    const items = new Map(decoder.decode(encoded) as [string, ViewItem<never>][]);
-    current.replace({ revision, items }, "peer");
-    log.state("view_from_peer", { peer, kind, revision });
+  /** Records who has confirmed a view and when. Returns whether the confirmation is newer than the last one. */
+  #recordFreshness(
+    kind: FollowedKind,
+    { origin, hops, ageMs }: Pick<ViewUpdate, "origin" | "hops" | "ageMs">,
+  ): boolean {
+    if (ageMs === null) return false;
+    const readAtMs = this.#options.clock.now() - ageMs;
+    this.#peerReadAtMs.set(kind, Math.max(readAtMs, this.#peerReadAtMs.get(kind) ?? -Infinity));
+    const last = this.#freshness.get(kind)?.readAtMs ?? -Infinity;
+    if (readAtMs <= last + MIN_CONFIRMATION_STEP_MS) return false;
+    this.#freshness.set(kind, { origin, hops: hops + 1, readAtMs });
+    return true;
   }
 }
 
--- /dev/null
+++ b/packages/gateway/src/peers/view_changes.ts
@@ -0,0 +1,170 @@
+/**
+ * Encodes what has changed in a view since a revision, for other gateways.
+ *
+ * @module
+ */
+import { deflateRawSync, inflateRawSync } from "node:zlib";
+import { Decoder, Encoder } from "cbor-x";
+import { applyConfigPatch, type ConfigPatch, diffConfig } from "../config/config_patch.ts";
+import type { GatewayConfig } from "../config/types.ts";
+import type {
+  FollowedKind,
+  KindView,
+  StoreView,
+  ViewEvent,
+  ViewItem,
+} from "../state/store_view.ts";
+
+/** Number of recent values of an object from which patches can be made. */
+const MAX_PAST_CONFIGS = 8;
+/** Smaller changes are sent as they are. */
+const MIN_COMPRESSED_BYTES = 1_024;
+/** Fastest level, as routes repeat the same words. */
+const COMPRESSION_LEVEL = 1;
+/** Largest size after decompression: a configuration of the store's largest objects. */
+const MAX_DECODED_BYTES = 16_777_216;
+
+const encoder = new Encoder({ useRecords: false });
+const decoder = new Decoder({ useRecords: false, mapsAsObjects: true });
+
+type Item = ViewItem<unknown>;
+
+interface PatchedConfig {
+  readonly name: string;
+  /** Revision of the object to which the patch applies. */
+  readonly base: number;
+  readonly revision: number;
+  readonly patch: ConfigPatch;
+}
+
+interface Changes {
+  /** Whether `items` is the whole content rather than what has changed. */
+  readonly isFull: boolean;
+  readonly items: readonly (readonly [string, Item])[];
+  readonly patches: readonly PatchedConfig[];
+  readonly removed: readonly string[];
+}
+
+/** Encoded changes as they are sent. */
+export interface EncodedChanges {
+  /** Revision of the view to which they apply; 0 if they apply to any. */
+  readonly from: number;
+  readonly isCompressed: boolean;
+  /** Empty if there are none. */
+  readonly changes: Uint8Array;
+}
+
+const NO_CHANGES = new Uint8Array(0);
+
+/** Encodes the changes of a gateway's view. */
+export class ViewChangesEncoder {
+  readonly #view: StoreView;
+  readonly #pastConfigs = new Map<string, ViewItem<GatewayConfig>[]>();
+  /** The most recently encoded changes of each kind, as several gateways need the same. */
+  readonly #cached = new Map<FollowedKind, EncodedChanges & { readonly revision: number }>();
+
+  constructor(view: StoreView) {
+    this.#view = view;
+    view.kinds.config.registerListener(() => this.#rememberConfigs());
+  }
+
+  /** Encodes what has changed since `from`, or the whole content if the changes since then are not known. */
+  encode(kind: FollowedKind, from: number): EncodedChanges {
+    const { revision, changedAt } = this.#view.kinds[kind];
+    if (from > 0 && changedAt <= from) return { from, isCompressed: false, changes: NO_CHANGES };
+    const cached = this.#cached.get(kind);
+    if (cached?.from === from && cached.revision === revision) return cached;
+    const encoded = compress(this.#changesSince(kind, from));
+    this.#cached.set(kind, { ...encoded, revision });
+    return encoded;
+  }
+
+  #changesSince(kind: FollowedKind, from: number): Changes & { readonly from: number } {
+    const current = this.#view.kinds[kind] as KindView<unknown>;
+    const since = from > 0 ? current.changesSince(from) : null;
+    if (since === null) {
+      return {
+        from: 0,
+        isFull: true,
+        items: [...current.snapshot.items],
+        patches: [],
+        removed: [],
+      };
+    }
+    if (kind !== "config") return { from, isFull: false, patches: [], ...since };
+    const items: [string, Item][] = [];
+    const patches: PatchedConfig[] = [];
+    for (const [name, item] of since.items) {
+      const patched = this.#patchConfig(name, from, item as ViewItem<GatewayConfig>);
+      if (patched === null) items.push([name, item]);
+      else patches.push(patched);
+    }
+    return { from, isFull: false, items, patches, removed: since.removed };
+  }
+
+  #patchConfig(
+    name: string,
+    from: number,
+    item: ViewItem<GatewayConfig>,
+  ): PatchedConfig | null {
+    const base = this.#pastConfigs.get(name)?.findLast(({ revision }) => revision <= from);
+    if (base === undefined) return null;
+    const patch = diffConfig(base.value, item.value);
+    return patch === null ? null : { name, base: base.revision, revision: item.revision, patch };
+  }
+
+  #rememberConfigs(): void {
+    for (const [name, item] of this.#view.kinds.config.snapshot.items) {
+      const past = this.#pastConfigs.get(name) ?? [];
+      if (past.at(-1)?.revision === item.revision) continue;
+      this.#pastConfigs.set(name, [...past, item].slice(-MAX_PAST_CONFIGS));
+    }
+  }
+}
+
+/**
+ * Applies changes that a peer has encoded.
+ *
+ * Returns false, and leaves the view as it is, if a patch applies to another value than the view's.
+ */
+export function applyEncodedChanges(
+  view: KindView<never>,
+  revision: number,
+  { isCompressed, changes: encoded }: Pick<EncodedChanges, "isCompressed" | "changes">,
+): boolean {
+  if (encoded.length === 0) {
+    view.apply({ revision, events: [] }, "peer");
+    return true;
+  }
+  const bytes = isCompressed
+    ? inflateRawSync(encoded, { maxOutputLength: MAX_DECODED_BYTES })
+    : encoded;
+  const changes = decoder.decode(bytes) as Changes;
+  if (changes.isFull) {
+    view.replace({ revision, items: new Map(changes.items as [string, never][]) }, "peer");
+    return true;
+  }
+  const events: ViewEvent<never>[] = [
+    ...changes.removed.map((name) => ({ name, item: null })),
+    ...changes.items.map(([name, item]) => ({ name, item: item as ViewItem<never> })),
+  ];
+  for (const patched of changes.patches) {
+    const current = view.snapshot.items.get(patched.name) as Item | undefined;
+    if (current !== undefined && current.revision >= patched.revision) continue;
+    if (current?.revision !== patched.base) return false;
+    const value = applyConfigPatch(current.value as GatewayConfig, patched.patch);
+    events.push({
+      name: patched.name,
+      item: { revision: patched.revision, value: value as never },
+    });
+  }
+  view.apply({ revision, events }, "peer");
+  return true;
+}
+
+function compress({ from, ...changes }: Changes & { readonly from: number }): EncodedChanges {
+  const bytes = encoder.encode(changes);
+  if (bytes.length < MIN_COMPRESSED_BYTES) return { from, isCompressed: false, changes: bytes };
+  const compressed = deflateRawSync(bytes, { level: COMPRESSION_LEVEL });
+  return { from, isCompressed: true, changes: compressed };
+}
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -33,6 +33,8 @@
   data_centre: dataCentre,
   /** Processor cores that this process may use. Only the strongest gateways perform duties for all of them. */
   processor_share: z.number().positive().default(1),
+  /** Bandwidth of this process's link. Only gateways with much of it read the store for the others. */
+  link_mbps: z.number().positive().optional(),
   /** The region of each data centre. */
   regions: z.record(z.string(), idField(regionId, "a region id")),
   listen: z.object({
--- a/packages/gateway/src/state/store_view.ts
+++ b/packages/gateway/src/state/store_view.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { Undo } from "@wisteriapick/core";
+import { shareUnchanged } from "../config/config_patch.ts";
 import type {
   EndpointRecord,
   EvacuationRecord,
@@ -55,6 +56,12 @@
   readonly events: readonly ViewEvent<T>[];
 }
 
+/** Differences between a view's content and an earlier one. */
+export interface ContentChanges<T> {
+  readonly items: readonly (readonly [string, ViewItem<T>])[];
+  readonly removed: readonly string[];
+}
+
 /** Where a change came from. */
 export type ViewSource = "store" | "peer";
 
@@ -66,15 +73,25 @@
 
 const EMPTY: Snapshot<never> = { revision: 0, items: new Map() };
 
+/** Returns a new value of an object that shares what is equal with the old one. */
+export type ShareUnchanged<T> = (before: T, after: T) => T;
+
 /** The snapshot of one kind. */
 export class KindView<T> {
+  readonly #shareUnchanged: ShareUnchanged<T>;
   #snapshot: Snapshot<T> = EMPTY;
   #known = false;
   #changedAt = 0;
+  /** Revision from which on all removals are known. */
+  #removalsKnownFrom = 0;
   /** The most recently removed names, each with the first view revision that does not contain it. */
   #removed: { readonly name: string; readonly revision: number }[] = [];
   #listeners: readonly ViewListener[] = [];
 
+  constructor(shareUnchanged: ShareUnchanged<T> = (_before, after) => after) {
+    this.#shareUnchanged = shareUnchanged;
+  }
+
   /** Whether any snapshot has been read. */
   get known(): boolean {
     return this.#known;
@@ -98,7 +115,9 @@
   replace(snapshot: Snapshot<T>, source: ViewSource): boolean {
     if (this.#known && snapshot.revision < this.#snapshot.revision) return false;
     const removed = [...this.#snapshot.items.keys()].filter((name) => !snapshot.items.has(name));
-    this.#commit(snapshot, source, removed);
+    const items = new Map<string, ViewItem<T>>();
+    for (const [name, item] of snapshot.items) items.set(name, this.#shared(name, item));
+    this.#commit({ revision: snapshot.revision, items }, source, removed);
     return true;
   }
 
@@ -116,19 +135,23 @@
       if (item === null) {
         if (items.delete(name)) removed.push(name);
       } else if (old === undefined || old.revision < item.revision) {
-        items.set(name, item);
+        items.set(name, this.#shared(name, item));
       }
     }
     this.#commit({ revision, items }, source, removed);
     return true;
   }
 
-  /** Names that were removed after a revision and do not exist now. */
-  removedSince(revision: number): string[] {
+  /** What differs from the view's content at an earlier revision; `null` if that is not known any more. */
+  changesSince(revision: number): ContentChanges<T> | null {
+    if (revision < this.#removalsKnownFrom) return null;
     const { items } = this.#snapshot;
-    return this.#removed
-      .filter((r) => r.revision > revision && !items.has(r.name))
-      .map((r) => r.name);
+    return {
+      items: [...items].filter(([, item]) => item.revision > revision),
+      removed: this.#removed
+        .filter((r) => r.revision > revision && !items.has(r.name))
+        .map((r) => r.name),
+    };
   }
 
   registerListener(listener: ViewListener): Undo {
@@ -138,13 +161,22 @@
     };
   }
 
+  #shared(name: string, item: ViewItem<T>): ViewItem<T> {
+    const old = this.#snapshot.items.get(name);
+    if (old === undefined || old.value === item.value) return item;
+    if (old.revision === item.revision) return old;
+    return { revision: item.revision, value: this.#shareUnchanged(old.value, item.value) };
+  }
+
   #commit(snapshot: Snapshot<T>, source: ViewSource, removed: readonly string[]): void {
+    if (!this.#known) this.#removalsKnownFrom = snapshot.revision;
     this.#snapshot = snapshot;
     this.#known = true;
     this.#changedAt = snapshot.revision;
     for (const name of removed) this.#removed.push({ name, revision: snapshot.revision });
     if (this.#removed.length > MAX_REMOVED) {
-      this.#removed.splice(0, this.#removed.length - MAX_REMOVED);
+      const forgotten = this.#removed.splice(0, this.#removed.length - MAX_REMOVED);
+      this.#removalsKnownFrom = forgotten.at(-1)!.revision;
     }
     for (const listener of this.#listeners) listener({ source, removed });
   }
@@ -153,7 +185,7 @@
 /** The views of all followed kinds. */
 export class StoreView {
   readonly kinds: { readonly [K in FollowedKind]: KindView<ViewItems[K]> } = {
-    config: new KindView(),
+    config: new KindView(shareUnchanged),
     endpoints: new KindView(),
     evacuations: new KindView(),
     moves: new KindView(),
--- a/packages/gateway/tests/large_config_test.ts
+++ b/packages/gateway/tests/large_config_test.ts
@@ -32,7 +32,8 @@
     const name = `entry-${i}`;
     const mbps = i < strong ? STRONG_MBPS : THIN_MBPS;
     links.addHost(name, mbps);
-    const network = links.join(name, { processorShare: i < strong ? 0.675 : 0.243 });
+    const processorShare = i < strong ? 0.675 : 0.243;
+    const network = links.join(name, { processorShare, linkMbps: mbps });
     const view = new StoreView();
     const log = new MemoryLog();
     const thinStore = new ThinStore(name, links, store);
--- a/packages/gateway/tests/memory_peers.ts
+++ b/packages/gateway/tests/memory_peers.ts
@@ -1,6 +1,6 @@
 /** Gateways linked in memory. Messages arrive at once unless the link is cut or the receiver is stalled. */
 import type { DataCentreId, Undo } from "@wisteriapick/core";
-import type { Message } from "@wisteriapick/wire";
+import { type Message, PROTOCOL_VERSIONS } from "@wisteriapick/wire";
 import { type LinkedPeer, PeerGroup, type PeerHandler } from "../src/peers/peer_group.ts";
 import { OSU } from "./fixtures.ts";
 
@@ -8,6 +8,7 @@
 interface JoinOptions {
   readonly dataCentre: DataCentreId;
   readonly processorShare: number;
+  readonly linkMbps: number | null;
 }
 
 /** All gateways of one test. */
@@ -16,14 +17,23 @@
   readonly #cut = new Set<string>();
   /** Stalled gateways, which do not handle messages. */
   readonly stalled = new Set<string>();
+  /** Gateways to which too much waits to be sent. */
+  readonly congested = new Set<string>();
+  membershipVersion = 0;
 
   join(name: string, options: Partial<JoinOptions> = {}): MemoryPeers {
-    const peers = new MemoryPeers(name, { dataCentre: OSU, processorShare: 1, ...options }, this);
+    const peers = new MemoryPeers(name, {
+      dataCentre: OSU,
+      processorShare: 1,
+      linkMbps: null,
+      ...options,
+    }, this);
     for (const other of this.members.values()) {
       other.notifyUp(name);
       peers.notifyUp(other.name);
     }
     this.members.set(name, peers);
+    this.membershipVersion++;
     return peers;
   }
 
@@ -36,8 +46,14 @@
     if (!this.stalled.has(to)) this.members.get(to)!.receive(from, msg);
   }
 
+  /** Whether too much waits to be sent from one gateway to another. */
+  isCongested(_from: string, to: string): boolean {
+    return this.congested.has(to);
+  }
+
   /** Cuts a gateway off from all others. */
   cutOff(name: string): void {
+    this.membershipVersion++;
     for (const other of this.members.keys()) {
       if (other === name) continue;
       this.#cut.add(pair(name, other));
@@ -56,14 +72,21 @@
   override readonly name: string;
   readonly dataCentre: DataCentreId;
   override readonly processorShare: number;
+  override readonly linkMbps: number | null;
   readonly sent: Message[] = [];
   readonly #links: MemoryLinks;
   readonly #handlers = new Map<string, PeerHandler<Message["kind"]>>();
   readonly #up = new Set<(peer: string) => void>();
   readonly #down = new Set<(peer: string) => void>();
+  readonly #room = new Set<(peer: string) => void>();
 
-  constructor(name: string, { dataCentre, processorShare }: JoinOptions, links: MemoryLinks) {
+  constructor(
+    name: string,
+    { dataCentre, processorShare, linkMbps }: JoinOptions,
+    links: MemoryLinks,
+  ) {
     super();
+    this.linkMbps = linkMbps;
     this.processorShare = processorShare;
     this.name = name;
     this.dataCentre = dataCentre;
@@ -73,7 +96,30 @@
   override linked(): LinkedPeer[] {
     return [...this.#links.members.values()]
       .filter((m) => m.name !== this.name && !this.#links.isCut(m.name, this.name))
-      .map(({ name, dataCentre, processorShare }) => ({ name, dataCentre, processorShare }));
+      .map(({ name, dataCentre, processorShare, linkMbps }) => ({
+        name,
+        dataCentre,
+        processorShare,
+        linkMbps,
+        protocolVersion: PROTOCOL_VERSIONS.max,
+      }));
+  }
+
+  override get membershipVersion(): number {
+    return this.#links.membershipVersion;
+  }
+
+  override isCongested(peer: string): boolean {
+    return this.#links.isCongested(this.name, peer);
+  }
+
+  override registerRoom(fn: (peer: string) => void): Undo {
+    this.#room.add(fn);
+    return () => this.#room.delete(fn);
+  }
+
+  notifyRoom(peer: string): void {
+    for (const fn of this.#room) fn(peer);
   }
 
   override send(peer: string, msg: Message): boolean {
--- a/packages/gateway/tests/peer_network_test.ts
+++ b/packages/gateway/tests/peer_network_test.ts
@@ -23,6 +23,7 @@
     address,
     dataCentre,
     processorShare: 0.25,
+    linkMbps: null,
     clusterKey: "test",
     seeds,
     clock: new SystemClock(),
--- a/packages/gateway/tests/store_view_sync_test.ts
+++ b/packages/gateway/tests/store_view_sync_test.ts
@@ -3,15 +3,17 @@
 import { type DataCentreId, ManualClock, Rng } from "@wisteriapick/core";
 import { StoreViewSync } from "../src/peers/store_view_sync.ts";
 import { StoreFollower } from "../src/state/store_follower.ts";
-import { StoreView } from "../src/state/store_view.ts";
+import { type FollowedKind, StoreView } from "../src/state/store_view.ts";
 import {
   ACCRA,
   makeConfig,
   makeEndpoint,
+  makeSnapshot,
   MemoryLog,
   MemoryStore,
   OSU,
   settle,
+  TEMA,
 } from "./fixtures.ts";
 import { MemoryLinks } from "./memory_peers.ts";
 
@@ -75,7 +77,8 @@
 
 /** The gateway that reads the store for the others. */
 function readerOf(gateways: readonly Gateway[]): Gateway {
-  return gateways.find((g) => g.network.rankOf(`store/${ACCRA}`, () => true) === 0)!;
+  const [reader] = gateways[0]!.network.orderOf(`store/${ACCRA}`, () => true);
+  return gateways.find(({ name }) => name === reader)!;
 }
 
 // Guards against store calls that grow with the number of gateways.
@@ -170,3 +173,115 @@
   await advance(clock, [...gateways, late], 1_000);
   assert.equal(versionOf(late), 1);
 });
+
+/** A gateway that reads nothing itself, and a peer from which it receives what a test sends. */
+async function makeReceiver() {
+  const clock = new ManualClock();
+  const links = new MemoryLinks();
+  const store = new MemoryStore(clock);
+  store.set("config", "main", makeConfig({ version: 1 }));
+  const receiver = makeGateway("entry-1", clock, links, store);
+  await settle();
+  receiver.store.setAvailability("refusing");
+  const peer = links.join("entry-2");
+  const kinds = Object.keys(receiver.view.kinds) as FollowedKind[];
+  const confirm = (kind: FollowedKind, revision: number) =>
+    peer.send("entry-1", {
+      kind: "view_update",
+      view: kind,
+      origin: "entry-2",
+      hops: 0,
+      from: revision,
+      revision,
+      ageMs: 0,
+      isCompressed: false,
+      changes: new Uint8Array(0),
+    });
+  const run = async (ms: number, revision: number) => {
+    for (let elapsedMs = 0; elapsedMs < ms; elapsedMs += 500) {
+      for (const kind of kinds) confirm(kind, revision);
+      await advance(clock, [receiver], 500);
+    }
+  };
+  return { clock, links, receiver, peer, run };
+}
+
+// Guards against a lagging gateway whose older view keeps others from reading a newer one.
+test("an update with an older revision than the view's does not confirm it", async () => {
+  const { receiver, run } = await makeReceiver();
+  const { revision } = receiver.view.kinds.config;
+  await run(3_000, revision);
+  assert.equal(receiver.viewSync.isInformed, true);
+  await run(3_000, revision - 1);
+  assert.equal(receiver.viewSync.isInformed, false);
+});
+
+// Guards against many answers at once, which fill the link of the gateway that needs one.
+test("a gateway without a current view asks one peer at a time, less and less often", async () => {
+  const { clock, links, gateways } = await makeGateways(12);
+  await advance(clock, gateways, 3_000);
+  const store = new MemoryStore(clock);
+  store.setAvailability("refusing");
+  for (const gateway of gateways) gateway.store.setAvailability("refusing");
+  const late = makeGateway("entry-late", clock, links, store);
+  const requests = () => late.network.sent.filter(({ kind }) => kind === "view_request").length;
+  await advance(clock, [...gateways, late], 1_000);
+  assert.equal(versionOf(late), 1);
+  await advance(clock, [...gateways, late], 4_000);
+  const before = requests();
+  await advance(clock, [...gateways, late], 16_000);
+  assert.ok(requests() - before <= 11, `${requests() - before} requests in 16 s`);
+});
+
+// Guards against the loss of all gateways below one that has died without closing its links.
+test("changes reach the gateways below one that has stalled", async () => {
+  const { clock, links, gateways } = await makeGateways(24);
+  await advance(clock, gateways, 5_000);
+  const [, inner] = gateways[0]!.network.orderOf(`store/${ACCRA}`, () => true);
+  links.stalled.add(inner!);
+  write(gateways, 7);
+  const others = gateways.filter(({ name }) => name !== inner);
+  await advance(clock, others, 1_900);
+  assert.deepEqual(new Set(others.map(versionOf)), new Set([7]));
+});
+
+// Guards against a queue that grows with each change while a link is slow.
+test("a congested peer is sent the newest state once there is room", async () => {
+  const { clock, links, gateways } = await makeGateways(2);
+  await advance(clock, gateways, 3_000);
+  const reader = readerOf(gateways);
+  const other = gateways.find((g) => g !== reader)!;
+  links.congested.add(other.name);
+  const updates = () => reader.network.sent.filter(({ kind }) => kind === "view_update").length;
+  const before = updates();
+  for (const version of [2, 3, 4]) {
+    reader.store.set("config", "main", makeConfig({ version }));
+    await advance(clock, [reader], 100);
+  }
+  assert.equal(updates(), before);
+  links.congested.delete(other.name);
+  reader.network.notifyRoom(other.name);
+  assert.equal(versionOf(other), 4);
+  const configs = reader.network.sent.slice(before).filter((m) =>
+    m.kind === "view_update" && m.view === "config"
+  );
+  assert.equal(configs.length, 1);
+});
+
+// Guards against a wrong configuration when a patch is applied to another version than the one it was made for.
+test("a gateway that lacks the base of a patch requests the whole content", async () => {
+  const { clock, gateways } = await makeGateways(2);
+  await advance(clock, gateways, 3_000);
+  const reader = readerOf(gateways);
+  const other = gateways.find((g) => g !== reader)!;
+  for (const { store } of gateways) store.set("evacuations", TEMA, { dataCentre: TEMA });
+  await advance(clock, gateways, 2_000);
+  // The other gateway has read a version that the reader has missed.
+  const { revision } = other.view.kinds.config;
+  const missed = makeSnapshot(revision, { main: makeConfig({ version: 2 }) });
+  other.view.kinds.config.replace(missed, "store");
+  write(gateways, 3);
+  await advance(clock, gateways, 500);
+  assert.equal(versionOf(other), 3);
+  assert.equal(other.log.count("view_requested"), 1);
+});
--- a/packages/gateway/tests/store_view_test.ts
+++ b/packages/gateway/tests/store_view_test.ts
@@ -39,13 +39,13 @@
 test("removed names are retained until they exist again", () => {
   const view = makeView();
   view.apply({ revision: 11, events: [{ name: "a", item: null }] }, "store");
-  assert.deepEqual(view.removedSince(10), ["a"]);
-  assert.deepEqual(view.removedSince(11), []);
+  assert.deepEqual(view.changesSince(10)?.removed, ["a"]);
+  assert.deepEqual(view.changesSince(11)?.removed, []);
   view.apply(
     { revision: 12, events: [{ name: "a", item: { revision: 12, value: "3" } }] },
     "store",
   );
-  assert.deepEqual(view.removedSince(10), []);
+  assert.deepEqual(view.changesSince(10)?.removed, []);
 });
 
 test("listeners receive the names that a snapshot removed", () => {
--- a/packages/gateway/tests/thin_links.ts
+++ b/packages/gateway/tests/thin_links.ts
@@ -17,6 +17,8 @@
 
 /** Bytes that one flow sends before the next one has its turn. */
 const PACKET_BYTES = 1_460;
+/** Bytes waiting on a link from which it counts as congested. */
+const CONGESTED_BYTES = 65_536;
 /** Time simulated at once. */
 export const STEP_MS = 5;
 /** Size of a response apart from its objects. */
@@ -74,8 +76,15 @@
     return transfers.reduce((sum, { remainingBytes }) => sum + remainingBytes, 0);
   }
 
+  override isCongested(from: string, to: string): boolean {
+    return this.queuedBytes(from, to) >= CONGESTED_BYTES;
+  }
+
   override deliver(from: string, to: string, msg: Message): void {
-    const onEnd = () => super.deliver(from, to, msg);
+    const onEnd = () => {
+      super.deliver(from, to, msg);
+      if (this.queuedBytes(from, to) === 0) this.members.get(from)!.notifyRoom(to);
+    };
     const remainingBytes = encodeMessage(0, msg).length;
     this.#flow(from, to).transfers.push({ remainingBytes, onBytes: () => {}, onEnd });
   }
--- a/packages/wire/src/link.ts
+++ b/packages/wire/src/link.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { DataCentreId, HostId, ProcessId, Undo, WpError } from "@wisteriapick/core";
-import type { Message, Role } from "./messages.ts";
+import { type Message, PROTOCOL_VERSIONS, type Role } from "./messages.ts";
 
 /** Identity of the process at one end of a link. */
 export interface Identity {
@@ -52,6 +52,10 @@
 export abstract class Link {
   abstract readonly peer: Identity;
   abstract readonly open: boolean;
+  /** Protocol version of this link. */
+  get version(): number {
+    return PROTOCOL_VERSIONS.max;
+  }
   /** Bytes that wait to be sent, without those in the buffers of the operating system. */
   get queuedBytes(): number {
     return 0;
@@ -85,4 +89,6 @@
   onStream(link: Link, msg: Message, stream: LinkStream): StreamHandler;
   onNotify(link: Link, msg: Message): void;
   onLink?(link: Link): void;
+  /** Called when all that waited to be sent on a link has been sent. */
+  onDrain?(link: Link): void;
 }
--- a/packages/wire/src/message_codec.ts
+++ b/packages/wire/src/message_codec.ts
@@ -280,6 +280,7 @@
       port: count,
       dataCentre: id(dataCentreId),
       processorShare: nullable(real),
+      linkMbps: nullable(real),
     })),
   }),
   copy_request: record<Body<"copy_request">>({
@@ -326,6 +327,19 @@
   gateway_stopping: record<Body<"gateway_stopping">>({}),
   copy_queued: record<Body<"copy_queued">>({ key: count }),
   gateway_overload: record<Body<"gateway_overload">>({ isOverloaded: flag }),
+  view_update: record<Body<"view_update">>({
+    view: text,
+    origin: text,
+    hops: count,
+    from: count,
+    revision: count,
+    ageMs: nullable(real),
+    isCompressed: flag,
+    changes: bytes,
+  }),
+  view_request: record<Body<"view_request">>({
+    revisions: list(record<ViewRevision>({ view: text, revision: count })),
+  }),
 };
 
 const KINDS = Object.keys(BODIES) as Message["kind"][];
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -21,8 +21,11 @@
   VersionId,
 } from "@wisteriapick/core";
 
-/** Oldest and newest protocol version that this build supports. */
-export const PROTOCOL_VERSIONS = { min: 1, max: 1 } as const;
+/**
+ * Oldest and newest protocol version that this build supports. A link closes on a kind of message that it does not
+ * know, so kinds that a version adds are sent only on links of that version.
+ */
+export const PROTOCOL_VERSIONS = { min: 1, max: 2 } as const;
 
 /** Role of a process. */
 export type Role = "entry" | "side" | "operator";
@@ -338,6 +341,8 @@
   readonly dataCentre: DataCentreId;
   /** Processor cores that the gateway may use; `null` if the sender does not know. */
   readonly processorShare: number | null;
+  /** Bandwidth of the gateway's link; `null` if the sender does not know. */
+  readonly linkMbps: number | null;
 }
 
 /** The gateways known to the sender. */
@@ -428,7 +433,7 @@
   readonly suspects: readonly SuspectReport[];
 }
 
-/** Requests what the receiver has read from the store after the given revisions. */
+/** Protocol version 1 only; gateways of version 2 ignore it. */
 export interface ViewPull {
   readonly kind: "view_pull";
   readonly revisions: readonly ViewRevision[];
@@ -440,7 +445,7 @@
   readonly revision: number;
 }
 
-/** Changes to one kind of object that the sender has read since revision `from`; also sent if there are none. */
+/** Protocol version 1 only; gateways of version 2 ignore it. */
 export interface ViewChangesReport {
   readonly kind: "view_changes";
   readonly view: string;
@@ -450,7 +455,7 @@
   readonly events: Uint8Array;
 }
 
-/** All objects of one kind, encoded by the gateway package. */
+/** Protocol version 1 only; gateways of version 2 ignore it. */
 export interface ViewState {
   readonly kind: "view_state";
   readonly view: string;
@@ -458,6 +463,34 @@
   readonly items: Uint8Array;
 }
 
+/**
+ * What has changed in the sender's view of one kind of object, or that nothing has. Since protocol version 2.
+ */
+export interface ViewUpdate {
+  readonly kind: "view_update";
+  readonly view: string;
+  /** Name of the gateway that read this from the store. */
+  readonly origin: string;
+  /** Number of gateways that have passed this on. */
+  readonly hops: number;
+  /** Store revision of the view to which the changes apply; 0 if they apply to any. */
+  readonly from: number;
+  /** Store revision of the sender's view; 0 if it has none. */
+  readonly revision: number;
+  /** Time since the origin read it, in milliseconds; `null` if the sender does not know. */
+  readonly ageMs: number | null;
+  readonly isCompressed: boolean;
+  /** The changes, encoded by the gateway package; empty if there are none. */
+  readonly changes: Uint8Array;
+}
+
+/** Requests a {@link ViewUpdate} for each given view. Since protocol version 2. */
+export interface ViewRequest {
+  readonly kind: "view_request";
+  /** Revisions of the sender's views; 0 for a view whose whole content is requested. */
+  readonly revisions: readonly ViewRevision[];
+}
+
 /** Messages that may open a stream. */
 export type Opening = Run | Resume | Call | ConfigPull | AccountReports;
 
@@ -495,4 +528,6 @@
   | VersionCountsReport
   | ViewChangesReport
   | GatewayStopping
-  | GatewayOverload;
+  | GatewayOverload
+  | ViewUpdate
+  | ViewRequest;
--- a/packages/wire/src/socket_link.ts
+++ b/packages/wire/src/socket_link.ts
@@ -51,8 +51,7 @@
 /** A {@link Link} over a socket that has completed its handshake. */
 export class SocketLink extends Link implements StreamTransport {
   override readonly peer: Identity;
-  /** Protocol version of this link. */
-  readonly version: number;
+  readonly #version: number;
   readonly #socket: FrameSocket;
   readonly #acceptor: LinkAcceptor;
   readonly #clock: Clock;
@@ -76,7 +75,7 @@
     this.#log = options.log;
     this.#traffic = options.traffic;
     this.peer = options.established.peer;
-    this.version = options.established.version;
+    this.#version = options.established.version;
     // The connector uses odd stream ids and the acceptor even ones, so they never collide.
     this.#nextStreamId = options.end === "connector" ? 1 : 2;
     this.#lastReceivedMs = this.#clock.now();
@@ -100,6 +99,10 @@
     return this.#closed === null;
   }
 
+  override get version(): number {
+    return this.#version;
+  }
+
   override get queuedBytes(): number {
     return this.#socket.queuedBytes;
   }
@@ -270,6 +273,7 @@
     const streams = [...this.#awaitingDrain];
     this.#awaitingDrain.clear();
     for (const stream of streams) stream.pump();
+    this.#acceptor.onDrain?.(this);
   }
 
   #onHeartbeat(): void {
--- a/packages/wire/tests/handshake_test.ts
+++ b/packages/wire/tests/handshake_test.ts
@@ -11,6 +11,7 @@
   type ConnectOptions,
   listenLinks,
   type ListenOptions,
+  PROTOCOL_VERSIONS,
 } from "../src/mod.ts";
 import {
   closeCounts,
@@ -87,7 +88,8 @@
 
 test("peers without a common protocol version do not connect", async (t) => {
   const { listener, options } = await startListener(t);
-  const connecting = connectOptions(listener.address, { versions: { min: 2, max: 3 } });
+  const unsupported = { min: PROTOCOL_VERSIONS.max + 1, max: PROTOCOL_VERSIONS.max + 2 };
+  const connecting = connectOptions(listener.address, { versions: unsupported });
   await assertRefused(connecting, "protocol_version");
   assert.deepEqual(await closeCounts(options.metrics), { protocol_version: 1 });
 });
@@ -213,3 +215,9 @@
   await assertRefused(other, "connect_failed");
   await assertRefused(connectOptions(listener.address), "closed");
 });
+
+// Guards against closing the links to processes of an earlier build, which know kinds by their numbers.
+test("the numbers of the kinds of protocol version 1 do not change", () => {
+  assert.equal(kindNumber({ kind: "view_pull", revisions: [] }), 40);
+  assert.equal(kindNumber({ kind: "gateway_overload", isOverloaded: true }), 48);
+});
