Compare digests of the known gateways instead of sending lists

Change: a new link carries the sender itself and a digest. Links of protocol version 1 carry whole lists as before.

--- a/packages/gateway/src/peers/peer_network.ts
+++ b/packages/gateway/src/peers/peer_network.ts
@@ -28,6 +28,7 @@
 import type { DecisionLog } from "../observe/decision_log.ts";
 import type { GatewayMetrics } from "../observe/metrics.ts";
 import { PeerTraffic } from "../observe/peer_traffic.ts";
+import { GatewayExchange } from "./gateway_exchange.ts";
 import { type LinkedPeer, PeerGroup, type PeerHandler } from "./peer_group.ts";
 
 /** Options of {@link PeerNetwork}. */
@@ -57,6 +58,9 @@
 /** Time without a link after which a peer no longer counts as a gateway that shares limits with this one. */
 const MEMBER_TTL_MS = 20_000;
 
+/** Protocol version from which on gateways exchange digests instead of whole lists. */
+const DIGESTS_SINCE_VERSION = 2;
+
 interface Peer {
   readonly links: Set<Link>;
   address: string | null;
@@ -70,6 +74,7 @@
   readonly #acceptor: LinkAcceptor;
   readonly #identity: Identity;
   readonly #traffic: PeerTraffic;
+  readonly #exchange: GatewayExchange;
   readonly #peers = new Map<string, Peer>();
   /** Addresses that this gateway dials now or will dial after the fallback delay, with how to stop. */
   readonly #dialled = new Map<string, Undo>();
@@ -83,7 +88,7 @@
   #listener: LinkListener | null = null;
   #closed = false;
   #membershipVersion = 0;
-  #stopTraffic: Undo = () => {};
+  readonly #stops: Undo[] = [];
 
   constructor(options: PeerNetworkOptions) {
     super();
@@ -117,7 +122,22 @@
       rng: rng.fork("links"),
       backoffMaxMs: RECONNECT_MAX_MS,
     });
+    this.#exchange = new GatewayExchange({
+      clock,
+      rng: rng.fork("gateways"),
+      known: () => [this.#self(), ...this.#known.values()],
+      peers: () =>
+        this.linked()
+          .filter(({ protocolVersion }) => protocolVersion >= DIGESTS_SINCE_VERSION)
+          .map((peer) => peer.name),
+      send: (peer, msg) => this.send(peer, msg),
+    });
     this.registerHandler("gateways", (_peer, { gateways }) => this.addGateways(gateways));
+    this.registerHandler(
+      "gateways_digest",
+      (peer, { digest }) => this.#exchange.onDigest(peer, digest),
+    );
+    this.registerHandler("gateways_request", (peer) => this.#exchange.onRequest(peer));
     this.registerHandler("gateway_stopping", (peer) => void this.#stopping.add(peer));
     this.registerHandler("gateway_overload", (peer, { isOverloaded }) => {
       if (isOverloaded) this.#overloaded.add(peer);
@@ -135,13 +155,13 @@
       clock,
       traffic: this.#traffic,
     });
-    this.#stopTraffic = this.#traffic.start();
+    this.#stops.push(this.#traffic.start(), this.#exchange.start());
     for (const seed of seeds) this.#dial(seed);
   }
 
   async stop(): Promise<void> {
     this.#closed = true;
-    this.#stopTraffic();
+    for (const stop of this.#stops) stop();
     for (const undo of this.#dialled.values()) undo();
     this.#pool.close();
     await this.#listener?.close();
@@ -291,9 +311,10 @@
     this.#membershipVersion++;
     peer.lastLinkedMs = this.#options.clock.now();
     link.registerCloseListener((err) => this.#onLinkClosed(name, link, err.message));
-    const { address, dataCentre, processorShare, linkMbps } = this.#options;
-    const self = { name: this.#options.name, ...address, dataCentre, processorShare, linkMbps };
-    link.notify({ kind: "gateways", gateways: [self, ...this.#known.values()] });
+    const hasDigests = link.version >= DIGESTS_SINCE_VERSION;
+    const others = hasDigests ? [] : this.#known.values();
+    link.notify({ kind: "gateways", gateways: [this.#self(), ...others] });
+    if (hasDigests) this.#exchange.announce(name);
     if (wasLinked) return;
     // The first link after a loss may lead to a new process with the same name.
     this.#stopping.delete(name);
@@ -302,6 +323,11 @@
     for (const listener of this.#upListeners) listener(name);
   }
 
+  #self(): GatewayAddress {
+    const { name, address, dataCentre, processorShare, linkMbps } = this.#options;
+    return { name, ...address, dataCentre, processorShare, linkMbps };
+  }
+
   #onLinkClosed(name: string, link: Link, reason: string): void {
     const peer = this.#peerOf(name);
     if (!peer.links.delete(link)) return;
--- a/packages/wire/src/message_codec.ts
+++ b/packages/wire/src/message_codec.ts
@@ -340,6 +340,8 @@
   view_request: record<Body<"view_request">>({
     revisions: list(record<ViewRevision>({ view: text, revision: count })),
   }),
+  gateways_digest: record<Body<"gateways_digest">>({ digest: text }),
+  gateways_request: record<Body<"gateways_request">>({}),
 };
 
 const KINDS = Object.keys(BODIES) as Message["kind"][];
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -345,7 +345,7 @@
   readonly linkMbps: number | null;
 }
 
-/** The gateways known to the sender. */
+/** Gateways known to the sender; since protocol version 2 not always all of them. */
 export interface KnownGateways {
   readonly kind: "gateways";
   readonly gateways: readonly GatewayAddress[];
@@ -491,6 +491,17 @@
   readonly revisions: readonly ViewRevision[];
 }
 
+/** Digest of the gateways known to the sender. Since protocol version 2. */
+export interface GatewaysDigest {
+  readonly kind: "gateways_digest";
+  readonly digest: string;
+}
+
+/** Requests {@link KnownGateways}. Since protocol version 2. */
+export interface GatewaysRequest {
+  readonly kind: "gateways_request";
+}
+
 /** Messages that may open a stream. */
 export type Opening = Run | Resume | Call | ConfigPull | AccountReports;
 
@@ -530,4 +541,6 @@
   | GatewayStopping
   | GatewayOverload
   | ViewUpdate
-  | ViewRequest;
+  | ViewRequest
+  | GatewaysDigest
+  | GatewaysRequest;
