Send a congested peer the present occupancy once there is room

Change: a peer whose link is congested gets the whole present occupancy once there is room, and the changes meanwhile not at all.

--- a/packages/gateway/src/peers/occupancy_share.ts
+++ b/packages/gateway/src/peers/occupancy_share.ts
@@ -15,19 +15,26 @@
 
 /** Connects a registry of runs to the network. The returned undo disconnects it. */
 export function shareOccupancy(board: RunRegistry, network: PeerGroup, clock: Clock): Undo {
+  /** Peers that have missed changes while their link was congested. */
+  const behind = new Set<string>();
+  const sendAll = (peer: string) => {
+    const changed = board.ownOccupancies();
+    network.send(peer, { kind: "occupancy", full: true, changed, ended: [] });
+    behind.delete(peer);
+  };
   const undos: Undo[] = [
-    board.registerListener(({ changed, ended }) =>
-      network.broadcast({ kind: "occupancy", full: false, changed, ended })
-    ),
-    network.registerUp((peer) =>
-      void network.send(peer, {
-        kind: "occupancy",
-        full: true,
-        changed: board.ownOccupancies(),
-        ended: [],
-      })
-    ),
+    board.registerListener(({ changed, ended }) => {
+      for (const { name } of network.linked()) {
+        if (behind.has(name) || network.isCongested(name)) behind.add(name);
+        else network.send(name, { kind: "occupancy", full: false, changed, ended });
+      }
+    }),
+    network.registerRoom((peer) => {
+      if (behind.has(peer)) sendAll(peer);
+    }),
+    network.registerUp(sendAll),
     network.registerDown((peer) => {
+      behind.delete(peer);
       clock.setTimer(LOST_PEER_RETENTION_MS, () => {
         if (!network.isLinked(peer)) board.removePeer(peer);
       });
