Pause between reads of a large configuration that changes quickly

Cause: a follower watched again at once after each change. On a link of 7 Mbit/s, versions of 418 kB each 330 ms take all of it, and what else the gateway does waits. Where a store returns each version that was written meanwhile, reading also falls ever further behind.

Change: from the second large change in a row, the follower pauses for twice the transfer time, at most 500 ms, and then lists the configuration, which returns the newest version alone. The first read without a change ends this.

--- a/packages/gateway/src/state/response_deadline.ts
+++ b/packages/gateway/src/state/response_deadline.ts
@@ -59,6 +59,12 @@
     return last !== null && this.#options.clock.now() - last < this.#options.idleMs;
   }
 
+  /** Time from the first to the last byte received so far, in milliseconds. */
+  get transferMs(): number {
+    if (this.#firstByteAtMs === null || this.#lastByteAtMs === null) return 0;
+    return this.#lastByteAtMs - this.#firstByteAtMs;
+  }
+
   /** Fields of a log line; times are in milliseconds and `null` if no byte has arrived. */
   summary(): Record<string, number | null> {
     const now = this.#options.clock.now();
@@ -67,7 +73,7 @@
     return {
       receivedBytes: this.receivedBytes,
       firstByteMs: first === null ? null : Math.round(first - this.#startedAtMs),
-      transferMs: first === null || last === null ? null : Math.round(last - first),
+      transferMs: first === null ? null : Math.round(this.transferMs),
       silentMs: last === null ? null : Math.round(now - last),
     };
   }
--- a/packages/gateway/src/state/store_follower.ts
+++ b/packages/gateway/src/state/store_follower.ts
@@ -10,7 +10,7 @@
 import type { DecisionLog } from "../observe/decision_log.ts";
 import { ResponseDeadline } from "./response_deadline.ts";
 import type { ReadOptions, StateStore } from "./state_store.ts";
-import { FOLLOWED_KINDS, type FollowedKind, type StoreView } from "./store_view.ts";
+import { FOLLOWED_KINDS, type FollowedKind, type Snapshot, type StoreView } from "./store_view.ts";
 
 /** Options of {@link StoreFollower}. */
 export interface StoreFollowerOptions {
@@ -52,8 +52,21 @@
 /** Wait of a watch that only probes whether the store is reachable. */
 const PROBE_WAIT_MS = 1;
 
-/** Size of a response from which its reading is logged. */
+/** Size of a response from which its reading is logged, and followed by a pause. */
 const LARGE_RESPONSE_BYTES = 65_536;
+/** Pause after reading a large response, as a multiple of its transfer time, so that the link has time for other work. */
+const READ_PAUSE_FACTOR = 2;
+/** Number of large changes in a row from which reads are paused. */
+const MIN_CHANGES_TO_PAUSE = 2;
+/** Longest pause, so that a change is in force well within the shortest bound of two seconds. */
+const MAX_READ_PAUSE_MS = 500;
+
+type ReadCall = "list" | "watch";
+
+type ReadResult = "changed" | "unchanged" | "history_gone";
+
+/** Kinds of which a list is no larger than one event of a watch. */
+const RELISTED_KINDS: ReadonlySet<FollowedKind> = new Set(["config"]);
 
 interface StoreDownState {
   readonly prober: FollowedKind;
@@ -71,6 +84,10 @@
   #suspended: { readonly resumed: Promise<void>; resolve(): void } | null = null;
   #listeners: readonly ReadListener[] = [];
   readonly #aborts = new Set<AbortController>();
+  /** Number of large changes of each kind that were read in a row. */
+  readonly #largeChanges = new Map<FollowedKind, number>();
+  /** Pause after the last read of each kind. */
+  readonly #pauseMs = new Map<FollowedKind, number>();
   /** Deadlines of the calls in progress. */
   readonly #deadlines = new Set<ResponseDeadline>();
 
@@ -122,14 +139,20 @@
   }
 
   async #follow<K extends FollowedKind>(kind: K): Promise<void> {
-    let mustList = true;
+    let call: ReadCall = "list";
+    let isFirst = true;
     while (!this.#stopped) {
-      if (this.#suspended !== null && !mustList) await this.#suspended.resumed;
+      if (this.#suspended !== null && !isFirst) {
+        await this.#suspended.resumed;
+        call = "watch";
+      }
       const from = this.#options.view.kinds[kind].revision;
       try {
-        mustList = mustList ? await this.#list(kind) : await this.#watch(kind);
+        const result: ReadResult = await (call === "list" ? this.#list(kind) : this.#watch(kind));
         this.#succeeded();
         for (const listener of this.#listeners) listener(kind, from);
+        isFirst = result === "history_gone";
+        call = await this.#nextCall(kind, result);
       } catch (e) {
         if (this.#stopped) return;
         await this.#failed(kind, toWpError(e));
@@ -137,47 +160,64 @@
     }
   }
 
-  /** Reads all objects of a kind. Returns whether they must be listed again, which is never the case. */
-  #list<K extends FollowedKind>(kind: K): Promise<boolean> {
+  /**
+   * Chooses the next call, and pauses before it while a large object changes quickly, so that its responses do not
+   * occupy the whole link.
+   */
+  async #nextCall(kind: FollowedKind, result: ReadResult): Promise<ReadCall> {
+    if (result === "history_gone") return "list";
+    const pauseMs = this.#pauseMs.get(kind) ?? 0;
+    if (pauseMs === 0) return "watch";
+    await this.#options.clock.sleep(pauseMs);
+    // A watch may return each version that was written during the pause.
+    return RELISTED_KINDS.has(kind) ? "list" : "watch";
+  }
+
+  /** Reads all objects of a kind. */
+  #list<K extends FollowedKind>(kind: K): Promise<ReadResult> {
     const { store, view } = this.#options;
     const deadline = { firstByteMs: LIST_FIRST_BYTE_MS, busyFirstByteMs: LIST_FIRST_BYTE_MS };
     return this.#read(kind, "list", deadline, async (options) => {
+      const before = newestRevision(view.kinds[kind]);
       const snapshot = await store.list(kind, options);
       view.kinds[kind].replace(snapshot as never, "store");
-      return false;
+      return newestRevision(view.kinds[kind]) > before ? "changed" : "unchanged";
     });
   }
 
-  #watch<K extends FollowedKind>(kind: K): Promise<boolean> {
+  #watch<K extends FollowedKind>(kind: K): Promise<ReadResult> {
     const { store, view, watchMs, log } = this.#options;
+    // A pause before the watch counts, so that the view is confirmed as often as without one.
+    const maxWaitMs = watchMs[kind] - (this.#pauseMs.get(kind) ?? 0);
     const deadline = {
-      firstByteMs: watchMs[kind] + WATCH_SLACK_MS,
-      busyFirstByteMs: watchMs[kind] + BUSY_WATCH_SLACK_MS,
+      firstByteMs: maxWaitMs + WATCH_SLACK_MS,
+      busyFirstByteMs: maxWaitMs + BUSY_WATCH_SLACK_MS,
     };
     return this.#read(kind, "watch", deadline, async (options) => {
       const revision = view.kinds[kind].revision;
       // A probe must return at once when the store is back, not when something changes.
-      const waitMs = this.#down === null ? watchMs[kind] : PROBE_WAIT_MS;
+      const waitMs = this.#down === null ? maxWaitMs : PROBE_WAIT_MS;
       const result = await store.watch(kind, revision, { ...options, waitMs });
       if (result.type === "history_gone") {
         log.state("store_history_gone", { kind, revision });
-        return true;
+        return "history_gone";
       }
-      view.kinds[kind].apply(
-        result.changes as { revision: number; events: readonly { name: string; item: never }[] },
-        "store",
-      );
-      return false;
+      const changes = result.changes as {
+        revision: number;
+        events: readonly { name: string; item: never }[];
+      };
+      view.kinds[kind].apply(changes, "store");
+      return changes.events.length > 0 ? "changed" : "unchanged";
     });
   }
 
   /** Runs one call, and aborts it when its response makes no progress. */
   async #read(
     kind: FollowedKind,
-    call: "list" | "watch",
+    call: ReadCall,
     limits: { readonly firstByteMs: number; readonly busyFirstByteMs: number },
-    run: (options: ReadOptions) => Promise<boolean>,
-  ): Promise<boolean> {
+    run: (options: ReadOptions) => Promise<ReadResult>,
+  ): Promise<ReadResult> {
     const { clock, log } = this.#options;
     const abort = new AbortController();
     const deadline = new ResponseDeadline({
@@ -194,7 +234,7 @@
     this.#deadlines.add(deadline);
     try {
       const result = await run({ signal: abort.signal, onProgress: deadline.record });
-      this.#recordRead(kind, call, deadline);
+      this.#recordRead(kind, call, deadline, result);
       return result;
     } finally {
       deadline.stop();
@@ -203,10 +243,22 @@
     }
   }
 
-  #recordRead(kind: FollowedKind, call: "list" | "watch", response: ResponseDeadline): void {
+  #recordRead(
+    kind: FollowedKind,
+    call: ReadCall,
+    response: ResponseDeadline,
+    result: ReadResult,
+  ): void {
     this.#options.countBytes(kind, response.receivedBytes);
-    if (response.receivedBytes < LARGE_RESPONSE_BYTES) return;
-    this.#options.log.state("store_read", { kind, call, ...response.summary() });
+    const isLarge = response.receivedBytes >= LARGE_RESPONSE_BYTES;
+    const changes = isLarge && result === "changed" ? (this.#largeChanges.get(kind) ?? 0) + 1 : 0;
+    this.#largeChanges.set(kind, changes);
+    const pauseMs = READ_PAUSE_FACTOR * response.transferMs;
+    this.#pauseMs.set(
+      kind,
+      changes >= MIN_CHANGES_TO_PAUSE ? Math.min(MAX_READ_PAUSE_MS, pauseMs) : 0,
+    );
+    if (isLarge) this.#options.log.state("store_read", { kind, call, ...response.summary() });
   }
 
   #succeeded(): void {
@@ -243,3 +295,10 @@
     return down;
   }
 }
+
+/** Revision of the most recent change among the objects of a view. */
+function newestRevision({ snapshot }: { readonly snapshot: Snapshot<unknown> }): number {
+  let newest = 0;
+  for (const { revision } of snapshot.items.values()) newest = Math.max(newest, revision);
+  return newest;
+}
--- a/packages/gateway/tests/response_deadline_test.ts
+++ b/packages/gateway/tests/response_deadline_test.ts
@@ -79,3 +79,30 @@
   assert.equal(log.count("store_lost"), 0);
   follower.stop();
 });
+
+// Guards against a configuration that changes quickly and takes the whole link of the gateway that reads it.
+test("a large configuration in quick order leaves half of a thin link free", async () => {
+  const clock = new ManualClock();
+  const links = new ThinLinks();
+  links.addHost("entry-1", 7);
+  const store = new MemoryStore(clock);
+  const view = new StoreView();
+  const thinStore = new ThinStore("entry-1", links, store);
+  const log = new MemoryLog();
+  const follower = new StoreFollower({ store: thinStore, view, clock, rng: new Rng(1), log });
+  const routes = makeRoutes(1_500);
+  store.set("config", "main", makeConfig({ routes }));
+  follower.start();
+  await advanceLinks(clock, links, 1_000, settle);
+  const before = links.traffic("entry-1").receivedBytes;
+  const storms = 30;
+  for (let version = 2; version <= storms; version++) {
+    store.set("config", "main", makeConfig({ version, routes }));
+    await advanceLinks(clock, links, 330, settle);
+    const inForce = view.kinds.config.snapshot.items.get("main")!.value.version;
+    assert.ok(inForce >= version - 5, `version ${inForce} is in force at version ${version}`);
+  }
+  const share = (links.traffic("entry-1").receivedBytes - before) / (7 * 125 * 330 * (storms - 1));
+  assert.ok(share <= 0.5, `${share} of the link`);
+  follower.stop();
+});
