Close a connection whose response consists of bytes without end

What callers would see: a slow gateway.

Cause: the HTTP parser limits header fields, and nothing else.

Change: a connection is closed when its response has over 256 KiB outside the body, plus 8 bytes for each byte of the body. A control call fails at its limit.

--- a/packages/gateway/src/upstream/connection.ts
+++ b/packages/gateway/src/upstream/connection.ts
@@ -59,6 +59,13 @@
 
 /** Largest header section accepted from an endpoint. */
 const MAX_RESPONSE_HEADER_BYTES = 65_536;
+/**
+ * Bytes of a response that are neither in its body nor fit any sensible framing of it, after which the connection is
+ * closed: the parser accepts status texts, interim responses and chunk extensions of any length.
+ */
+const MAX_OVERHEAD_BYTES = 262_144;
+/** Framing allowed for each byte of the body: a chunk of one byte has five. */
+const MAX_OVERHEAD_PER_BODY_BYTE = 8;
 /** Subtracted from an announced keep-alive time, so that no request is sent while the endpoint closes. */
 const KEEP_ALIVE_MARGIN_MS = 700;
 /** Upper bound of the idle time, whatever an endpoint announces. */
@@ -67,6 +74,11 @@
 /** Marks errors raised by {@link UpstreamCall.abort}. */
 class AbortedError extends Error {}
 
+/** Ends a response that consists of framing. */
+class OverheadError extends Error {
+  override readonly name = "OverheadError";
+}
+
 /** A connection that carries one request at a time. */
 export class UpstreamConnection {
   readonly #client: Client;
@@ -75,6 +87,9 @@
   #socketError = false;
   #busy = false;
   #closed = false;
+  /** Bytes that the socket had received when the present request was sent. */
+  #bytesBefore = 0;
+  #bodyBytes = 0;
 
   constructor(options: UpstreamConnectionOptions) {
     this.#options = options;
@@ -103,8 +118,11 @@
   /** Sends one request. The connection must be neither busy nor closed. */
   send(req: UpstreamRequest, sink: UpstreamSink): UpstreamCall {
     this.#busy = true;
+    this.#bytesBefore = this.#socket?.bytesRead ?? 0;
+    this.#bodyBytes = 0;
     const call = new Exchange(req, sink, {
       hasConnectionFailed: () => this.#socketError,
+      onBodyBytes: (bytes) => this.#bodyBytes += bytes,
       onEnded: (reusable) => this.#onExchangeEnded(reusable),
     });
     const { method, target: path, headers, body } = req;
@@ -157,6 +175,14 @@
       if (socket.remoteAddress === undefined) this.#socketError = true;
     });
     socket.once("connect", () => finish(null));
+    socket.on("readable", () => this.#checkOverhead(socket));
+  }
+
+  /** Closes the connection when a response exceeds the limit of bytes outside its body. */
+  #checkOverhead(socket: Socket): void {
+    const overhead = socket.bytesRead - this.#bytesBefore - this.#bodyBytes;
+    if (overhead <= MAX_OVERHEAD_BYTES + MAX_OVERHEAD_PER_BODY_BYTE * this.#bodyBytes) return;
+    socket.destroy(new OverheadError(`${overhead} bytes outside the response's body`));
   }
 
   /** Local port, for tests. */
@@ -168,6 +194,7 @@
 interface ExchangeOptions {
   /** Whether the connection has failed, so that a response without length may be truncated. */
   readonly hasConnectionFailed: () => boolean;
+  readonly onBodyBytes: (bytes: number) => void;
   readonly onEnded: (reusable: boolean) => void;
 }
 
@@ -225,6 +252,7 @@
   }
 
   onData(chunk: Buffer): boolean {
+    this.#options.onBodyBytes(chunk.length);
     if (this.#hasEnded) return false;
     return this.#sink.onData(chunk);
   }
@@ -265,5 +293,5 @@
 function isMalformed(err: Error): boolean {
   const { name } = err;
   return name === "HTTPParserError" || name === "ResponseContentLengthMismatchError" ||
-    name === "HeadersOverflowError";
+    name === "HeadersOverflowError" || name === "OverheadError";
 }
--- a/packages/gateway/src/upstream/control_call.ts
+++ b/packages/gateway/src/upstream/control_call.ts
@@ -12,7 +12,7 @@
   | { readonly type: "response"; readonly status: number; readonly body: Buffer }
   | { readonly type: "failed"; readonly sent: boolean; readonly message: string };
 
-/** Bytes of a response body after which the rest is discarded. */
+/** Bytes of a response body after which the call fails. */
 const MAX_RESPONSE_BYTES = 1_048_576;
 
 /** Calls an endpoint and reads the complete response. Never rejects. */
@@ -36,7 +36,16 @@
       },
       onData: (chunk) => {
         size += chunk.length;
-        if (size <= MAX_RESPONSE_BYTES) chunks.push(chunk);
+        if (size > MAX_RESPONSE_BYTES) {
+          finish({
+            type: "failed",
+            sent: true,
+            message: `response over ${MAX_RESPONSE_BYTES} bytes`,
+          });
+          call.abort();
+          return false;
+        }
+        chunks.push(chunk);
         return true;
       },
       onEnd: () => finish({ type: "response", status, body: Buffer.concat(chunks) }),
