--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,6 +11,7 @@
   type Undo,
 } from "@wisteriapick/core";
 import { canShedToOthers, ColdLimiter, HostOverload, RetryBudget } from "@wisteriapick/policy";
+import type { Address } from "@wisteriapick/wire";
 import type { DecisionLog } from "./observe/decision_log.ts";
 import { LoopMonitor } from "./observe/loop_monitor.ts";
 import type { GatewayMetrics } from "./observe/metrics.ts";
@@ -115,7 +116,8 @@
     this.#coldLimiter = new ColdLimiter(coldOptions(settings.bounds));
     this.#network = new PeerNetwork({
       name: settings.name,
-      address: settings.listen.peers,
+      listenAddress: settings.listen.peers,
+      address: peersAddress(settings),
       dataCentre: settings.data_centre,
       processorShare: settings.processor_share,
       linkMbps: settings.link_mbps ?? null,
@@ -129,7 +131,7 @@
     this.#registration = new Registration({
       record: {
         name: settings.name,
-        address: settings.listen.peers,
+        address: peersAddress(settings),
         dataCentre: settings.data_centre,
       },
       store,
@@ -330,6 +332,11 @@
   }
 }
 
+/** Address under which other gateways reach this one. */
+function peersAddress({ listen }: GatewaySettings): Address {
+  return listen.peers_advertised ?? listen.peers;
+}
+
 function retryOptions(bounds: GatewaySettings["bounds"]) {
   return {
     ratio: bounds.retry_ratio,
--- a/packages/gateway/src/peers/peer_network.ts
+++ b/packages/gateway/src/peers/peer_network.ts
@@ -34,6 +34,9 @@
 /** Options of {@link PeerNetwork}. */
 export interface PeerNetworkOptions {
   readonly name: string;
+  /** Address to listen on; `address` unless given. */
+  readonly listenAddress?: Address;
+  /** Address under which other gateways reach this one. */
   readonly address: Address;
   readonly dataCentre: DataCentreId;
   /** Processor cores that this gateway may use. */
@@ -146,9 +149,9 @@
   }
 
   async start(): Promise<void> {
-    const { address, clusterKey, clock, seeds } = this.#options;
+    const { address, listenAddress = address, clusterKey, clock, seeds } = this.#options;
     this.#listener = await listenLinks({
-      address,
+      address: listenAddress,
       identity: this.#identity,
       clusterKey,
       acceptor: this.#acceptor,
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -42,6 +42,8 @@
     readiness: address,
     /** Address at which other gateways reach this one. */
     peers: address,
+    /** Address under which other gateways reach this one, if it differs from `peers`, as behind a proxy. */
+    peers_advertised: address.optional(),
     metrics: address.optional(),
   }),
   metrics_path: z.string().default("/metrics"),
