Let gateways without a view begin with different peers

Cause: a gateway that lost the store asked the first gateway of the order, and so did all others, so an outage sent all requests, and the answers of a start without a store, over one link.

Change: each begins with the gateway after it.

--- a/packages/gateway/src/peers/store_view_sync.ts
+++ b/packages/gateway/src/peers/store_view_sync.ts
@@ -83,7 +83,7 @@
     this.#puller = new ViewPuller({
       network,
       clock,
-      sources: () => this.#order().filter((name) => name !== network.name),
+      sources: () => this.#sources(),
       revisions: () =>
         FOLLOWED_KINDS.map((kind) => ({ view: kind, revision: view.kinds[kind].revision })),
     });
@@ -154,6 +154,13 @@
     return network.orderOf(`store/${region}`, among);
   }
 
+  /** The other gateways, beginning with the next one in the order, so that gateways do not all ask the same one. */
+  #sources(): string[] {
+    const order = this.#order();
+    const own = order.indexOf(this.#options.network.name);
+    return [...order.slice(own + 1), ...order.slice(0, own)];
+  }
+
   #originOf(kind: FollowedKind) {
     const { clock, network } = this.#options;
     const freshness = this.#freshness.get(kind);
--- a/packages/gateway/tests/store_view_sync_test.ts
+++ b/packages/gateway/tests/store_view_sync_test.ts
@@ -233,6 +233,22 @@
   assert.ok(requests() - before <= 11, `${requests() - before} requests in 16 s`);
 });
 
+// Guards against requests of all gateways to one of them when the store is lost.
+test("gateways that lose the store at once ask different peers", async () => {
+  const { clock, gateways } = await makeGateways(6);
+  await advance(clock, gateways, 3_000);
+  const received = new Map<string, number>();
+  for (const { name, network } of gateways) {
+    network.registerHandler("view_request", () => {
+      received.set(name, (received.get(name) ?? 0) + 1);
+    });
+  }
+  for (const { store } of gateways) store.setAvailability("refusing");
+  await advance(clock, gateways, 2_500);
+  assert.equal(received.size, 6);
+  assert.ok([...received.values()].every((requests) => requests <= 2));
+});
+
 // Guards against the loss of all gateways below one that has died without closing its links.
 test("changes reach the gateways below one that has stalled", async () => {
   const { clock, links, gateways } = await makeGateways(24);
