--- a/packages/gateway/src/state/store_follower.ts
+++ b/packages/gateway/src/state/store_follower.ts
@@ -25,8 +25,8 @@
   readonly watchMs?: Readonly<Record<FollowedKind, number>>;
 }
 
-/** Called after a kind was read. `from` is the view's revision before the read. */
-export type ReadListener = (kind: FollowedKind, from: number) => void;
+/** Called after a kind was read. */
+export type ReadListener = (kind: FollowedKind) => void;
 
 /**
  * A watch that returns confirms the view, for this gateway and for those that it reads for. A silent connection is only
@@ -52,7 +52,7 @@
 /** Wait of a watch that only probes whether the store is reachable. */
 const PROBE_WAIT_MS = 1;
 
-/** Size of a response from which its reading is logged, and followed by a pause. */
+/** Size of a response from which it is logged and counts as large. */
 const LARGE_RESPONSE_BYTES = 65_536;
 /** Pause after reading a large response, as a multiple of its transfer time, so that the link has time for other work. */
 const READ_PAUSE_FACTOR = 2;
@@ -140,18 +140,17 @@
 
   async #follow<K extends FollowedKind>(kind: K): Promise<void> {
     let call: ReadCall = "list";
-    let isFirst = true;
+    let mustList = true;
     while (!this.#stopped) {
-      if (this.#suspended !== null && !isFirst) {
+      if (this.#suspended !== null && !mustList) {
         await this.#suspended.resumed;
         call = "watch";
       }
-      const from = this.#options.view.kinds[kind].revision;
       try {
         const result: ReadResult = await (call === "list" ? this.#list(kind) : this.#watch(kind));
         this.#succeeded();
-        for (const listener of this.#listeners) listener(kind, from);
-        isFirst = result === "history_gone";
+        for (const listener of this.#listeners) listener(kind);
+        mustList = result === "history_gone";
         call = await this.#nextCall(kind, result);
       } catch (e) {
         if (this.#stopped) return;
