--- a/packages/gateway/src/peers/view_changes.ts
+++ b/packages/gateway/src/peers/view_changes.ts
@@ -135,7 +135,7 @@
   const bytes = isCompressed
     ? inflateRawSync(encoded, { maxOutputLength: MAX_DECODED_BYTES })
     : encoded;
-  // JSON is parsed by native code: a process that is cold takes a tenth of the time that CBOR takes.
+  // JSON is parsed by native code, which is fast in a process whose own code is not compiled yet.
   const changes = JSON.parse(Buffer.from(bytes).toString("utf8")) as Changes;
   if (changes.isFull) {
     view.replace({ revision, items: new Map(changes.items as [string, never][]) }, "peer");
