Give streams a turn while the reader takes in a large configuration

Cause: the reader decoded the configuration, indexed its first routes and encoded the patch for its peers in one turn of the event loop; its longest gap between two events was 168 ms before they reached the caller.

Change: encoding for peers and the index of a large configuration begin in later turns.

--- a/packages/gateway/src/peers/store_view_sync.ts
+++ b/packages/gateway/src/peers/store_view_sync.ts
@@ -72,6 +72,8 @@
   readonly #freshness = new Map<FollowedKind, Freshness>();
   /** When peers last read each kind. */
   readonly #peerReadAtMs = new Map<FollowedKind, number>();
+  /** Stops the timers after which what was read is passed on. */
+  readonly #stopPassing = new Map<FollowedKind, Undo>();
   readonly #undos: Undo[];
   #uninformedSinceMs: number | null = null;
   #outageEndedAtMs = -Infinity;
@@ -125,7 +127,7 @@
   }
 
   close(): void {
-    for (const undo of this.#undos) undo();
+    for (const undo of [...this.#undos, ...this.#stopPassing.values()]) undo();
   }
 
   #trackInformed(isInformed: boolean, now: number): void {
@@ -172,7 +174,9 @@
   #onRead(kind: FollowedKind): void {
     const { clock, network } = this.#options;
     this.#freshness.set(kind, { origin: network.name, hops: 0, readAtMs: clock.now() });
-    this.#passOn(kind);
+    // Encoding a large change takes as long as decoding it, so streams get a turn in between.
+    this.#stopPassing.get(kind)?.();
+    this.#stopPassing.set(kind, clock.setTimer(0, () => this.#passOn(kind)));
   }
 
   /** Passes a view on to the gateways below this one. */
--- a/packages/gateway/src/state/fleet.ts
+++ b/packages/gateway/src/state/fleet.ts
@@ -192,8 +192,9 @@
     // A version older than the one in force is never applied, whatever its source.
     if (this.#nextConfig !== null && config.version < this.#nextConfig.version) return;
     this.#nextConfig = config;
-    const table = new RouteTable(config, config.routes.slice(0, ROUTES_PER_TURN));
-    this.#buildTable(table, ROUTES_PER_TURN, revision);
+    // Decoding a large configuration has taken long enough for one turn.
+    const indexedNow = config.routes.length <= ROUTES_PER_TURN ? config.routes : [];
+    this.#buildTable(new RouteTable(config, indexedNow), indexedNow.length, revision);
   }
 
   /** Adds the routes from `position` on, some in each turn of the event loop, and puts the table in force. */
