--- a/packages/gateway/src/relay/stream_run.ts
+++ b/packages/gateway/src/relay/stream_run.ts
@@ -123,6 +123,11 @@
     return this.promptTokens + this.producedTokens;
   }
 
+  /** Ids of the prompt's segments that other requests may have too: all but the last. */
+  get sharedParts(): readonly string[] {
+    return (this.req.generation?.promptSegments ?? []).slice(0, -1).map(({ id }) => id);
+  }
+
   /** Longest time that the rest of the output can take, in milliseconds. */
   get remainingMs(): number {
     return (this.maxTokens - this.producedTokens) * OUTPUT_TOKEN_MS;
@@ -203,6 +208,7 @@
       afterEvent: this.#reader.lastId,
       remainingMs: Math.round(remainingMs),
       revision: row.revision,
+      sharedParts: this.sharedParts,
     });
     segment.start(request);
   }
@@ -295,7 +301,7 @@
     this.#lastEventAtMs = now;
     if (this.#phase === "sent") this.#phase = "streaming";
     if (!segment.hasProgress) {
-      segment.hasProgress = true;
+      segment.firstEventAtMs = now;
       segment.endpoint.recordResponse(now - segment.startedAtMs);
       this.#events.onProgress(this);
     }
@@ -332,6 +338,11 @@
       loss: loss.type,
       message: loss.message,
       afterEvent: this.#reader.lastId,
+      sharedParts: this.sharedParts,
+      hasHead: segment.hasHead,
+      isFramed: segment.hasFraming,
+      endsInsideEvent: this.#reader.hasPartialEvent,
+      writingMs: segment.writingMs(this.#ctx.clock.now()),
     });
     this.#events.onLoss(this, loss);
   }
@@ -396,7 +407,10 @@
   readonly startedAtMs: number;
   /** Whether the body is forwarded unchanged instead of being parsed as events. */
   isPassThrough = false;
-  hasProgress = false;
+  /** Whether the head of a response has arrived. */
+  hasHead = false;
+  /** When the first event of this segment arrived; `null` before it. */
+  firstEventAtMs: number | null = null;
   /** Whether the end of the body is marked, so that it can be distinguished from a broken connection. */
   hasFraming = true;
   /** Loss of the segment while the run was being stopped; reported if the stop is cancelled. */
@@ -420,6 +434,15 @@
     this.startedAtMs = ctx.clock.now();
   }
 
+  get hasProgress(): boolean {
+    return this.firstEventAtMs !== null;
+  }
+
+  /** Time since the first event of this segment, in milliseconds; `null` before it. */
+  writingMs(nowMs: number): number | null {
+    return this.firstEventAtMs === null ? null : Math.round(nowMs - this.firstEventAtMs);
+  }
+
   start(request: Parameters<UpstreamEndpoint["pool"]["send"]>[0]): void {
     this.endpoint.inFlight++;
     this.#call = this.endpoint.pool.send(request, {
@@ -445,6 +468,7 @@
 
   #onHead(status: number, rawHeaders: readonly string[]): void {
     if (this.#hasEnded) return;
+    this.hasHead = true;
     const head = this.#ctx.dialect.readHead(status, rawHeaders);
     const verdict = classifyResponseHead(head, this.#requestId);
     if (verdict === "success" || verdict === "failure") {
