--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -141,7 +141,7 @@
       onFound: (gateways) => this.#network.addGateways(gateways),
       isLinked: (name) => this.#network.isLinked(name),
     });
-    const crashes = new CrashTracker({ clock, log });
+    const crashes = new CrashTracker({ clock, rng: rng.fork("crashes"), log, metrics });
     this.#moves = new VersionMoves({
       view,
       store,
--- a/packages/gateway/src/observe/metrics.ts
+++ b/packages/gateway/src/observe/metrics.ts
@@ -29,6 +29,8 @@
   readonly #latency: Histogram<"route">;
   readonly #firstEvent: Histogram<"route">;
   readonly #gaps: Histogram<string>;
+  readonly #crashSuspects: Counter<"response">;
+  readonly #refusedTraits: Gauge<string>;
   readonly #queued: Gauge<string>;
   readonly #running: Gauge<string>;
 
@@ -54,6 +56,11 @@
       "direction",
       "message",
     ]);
+    this.#crashSuspects = counter(
+      "crash_suspects_total",
+      "Requests at crashes of endpoints, by whether the response had begun",
+      ["response"],
+    );
     this.#latency = new Histogram({
       name: "wisteriapick_request_seconds",
       help: "Time from arrival to the end of the response",
@@ -77,6 +84,10 @@
     const gauge = (name: string, help: string) =>
       new Gauge({ name: `wisteriapick_${name}`, help, registers });
     this.#peerQueue = gauge("peer_queued_bytes", "Bytes that wait to be sent to other gateways");
+    this.#refusedTraits = gauge(
+      "refused_traits",
+      "What requests have in common that crashes endpoints",
+    );
     this.#queued = gauge("waiting_requests", "Requests that wait for an engine");
     this.#running = gauge("running_streams", "Streams under way");
   }
@@ -98,6 +109,14 @@
     this.#retries.inc({ reason });
   }
 
+  countCrashSuspect(hasBegun: boolean): void {
+    this.#crashSuspects.inc({ response: hasBegun ? "begun" : "none" });
+  }
+
+  setRefusedTraits(count: number): void {
+    this.#refusedTraits.set(count);
+  }
+
   countCopy(outcome: string): void {
     this.#copies.inc({ outcome });
   }
--- /dev/null
+++ b/packages/gateway/src/peers/crash_evidence_exchange.ts
@@ -0,0 +1,255 @@
+/**
+ * Spreads crashes, and the evidence that clears requests of them, among gateways.
+ *
+ * What one crash costs a link does not grow with the number of gateways: news goes along the spread tree, with a bounded
+ * rate, and of many gateways that have the same evidence few announce it, as each waits for a random time and stays
+ * silent if it hears of it (S. Floyd et al., "A Reliable Multicast Framework for Light-weight Sessions", 1997). What a
+ * gateway has missed it gets when digests are compared.
+ *
+ * @module
+ */
+import type { Clock, Rng, Undo } from "@wisteriapick/core";
+import { CrashAttribution, type CrashSuspect, type Trait } from "@wisteriapick/policy";
+import type { CrashEvidence, CrashSuspectReport, SuspectReport } from "@wisteriapick/wire";
+import type { DecisionLog } from "../observe/decision_log.ts";
+import { DigestExchange } from "./digest_exchange.ts";
+import type { LinkedPeer, PeerGroup } from "./peer_group.ts";
+import { childrenOf, MAX_SPREAD_HOPS } from "./spread_tree.ts";
+
+/** Options of {@link CrashEvidenceExchange}. */
+export interface CrashEvidenceExchangeOptions {
+  readonly attribution: CrashAttribution;
+  readonly network: PeerGroup;
+  readonly clock: Clock;
+  readonly rng: Rng;
+  readonly log: DecisionLog;
+  /** Called after a message has changed what is known. */
+  readonly onChange: () => void;
+  /** Called when a peer begins a trial of suspected traits. */
+  readonly onTrial: (traits: readonly Trait[]) => void;
+}
+
+/** What a gateway has to tell. */
+export type CrashNews = Partial<Pick<CrashEvidence, "harmless" | "trials">> & {
+  readonly suspects?: readonly CrashSuspect[];
+};
+
+/** Protocol version from which on gateways understand these messages. */
+const SINCE_VERSION = 3;
+const DUTY = "crash_evidence";
+/** Largest number of messages that a gateway sends or passes on in a second, each to a few peers. */
+const MAX_MESSAGES_PER_SECOND = 50;
+/** Interval at which dropped messages are logged, in milliseconds. */
+const DROP_LOG_INTERVAL_MS = 1_000;
+/** Largest number of recorded requests, and of traits with evidence, in one message. */
+const MAX_SUSPECTS = 64;
+const MAX_HARMLESS = 256;
+/** Longest random time before evidence is announced, for each gateway and in total. */
+const MAX_DELAY_PER_GATEWAY_MS = 1;
+const MAX_DELAY_MS = 500;
+/** Largest number of traits of which it is known what peers know. */
+const MAX_ANNOUNCED = 1_024;
+
+/** Sends and receives crash evidence. */
+export class CrashEvidenceExchange extends DigestExchange {
+  readonly #options: CrashEvidenceExchangeOptions;
+  /** The newest evidence of each trait that peers have been told of, or have told. */
+  readonly #announcedAtMs = new Map<Trait, number>();
+  readonly #scheduled = new Set<Trait>();
+  readonly #undos: Undo[];
+  #budget = MAX_MESSAGES_PER_SECOND;
+  #budgetAtMs = 0;
+  #dropped = 0;
+
+  constructor(options: CrashEvidenceExchangeOptions) {
+    const { network, clock, rng } = options;
+    const peers = () => network.linked().filter(understands).map(({ name }) => name);
+    super({ clock, rng, peers });
+    this.#options = options;
+    this.#undos = [
+      network.registerUp((peer) => this.#onUp(peer)),
+      network.registerHandler("crash_evidence", (peer, msg) => this.#onEvidence(peer, msg)),
+      network.registerHandler("crash_evidence_digest", (peer, { digest }) => {
+        this.onDigest(peer, digest);
+      }),
+      network.registerHandler("crash_evidence_request", (peer) => this.#answer(peer)),
+      this.start(),
+    ];
+  }
+
+  /** Disconnects from the network. */
+  close(): void {
+    for (const undo of this.#undos) undo();
+  }
+
+  /** Tells all gateways. */
+  publish({ suspects = [], harmless = [], trials = [] }: CrashNews): void {
+    for (const { trait, ageMs } of harmless) this.#recordAnnounced(trait as Trait, ageMs);
+    const { name } = this.#options.network;
+    const traits = suspects.flatMap((suspect) => suspect.traits);
+    this.#pass({
+      kind: "crash_evidence",
+      origin: name,
+      hops: 0,
+      suspects: suspects.slice(0, MAX_SUSPECTS).map((suspect) => this.#report(suspect)),
+      harmless: [...harmless, ...this.#harmlessOf(traits)],
+      trials,
+    });
+  }
+
+  /** Announces soon that a trait is harmless, unless peers know it or it does not matter to them. */
+  offerEvidence(trait: Trait): void {
+    if (this.#scheduled.has(trait) || !this.#isNews(trait)) return;
+    this.#scheduled.add(trait);
+    const { clock, rng, network } = this.#options;
+    const gateways = network.linked().length + 1;
+    const maxMs = Math.min(MAX_DELAY_MS, MAX_DELAY_PER_GATEWAY_MS * gateways);
+    clock.setTimer(rng.next() * maxMs, () => {
+      this.#scheduled.delete(trait);
+      if (this.#isNews(trait)) this.publish({ harmless: this.#harmlessOf([trait]) });
+    });
+  }
+
+  protected override summary(): string | null {
+    const { attribution, clock } = this.#options;
+    return attribution.isEmpty ? null : attribution.summary(clock.now());
+  }
+
+  protected override sendDigest(peer: string, digest: string): void {
+    this.#options.network.send(peer, { kind: "crash_evidence_digest", digest });
+  }
+
+  protected override sendRequest(peer: string): void {
+    this.#options.network.send(peer, { kind: "crash_evidence_request" });
+  }
+
+  #onUp(peer: string): void {
+    if (this.#options.network.linked().some((p) => p.name === peer && understands(p))) {
+      this.announce(peer);
+    }
+  }
+
+  /** Sends a peer everything, which it does not pass on. */
+  #answer(peer: string): void {
+    const { attribution, network, clock } = this.#options;
+    const suspects = attribution.suspects(clock.now()).slice(-MAX_SUSPECTS);
+    network.send(peer, {
+      kind: "crash_evidence",
+      origin: "",
+      hops: 0,
+      suspects: suspects.map((suspect) => this.#report(suspect)),
+      harmless: this.#harmlessOf(suspects.flatMap((suspect) => suspect.traits)),
+      trials: [],
+    });
+  }
+
+  #onEvidence(peer: string, msg: CrashEvidence): void {
+    const { attribution, clock, log, onChange, onTrial } = this.#options;
+    const now = clock.now();
+    const harmless = msg.harmless.slice(0, MAX_HARMLESS);
+    const suspects = msg.suspects.slice(0, MAX_SUSPECTS).map((s) => decodeSuspect(s, now));
+    for (const { trait, ageMs } of harmless) {
+      attribution.recordHarmless(trait as Trait, now - ageMs);
+      this.#recordAnnounced(trait as Trait, ageMs);
+    }
+    for (const suspect of suspects) {
+      if (!attribution.recordCrash(suspect, now)) continue;
+      const { crash, request, hasBegun, isTrial, traits, atMs } = suspect;
+      const ageMs = Math.round(now - atMs);
+      log.state("crash_reported", { peer, crash, request, hasBegun, isTrial, traits, ageMs });
+    }
+    for (const trait of suspects.flatMap((s) => s.traits)) this.offerEvidence(trait);
+    if (msg.trials.length > 0) onTrial(msg.trials as readonly string[] as readonly Trait[]);
+    if (harmless.length > 0 || suspects.length > 0) onChange();
+    if (msg.origin !== "" && msg.hops < MAX_SPREAD_HOPS) this.#pass({ ...msg, hops: msg.hops + 1 });
+  }
+
+  /** Sends a message to the gateways below this one in the tree of its origin. */
+  #pass(msg: CrashEvidence): void {
+    const { network } = this.#options;
+    if (!this.#takeBudget()) return;
+    const order = network.orderOf(DUTY, understands);
+    for (const child of childrenOf({ order, root: msg.origin, self: network.name })) {
+      // A peer whose link is full gets what it lacks when digests are compared.
+      if (!network.isCongested(child)) network.send(child, msg);
+    }
+  }
+
+  #takeBudget(): boolean {
+    const now = this.#options.clock.now();
+    const refill = (now - this.#budgetAtMs) * MAX_MESSAGES_PER_SECOND / 1_000;
+    this.#budget = Math.min(MAX_MESSAGES_PER_SECOND, this.#budget + refill);
+    this.#budgetAtMs = now;
+    if (this.#budget < 1) {
+      if (this.#dropped++ === 0) {
+        this.#options.clock.setTimer(DROP_LOG_INTERVAL_MS, () => this.#logDropped());
+      }
+      return false;
+    }
+    this.#budget--;
+    return true;
+  }
+
+  #logDropped(): void {
+    this.#options.log.state("crash_evidence_dropped", { messages: this.#dropped });
+    this.#dropped = 0;
+  }
+
+  /** Whether this gateway has evidence of a trait that changes what peers conclude from a crash. */
+  #isNews(trait: Trait): boolean {
+    const { attribution, clock } = this.#options;
+    const ownMs = attribution.harmlessAtMs(trait);
+    if (ownMs === null) return false;
+    const knownMs = this.#announcedAtMs.get(trait) ?? null;
+    return attribution.suspects(clock.now()).some((suspect) =>
+      suspect.traits.includes(trait) && CrashAttribution.isNews(suspect.atMs, ownMs, knownMs)
+    );
+  }
+
+  #recordAnnounced(trait: Trait, ageMs: number): void {
+    const atMs = this.#options.clock.now() - ageMs;
+    if (atMs <= (this.#announcedAtMs.get(trait) ?? -Infinity)) return;
+    this.#announcedAtMs.delete(trait);
+    this.#announcedAtMs.set(trait, atMs);
+    if (this.#announcedAtMs.size > MAX_ANNOUNCED) {
+      this.#announcedAtMs.delete(this.#announcedAtMs.keys().next().value!);
+    }
+  }
+
+  #harmlessOf(traits: readonly Trait[]): { trait: Trait; ageMs: number }[] {
+    const { attribution, clock } = this.#options;
+    const now = clock.now();
+    return [...new Set(traits)].flatMap((trait) => {
+      const atMs = attribution.harmlessAtMs(trait);
+      return atMs === null ? [] : [{ trait, ageMs: Math.round(now - atMs) }];
+    }).slice(0, MAX_HARMLESS);
+  }
+
+  #report({ crash, request, atMs, hasBegun, isTrial, traits }: CrashSuspect): CrashSuspectReport {
+    const ageMs = Math.round(this.#options.clock.now() - atMs);
+    return { crash, request, ageMs, hasBegun, isTrial, traits };
+  }
+}
+
+function understands({ protocolVersion }: LinkedPeer): boolean {
+  return protocolVersion >= SINCE_VERSION;
+}
+
+function decodeSuspect(report: CrashSuspectReport, nowMs: number): CrashSuspect {
+  const { ageMs, traits, ...rest } = report;
+  return { ...rest, traits: traits as readonly string[] as readonly Trait[], atMs: nowMs - ageMs };
+}
+
+/** The suspects of a peer of protocol version 1 or 2, which knows digests of whole requests only. */
+export function decodeOldSuspects(
+  suspects: readonly SuspectReport[],
+  traitOf: (digest: string) => Trait,
+  nowMs: number,
+): CrashSuspect[] {
+  return suspects.slice(0, MAX_SUSPECTS).flatMap(({ digest, crashIds }) =>
+    crashIds.map((crash) => {
+      const traits = [traitOf(digest)];
+      return { crash, request: digest, atMs: nowMs, hasBegun: false, isTrial: false, traits };
+    })
+  );
+}
--- a/packages/gateway/src/relay/crash_tracker.ts
+++ b/packages/gateway/src/relay/crash_tracker.ts
@@ -1,104 +1,252 @@
 /**
- * Tracks which requests were running at endpoints that crashed, and quarantines a request that was at several crashes,
- * at all gateways.
+ * Records which requests may have caused crashes of endpoints, and says whether a request may be sent, by what the
+ * gateways know together.
  *
  * @module
  */
 import { createHash } from "node:crypto";
-import type { Clock, Undo } from "@wisteriapick/core";
-import { Quarantine } from "@wisteriapick/policy";
-import type { PeerGroup } from "../peers/peer_group.ts";
+import type { Clock, Rng, Undo } from "@wisteriapick/core";
+import {
+  contentTrait,
+  CrashAttribution,
+  type CrashSuspect,
+  MAX_TRAITS,
+  segmentTrait,
+  type Trait,
+} from "@wisteriapick/policy";
 import type { EndpointRecord } from "../config/types.ts";
 import type { DecisionLog } from "../observe/decision_log.ts";
+import type { GatewayMetrics } from "../observe/metrics.ts";
+import { CrashEvidenceExchange, decodeOldSuspects } from "../peers/crash_evidence_exchange.ts";
+import type { PeerGroup } from "../peers/peer_group.ts";
 import type { InboundRequest } from "./inbound.ts";
 
-/** Crashes after which a request is refused: a harmless request is rarely at so many, a harmful one soon is. */
-const CRASH_LIMIT = 3;
-/** Time without a crash after which a request is no longer suspected, in milliseconds. */
-const SUSPECT_MS = 60_000;
-/** Length of the first quarantine, in milliseconds. */
-const QUARANTINE_MS = 60_000;
-const DIGEST_LENGTH = 24;
-
 /** Options of {@link CrashTracker}. */
 export interface CrashTrackerOptions {
   readonly clock: Clock;
+  readonly rng: Rng;
   readonly log: DecisionLog;
+  readonly metrics: GatewayMetrics;
+}
+
+/** Whether a request may be sent now; `wait` while another request tries a trait that it has. */
+export type CrashAdmission =
+  | { readonly type: "send"; readonly isTrial: boolean }
+  | { readonly type: "wait" }
+  | { readonly type: "refused"; readonly retryAfterMs: number };
+
+/** How far an endpoint had come with a request when it crashed. */
+export interface CrashDetails {
+  readonly hasBegun: boolean;
 }
 
-/** Records crashes by request, and says which requests are quarantined. */
+/** Time for which a peer's trial counts as running: several times what a first event takes. */
+const PEER_TRIAL_MS = 2_000;
+/**
+ * Time for which a request without a response is kept back, so that one whose response had begun at the same crash is
+ * known first.
+ */
+const NOT_BEGUN_DELAY_MS = 150;
+/** Largest number of requests without a response that a gateway reports in a second. */
+const MAX_NOT_BEGUN_PER_SECOND = 16;
+const DIGEST_LENGTH = 24;
+/** Longest id of a segment that is used as it is; a longer one is replaced by its digest. */
+const MAX_SEGMENT_ID_LENGTH = 32;
+const NO_TRAITS: readonly Trait[] = [];
+
+/** Decides which requests are refused, wait or are sent after crashes. */
 export class CrashTracker {
-  readonly #clock: Clock;
-  readonly #log: DecisionLog;
-  readonly #quarantine = new Quarantine({
-    crashes: CRASH_LIMIT,
-    suspectMs: SUSPECT_MS,
-    quarantineMs: QUARANTINE_MS,
-  });
+  readonly #options: CrashTrackerOptions;
+  readonly #attribution = new CrashAttribution();
+  /** Traits that a request of this gateway tries now, by the request's id. */
+  readonly #ownTrials = new Map<string, readonly Trait[]>();
+  readonly #peerTrialUntilMs = new Map<Trait, number>();
+  readonly #logged = new Map<Trait, string>();
   #listeners: readonly (() => void)[] = [];
+  #exchange: CrashEvidenceExchange | null = null;
+  #notBegun: CrashSuspect[] = [];
 
-  constructor({ clock, log }: CrashTrackerOptions) {
-    this.#clock = clock;
-    this.#log = log;
+  constructor(options: CrashTrackerOptions) {
+    this.#options = options;
   }
 
-  /** Time for which a request is still refused, in milliseconds; 0 for one that may run. */
-  refusedForMs(req: InboundRequest): number {
-    if (this.#quarantine.size === 0) return 0;
-    return this.#quarantine.remainingMs(digestOf(req), this.#clock.now());
+  /** Whether a request may be sent to an endpoint now. Asked on each path that sends, right before it does. */
+  admission(req: InboundRequest): CrashAdmission {
+    if (this.#attribution.isEmpty) return { type: "send", isTrial: false };
+    const now = this.#options.clock.now();
+    const verdict = this.#attribution.verdict(this.#traitsOf(req), now);
+    if (verdict.type === "free") return { type: "send", isTrial: false };
+    if (verdict.type === "refused") {
+      return { type: "refused", retryAfterMs: Math.ceil(verdict.retryAfterMs) };
+    }
+    const isTried = verdict.suspected.some((trait) => this.#isOnTrial(trait, req.requestId, now));
+    return isTried ? { type: "wait" } : { type: "send", isTrial: true };
   }
 
-  /** Whether a request has been at more than one crash. */
-  isSuspected(req: InboundRequest): boolean {
-    return this.#quarantine.crashCount(digestOf(req), this.#clock.now()) > 1;
+  /** Records that a request is being sent, and announces it if it is a trial. */
+  recordSent(req: InboundRequest): void {
+    if (this.#attribution.isEmpty) return;
+    const verdict = this.#attribution.verdict(this.#traitsOf(req), this.#options.clock.now());
+    if (verdict.type !== "trial" || this.#ownTrials.has(req.requestId)) return;
+    this.#ownTrials.set(req.requestId, verdict.suspected);
+    this.#options.log.request("crash_trial", { req: req.requestId, traits: verdict.suspected });
+    this.#exchange?.publish({ trials: verdict.suspected });
   }
 
-  /** Records that an endpoint broke off its response to a request. */
-  recordCrash(req: InboundRequest, endpoint: EndpointRecord): void {
+  /** Records that a request is no longer at an endpoint. */
+  recordEnded(req: InboundRequest): void {
+    this.#ownTrials.delete(req.requestId);
+  }
+
+  /** Records that an endpoint broke off a request to which it had not responded for long. */
+  recordCrash(req: InboundRequest, endpoint: EndpointRecord, { hasBegun }: CrashDetails): void {
     const digest = digestOf(req);
-    const crashId = `${endpoint.id}/${endpoint.startedAtUnixMs}`;
-    const now = this.#clock.now();
-    this.#quarantine.recordCrash(digest, crashId, now);
-    this.#log.state("request_suspected", {
-      req: req.requestId,
-      digest,
-      endpoint: endpoint.id,
-      crashes: this.#quarantine.crashCount(digest, now),
-      refusedForMs: Math.round(this.#quarantine.remainingMs(digest, now)),
-    });
-    for (const listener of this.#listeners) listener();
+    const suspect: CrashSuspect = {
+      crash: `${endpoint.id}/${endpoint.startedAtUnixMs}`,
+      request: digest,
+      atMs: this.#options.clock.now(),
+      hasBegun,
+      isTrial: this.#ownTrials.delete(req.requestId),
+      traits: [...segmentTraits(req), contentTrait(digest)],
+    };
+    const { crash, isTrial, traits } = suspect;
+    const fields = { req: req.requestId, endpoint: endpoint.id, crash, hasBegun, isTrial, traits };
+    this.#options.log.state("request_suspected", fields);
+    this.#options.metrics.countCrashSuspect(hasBegun);
+    if (hasBegun) return this.#report([suspect]);
+    this.#notBegun.push(suspect);
+    if (this.#notBegun.length === 1) {
+      this.#options.clock.setTimer(NOT_BEGUN_DELAY_MS, () => this.#reportNotBegun());
+    }
+  }
+
+  /** Records that an endpoint began to respond to a request at `atMs`, and went on well or completed the response. */
+  recordHarmless(req: InboundRequest, atMs: number): void {
+    this.#ownTrials.delete(req.requestId);
+    let isKnown = false;
+    for (const trait of this.#traitsOf(req)) {
+      this.#attribution.recordHarmless(trait, atMs);
+      if (!this.#attribution.isRecorded(trait)) continue;
+      isKnown = true;
+      this.#exchange?.offerEvidence(trait);
+    }
+    if (isKnown) this.#onChange();
   }
 
-  /** Records that a request was completed, which clears it. */
-  recordCompleted(req: InboundRequest): void {
-    if (this.#quarantine.size === 0) return;
-    this.#quarantine.recordCleared(digestOf(req), this.#clock.now());
+  /** Calls `fn` when more or other requests may be refused than before. */
+  registerListener(fn: () => void): Undo {
+    this.#listeners = [...this.#listeners, fn];
+    return () => {
+      this.#listeners = this.#listeners.filter((l) => l !== fn);
+    };
   }
 
-  /** Shares the suspected requests with all gateways until the returned function is called. */
+  /** Shares what is known with all gateways until the returned function is called. */
   share(network: PeerGroup): Undo {
-    const message = () => ({
-      kind: "suspects" as const,
-      suspects: this.#quarantine.entries(this.#clock.now()),
+    const { clock, rng, log } = this.#options;
+    const exchange = new CrashEvidenceExchange({
+      attribution: this.#attribution,
+      network,
+      clock,
+      rng,
+      log,
+      onChange: () => this.#onChange(),
+      onTrial: (traits) => {
+        for (const trait of traits) {
+          if (!this.#attribution.isRecorded(trait)) continue;
+          this.#peerTrialUntilMs.set(trait, clock.now() + PEER_TRIAL_MS);
+        }
+      },
+    });
+    this.#exchange = exchange;
+    const undoOld = network.registerHandler("suspects", (_peer, { suspects }) => {
+      const now = clock.now();
+      for (const suspect of decodeOldSuspects(suspects, contentTrait, now)) {
+        this.#attribution.recordCrash(suspect, now);
+      }
+      this.#onChange();
     });
-    const listener = () => network.broadcast(message());
-    this.#listeners = [...this.#listeners, listener];
-    const undos = [
-      network.registerUp((peer) => void network.send(peer, message())),
-      network.registerHandler("suspects", (_peer, { suspects }) => {
-        this.#quarantine.merge(suspects, this.#clock.now());
-      }),
-    ];
     return () => {
-      this.#listeners = this.#listeners.filter((l) => l !== listener);
-      for (const undo of undos) undo();
+      this.#exchange = null;
+      exchange.close();
+      undoOld();
     };
   }
+
+  #report(suspects: readonly CrashSuspect[]): void {
+    const now = this.#options.clock.now();
+    for (const suspect of suspects) this.#attribution.recordCrash(suspect, now);
+    this.#exchange?.publish({ suspects });
+    this.#onChange();
+  }
+
+  /** Reports the requests without a response, except those beside one whose response had begun. */
+  #reportNotBegun(): void {
+    const suspects = this.#notBegun.filter(({ crash }) =>
+      !this.#attribution.hasBegunSuspect(crash)
+    );
+    this.#notBegun = [];
+    const reported = suspects.slice(0, MAX_NOT_BEGUN_PER_SECOND * NOT_BEGUN_DELAY_MS / 1_000 + 1);
+    if (reported.length < suspects.length) {
+      const requests = suspects.length - reported.length;
+      this.#options.log.state("crash_suspects_left_out", { requests });
+    }
+    if (reported.length > 0) this.#report(reported);
+  }
+
+  #isOnTrial(trait: Trait, requestId: string, nowMs: number): boolean {
+    for (const [id, traits] of this.#ownTrials) {
+      if (id !== requestId && traits.includes(trait)) return true;
+    }
+    return (this.#peerTrialUntilMs.get(trait) ?? -Infinity) > nowMs;
+  }
+
+  /** The traits that may matter now. The digest of a request is only computed if one was at a crash. */
+  #traitsOf(req: InboundRequest): readonly Trait[] {
+    const segments = segmentTraits(req);
+    if (!this.#attribution.hasContents) return segments;
+    return [...segments, contentTrait(digestOf(req))];
+  }
+
+  #onChange(): void {
+    const now = this.#options.clock.now();
+    const states = this.#attribution.states(now);
+    for (const { trait, level, crashes, companions } of states) {
+      if (this.#logged.get(trait) === level) continue;
+      this.#logged.set(trait, level);
+      // A trial that was announced for an earlier suspicion is over.
+      this.#peerTrialUntilMs.delete(trait);
+      this.#options.log.state(`trait_${level}`, { trait, crashes, companions });
+    }
+    const left = new Set(states.map(({ trait }) => trait));
+    for (const [trait, level] of [...this.#logged]) {
+      if (left.has(trait)) continue;
+      this.#logged.delete(trait);
+      this.#peerTrialUntilMs.delete(trait);
+      const harmlessAtMs = this.#attribution.harmlessAtMs(trait);
+      const evidenceAgeMs = harmlessAtMs === null ? null : Math.round(now - harmlessAtMs);
+      this.#options.log.state("trait_cleared", { trait, was: level, evidenceAgeMs });
+    }
+    this.#options.metrics.setRefusedTraits(states.filter((s) => s.level === "refused").length);
+    for (const listener of this.#listeners) listener();
+  }
+}
+
+/** The segments of a request's prompt that other requests may have too: all but the last. */
+function segmentTraits({ generation }: InboundRequest): readonly Trait[] {
+  if (generation === null || generation.promptSegments.length < 2) return NO_TRAITS;
+  return generation.promptSegments.slice(0, -1).slice(0, MAX_TRAITS - 1).map(({ id }) => {
+    return segmentTrait(id.length <= MAX_SEGMENT_ID_LENGTH ? id.toLowerCase() : sha256(id));
+  });
 }
 
 /** Identifies a request across its attempts and gateways: attempts differ in id, but not in path, account and body. */
 function digestOf({ method, target, account, body }: InboundRequest): string {
-  const hash = createHash("sha256").update(`${method} ${target}\n${account?.id ?? ""}\n`);
+  return sha256(`${method} ${target}\n${account?.id ?? ""}\n`, body);
+}
+
+function sha256(text: string, body: Buffer | null = null): string {
+  const hash = createHash("sha256").update(text);
   if (body !== null) hash.update(body);
   return hash.digest("hex").slice(0, DIGEST_LENGTH);
 }
--- a/packages/gateway/src/relay/engine_dispatcher.ts
+++ b/packages/gateway/src/relay/engine_dispatcher.ts
@@ -96,6 +96,7 @@
       lengths: this.#lengths,
       tokensPerMs: () => this.#tokensPerMs,
     });
+    ctx.crashes.registerListener(() => this.#refuseRunning());
     ctx.fleet.registerEndpointListener(({ id, after, restarted }) => {
       if (after === null || restarted) this.#prefixes.forgetEndpoint(id);
     });
@@ -206,7 +207,15 @@
 
   #dispatchQueue(now: number): void {
     for (const queued of this.#queue.inOrder()) {
-      const choice = this.#choose(queued);
+      const admission = this.#ctx.crashes.admission(queued.run.req);
+      if (admission.type === "wait") continue;
+      if (admission.type === "refused") {
+        this.#queue.remove(queued);
+        const { retryAfterMs } = admission;
+        queued.run.fail({ reason: "quarantined", notRun: true, retryAfterMs });
+        continue;
+      }
+      const choice = this.#choose(queued, admission.isTrial);
       if (choice === null) continue;
       this.#queue.remove(queued);
       this.#place(queued, choice, now);
@@ -217,7 +226,11 @@
     }
   }
 
-  #choose({ run, service, engine }: QueuedGeneration): EngineChoice<EngineWithLoad> | null {
+  /** A trial, which may crash its engine, goes to one of those with the fewest runs where these have room. */
+  #choose(
+    { run, service, engine }: QueuedGeneration,
+    isTrial: boolean,
+  ): EngineChoice<EngineWithLoad> | null {
     const item = run.forecastItem(this.registry.curve(run.req.route.id));
     const { route, generation } = run.req;
     const filter = {
@@ -226,7 +239,14 @@
       requestId: run.id,
     };
     const options = { firstEventTargetMs: route.targetLatencyMs };
-    return chooseEngine(item, this.candidates(service, engine, filter), options);
+    const candidates = this.candidates(service, engine, filter);
+    if (isTrial) {
+      const fewest = Math.min(...candidates.map(({ running }) => running));
+      const quiet = candidates.filter(({ running }) => running === fewest);
+      const choice = chooseEngine(item, quiet, options);
+      if (choice !== null) return choice;
+    }
+    return chooseEngine(item, candidates, options);
   }
 
   #place(queued: QueuedGeneration, choice: EngineChoice<EngineWithLoad>, now: number): void {
@@ -283,8 +303,13 @@
     }
     if (loss.type === "lost" && endpoint !== null && this.#ctx.fleet.isUsable(endpoint.id)) {
       this.#recordVersionOutcome(run, endpoint.record, true);
-      this.#ctx.crashes.recordCrash(run.req, endpoint.record);
+      if (loss.isDisconnected === true && !run.hasBegunWell) {
+        this.#ctx.crashes.recordCrash(run.req, endpoint.record, { hasBegun: run.hasBegun });
+      }
     }
+    this.#ctx.crashes.recordEnded(run.req);
+    // What was recorded of the crash may have ended the run.
+    if (run.phase === "ended") return;
     if (this.#events.onLost(run, loss)) return;
     const assigned = this.#services.get(run);
     if (loss.type !== "lost" && !run.hasDelivered && assigned !== undefined) {
@@ -310,6 +335,15 @@
     });
   }
 
+  /** Ends the runs that would now be refused, before their engines begin to respond. */
+  #refuseRunning(): void {
+    for (const run of [...this.#runs]) {
+      if (run.phase === "waiting" || run.phase === "ended" || run.hasBegunWell) continue;
+      if (this.#ctx.crashes.admission(run.req).type !== "refused") continue;
+      run.fail({ reason: "quarantined", notRun: "unknown" });
+    }
+  }
+
   #onRunEnd(run: StreamRun): void {
     const now = this.#ctx.clock.now();
     this.registry.remove(run);
@@ -329,7 +363,6 @@
   #recordLength(run: StreamRun): void {
     if (run.producedTokens === 0) return;
     const key = lengthKey(run.req.route.id);
-    if (run.isComplete) this.#ctx.crashes.recordCompleted(run.req);
     if (run.isComplete) this.#lengths.recordEnd(key, ALL_ACCOUNTS, run.producedTokens);
     else this.#lengths.recordProgress(key, ALL_ACCOUNTS, 0, run.producedTokens);
   }
--- a/packages/gateway/src/relay/plain_call.ts
+++ b/packages/gateway/src/relay/plain_call.ts
@@ -27,6 +27,8 @@
 const RETRY_AFTER_FULL_MS = 150;
 /** Retry delay given to callers while no endpoint is usable, in milliseconds. */
 const RETRY_AFTER_NO_ENDPOINT_MS = 400;
+/** Retry delay given to callers while another call tries what this one shares with it, in milliseconds. */
+const RETRY_AFTER_TRIAL_MS = 300;
 
 /** A signed failure of an endpoint, delivered if no other endpoint succeeds. */
 interface EndpointFailure {
@@ -48,6 +50,8 @@
   #reached = 0;
   #mayHaveRun = false;
   #wasRefused = false;
+  /** Time for which calls like this one are not sent, in milliseconds; `null` if they are. */
+  #quarantinedForMs: number | null = null;
   #failure: EndpointFailure | null = null;
   #committed: Attempt | null = null;
   #hasEnded = false;
@@ -81,6 +85,12 @@
   #sendNext(reason: string): void {
     const now = this.#ctx.clock.now();
     if (this.#reached >= this.#req.route.maxEndpoints) return this.#finishWithoutRetry();
+    const admission = this.#ctx.crashes.admission(this.#req);
+    if (admission.type !== "send") {
+      const isRefused = admission.type === "refused";
+      this.#quarantinedForMs = isRefused ? admission.retryAfterMs : RETRY_AFTER_TRIAL_MS;
+      return this.#finishWithoutRetry();
+    }
     const row = this.#chooseEndpoint(now);
     if (row === null) return this.#finishWithoutRetry();
     if (this.#reached > 0 && !this.#ctx.budget.take(now, this.#ctx.gatewayCount())) {
@@ -168,6 +178,7 @@
       onFailed: (a, failure) => this.#onFailed(a, failure),
     });
     this.#attempts.add(attempt);
+    this.#ctx.crashes.recordSent(this.#req);
     metrics.countAttempt("sent");
     this.#armSlowTimer(endpoint, remainingMs);
     attempt.start(request);
@@ -254,7 +265,10 @@
     this.#mayHaveRun = true;
     attempt.endpoint.recordFailure();
     this.#recordVersionOutcome(attempt, true);
-    this.#ctx.crashes.recordCrash(this.#req, attempt.endpoint.record);
+    if (failure.type === "connection_lost") {
+      const { record } = attempt.endpoint;
+      this.#ctx.crashes.recordCrash(this.#req, record, { hasBegun: attempt.hasHead });
+    }
     this.#retry("lost");
   }
 
@@ -276,13 +290,17 @@
     if (this.#hasEnded || this.#attempts.size > 0) return;
     if (this.#failure !== null) return this.#deliver(this.#failure.head, this.#failure.body, null);
     if (this.#mayHaveRun) return this.#reject({ reason: "upstream_failed", notRun: "unknown" });
+    if (this.#quarantinedForMs !== null) {
+      const retryAfterMs = this.#quarantinedForMs;
+      return this.#reject({ reason: "quarantined", notRun: true, retryAfterMs });
+    }
     const retryAfterMs = this.#wasRefused ? RETRY_AFTER_FULL_MS : RETRY_AFTER_NO_ENDPOINT_MS;
     const reason = this.#wasRefused ? "overloaded" : "no_endpoint";
     this.#reject({ reason, notRun: true, retryAfterMs });
   }
 
   #deliver(head: ResponseHead, body: Buffer, attempt: Attempt | null): void {
-    this.#ctx.crashes.recordCompleted(this.#req);
+    if (attempt !== null) this.#ctx.crashes.recordHarmless(this.#req, attempt.startedAtMs);
     this.#abortAttempts();
     this.#responder.writeHead(head.status, head.headers, body.length);
     if (body.length > 0) this.#responder.write(body);
@@ -343,6 +361,7 @@
   ): void {
     this.#hasEnded = true;
     this.#stopSlowTimer();
+    this.#ctx.crashes.recordEnded(this.#req);
     for (const undo of this.#undos) undo();
     const { clock, log, metrics } = this.#ctx;
     const ms = clock.now() - this.#req.arrivedAtMs;
@@ -382,7 +401,7 @@
   #head: ResponseHead | null = null;
   #call: UpstreamCall | null = null;
   #forward: ((chunk: Buffer) => boolean) | null = null;
-  #startedAtMs = 0;
+  startedAtMs = 0;
   #hasEnded = false;
 
   constructor(
@@ -398,7 +417,7 @@
   }
 
   start(request: Parameters<UpstreamEndpoint["pool"]["send"]>[0]): void {
-    this.#startedAtMs = this.#ctx.clock.now();
+    this.startedAtMs = this.#ctx.clock.now();
     this.endpoint.inFlight++;
     this.#call = this.endpoint.pool.send(request, {
       onHead: (status, headers) => this.#onHead(status, headers),
@@ -408,8 +427,13 @@
     });
   }
 
+  /** Whether the head of the response has arrived. */
+  get hasHead(): boolean {
+    return this.#head !== null;
+  }
+
   get elapsedMs(): number {
-    return this.#ctx.clock.now() - this.#startedAtMs;
+    return this.#ctx.clock.now() - this.startedAtMs;
   }
 
   /** The head and the body buffered so far. */
@@ -431,7 +455,7 @@
   abort(): void {
     if (this.#hasEnded) return;
     const isOverdue = this.#head === null &&
-      this.#ctx.clock.now() - this.#startedAtMs >= SLOW_MIN_MS;
+      this.#ctx.clock.now() - this.startedAtMs >= SLOW_MIN_MS;
     if (isOverdue) this.endpoint.recordFailure();
     this.#end();
     this.#call?.abort();
@@ -455,7 +479,7 @@
   #onEnd(): void {
     if (this.#hasEnded) return;
     this.#end();
-    this.endpoint.recordResponse(this.#ctx.clock.now() - this.#startedAtMs);
+    this.endpoint.recordResponse(this.#ctx.clock.now() - this.startedAtMs);
     this.#events.onComplete(this);
   }
 
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -95,12 +95,12 @@
       dueAtMs: arrivedAtMs + timeoutMs,
     };
     ctx.budget.recordRequest(arrivedAtMs);
-    const refusedForMs = ctx.crashes.refusedForMs(req);
-    if (refusedForMs > 0) {
+    const admission = ctx.crashes.admission(req);
+    if (admission.type === "refused") {
       const rejection = {
         reason: "quarantined",
         notRun: true,
-        retryAfterMs: refusedForMs,
+        retryAfterMs: admission.retryAfterMs,
       } as const;
       return this.#reject(head, rejection, responder);
     }
--- a/packages/gateway/src/relay/run_migrator.ts
+++ b/packages/gateway/src/relay/run_migrator.ts
@@ -80,8 +80,9 @@
       this.#resume(run, fallback.source, fallback.memory, "new engine did not accept the run");
       return true;
     }
-    // A request that has crashed engines before would probably crash the engine that holds the copy as well.
-    if (!run.hasDelivered || this.#ctx.crashes.isSuspected(run.req)) return false;
+    if (!run.hasDelivered) return false;
+    // The engine that holds the copy would probably crash as well.
+    if (this.#ctx.crashes.admission(run.req).type === "refused") return false;
     const copy = this.#copies.take(run);
     if (copy === null) return false;
     this.#resume(run, copy.row, copy.memory, "engine lost, copy goes on");
@@ -148,6 +149,7 @@
   #mustLeave(run: StreamRun, source: EndpointId): boolean {
     if (run.phase !== "streaming" && run.phase !== "sent") return false;
     if (run.endpoint?.id !== source) return false;
+    if (this.#ctx.crashes.admission(run.req).type === "refused") return false;
     return run.remainingMs > MIN_REMAINING_MS;
   }
 
--- a/packages/gateway/src/relay/stream_run.ts
+++ b/packages/gateway/src/relay/stream_run.ts
@@ -24,11 +24,19 @@
  */
 export type RunPhase = "waiting" | "sent" | "streaming" | "stopping" | "ended";
 
+/**
+ * Time after its first event from which an engine counts as having begun a response well. An engine that crashes on a
+ * prompt does so with the first event, which may still arrive.
+ */
+const BEGUN_WELL_MS = 250;
+
 /** Why the segment of a run at one engine ended before the run did. */
 export interface RunLoss {
   /** `not_run` where the engine proved that it did not take the request. */
   readonly type: "not_run" | "unreachable" | "misdirected" | "lost";
   readonly message: string;
+  /** Whether the connection to the engine ended, as in a crash. */
+  readonly isDisconnected?: boolean;
 }
 
 /** Callbacks to the owner of a run. */
@@ -133,6 +141,16 @@
     return (this.maxTokens - this.producedTokens) * OUTPUT_TOKEN_MS;
   }
 
+  /** Whether the present engine has sent the head of its response. */
+  get hasBegun(): boolean {
+    return this.#segment?.hasHead ?? false;
+  }
+
+  /** Whether the present engine has begun its response well. */
+  get hasBegunWell(): boolean {
+    return this.#segment?.hasBegunWell ?? false;
+  }
+
   /** Whether the response to the caller has begun. */
   get hasDelivered(): boolean {
     return this.#hasSentHead;
@@ -173,9 +191,16 @@
     );
   }
 
-  /** Sends the request to an engine, or resumes it there. */
+  /** Sends the request to an engine, or resumes it there. Fails the run if requests like it crash engines. */
   send({ row, resumeFrom, enginePriority, reason }: RunTarget): void {
-    const { clock, dialect, upstreams, log, metrics } = this.#ctx;
+    const { clock, dialect, upstreams, log, metrics, crashes } = this.#ctx;
+    const admission = crashes.admission(this.req);
+    if (admission.type === "refused") {
+      const notRun = this.#engines.length === 0 ? true : "unknown";
+      const { retryAfterMs } = admission;
+      return this.fail({ reason: "quarantined", notRun, retryAfterMs });
+    }
+    crashes.recordSent(this.req);
     const now = clock.now();
     this.#segment?.abort();
     const remainingMs = this.req.dueAtMs - now;
@@ -299,6 +324,10 @@
       this.#longestGapMs = Math.max(this.#longestGapMs, now - this.#lastEventAtMs);
     }
     this.#lastEventAtMs = now;
+    const { firstEventAtMs } = segment;
+    if (firstEventAtMs !== null && now - firstEventAtMs >= BEGUN_WELL_MS) {
+      this.#recordBegunWell(segment, firstEventAtMs);
+    }
     if (this.#phase === "sent") this.#phase = "streaming";
     if (!segment.hasProgress) {
       segment.firstEventAtMs = now;
@@ -307,6 +336,12 @@
     }
   }
 
+  #recordBegunWell(segment: RunSegment, atMs: number): void {
+    if (segment.hasBegunWell) return;
+    segment.hasBegunWell = true;
+    this.#ctx.crashes.recordHarmless(this.req, atMs);
+  }
+
   #onSegmentEnd(segment: RunSegment): void {
     if (segment !== this.#segment) return;
     if (segment.isPassThrough) {
@@ -317,9 +352,15 @@
       this.#reader.lastId > 0;
     // Without framing, a stopped stream ends like a complete one; the response to the copy order tells them apart.
     if (!isEndOfStream || (this.#phase === "stopping" && !segment.hasFraming)) {
-      return this.#onSegmentLoss(segment, { type: "lost", message: "stream ended early" });
+      const message = "stream ended early";
+      return this.#onSegmentLoss(segment, {
+        type: "lost",
+        message,
+        isDisconnected: !segment.hasFraming,
+      });
     }
     this.#isComplete = true;
+    this.#recordBegunWell(segment, segment.firstEventAtMs ?? segment.startedAtMs);
     this.responder.end();
     this.#finish("answered");
   }
@@ -366,6 +407,7 @@
     if (this.#phase === "ended") return;
     this.#phase = "ended";
     for (const undo of this.#undos) undo();
+    this.#ctx.crashes.recordEnded(this.req);
     this.#segment?.abort();
     const { clock, log, metrics } = this.#ctx;
     const ms = clock.now() - this.req.arrivedAtMs;
@@ -411,6 +453,7 @@
   hasHead = false;
   /** When the first event of this segment arrived; `null` before it. */
   firstEventAtMs: number | null = null;
+  hasBegunWell = false;
   /** Whether the end of the body is marked, so that it can be distinguished from a broken connection. */
   hasFraming = true;
   /** Loss of the segment while the run was being stopped; reported if the stop is cancelled. */
@@ -497,7 +540,8 @@
     }
     // An engine that breaks off a response has usually crashed, so it gets no new requests for a moment.
     this.endpoint.recordUnreachable(this.#ctx.clock.now());
-    this.#events.onLoss(this, { type: "lost", message: failure.message });
+    const isDisconnected = failure.type === "connection_lost";
+    this.#events.onLoss(this, { type: "lost", message: failure.message, isDisconnected });
   }
 
   /** Marks the segment as ended. Returns whether it was still in progress. */
--- a/packages/gateway/tests/relay_test.ts
+++ b/packages/gateway/tests/relay_test.ts
@@ -66,7 +66,7 @@
     metrics: new GatewayMetrics(),
     fleet: { isKnown: true, routes: new RouteTable(config) },
     budget: new RetryBudget({ ratio: 0.2, extra: 50, windowMs: 10_000 }),
-    crashes: { refusedForMs: () => 0 },
+    crashes: { admission: () => ({ type: "send", isTrial: false }) },
   } as unknown as RelayContext;
   const relay = new Relay({
     ctx,
--- a/packages/wire/src/message_codec.ts
+++ b/packages/wire/src/message_codec.ts
@@ -42,9 +42,11 @@
   AccountAllowance,
   AccountUsage,
   CacheChange,
+  CrashSuspectReport,
   EndpointLoad,
   EvidenceCell,
   GatewayAddress,
+  HarmlessReport,
   Hello,
   Message,
   Occupancy,
@@ -342,6 +344,22 @@
   }),
   gateways_digest: record<Body<"gateways_digest">>({ digest: text }),
   gateways_request: record<Body<"gateways_request">>({}),
+  crash_evidence: record<Body<"crash_evidence">>({
+    origin: text,
+    hops: count,
+    suspects: list(record<CrashSuspectReport>({
+      crash: text,
+      request: text,
+      ageMs: real,
+      hasBegun: flag,
+      isTrial: flag,
+      traits: list(text),
+    })),
+    harmless: list(record<HarmlessReport>({ trait: text, ageMs: real })),
+    trials: list(text),
+  }),
+  crash_evidence_digest: record<Body<"crash_evidence_digest">>({ digest: text }),
+  crash_evidence_request: record<Body<"crash_evidence_request">>({}),
 };
 
 const KINDS = Object.keys(BODIES) as Message["kind"][];
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -25,7 +25,7 @@
  * Oldest and newest protocol version that this build supports. A link closes on a kind of message that it does not
  * know, so kinds that a version adds are sent only on links of that version.
  */
-export const PROTOCOL_VERSIONS = { min: 1, max: 2 } as const;
+export const PROTOCOL_VERSIONS = { min: 1, max: 3 } as const;
 
 /** Role of a process. */
 export type Role = "entry" | "side" | "operator";
@@ -427,7 +427,7 @@
   readonly isOverloaded: boolean;
 }
 
-/** Requests suspected of crashing endpoints. */
+/** Requests suspected of crashing endpoints. Sent in protocol versions 1 and 2 only. */
 export interface Suspects {
   readonly kind: "suspects";
   readonly suspects: readonly SuspectReport[];
@@ -502,6 +502,49 @@
   readonly kind: "gateways_request";
 }
 
+/** A request that may have caused a crash, by what it shares with other requests. */
+export interface CrashSuspectReport {
+  /** Identifies the crash, the same for all requests at it. */
+  readonly crash: string;
+  readonly request: string;
+  readonly ageMs: number;
+  /** Whether the endpoint had begun its response. */
+  readonly hasBegun: boolean;
+  /** Whether the request ran as a trial of a suspected trait. */
+  readonly isTrial: boolean;
+  readonly traits: readonly string[];
+}
+
+/** The last time at which a request with a trait began to run well, in milliseconds before now. */
+export interface HarmlessReport {
+  readonly trait: string;
+  readonly ageMs: number;
+}
+
+/** Crashes and what clears requests of them. Since protocol version 3. */
+export interface CrashEvidence {
+  readonly kind: "crash_evidence";
+  /** Name of the gateway from which the evidence comes; empty in a response to a request, which is not passed on. */
+  readonly origin: string;
+  /** Number of gateways that have passed this on. */
+  readonly hops: number;
+  readonly suspects: readonly CrashSuspectReport[];
+  readonly harmless: readonly HarmlessReport[];
+  /** Suspected traits of which a trial has begun. */
+  readonly trials: readonly string[];
+}
+
+/** Digest of the crashes known to the sender. Since protocol version 3. */
+export interface CrashEvidenceDigest {
+  readonly kind: "crash_evidence_digest";
+  readonly digest: string;
+}
+
+/** Requests {@link CrashEvidence}. Since protocol version 3. */
+export interface CrashEvidenceRequest {
+  readonly kind: "crash_evidence_request";
+}
+
 /** Messages that may open a stream. */
 export type Opening = Run | Resume | Call | ConfigPull | AccountReports;
 
@@ -543,4 +586,7 @@
   | ViewUpdate
   | ViewRequest
   | GatewaysDigest
-  | GatewaysRequest;
+  | GatewaysRequest
+  | CrashEvidence
+  | CrashEvidenceDigest
+  | CrashEvidenceRequest;
--- a/packages/wire/tests/samples.ts
+++ b/packages/wire/tests/samples.ts
@@ -151,4 +151,21 @@
     kind: "account_grants",
     grants: [{ account, share: 0.5, maxInFlight: 2.5, nextReportMs: 900 }],
   },
+  {
+    kind: "crash_evidence",
+    origin: "entry-1",
+    hops: 2,
+    suspects: [{
+      crash: "i-1/1700000000000",
+      request: "0a1b",
+      ageMs: 12.5,
+      hasBegun: true,
+      isTrial: false,
+      traits: ["segment:aa01"],
+    }],
+    harmless: [{ trait: "segment:aa01", ageMs: 900 }],
+    trials: ["segment:bb02"],
+  },
+  { kind: "crash_evidence_digest", digest: "0011" },
+  { kind: "crash_evidence_request" },
 ];
