--- a/packages/gateway/src/relay/crash_tracker.ts
+++ b/packages/gateway/src/relay/crash_tracker.ts
@@ -33,7 +33,7 @@
 export type CrashAdmission =
   | { readonly type: "send"; readonly isTrial: boolean }
   | { readonly type: "wait" }
-  | { readonly type: "refused"; readonly retryAfterMs: number };
+  | { readonly type: "refused"; readonly trait: Trait; readonly retryAfterMs: number };
 
 /** How far an endpoint had come with a request when it crashed. */
 export interface CrashDetails {
@@ -77,7 +77,8 @@
     const verdict = this.#attribution.verdict(this.#traitsOf(req), now);
     if (verdict.type === "free") return { type: "send", isTrial: false };
     if (verdict.type === "refused") {
-      return { type: "refused", retryAfterMs: Math.ceil(verdict.retryAfterMs) };
+      const { trait, retryAfterMs } = verdict;
+      return { type: "refused", trait, retryAfterMs: Math.ceil(retryAfterMs) };
     }
     const isTried = verdict.suspected.some((trait) => this.#isOnTrial(trait, req.requestId, now));
     return isTried ? { type: "wait" } : { type: "send", isTrial: true };
--- a/packages/gateway/src/relay/engine_dispatcher.ts
+++ b/packages/gateway/src/relay/engine_dispatcher.ts
@@ -211,8 +211,8 @@
       if (admission.type === "wait") continue;
       if (admission.type === "refused") {
         this.#queue.remove(queued);
-        const { retryAfterMs } = admission;
-        queued.run.fail({ reason: "quarantined", notRun: true, retryAfterMs });
+        const { retryAfterMs, trait } = admission;
+        queued.run.fail({ reason: "quarantined", notRun: true, retryAfterMs, trait });
         continue;
       }
       const choice = this.#choose(queued, admission.isTrial);
@@ -339,8 +339,9 @@
   #refuseRunning(): void {
     for (const run of [...this.#runs]) {
       if (run.phase === "waiting" || run.phase === "ended" || run.hasBegunWell) continue;
-      if (this.#ctx.crashes.admission(run.req).type !== "refused") continue;
-      run.fail({ reason: "quarantined", notRun: "unknown" });
+      const admission = this.#ctx.crashes.admission(run.req);
+      if (admission.type !== "refused") continue;
+      run.fail({ reason: "quarantined", notRun: "unknown", trait: admission.trait });
     }
   }
 
--- a/packages/gateway/src/relay/inbound.ts
+++ b/packages/gateway/src/relay/inbound.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { NotRun, RefusalReason, Undo } from "@wisteriapick/core";
+import type { Trait } from "@wisteriapick/policy";
 import type { AccountConfig, RouteConfig } from "../config/types.ts";
 
 /** Header fields as pairs of name and value; repeated names keep their order. */
@@ -70,6 +71,8 @@
   readonly notRun: NotRun;
   /** Time after which the caller should retry, in milliseconds; only where a retry may help. */
   readonly retryAfterMs?: number;
+  /** What the request shares with others that crash endpoints, where it is quarantined. */
+  readonly trait?: Trait;
 }
 
 /** Sends the response to one caller. */
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -101,6 +101,7 @@
         reason: "quarantined",
         notRun: true,
         retryAfterMs: admission.retryAfterMs,
+        trait: admission.trait,
       } as const;
       return this.#reject(head, rejection, responder);
     }
@@ -179,6 +180,7 @@
       reason: rejection.reason,
       configVersion: ctx.fleet.routes?.config.version,
       retryAfterMs: rejection.retryAfterMs,
+      trait: rejection.trait,
     });
     responder.reject(rejection);
   }
--- a/packages/gateway/src/relay/stream_run.ts
+++ b/packages/gateway/src/relay/stream_run.ts
@@ -197,8 +197,8 @@
     const admission = crashes.admission(this.req);
     if (admission.type === "refused") {
       const notRun = this.#engines.length === 0 ? true : "unknown";
-      const { retryAfterMs } = admission;
-      return this.fail({ reason: "quarantined", notRun, retryAfterMs });
+      const { retryAfterMs, trait } = admission;
+      return this.fail({ reason: "quarantined", notRun, retryAfterMs, trait });
     }
     crashes.recordSent(this.req);
     const now = clock.now();
@@ -426,6 +426,7 @@
       ms: Math.round(ms),
       notRun: rejection?.notRun,
       retryAfterMs: rejection?.retryAfterMs,
+      trait: rejection?.trait,
     });
     this.#events.onEnd(this);
   }
