--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -20,6 +20,7 @@
 import { PeerNetwork } from "./peers/peer_network.ts";
 import { StoreViewSync } from "./peers/store_view_sync.ts";
 import { CrashTracker } from "./relay/crash_tracker.ts";
+import { EndpointLimits } from "./relay/endpoint_limits.ts";
 import { EngineMonitor } from "./relay/engine_monitor.ts";
 import { EngineDispatcher } from "./relay/engine_dispatcher.ts";
 import type { RelayContext } from "./relay/context.ts";
@@ -162,6 +163,7 @@
       budget: this.#retryBudget,
       coldLimiter: this.#coldLimiter,
       crashes,
+      limits: new EndpointLimits({ clock, log }),
       moves: this.#moves,
       gatewayCount: () => this.#network.memberCount(),
     };
--- a/packages/gateway/src/relay/context.ts
+++ b/packages/gateway/src/relay/context.ts
@@ -12,6 +12,7 @@
 import type { EndpointDialect } from "../upstream/dialect.ts";
 import type { Upstreams } from "../upstream/endpoint.ts";
 import type { CrashTracker } from "./crash_tracker.ts";
+import type { EndpointLimits } from "./endpoint_limits.ts";
 
 /** State and services shared by the classes of the relay. */
 export interface RelayContext {
@@ -26,6 +27,7 @@
   readonly budget: RetryBudget;
   readonly coldLimiter: ColdLimiter;
   readonly crashes: CrashTracker;
+  readonly limits: EndpointLimits;
   readonly moves: VersionMoves;
   /** Number of gateways that share budgets, this one included. */
   gatewayCount(): number;
--- a/packages/gateway/src/relay/plain_call.ts
+++ b/packages/gateway/src/relay/plain_call.ts
@@ -10,7 +10,7 @@
 import type { UpstreamCall, UpstreamFailure } from "../upstream/connection.ts";
 import type { ResponseHead } from "../upstream/dialect.ts";
 import type { UpstreamEndpoint } from "../upstream/endpoint.ts";
-import { classifyResponseHead, type HeadVerdict } from "./response_check.ts";
+import { classifyResponseHead, type HeadVerdict, provesEndpoint } from "./response_check.ts";
 import type { RelayContext } from "./context.ts";
 import type { InboundRequest, Rejection, Responder } from "./inbound.ts";
 import { chooseService } from "./service_choice.ts";
@@ -464,7 +464,13 @@
   #onHead(status: number, headers: readonly string[]): void {
     if (this.#hasEnded) return;
     this.#head = this.#ctx.dialect.readHead(status, headers);
-    this.#events.onVerdict(this, classifyResponseHead(this.#head, this.#req.requestId));
+    const verdict = classifyResponseHead(this.#head, this.#req.requestId);
+    if (provesEndpoint(verdict)) {
+      const { requestsPerSecond } = this.#head;
+      const notice = { sentAtMs: this.startedAtMs, requestsPerSecond };
+      this.#ctx.limits.recordResponse(this.endpoint.record, notice);
+    }
+    this.#events.onVerdict(this, verdict);
   }
 
   #onData(chunk: Buffer): boolean {
--- a/packages/gateway/src/relay/response_check.ts
+++ b/packages/gateway/src/relay/response_check.ts
@@ -12,6 +12,11 @@
  */
 export type HeadVerdict = "success" | "failure" | "not_run" | "misdirected" | "foreign" | "spoiled";
 
+/** Whether a response certainly comes from the endpoint to which the request was sent. */
+export function provesEndpoint(verdict: HeadVerdict): boolean {
+  return verdict === "success" || verdict === "failure" || verdict === "not_run";
+}
+
 /** Classifies the head of a response to the request with id `requestId`. */
 export function classifyResponseHead(head: ResponseHead, requestId: string): HeadVerdict {
   // A response that names another request arrived late on a reused connection.
--- a/packages/gateway/src/upstream/dialect.ts
+++ b/packages/gateway/src/upstream/dialect.ts
@@ -46,6 +46,8 @@
   readonly isEncoded: boolean;
   /** Length of the body in bytes; `null` if not stated. */
   readonly contentLength: number | null;
+  /** Requests per second that the endpoint takes from all gateways together; `null` if it names no limit. */
+  readonly requestsPerSecond: number | null;
   /** Whether a length or chunks mark the end of the body, rather than the end of the connection. */
   readonly isFramed: boolean;
 }
