--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -142,6 +142,13 @@
       onFound: (gateways) => this.#network.addGateways(gateways),
       isLinked: (name) => this.#network.isLinked(name),
     });
+    const limits = new EndpointLimits({
+      clock,
+      log,
+      metrics,
+      fleet: this.#fleet,
+      gatewayCount: () => this.#network.memberCount(),
+    });
     const crashes = new CrashTracker({ clock, rng: rng.fork("crashes"), log, metrics });
     this.#moves = new VersionMoves({
       view,
@@ -163,7 +170,7 @@
       budget: this.#retryBudget,
       coldLimiter: this.#coldLimiter,
       crashes,
-      limits: new EndpointLimits({ clock, log }),
+      limits,
       moves: this.#moves,
       gatewayCount: () => this.#network.memberCount(),
     };
@@ -191,6 +198,7 @@
     this.#undos.push(
       shareOccupancy(this.#dispatcher.registry, this.#network, clock),
       crashes.share(this.#network),
+      limits.share(this.#network),
     );
     this.#relay = new Relay({
       ctx,
--- a/packages/gateway/src/observe/metrics.ts
+++ b/packages/gateway/src/observe/metrics.ts
@@ -31,6 +31,8 @@
   readonly #gaps: Histogram<string>;
   readonly #crashSuspects: Counter<"response">;
   readonly #refusedTraits: Gauge<string>;
+  readonly #permits: Counter<"outcome">;
+  readonly #limitedEndpoints: Gauge<string>;
   readonly #queued: Gauge<string>;
   readonly #running: Gauge<string>;
 
@@ -61,6 +63,9 @@
       "Requests at crashes of endpoints, by whether the response had begun",
       ["response"],
     );
+    this.#permits = counter("permits_total", "Permits for requests to limited endpoints", [
+      "outcome",
+    ]);
     this.#latency = new Histogram({
       name: "wisteriapick_request_seconds",
       help: "Time from arrival to the end of the response",
@@ -88,6 +93,7 @@
       "refused_traits",
       "What requests have in common that crashes endpoints",
     );
+    this.#limitedEndpoints = gauge("limited_endpoints", "Endpoints that name a limit on requests");
     this.#queued = gauge("waiting_requests", "Requests that wait for an engine");
     this.#running = gauge("running_streams", "Streams under way");
   }
@@ -117,6 +123,14 @@
     this.#refusedTraits.set(count);
   }
 
+  countPermit(outcome: "granted" | "refused" | "used" | "missing", count = 1): void {
+    this.#permits.inc({ outcome }, count);
+  }
+
+  setLimitedEndpoints(count: number): void {
+    this.#limitedEndpoints.set(count);
+  }
+
   countCopy(outcome: string): void {
     this.#copies.inc({ outcome });
   }
--- a/packages/gateway/src/peers/crash_evidence_exchange.ts
+++ b/packages/gateway/src/peers/crash_evidence_exchange.ts
@@ -13,8 +13,8 @@
 import type { CrashEvidence, CrashSuspectReport, SuspectReport } from "@wisteriapick/wire";
 import type { DecisionLog } from "../observe/decision_log.ts";
 import { DigestExchange } from "./digest_exchange.ts";
-import type { LinkedPeer, PeerGroup } from "./peer_group.ts";
-import { childrenOf, MAX_SPREAD_HOPS } from "./spread_tree.ts";
+import type { PeerGroup } from "./peer_group.ts";
+import { TreeBroadcast } from "./tree_broadcast.ts";
 
 /** Options of {@link CrashEvidenceExchange}. */
 export interface CrashEvidenceExchangeOptions {
@@ -36,11 +36,7 @@
 
 /** Protocol version from which on gateways understand these messages. */
 const SINCE_VERSION = 3;
-const DUTY = "crash_evidence";
-/** Largest number of messages that a gateway sends or passes on in a second, each to a few peers. */
-const MAX_MESSAGES_PER_SECOND = 50;
-/** Interval at which dropped messages are logged, in milliseconds. */
-const DROP_LOG_INTERVAL_MS = 1_000;
+const SUBJECT = "crash_evidence";
 /** Largest number of recorded requests, and of traits with evidence, in one message. */
 const MAX_SUSPECTS = 64;
 const MAX_HARMLESS = 256;
@@ -57,15 +53,21 @@
   readonly #announcedAtMs = new Map<Trait, number>();
   readonly #scheduled = new Set<Trait>();
   readonly #undos: Undo[];
-  #budget = MAX_MESSAGES_PER_SECOND;
-  #budgetAtMs = 0;
-  #dropped = 0;
+  readonly #broadcast: TreeBroadcast;
 
   constructor(options: CrashEvidenceExchangeOptions) {
-    const { network, clock, rng } = options;
-    const peers = () => network.linked().filter(understands).map(({ name }) => name);
-    super({ clock, rng, peers });
+    const { network, clock, rng, log } = options;
+    const broadcast = new TreeBroadcast({
+      network,
+      clock,
+      log,
+      subject: SUBJECT,
+      sinceVersion: SINCE_VERSION,
+    });
+    const understanding = () => network.linked().filter((peer) => broadcast.understands(peer));
+    super({ clock, rng, peers: () => understanding().map(({ name }) => name) });
     this.#options = options;
+    this.#broadcast = broadcast;
     this.#undos = [
       network.registerUp((peer) => this.#onUp(peer)),
       network.registerHandler("crash_evidence", (peer, msg) => this.#onEvidence(peer, msg)),
@@ -87,7 +89,7 @@
     for (const { trait, ageMs } of harmless) this.#recordAnnounced(trait as Trait, ageMs);
     const { name } = this.#options.network;
     const traits = suspects.flatMap((suspect) => suspect.traits);
-    this.#pass({
+    this.#broadcast.send({
       kind: "crash_evidence",
       origin: name,
       hops: 0,
@@ -124,9 +126,8 @@
   }
 
   #onUp(peer: string): void {
-    if (this.#options.network.linked().some((p) => p.name === peer && understands(p))) {
-      this.announce(peer);
-    }
+    const linked = this.#options.network.linked().find(({ name }) => name === peer);
+    if (linked !== undefined && this.#broadcast.understands(linked)) this.announce(peer);
   }
 
   /** Sends a peer everything, which it does not pass on. */
@@ -161,38 +162,7 @@
     for (const trait of suspects.flatMap((s) => s.traits)) this.offerEvidence(trait);
     if (msg.trials.length > 0) onTrial(msg.trials as readonly string[] as readonly Trait[]);
     if (harmless.length > 0 || suspects.length > 0) onChange();
-    if (msg.origin !== "" && msg.hops < MAX_SPREAD_HOPS) this.#pass({ ...msg, hops: msg.hops + 1 });
-  }
-
-  /** Sends a message to the gateways below this one in the tree of its origin. */
-  #pass(msg: CrashEvidence): void {
-    const { network } = this.#options;
-    if (!this.#takeBudget()) return;
-    const order = network.orderOf(DUTY, understands);
-    for (const child of childrenOf({ order, root: msg.origin, self: network.name })) {
-      // A peer whose link is full gets what it lacks when digests are compared.
-      if (!network.isCongested(child)) network.send(child, msg);
-    }
-  }
-
-  #takeBudget(): boolean {
-    const now = this.#options.clock.now();
-    const refill = (now - this.#budgetAtMs) * MAX_MESSAGES_PER_SECOND / 1_000;
-    this.#budget = Math.min(MAX_MESSAGES_PER_SECOND, this.#budget + refill);
-    this.#budgetAtMs = now;
-    if (this.#budget < 1) {
-      if (this.#dropped++ === 0) {
-        this.#options.clock.setTimer(DROP_LOG_INTERVAL_MS, () => this.#logDropped());
-      }
-      return false;
-    }
-    this.#budget--;
-    return true;
-  }
-
-  #logDropped(): void {
-    this.#options.log.state("crash_evidence_dropped", { messages: this.#dropped });
-    this.#dropped = 0;
+    if (msg.origin !== "") this.#broadcast.send({ ...msg, hops: msg.hops + 1 });
   }
 
   /** Whether this gateway has evidence of a trait that changes what peers conclude from a crash. */
@@ -231,10 +201,6 @@
   }
 }
 
-function understands({ protocolVersion }: LinkedPeer): boolean {
-  return protocolVersion >= SINCE_VERSION;
-}
-
 function decodeSuspect(report: CrashSuspectReport, nowMs: number): CrashSuspect {
   const { ageMs, traits, ...rest } = report;
   return { ...rest, traits: traits as readonly string[] as readonly Trait[], atMs: nowMs - ageMs };
--- a/packages/gateway/src/relay/engine_dispatcher.ts
+++ b/packages/gateway/src/relay/engine_dispatcher.ts
@@ -97,6 +97,9 @@
       tokensPerMs: () => this.#tokensPerMs,
     });
     ctx.crashes.registerListener(() => this.#refuseRunning());
+    ctx.limits.registerListener(0, () => {
+      if (this.#queue.size > 0) this.#dispatchQueue(ctx.clock.now());
+    });
     ctx.fleet.registerEndpointListener(({ id, after, restarted }) => {
       if (after === null || restarted) this.#prefixes.forgetEndpoint(id);
     });
@@ -207,6 +210,8 @@
 
   #dispatchQueue(now: number): void {
     for (const queued of this.#queue.inOrder()) {
+      // The end of another run dispatches the queue as well.
+      if (!this.#queue.has(queued)) continue;
       const admission = this.#ctx.crashes.admission(queued.run.req);
       if (admission.type === "wait") continue;
       if (admission.type === "refused") {
@@ -215,7 +220,13 @@
         queued.run.fail({ reason: "quarantined", notRun: true, retryAfterMs, trait });
         continue;
       }
-      const choice = this.#choose(queued, admission.isTrial);
+      const choice = this.#choose(queued, { isTrial: admission.isTrial, now });
+      if (choice === "limited") {
+        this.#queue.remove(queued);
+        const retryAfterMs = this.#permitWaitMs(queued);
+        queued.run.fail({ reason: "overloaded", notRun: true, retryAfterMs });
+        continue;
+      }
       if (choice === null) continue;
       this.#queue.remove(queued);
       this.#place(queued, choice, now);
@@ -226,11 +237,15 @@
     }
   }
 
-  /** A trial, which may crash its engine, goes to one of those with the fewest runs where these have room. */
+  /**
+   * Chooses an engine; `limited` if all are limited and none can take the generation in its time. A trial, which may
+   * crash its engine, goes to one of those with the fewest runs where these have room.
+   */
   #choose(
-    { run, service, engine }: QueuedGeneration,
-    isTrial: boolean,
-  ): EngineChoice<EngineWithLoad> | null {
+    queued: QueuedGeneration,
+    { isTrial, now }: { readonly isTrial: boolean; readonly now: number },
+  ): EngineChoice<EngineWithLoad> | "limited" | null {
+    const { run, service, engine, rank, startByMs } = queued;
     const item = run.forecastItem(this.registry.curve(run.req.route.id));
     const { route, generation } = run.req;
     const filter = {
@@ -239,7 +254,17 @@
       requestId: run.id,
     };
     const options = { firstEventTargetMs: route.targetLatencyMs };
-    const candidates = this.candidates(service, engine, filter);
+    const all = this.candidates(service, engine, filter);
+    const { limits } = this.#ctx;
+    const limited = all.filter(({ row }) => !limits.mayTake(row.record.id));
+    const waitMs = limited.length < all.length ? 0 : startByMs - now;
+    for (const { row } of limited) limits.request(row.record.id, { rank, waitMs });
+    const candidates = limited.length === 0
+      ? all
+      : all.filter(({ row }) => limits.mayTake(row.record.id));
+    if (all.length > 0 && candidates.length === 0 && now + this.#permitWaitMs(queued) > startByMs) {
+      return "limited";
+    }
     if (isTrial) {
       const fewest = Math.min(...candidates.map(({ running }) => running));
       const quiet = candidates.filter(({ running }) => running === fewest);
@@ -249,6 +274,12 @@
     return chooseEngine(item, candidates, options);
   }
 
+  /** Time until a permit for one of a service's engines can be there, in milliseconds. */
+  #permitWaitMs({ run, service }: QueuedGeneration): number {
+    const usable = this.#ctx.fleet.usable(service, run.req.route.regions);
+    return this.#ctx.limits.expectedWaitMs(usable.map(({ record }) => record.id));
+  }
+
   #place(queued: QueuedGeneration, choice: EngineChoice<EngineWithLoad>, now: number): void {
     const { candidate, peak, firstEventMs } = choice;
     const { run } = queued;
--- a/packages/gateway/src/relay/plain_call.ts
+++ b/packages/gateway/src/relay/plain_call.ts
@@ -36,6 +36,9 @@
   readonly body: Buffer;
 }
 
+/** Fraction of the target latency for which a call waits for a permit of a limited endpoint. */
+const PERMIT_WAIT_FRACTION = 0.6;
+
 /** One call in progress. */
 export class PlainCall {
   readonly #ctx: RelayContext;
@@ -52,6 +55,11 @@
   #wasRefused = false;
   /** Time for which calls like this one are not sent, in milliseconds; `null` if they are. */
   #quarantinedForMs: number | null = null;
+  /** Endpoints that could take the call if this gateway had a permit. */
+  #limitedEndpoints: readonly EndpointId[] = [];
+  /** Time until which the call waits for a permit; `null` before it has to. */
+  #permitWaitEndsAtMs: number | null = null;
+  #stopPermitWait: Undo = () => {};
   #failure: EndpointFailure | null = null;
   #committed: Attempt | null = null;
   #hasEnded = false;
@@ -92,7 +100,10 @@
       return this.#finishWithoutRetry();
     }
     const row = this.#chooseEndpoint(now);
-    if (row === null) return this.#finishWithoutRetry();
+    if (row === null) {
+      if (this.#limitedEndpoints.length > 0) return this.#waitForPermit(reason, now);
+      return this.#finishWithoutRetry();
+    }
     if (this.#reached > 0 && !this.#ctx.budget.take(now, this.#ctx.gatewayCount())) {
       this.#ctx.log.request("repeat_denied", { req: this.#req.requestId, why: reason });
       return this.#finishWithoutRetry();
@@ -101,6 +112,32 @@
     this.#send(row, reason, now);
   }
 
+  /** Waits for a permit of a limited endpoint, or ends the call where none can come soon enough. */
+  #waitForPermit(reason: string, now: number): void {
+    const { clock, limits } = this.#ctx;
+    const { route, arrivedAtMs, account } = this.#req;
+    const waitMs = PERMIT_WAIT_FRACTION * route.targetLatencyMs;
+    const endsAtMs = this.#permitWaitEndsAtMs ??= Math.max(now, arrivedAtMs + waitMs);
+    this.#stopPermitWait();
+    if (now + limits.expectedWaitMs(this.#limitedEndpoints) >= endsAtMs) {
+      return this.#finishWithoutRetry();
+    }
+    const waited = new Set(this.#limitedEndpoints);
+    const retry = () => {
+      this.#stopPermitWait();
+      if (!this.#hasEnded) this.#sendNext(reason);
+    };
+    const undos = [
+      limits.registerListener(account?.priority ?? route.priority, (endpoint) => {
+        if (waited.has(endpoint)) retry();
+      }),
+      clock.setTimer(endsAtMs - now, retry),
+    ];
+    this.#stopPermitWait = () => {
+      for (const undo of undos) undo();
+    };
+  }
+
   #chooseEndpoint(now: number): EndpointRow | null {
     const { fleet, upstreams, rng, dataCentre } = this.#ctx;
     const { route } = this.#req;
@@ -111,10 +148,17 @@
     const rows = this.#ctx.moves.allowedEndpoints(service, unattempted, this.#req.requestId);
     this.#ejection.update(fleet.ofService(service).map((row) => upstreams.of(row)), now);
     const healthy = rows.filter((row) => upstreams.of(row).isHealthy(now));
-    const available = (healthy.length > 0 ? healthy : rows).filter((row) =>
-      this.#isWithinColdLimit(row, now)
-    );
-    const candidates = available.map((row) => {
+    const preferred = healthy.length > 0 ? healthy : rows;
+    const available = preferred.filter((row) => this.#isWithinColdLimit(row, now));
+    let permitted = this.#withPermit(available, now);
+    if (permitted.length === 0 && this.#limitedEndpoints.length > 0) {
+      // An endpoint that failed recently is better than none.
+      permitted = rows.filter((row) =>
+        !preferred.includes(row) && this.#isWithinColdLimit(row, now) &&
+        this.#ctx.limits.mayTake(row.record.id)
+      );
+    }
+    const candidates = permitted.map((row) => {
       const endpoint = upstreams.of(row);
       return {
         row,
@@ -129,6 +173,26 @@
     return chooseCallEndpoint(candidates, options)?.row ?? null;
   }
 
+  /** The endpoints to which a request may be sent now. Permits are asked for the others. */
+  #withPermit(rows: readonly EndpointRow[], now: number): readonly EndpointRow[] {
+    const { limits } = this.#ctx;
+    const limited = rows.filter((row) => !limits.mayTake(row.record.id));
+    if (limited.length === 0) {
+      this.#limitedEndpoints = [];
+      return rows;
+    }
+    const { route, account, arrivedAtMs } = this.#req;
+    const endsAtMs = this.#permitWaitEndsAtMs ??
+      arrivedAtMs + PERMIT_WAIT_FRACTION * route.targetLatencyMs;
+    const need = {
+      rank: account?.priority ?? route.priority,
+      waitMs: limited.length < rows.length ? 0 : endsAtMs - now,
+    };
+    for (const { record } of limited) limits.request(record.id, need);
+    this.#limitedEndpoints = limited.map(({ record }) => record.id);
+    return rows.filter((row) => limits.mayTake(row.record.id));
+  }
+
   #recordVersionOutcome(attempt: Attempt, isFailure: boolean): void {
     const { record } = attempt.endpoint;
     this.#ctx.moves.record({
@@ -152,6 +216,7 @@
     const { upstreams, dialect, log, metrics } = this.#ctx;
     const endpoint = upstreams.of(row);
     this.#attemptedEndpoints.add(row.record.id);
+    this.#ctx.limits.take(row.record.id);
     this.#reached++;
     if (row.coldUntilMs > now) this.#ctx.coldLimiter.recordSent(row.record.id, now);
     const remainingMs = this.#req.dueAtMs - now;
@@ -294,6 +359,11 @@
       const retryAfterMs = this.#quarantinedForMs;
       return this.#reject({ reason: "quarantined", notRun: true, retryAfterMs });
     }
+    if (this.#limitedEndpoints.length > 0) {
+      const waitMs = this.#ctx.limits.expectedWaitMs(this.#limitedEndpoints);
+      const retryAfterMs = Math.max(RETRY_AFTER_FULL_MS, waitMs);
+      return this.#reject({ reason: "overloaded", notRun: true, retryAfterMs });
+    }
     const retryAfterMs = this.#wasRefused ? RETRY_AFTER_FULL_MS : RETRY_AFTER_NO_ENDPOINT_MS;
     const reason = this.#wasRefused ? "overloaded" : "no_endpoint";
     this.#reject({ reason, notRun: true, retryAfterMs });
@@ -361,6 +431,7 @@
   ): void {
     this.#hasEnded = true;
     this.#stopSlowTimer();
+    this.#stopPermitWait();
     this.#ctx.crashes.recordEnded(this.#req);
     for (const undo of this.#undos) undo();
     const { clock, log, metrics } = this.#ctx;
--- a/packages/gateway/src/relay/run_migrator.ts
+++ b/packages/gateway/src/relay/run_migrator.ts
@@ -24,6 +24,8 @@
 const MIN_REMAINING_MS = 700;
 /** Time after an engine's drain notice during which a run may still return to it, in milliseconds. */
 const RETURN_WINDOW_MS = 1_500;
+/** Time for which a run waits for a permit of the engine at which it goes on, in milliseconds. */
+const PERMIT_WAIT_MS = 300;
 
 /** Where a run can be resumed if its new engine does not take it. */
 interface Fallback {
@@ -85,10 +87,26 @@
     if (this.#ctx.crashes.admission(run.req).type === "refused") return false;
     const copy = this.#copies.take(run);
     if (copy === null) return false;
-    this.#resume(run, copy.row, copy.memory, "engine lost, copy goes on");
+    const reason = "engine lost, copy goes on";
+    if (this.#ctx.limits.mayTake(copy.row.record.id)) {
+      this.#resume(run, copy.row, copy.memory, reason);
+      return true;
+    }
+    void this.#acquirePermit(run, copy.row).then((isPermitted) => {
+      if (run.phase === "ended") return;
+      if (isPermitted) this.#resume(run, copy.row, copy.memory, reason);
+      else run.fail({ reason: "engine_lost", notRun: "unknown" });
+    });
     return true;
   }
 
+  /** Waits for a permit to send a run that has begun to an engine. */
+  #acquirePermit({ req }: StreamRun, { record }: EndpointRow): Promise<boolean> {
+    const rank = req.account?.priority ?? req.route.priority;
+    const need = { rank, isUrgent: true, waitMs: PERMIT_WAIT_MS };
+    return this.#ctx.limits.acquire(record.id, need);
+  }
+
   /** Whether a run may still return to the engine that it left. */
   #mayReturn({ record, phaseSinceMs }: EndpointRow): boolean {
     const { fleet, clock } = this.#ctx;
@@ -194,6 +212,8 @@
       if (first.type === "refused") return "refused";
       if (first.type !== "copied") return "failed";
       if (run.phase !== "streaming") return "ended";
+      if (!await this.#acquirePermit(run, target)) return "failed";
+      if (run.phase !== "streaming") return "ended";
       return await this.#stopAndResume(run, { source, target, hasProactiveCopy });
     } finally {
       registry.removeCopy(run, target.record.id);
--- a/packages/gateway/src/relay/stream_run.ts
+++ b/packages/gateway/src/relay/stream_run.ts
@@ -201,6 +201,7 @@
       return this.fail({ reason: "quarantined", notRun, retryAfterMs, trait });
     }
     crashes.recordSent(this.req);
+    this.#ctx.limits.take(row.record.id);
     const now = clock.now();
     this.#segment?.abort();
     const remainingMs = this.req.dueAtMs - now;
--- a/packages/gateway/tests/crash_tracker_test.ts
+++ b/packages/gateway/tests/crash_tracker_test.ts
@@ -166,7 +166,7 @@
   clock.advance(1_000);
   const { sent } = gateways[0]!.network;
   assert.ok(sent.length <= 110 * 8, `${sent.length} messages`);
-  assert.equal(gateways[0]!.log.count("crash_evidence_dropped") > 0, true);
+  assert.equal(gateways[0]!.log.count("broadcast_dropped") > 0, true);
 });
 
 // Guards against suspecting what merely waited where an endpoint crashed on another request.
--- a/packages/policy/src/engine_queue.ts
+++ b/packages/policy/src/engine_queue.ts
@@ -38,6 +38,10 @@
     this.#generations.add(generation);
   }
 
+  has(generation: T): boolean {
+    return this.#generations.has(generation);
+  }
+
   /** Removes a generation; returns whether it was queued. */
   remove(generation: T): boolean {
     return this.#generations.delete(generation);
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -23,6 +23,7 @@
 export * from "./move_evidence.ts";
 export * from "./move_pace.ts";
 export * from "./outlier_ejection.ts";
+export * from "./permit_issuer.ts";
 export * from "./prefix_directory.ts";
 export * from "./quarantine.ts";
 export * from "./retry_budget.ts";
--- a/packages/wire/src/message_codec.ts
+++ b/packages/wire/src/message_codec.ts
@@ -360,6 +360,23 @@
   }),
   crash_evidence_digest: record<Body<"crash_evidence_digest">>({ digest: text }),
   crash_evidence_request: record<Body<"crash_evidence_request">>({}),
+  endpoint_limit: record<Body<"endpoint_limit">>({
+    origin: text,
+    hops: count,
+    endpoint,
+    requestsPerSecond: nullable(real),
+    ageMs: real,
+  }),
+  permit_request: record<Body<"permit_request">>({
+    endpoint,
+    requestsPerSecond: real,
+    ageMs: real,
+    count,
+    rank: real,
+    isUrgent: flag,
+    waitMs: real,
+  }),
+  permit_grant: record<Body<"permit_grant">>({ endpoint, count, retryInMs: real }),
 };
 
 const KINDS = Object.keys(BODIES) as Message["kind"][];
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -545,6 +545,46 @@
   readonly kind: "crash_evidence_request";
 }
 
+/** The limit that an endpoint names for the requests of all gateways together, or its end. Since protocol version 3. */
+export interface EndpointLimit {
+  readonly kind: "endpoint_limit";
+  /** Name of the gateway that read it from a response. */
+  readonly origin: string;
+  /** Number of gateways that have passed this on. */
+  readonly hops: number;
+  readonly endpoint: EndpointId;
+  /** `null` if the endpoint no longer names a limit. */
+  readonly requestsPerSecond: number | null;
+  /** Time since the origin read it, in milliseconds. */
+  readonly ageMs: number;
+}
+
+/** Asks the gateway that issues them for permits to send requests to a limited endpoint. Since protocol version 3. */
+export interface PermitRequest {
+  readonly kind: "permit_request";
+  readonly endpoint: EndpointId;
+  /** The limit as the sender knows it, and the time since it was read from a response, in milliseconds. */
+  readonly requestsPerSecond: number;
+  readonly ageMs: number;
+  readonly count: number;
+  /** Rank of the sender's most urgent request. */
+  readonly rank: number;
+  /** Whether a run that has begun needs the permit to go on. */
+  readonly isUrgent: boolean;
+  /** Time for which the sender waits, in milliseconds. */
+  readonly waitMs: number;
+}
+
+/** Answers a {@link PermitRequest}. Since protocol version 3. */
+export interface PermitGrant {
+  readonly kind: "permit_grant";
+  readonly endpoint: EndpointId;
+  /** Number of permits; 0 if there are none. */
+  readonly count: number;
+  /** Time after which it is worth to ask again, in milliseconds. */
+  readonly retryInMs: number;
+}
+
 /** Messages that may open a stream. */
 export type Opening = Run | Resume | Call | ConfigPull | AccountReports;
 
@@ -589,4 +629,7 @@
   | GatewaysRequest
   | CrashEvidence
   | CrashEvidenceDigest
-  | CrashEvidenceRequest;
+  | CrashEvidenceRequest
+  | EndpointLimit
+  | PermitRequest
+  | PermitGrant;
--- a/packages/wire/tests/samples.ts
+++ b/packages/wire/tests/samples.ts
@@ -168,4 +168,23 @@
   },
   { kind: "crash_evidence_digest", digest: "0011" },
   { kind: "crash_evidence_request" },
+  {
+    kind: "endpoint_limit",
+    origin: "entry-1",
+    hops: 1,
+    endpoint,
+    requestsPerSecond: null,
+    ageMs: 3.5,
+  },
+  {
+    kind: "permit_request",
+    endpoint,
+    requestsPerSecond: 2.5,
+    ageMs: 120,
+    count: 2,
+    rank: 1,
+    isUrgent: false,
+    waitMs: 50,
+  },
+  { kind: "permit_grant", endpoint, count: 1, retryInMs: 0 },
 ];
