--- a/packages/policy/src/permit_issuer.ts
+++ b/packages/policy/src/permit_issuer.ts
@@ -34,8 +34,11 @@
   readonly askedAtMs: number;
 }
 
-/** Time in which permits accumulate while nobody asks, in milliseconds. */
-const BURST_MS = 250;
+/**
+ * Time in which permits accumulate while nobody asks, in milliseconds. Requests come irregularly, so with less an
+ * endpoint of one request a second would get far fewer than it takes.
+ */
+const BURST_MS = 1_000;
 /** Smallest rate, so that some request sees when a limit of almost nothing has ended. */
 const MIN_PER_SECOND = 0.2;
 /** Permits that runs in progress may have ahead of their time; a window of four seconds allows five more than its rate. */
