--- a/packages/check/src/faults.ts
+++ b/packages/check/src/faults.ts
@@ -28,8 +28,14 @@
   "poison",
 ] as const;
 
-/** One of {@link FAULT_KINDS}. */
-export type FaultKind = typeof FAULT_KINDS[number];
+/**
+ * Kinds that are only in explicit plans, so that generated plans of a seed stay the same: `poison_series`, several
+ * requests of which no two are alike, with a part in common that crashes engines.
+ */
+export const EXPLICIT_FAULT_KINDS = ["poison_series"] as const;
+
+/** One of {@link FAULT_KINDS} or {@link EXPLICIT_FAULT_KINDS}. */
+export type FaultKind = typeof FAULT_KINDS[number] | typeof EXPLICIT_FAULT_KINDS[number];
 
 /** One fault to inject; `atMs` counts from the start of the load. */
 export interface Fault {
--- a/packages/check/src/system_run.ts
+++ b/packages/check/src/system_run.ts
@@ -42,6 +42,8 @@
 const STARTUP_MS = 3_000;
 /** Time after the load in which faults end, requests end and configuration reaches all processes. */
 const SETTLE_MS = 25_000;
+/** Number of requests of a `poison_series`. */
+const POISON_SERIES_LENGTH = 10;
 /** Step of the clock after the load; the step under load is 1 ms. JavaScript promises settle once per step. */
 const SETTLE_STEP_MS = 5;
 const REQUEST_INTERVAL_MS = 200;
@@ -267,6 +269,15 @@
       case "host_leaving":
         this.#setLeaving(side, true);
         return void afterExtendedOutage(() => this.#setLeaving(side, false));
+      case "poison_series":
+        for (let i = 0; i < POISON_SERIES_LENGTH; i++) {
+          clock.setTimer(i * fault.durationMs / POISON_SERIES_LENGTH, () => {
+            const req = requestId(`p${++this.#requests}`);
+            const prompt = `${POISON_WORD} req=${req} [tokens=50] text of ${req}`;
+            void this.#callers.send({ kind: "generation", req, prompt, streamed: true });
+          });
+        }
+        return;
       case "poison": {
         const req = requestId(`p${++this.#requests}`);
         const prompt = `req=${req} [tokens=50] ${POISON_WORD}`;
--- a/packages/gateway/tests/endpoint_limits_test.ts
+++ b/packages/gateway/tests/endpoint_limits_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import fc from "fast-check";
 import { type EndpointId, ManualClock, Rng } from "@wisteriapick/core";
 import { GatewayMetrics } from "../src/observe/metrics.ts";
 import { EndpointLimits } from "../src/relay/endpoint_limits.ts";
@@ -214,3 +215,62 @@
   change({ id, before: null, after, restarted: true });
   assert.equal(limits.mayTake(id), true);
 });
+
+/** Events of a generated run: each one happens, and then callers come for a while. */
+const events = fc.array(
+  fc.record({
+    type: fc.constantFrom("die", "cut", "join", "stall", "resume", "lower", "raise", "none"),
+    gateway: fc.nat({ max: 1_000 }),
+    forMs: fc.integer({ min: 50, max: 3_000 }),
+    busy: fc.integer({ min: 1, max: 12 }),
+  }),
+  { minLength: 1, maxLength: 7 },
+);
+
+// Guards against combinations of deaths, cuts, stalls and changes of the limit that let gateways exceed it together.
+test("generated deaths, cuts, stalls and changes never let gateways exceed the limit", () => {
+  fc.assert(
+    fc.property(fc.integer({ min: 2, max: 16 }), events, (count, plan) => {
+      const { links, endpoint, gateways, add, run, clock } = makeScene(count, 4);
+      run(CONTACT_MS, gateways, 2);
+      let cuts = 0;
+      /** The limits and the times from which they are named, for windows in which they change. */
+      const named = [{ fromMs: 0, perSecond: 4 }];
+      for (const { type, gateway, forMs, busy } of plan) {
+        const chosen = gateways[gateway % gateways.length]!;
+        if (type === "die" && gateways.filter((g) => g.isRunning).length > 1) {
+          chosen.isRunning = false;
+          links.cutOff(chosen.name);
+        } else if (type === "cut" && cuts === 0) {
+          // One cut gateway uses its share of the limit; the rule excuses cut machines altogether.
+          cuts++;
+          links.cutOff(chosen.name);
+        } else if (type === "join") add(`entry-new-${gateways.length}`);
+        else if (type === "stall") links.stalled.add(chosen.name);
+        else if (type === "resume") links.stalled.clear();
+        else if (type === "lower" || type === "raise") {
+          endpoint.named = type === "lower" ? 2 : 4;
+          named.push({ fromMs: clock.now(), perSecond: endpoint.named });
+        }
+        const running = gateways.filter((g) => g.isRunning);
+        run(forMs, running.slice(0, busy), 2);
+      }
+      const atMs = gateways.flatMap((g) => g.sentAtMs).filter((t) => t > CONTACT_MS).sort((a, b) =>
+        a - b
+      );
+      for (const from of atMs) {
+        const inWindow = atMs.filter((t) => t >= from && t < from + WINDOW_MS).length;
+        const perSecond = Math.max(
+          ...named
+            .filter(({ fromMs }, i) =>
+              fromMs < from + WINDOW_MS &&
+              (named[i + 1]?.fromMs ?? Infinity) + CONTACT_MS > from
+            )
+            .map((n) => n.perSecond),
+        );
+        assert.ok(inWindow <= allowed(perSecond), `${inWindow} requests at ${perSecond} a second`);
+      }
+    }),
+    { seed: 21, numRuns: 60 },
+  );
+});
