--- a/packages/gateway/src/peers/permit_exchange.ts
+++ b/packages/gateway/src/peers/permit_exchange.ts
@@ -106,6 +106,8 @@
     this.#issuers.delete(endpoint);
     this.#shares.delete(endpoint);
     this.#issuerNames.delete(endpoint);
+    this.#pending.get(endpoint)?.stopTimer();
+    this.#pending.delete(endpoint);
   }
 
   #issuerOf(endpoint: EndpointId): string {
--- a/packages/policy/src/crash_attribution.ts
+++ b/packages/policy/src/crash_attribution.ts
@@ -116,6 +116,8 @@
   /** Number of recorded requests that have a trait. */
   readonly #counts = new Map<Trait, number>();
   #scores: Map<Trait, Score> | null = null;
+  /** Number of recorded traits that are contents. */
+  #contents = 0;
   #expireAtMs = -Infinity;
 
   constructor(options: CrashAttributionOptions = {}) {
@@ -140,8 +142,7 @@
 
   /** Whether the content of any request is recorded, so that digests of requests are needed. */
   get hasContents(): boolean {
-    for (const trait of this.#counts.keys()) if (trait.startsWith(CONTENT_PREFIX)) return true;
-    return false;
+    return this.#contents > 0;
   }
 
   /** Whether a request is recorded to which the endpoint had begun to respond at a crash. */
@@ -155,7 +156,11 @@
     if (this.#suspects.has(key)) return false;
     const traits = [...new Set(suspect.traits)].slice(0, MAX_TRAITS);
     this.#suspects.set(key, { ...suspect, traits });
-    for (const trait of traits) this.#counts.set(trait, (this.#counts.get(trait) ?? 0) + 1);
+    for (const trait of traits) {
+      const count = this.#counts.get(trait) ?? 0;
+      if (count === 0 && !isSegment(trait)) this.#contents++;
+      this.#counts.set(trait, count + 1);
+    }
     this.#scores = null;
     this.#expireAtMs = -Infinity;
     if (this.#suspects.size > this.#cfg.maxSuspects) this.#evict(nowMs);
@@ -240,8 +245,10 @@
   #delete(key: string): void {
     for (const trait of this.#suspects.get(key)?.traits ?? []) {
       const left = this.#counts.get(trait)! - 1;
-      if (left > 0) this.#counts.set(trait, left);
-      else this.#counts.delete(trait);
+      this.#counts.set(trait, left);
+      if (left > 0) continue;
+      this.#counts.delete(trait);
+      if (!isSegment(trait)) this.#contents--;
     }
     this.#suspects.delete(key);
     this.#scores = null;
