--- a/packages/gateway/src/relay/endpoint_limits.ts
+++ b/packages/gateway/src/relay/endpoint_limits.ts
@@ -104,6 +104,17 @@
     return limit === undefined || this.#permitsOf(limit).length > 0;
   }
 
+  /** Whether an ask for a permit for an endpoint is open. */
+  isAsking(endpoint: EndpointId): boolean {
+    return this.#limits.get(endpoint)?.isAsking ?? false;
+  }
+
+  /** Whether it is worth to ask for a permit for a limited endpoint now. */
+  mayAsk(endpoint: EndpointId): boolean {
+    const limit = this.#limits.get(endpoint);
+    return limit !== undefined && !limit.isAsking && this.#options.clock.now() >= limit.retryAtMs;
+  }
+
   /** Records that a request is being sent to an endpoint, which uses up a permit. */
   take(endpoint: EndpointId): void {
     const limit = this.#limits.get(endpoint);
--- a/packages/gateway/src/relay/engine_dispatcher.ts
+++ b/packages/gateway/src/relay/engine_dispatcher.ts
@@ -7,7 +7,9 @@
 import {
   chooseEngine,
   type EngineChoice,
+  type EnginePlacementOptions,
   EngineQueue,
+  type ForecastItem,
   LengthEstimator,
   type MemoryForecast,
   OutlierEjection,
@@ -86,6 +88,8 @@
   readonly #prefixes = new PrefixDirectory();
   readonly #ejection = new OutlierEjection();
   readonly #runs = new Set<StreamRun>();
+  /** Engines for which queued generations have asked for a permit. */
+  readonly #awaitedPermits = new WeakMap<QueuedGeneration, EndpointId>();
   readonly #services = new Map<StreamRun, { service: ServiceId; engine: EngineConfig }>();
   #tokensPerMs = OUTPUT_TOKENS_PER_MS;
 
@@ -212,6 +216,9 @@
     for (const queued of this.#queue.inOrder()) {
       // The end of another run dispatches the queue as well.
       if (!this.#queue.has(queued)) continue;
+      const awaited = this.#awaitedPermits.get(queued);
+      if (awaited !== undefined && this.#ctx.limits.isAsking(awaited)) continue;
+      this.#awaitedPermits.delete(queued);
       const admission = this.#ctx.crashes.admission(queued.run.req);
       if (admission.type === "wait") continue;
       if (admission.type === "refused") {
@@ -254,17 +261,36 @@
       requestId: run.id,
     };
     const options = { firstEventTargetMs: route.targetLatencyMs };
-    const all = this.candidates(service, engine, filter);
     const { limits } = this.#ctx;
-    const limited = all.filter(({ row }) => !limits.mayTake(row.record.id));
-    const waitMs = limited.length < all.length ? 0 : startByMs - now;
-    for (const { row } of limited) limits.request(row.record.id, { rank, waitMs });
-    const candidates = limited.length === 0
-      ? all
-      : all.filter(({ row }) => limits.mayTake(row.record.id));
-    if (all.length > 0 && candidates.length === 0 && now + this.#permitWaitMs(queued) > startByMs) {
-      return "limited";
+    const all = this.candidates(service, engine, filter);
+    // Each turn without a result has asked for a permit of one engine and was refused it at once.
+    for (let i = 0; i <= all.length; i++) {
+      const eligible = all.filter(({ row: { record } }) =>
+        limits.mayTake(record.id) || limits.mayAsk(record.id)
+      );
+      if (eligible.length === 0 && all.length > 0) {
+        return now + this.#permitWaitMs(queued) > startByMs ? "limited" : null;
+      }
+      const choice = this.#chooseAmong(item, eligible, { ...options, isTrial });
+      if (choice === null) return null;
+      const { id } = choice.candidate.row.record;
+      if (limits.mayTake(id)) return choice;
+      const hasOthers = all.some(({ row }) => limits.mayTake(row.record.id));
+      limits.request(id, { rank, waitMs: hasOthers ? 0 : startByMs - now });
+      if (limits.mayTake(id)) return choice;
+      if (limits.isAsking(id)) {
+        this.#awaitedPermits.set(queued, id);
+        return null;
+      }
     }
+    return null;
+  }
+
+  #chooseAmong(
+    item: ForecastItem,
+    candidates: readonly EngineWithLoad[],
+    { isTrial, ...options }: EnginePlacementOptions & { readonly isTrial: boolean },
+  ): EngineChoice<EngineWithLoad> | null {
     if (isTrial) {
       const fewest = Math.min(...candidates.map(({ running }) => running));
       const quiet = candidates.filter(({ running }) => running === fewest);
