--- a/packages/gateway/src/relay/crash_tracker.ts
+++ b/packages/gateway/src/relay/crash_tracker.ts
@@ -112,7 +112,7 @@
     };
     const { crash, isTrial, traits } = suspect;
     const fields = { req: req.requestId, endpoint: endpoint.id, crash, hasBegun, isTrial, traits };
-    this.#options.log.state("request_suspected", fields);
+    this.#options.log.request("request_suspected", fields);
     this.#options.metrics.countCrashSuspect(hasBegun);
     if (hasBegun) return this.#report([suspect]);
     this.#notBegun.push(suspect);
--- a/packages/gateway/src/relay/engine_dispatcher.ts
+++ b/packages/gateway/src/relay/engine_dispatcher.ts
@@ -68,6 +68,8 @@
 const NO_EXCLUSIONS: ReadonlySet<EndpointId> = new Set();
 /** Retry delay given to callers for which there was no room, in milliseconds: about the time until some run ends. */
 const RETRY_AFTER_FULL_MS = 600;
+/** Largest number of engines whose permits are asked for at once for one generation. */
+const MAX_PERMIT_TURNS = 4;
 /** Retry delay given to callers while no engine is usable, in milliseconds. */
 const RETRY_AFTER_NO_ENDPOINT_MS = 500;
 /** Time to the first event in addition to the prefill of the prompt, in milliseconds. */
@@ -88,7 +90,7 @@
   readonly #prefixes = new PrefixDirectory();
   readonly #ejection = new OutlierEjection();
   readonly #runs = new Set<StreamRun>();
-  /** Engines for which queued generations have asked for a permit. */
+  /** The engine for which a queued generation has asked for a permit. */
   readonly #awaitedPermits = new WeakMap<QueuedGeneration, EndpointId>();
   readonly #services = new Map<StreamRun, { service: ServiceId; engine: EngineConfig }>();
   #tokensPerMs = OUTPUT_TOKENS_PER_MS;
@@ -264,7 +266,7 @@
     const { limits } = this.#ctx;
     const all = this.candidates(service, engine, filter);
     // Each turn without a result has asked for a permit of one engine and was refused it at once.
-    for (let i = 0; i <= all.length; i++) {
+    for (let turn = 0; turn < MAX_PERMIT_TURNS; turn++) {
       const eligible = all.filter(({ row: { record } }) =>
         limits.mayTake(record.id) || limits.mayAsk(record.id)
       );
--- a/packages/gateway/src/relay/plain_call.ts
+++ b/packages/gateway/src/relay/plain_call.ts
@@ -29,6 +29,8 @@
 const RETRY_AFTER_NO_ENDPOINT_MS = 400;
 /** Retry delay given to callers while another call tries what this one shares with it, in milliseconds. */
 const RETRY_AFTER_TRIAL_MS = 300;
+/** Fraction of the target latency for which a call waits for a permit of a limited endpoint. */
+const PERMIT_WAIT_FRACTION = 0.6;
 
 /** A signed failure of an endpoint, delivered if no other endpoint succeeds. */
 interface EndpointFailure {
@@ -36,9 +38,6 @@
   readonly body: Buffer;
 }
 
-/** Fraction of the target latency for which a call waits for a permit of a limited endpoint. */
-const PERMIT_WAIT_FRACTION = 0.6;
-
 /** One call in progress. */
 export class PlainCall {
   readonly #ctx: RelayContext;
@@ -472,7 +471,7 @@
   #head: ResponseHead | null = null;
   #call: UpstreamCall | null = null;
   #forward: ((chunk: Buffer) => boolean) | null = null;
-  startedAtMs = 0;
+  #startedAtMs = 0;
   #hasEnded = false;
 
   constructor(
@@ -488,7 +487,7 @@
   }
 
   start(request: Parameters<UpstreamEndpoint["pool"]["send"]>[0]): void {
-    this.startedAtMs = this.#ctx.clock.now();
+    this.#startedAtMs = this.#ctx.clock.now();
     this.endpoint.inFlight++;
     this.#call = this.endpoint.pool.send(request, {
       onHead: (status, headers) => this.#onHead(status, headers),
@@ -503,6 +502,10 @@
     return this.#head !== null;
   }
 
+  get startedAtMs(): number {
+    return this.#startedAtMs;
+  }
+
   get elapsedMs(): number {
     return this.#ctx.clock.now() - this.startedAtMs;
   }
--- a/packages/gateway/src/relay/stream_run.ts
+++ b/packages/gateway/src/relay/stream_run.ts
@@ -132,7 +132,7 @@
   }
 
   /** Ids of the prompt's segments that other requests may have too: all but the last. */
-  get sharedParts(): readonly string[] {
+  get sharedSegments(): readonly string[] {
     return (this.req.generation?.promptSegments ?? []).slice(0, -1).map(({ id }) => id);
   }
 
@@ -234,7 +234,7 @@
       afterEvent: this.#reader.lastId,
       remainingMs: Math.round(remainingMs),
       revision: row.revision,
-      sharedParts: this.sharedParts,
+      sharedSegments: this.sharedSegments,
     });
     segment.start(request);
   }
@@ -380,7 +380,7 @@
       loss: loss.type,
       message: loss.message,
       afterEvent: this.#reader.lastId,
-      sharedParts: this.sharedParts,
+      sharedSegments: this.sharedSegments,
       hasHead: segment.hasHead,
       isFramed: segment.hasFraming,
       endsInsideEvent: this.#reader.hasPartialEvent,
