--- a/packages/gateway/src/peers/crash_evidence_exchange.ts
+++ b/packages/gateway/src/peers/crash_evidence_exchange.ts
@@ -37,8 +37,9 @@
 /** Protocol version from which on gateways understand these messages. */
 const SINCE_VERSION = 3;
 const SUBJECT = "crash_evidence";
-/** Largest number of recorded requests, and of traits with evidence, in one message. */
-const MAX_SUSPECTS = 64;
+/** Largest number of requests at crashes that a gateway keeps and sends in one message. */
+export const MAX_SUSPECTS = 32;
+/** Largest number of traits with evidence in one message. */
 const MAX_HARMLESS = 256;
 /** Longest random time before evidence is announced, for each gateway and in total. */
 const MAX_DELAY_PER_GATEWAY_MS = 1;
--- a/packages/gateway/src/relay/crash_tracker.ts
+++ b/packages/gateway/src/relay/crash_tracker.ts
@@ -17,7 +17,11 @@
 import type { EndpointRecord } from "../config/types.ts";
 import type { DecisionLog } from "../observe/decision_log.ts";
 import type { GatewayMetrics } from "../observe/metrics.ts";
-import { CrashEvidenceExchange, decodeOldSuspects } from "../peers/crash_evidence_exchange.ts";
+import {
+  CrashEvidenceExchange,
+  decodeOldSuspects,
+  MAX_SUSPECTS,
+} from "../peers/crash_evidence_exchange.ts";
 import type { PeerGroup } from "../peers/peer_group.ts";
 import type { InboundRequest } from "./inbound.ts";
 
@@ -57,7 +61,7 @@
 /** Decides which requests are refused, wait or are sent after crashes. */
 export class CrashTracker {
   readonly #options: CrashTrackerOptions;
-  readonly #attribution = new CrashAttribution();
+  readonly #attribution = new CrashAttribution({ maxSuspects: MAX_SUSPECTS });
   /** Traits that a request of this gateway tries now, by the request's id. */
   readonly #ownTrials = new Map<string, readonly Trait[]>();
   readonly #peerTrialUntilMs = new Map<Trait, number>();
--- a/packages/policy/src/crash_attribution.ts
+++ b/packages/policy/src/crash_attribution.ts
@@ -75,7 +75,7 @@
 }
 
 /** Largest number of traits recorded of one request. */
-export const MAX_TRAITS = 9;
+export const MAX_TRAITS = 33;
 /** Time before a crash within which evidence that a segment is harmless makes it a weak candidate. */
 const EVIDENCE_MS = 20_000;
 /** Crashes within this time count once for a segment, as those of a whole rack do. */
--- a/packages/policy/tests/crash_attribution_test.ts
+++ b/packages/policy/tests/crash_attribution_test.ts
@@ -48,6 +48,16 @@
   assert.equal(attribution.verdict([OTHER, DEADLY], 2_101).type, "refused");
 });
 
+// Guards against a harmful segment late in a long prompt that is never looked at.
+test("a segment behind many others is refused", () => {
+  const attribution = new CrashAttribution();
+  const before = Array.from({ length: 30 }, (_, i) => segmentTrait(`s${i}`));
+  for (const trait of before) attribution.recordHarmless(trait, 0);
+  for (const atMs of [1_000, 2_000]) crash(attribution, atMs, [...before, DEADLY]);
+  assert.equal(attribution.verdict([...before, DEADLY], 2_001).type, "refused");
+  assert.equal(attribution.verdict(before, 2_001).type, "free");
+});
+
 test("two segments that crash endpoints are both refused", () => {
   const attribution = new CrashAttribution();
   for (const atMs of [1_000, 3_000]) {
