--- a/packages/gateway/src/relay/plain_call.ts
+++ b/packages/gateway/src/relay/plain_call.ts
@@ -10,7 +10,7 @@
 import type { UpstreamCall, UpstreamFailure } from "../upstream/connection.ts";
 import type { ResponseHead } from "../upstream/dialect.ts";
 import type { UpstreamEndpoint } from "../upstream/endpoint.ts";
-import { classifyResponseHead, type HeadVerdict, provesEndpoint } from "./response_check.ts";
+import { classifyResponseHead, type HeadVerdict, tellsLimit } from "./response_check.ts";
 import type { RelayContext } from "./context.ts";
 import type { InboundRequest, Rejection, Responder } from "./inbound.ts";
 import { chooseService } from "./service_choice.ts";
@@ -539,7 +539,7 @@
     if (this.#hasEnded) return;
     this.#head = this.#ctx.dialect.readHead(status, headers);
     const verdict = classifyResponseHead(this.#head, this.#req.requestId);
-    if (provesEndpoint(verdict)) {
+    if (tellsLimit(this.#head, verdict)) {
       const { requestsPerSecond } = this.#head;
       const notice = { sentAtMs: this.startedAtMs, requestsPerSecond };
       this.#ctx.limits.recordResponse(this.endpoint.record, notice);
--- a/packages/gateway/src/relay/response_check.ts
+++ b/packages/gateway/src/relay/response_check.ts
@@ -12,9 +12,13 @@
  */
 export type HeadVerdict = "success" | "failure" | "not_run" | "misdirected" | "foreign" | "spoiled";
 
-/** Whether a response certainly comes from the endpoint to which the request was sent. */
-export function provesEndpoint(verdict: HeadVerdict): boolean {
-  return verdict === "success" || verdict === "failure" || verdict === "not_run";
+/**
+ * Whether a response says if its endpoint limits requests. A rejection may come from the endpoint's queue before it is
+ * read, so it names a limit, but does not end one.
+ */
+export function tellsLimit({ requestsPerSecond }: ResponseHead, verdict: HeadVerdict): boolean {
+  if (verdict === "not_run") return requestsPerSecond !== null;
+  return verdict === "success" || verdict === "failure";
 }
 
 /** Classifies the head of a response to the request with id `requestId`. */
--- a/packages/gateway/src/relay/stream_run.ts
+++ b/packages/gateway/src/relay/stream_run.ts
@@ -10,7 +10,7 @@
 import type { UpstreamCall, UpstreamFailure } from "../upstream/connection.ts";
 import type { RunMemory } from "../upstream/dialect.ts";
 import type { UpstreamEndpoint } from "../upstream/endpoint.ts";
-import { classifyResponseHead, provesEndpoint } from "./response_check.ts";
+import { classifyResponseHead, tellsLimit } from "./response_check.ts";
 import type { RelayContext } from "./context.ts";
 import { EventReader } from "./event_reader.ts";
 import type { InboundRequest, Rejection, Responder } from "./inbound.ts";
@@ -516,7 +516,7 @@
     this.hasHead = true;
     const head = this.#ctx.dialect.readHead(status, rawHeaders);
     const verdict = classifyResponseHead(head, this.#requestId);
-    if (provesEndpoint(verdict)) {
+    if (tellsLimit(head, verdict)) {
       const { requestsPerSecond } = head;
       this.#ctx.limits.recordResponse(this.endpoint.record, {
         sentAtMs: this.startedAtMs,
