--- a/review/lib/servers.mjs
+++ b/review/lib/servers.mjs
@@ -8,8 +8,8 @@
   #sockets = new Set();
 
   /** `ran` receives an entry for each request that the server begins to work on. */
-  constructor({ id, ran, service }) {
-    Object.assign(this, { id, ran, service, running: new Map() });
+  constructor({ id, ran, service, version = "v1" }) {
+    Object.assign(this, { id, ran, service, version, running: new Map() });
     this.server = createServer((req, res) => this.#onRequest(req, res));
     this.server.keepAliveTimeout = 60_000;
     this.server.on("connection", (socket) => {
@@ -28,6 +28,12 @@
     for (const socket of this.#sockets) socket.destroy();
   }
 
+  /** Ends as a process that crashes: its port is closed and its connections are reset. */
+  crash() {
+    this.server.close();
+    for (const socket of this.#sockets) socket.resetAndDestroy();
+  }
+
   async #onRequest(req, res) {
     const chunks = [];
     for await (const chunk of req) chunks.push(chunk);
@@ -80,9 +86,15 @@
 
 /** A model server that sends one event each `eventMs`. The last part of the path is the number of events. */
 export class ModelServer extends Server {
-  constructor({ eventMs = 40, firstMs = 100, ...options }) {
+  /**
+   * `fails` says of a request's id whether the server answers it with a 500 of its own. `onBegin` is called when the
+   * server begins to work on a request.
+   */
+  constructor(
+    { eventMs = 40, firstMs = 100, fails = () => false, onBegin = () => {}, ...options },
+  ) {
     super(options);
-    Object.assign(this, { eventMs, firstMs });
+    Object.assign(this, { eventMs, firstMs, fails, onBegin });
   }
 
   run(req, res, { id, head }) {
@@ -90,6 +102,10 @@
     let sent = 0;
     let timer = null;
     const next = () => {
+      if (this.fails(id)) {
+        this.running.delete(id);
+        return res.writeHead(500, { ...head, "Content-Length": 6 }).end("failed");
+      }
       if (sent === 0) res.writeHead(200, { ...head, "Content-Type": "text/event-stream" });
       sent++;
       res.write(`id: ${sent}\ndata: ${id} piece ${sent} of ${total}\n\n`);
@@ -99,8 +115,11 @@
         res.end();
       }
     };
-    this.ran.push({ id, server: this.id, atMs: Math.round(performance.now()), path: req.url });
+    const lastEventId = req.headers["last-event-id"] ?? null;
+    const atMs = Math.round(performance.now());
+    this.ran.push({ id, server: this.id, atMs, path: req.url, lastEventId });
     this.running.set(id, () => sent);
+    this.onBegin(this, req);
     res.once("close", () => {
       clearTimeout(timer);
       this.running.delete(id);
--- a/review/lib/system.mjs
+++ b/review/lib/system.mjs
@@ -85,6 +85,12 @@
     this.store.put("servers", server.id, { spec: registration(server, ZONES[i % 3]) });
   }
 
+  /** Ends a server and deletes its entry. */
+  remove(server) {
+    server.close();
+    this.store.delete("servers", server.id);
+  }
+
   onExit(entry, how) {
     if (!this.#isEnding) this.note(`${entry.name} ended: ${how}`);
   }
@@ -265,12 +271,12 @@
   };
 }
 
-function registration({ id, service, address }, zone) {
+function registration({ id, service, address, version }, zone) {
   return {
     service,
     address,
     zone,
-    version: "v1",
+    version,
     slots: service === "scribe" ? 24 : 6,
     state: "ready",
     cold_remaining_ms: 0,
