--- a/review/lib/system.mjs
+++ b/review/lib/system.mjs
@@ -14,6 +14,13 @@
 const ZONES = ["accra-osu", "accra-tema", "accra-legon"];
 const READY_WITHIN_MS = 20_000;
 
+/** Processes that run now; none outlives this one. */
+const children = new Set();
+process.on("exit", () => {
+  for (const child of children) child.kill("SIGKILL");
+});
+for (const signal of ["SIGINT", "SIGTERM", "SIGHUP"]) process.on(signal, () => process.exit(2));
+
 export const sleep = (ms) => new Promise((resolve) => setTimeout(resolve, ms));
 
 export class System {
@@ -134,6 +141,7 @@
       stdio: ["ignore", "pipe", "pipe"],
     });
     this.#child = child;
+    children.add(child);
     const log = createWriteStream(join(this.system.dir, `${this.name}.log`), { flags: "a" });
     child.stdout.pipe(log, { end: false });
     this.stderr = "";
@@ -141,6 +149,7 @@
     this.#exited = new Promise((resolve) =>
       child.once("exit", (code, signal) => {
         this.exits++;
+        children.delete(child);
         this.#child = null;
         this.system.onExit(this, signal === null ? `exit code ${code}` : `signal ${signal}`);
         resolve();
