--- a/review/lib/servers.mjs
+++ b/review/lib/servers.mjs
@@ -88,7 +88,7 @@
 export class ModelServer extends Server {
   /**
    * `fails` says of a request's id whether the server answers it with a 500 of its own. `onBegin` is called when the
-   * server begins to work on a request.
+   * server begins to answer a request, before it sends anything.
    */
   constructor(
     { eventMs = 40, firstMs = 100, fails = () => false, onBegin = () => {}, ...options },
@@ -102,6 +102,8 @@
     let sent = 0;
     let timer = null;
     const next = () => {
+      if (sent === 0) this.onBegin(this, req);
+      if (res.destroyed) return;
       if (this.fails(id)) {
         this.running.delete(id);
         return res.writeHead(500, { ...head, "Content-Length": 6 }).end("failed");
@@ -119,7 +121,6 @@
     const atMs = Math.round(performance.now());
     this.ran.push({ id, server: this.id, atMs, path: req.url, lastEventId });
     this.running.set(id, () => sent);
-    this.onBegin(this, req);
     res.once("close", () => {
       clearTimeout(timer);
       this.running.delete(id);
