Count every end of a request at an endpoint for its version

Cause: the dispatcher recorded an outcome for complete and for lost streams only. Signed failures, deadlines and callers that left were not counted, so the bad half of the version was invisible, and half of its exposure too. PlainCall left out attempts in progress at the deadline, overtaken ones and long responses.

Change: each end at an endpoint is one outcome of its version.

--- a/packages/gateway/src/relay/engine_dispatcher.ts
+++ b/packages/gateway/src/relay/engine_dispatcher.ts
@@ -383,7 +383,8 @@
     isFailure: boolean,
   ): void {
     const { route } = run.req;
-    const isSlow = run.firstEventMs !== null && run.firstEventMs > route.targetLatencyMs;
+    // A run without an event has taken at least the time that its engine has had it.
+    const isSlow = (run.firstEventMs ?? run.atEngineMs) > route.targetLatencyMs;
     this.#ctx.moves.record({
       service,
       version,
@@ -411,8 +412,8 @@
     const queued = this.#queue.inOrder().find((w) => w.run === run);
     if (queued !== undefined) this.#queue.remove(queued);
     this.#recordLength(run);
-    if (run.isComplete && run.endpoint !== null) {
-      this.#recordVersionOutcome(run, run.endpoint.record, false);
+    if (run.engineOutcome !== null && run.endpoint !== null) {
+      this.#recordVersionOutcome(run, run.endpoint.record, run.engineOutcome === "failed");
     }
     this.#events.onEnd(run);
     if (this.#queue.size > 0) this.#dispatchQueue(now);
--- a/packages/gateway/src/relay/plain_call.ts
+++ b/packages/gateway/src/relay/plain_call.ts
@@ -208,6 +208,12 @@
     });
   }
 
+  /** Records an attempt whose call another endpoint has answered first: a slow one says so of its version. */
+  #recordOvertaken(attempt: Attempt): void {
+    const isSlow = attempt.elapsedMs > this.#req.route.targetLatencyMs;
+    if (isSlow) this.#recordVersionOutcome(attempt, false);
+  }
+
   #send(row: EndpointRow, reason: string, now: number): void {
     const { upstreams, dialect, log, metrics } = this.#ctx;
     const endpoint = upstreams.of(row);
@@ -296,12 +302,12 @@
   #onComplete(attempt: Attempt): void {
     if (this.#hasEnded) return;
     this.#attempts.delete(attempt);
+    const { head, body } = attempt.response();
+    this.#recordVersionOutcome(attempt, head.status >= 500);
     if (attempt === this.#committed) {
       this.#responder.end();
       return this.#finish("answered", attempt);
     }
-    const { head, body } = attempt.response();
-    this.#recordVersionOutcome(attempt, head.status >= 500);
     if (head.status >= 500 && this.#isIdempotent) {
       this.#failure = { head, body };
       this.#mayHaveRun = true;
@@ -317,6 +323,7 @@
     if (this.#hasEnded) return;
     this.#ctx.metrics.countAttempt(failure.type);
     if (attempt === this.#committed) {
+      this.#recordVersionOutcome(attempt, true);
       this.#responder.abort();
       return this.#finish("cut", attempt, failure.message);
     }
@@ -373,6 +380,7 @@
 
   #deliver(head: ResponseHead, body: Buffer, attempt: Attempt | null): void {
     if (attempt !== null) this.#ctx.crashes.recordHarmless(this.#req, attempt.startedAtMs);
+    for (const other of this.#attempts) this.#recordOvertaken(other);
     this.#abortAttempts();
     this.#responder.writeHead(head.status, head.headers, body.length);
     if (body.length > 0) this.#responder.write(body);
@@ -388,6 +396,7 @@
   #onDeadline(): void {
     if (this.#hasEnded) return;
     const wasSent = this.#attempts.size > 0 || this.#mayHaveRun;
+    for (const attempt of this.#attempts) this.#recordVersionOutcome(attempt, true);
     if (this.#committed !== null) {
       this.#abortAttempts();
       this.#responder.abort();
@@ -400,6 +409,7 @@
 
   #onCallerLeft(): void {
     if (this.#hasEnded) return;
+    for (const attempt of this.#attempts) this.#recordVersionOutcome(attempt, false);
     this.#abortAttempts();
     this.#finish("caller_left", null);
   }
@@ -415,6 +425,7 @@
     this.#committed = attempt;
     for (const other of this.#attempts) {
       if (other === attempt) continue;
+      this.#recordOvertaken(other);
       other.abort();
       this.#attempts.delete(other);
     }
--- a/packages/gateway/src/relay/stream_run.ts
+++ b/packages/gateway/src/relay/stream_run.ts
@@ -30,6 +30,15 @@
  */
 const BEGUN_WELL_MS = 250;
 
+/**
+ * What the end of a run shows of its engine: `served` a response, which may be a rejection of the request; `failed` it,
+ * or let it reach its deadline; `abandoned`, that the caller left while the engine had it.
+ */
+export type EngineOutcome = "served" | "failed" | "abandoned";
+
+/** Status from which a response says that the endpoint failed, rather than that it rejects the request. */
+const MIN_FAILURE_STATUS = 500;
+
 /** Why the segment of a run at one engine ended before the run did. */
 export interface RunLoss {
   /**
@@ -89,6 +98,7 @@
   #firstEventMs: number | null = null;
   #isStalled = false;
   #isComplete = false;
+  #engineOutcome: EngineOutcome | null = null;
 
   constructor({ ctx, req, responder, tokensPerEvent, events }: StreamRunOptions) {
     this.#ctx = ctx;
@@ -164,6 +174,19 @@
     return this.#isComplete;
   }
 
+  /**
+   * What the end of the run shows of the engine that had it; `null` if nothing, or if its loss was reported by
+   * {@link RunEvents.onLoss}.
+   */
+  get engineOutcome(): EngineOutcome | null {
+    return this.#engineOutcome;
+  }
+
+  /** Time since the run was sent to its present engine, in milliseconds; 0 before it. */
+  get atEngineMs(): number {
+    return this.#segment === null ? 0 : this.#ctx.clock.now() - this.#segment.startedAtMs;
+  }
+
   /** Time from arrival to the first event, in milliseconds; `null` before it. */
   get firstEventMs(): number | null {
     return this.#firstEventMs;
@@ -188,7 +211,7 @@
   start(): void {
     const { clock } = this.#ctx;
     this.#undos.push(
-      this.responder.registerClose(() => this.#finish("caller_left")),
+      this.responder.registerClose(() => this.#onCallerLeft()),
       this.responder.registerDrain(() => this.#onDrain()),
       clock.setTimer(this.req.dueAtMs - clock.now(), () => this.#onDeadline()),
     );
@@ -309,6 +332,9 @@
     }
     // A signed failure is the endpoint's response, so its body is forwarded unchanged.
     segment.isPassThrough = !isSuccess;
+    if (!isSuccess) {
+      this.#engineOutcome = status >= MIN_FAILURE_STATUS ? "failed" : "served";
+    }
     this.#hasSentHead = true;
     this.responder.writeHead(status, headers, null);
   }
@@ -380,6 +406,7 @@
       });
     }
     this.#isComplete = true;
+    this.#engineOutcome = "served";
     this.#recordBegunWell(segment, segment.firstEventAtMs ?? segment.startedAtMs);
     this.responder.end();
     this.#finish("answered");
@@ -390,6 +417,7 @@
     segment.pendingLoss = loss;
     if (loss.type === "withdrawn") this.#engines.pop();
     if (segment.isPassThrough) {
+      this.#engineOutcome = "failed";
       this.responder.abort();
       return this.#finish("cut", loss.message);
     }
@@ -414,8 +442,19 @@
     this.#segment?.resume();
   }
 
+  /** Whether an engine has the run now. */
+  get #isAtEngine(): boolean {
+    return this.#segment?.isInProgress ?? false;
+  }
+
+  #onCallerLeft(): void {
+    if (this.#isAtEngine) this.#engineOutcome ??= "abandoned";
+    this.#finish("caller_left");
+  }
+
   #onDeadline(): void {
     if (this.#phase === "ended") return;
+    if (this.#isAtEngine) this.#engineOutcome = "failed";
     const notRun = this.#engines.length === 0 ? true : "unknown";
     this.fail({ reason: "deadline_exceeded", notRun });
   }
@@ -500,6 +539,10 @@
     this.startedAtMs = ctx.clock.now();
   }
 
+  get isInProgress(): boolean {
+    return this.#call !== null && !this.#hasEnded;
+  }
+
   get hasProgress(): boolean {
     return this.firstEventAtMs !== null;
   }
