Record the content of every request at a crash, also without a response

Cause: requests without a response were left out beside one that had just begun its response. That holds for a segment of a prompt, not for a content, which may crash an engine before the first byte.

Change: contents are always recorded and weighed by evidence like segments; they run one at a time from the second crash on and after a refusal; contents of several crashes are kept longest. An end is planned after a notice, the drain time after the registration is gone, or if a move takes the version away.

The test of a content's three crashes now asks for a trial instead of a free run after the second one, which is stricter: copies no longer run together.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -125,6 +125,7 @@
       log,
       regionOf: options.regionOf,
       outage: () => this.#viewSync.outage,
+      drainMs: settings.bounds.drain_ms,
     });
     this.#keys = new KeyLease({
       elapsed,
--- a/packages/gateway/src/moves/version_moves.ts
+++ b/packages/gateway/src/moves/version_moves.ts
@@ -121,6 +121,13 @@
     return chosen.length > 0 ? chosen : rowsOfOld();
   }
 
+  /** Whether a move has ended that takes all endpoints of a version away. */
+  isRetired({ service, version }: Pick<VersionOutcome, "service" | "version">): boolean {
+    const record = this.#open.get(service)?.record;
+    if (record?.state === "completed") return version !== record.target;
+    return record?.state === "rolled_back" && version === record.target;
+  }
+
   /** Records how a request ended. */
   record({ service, version, route, isFailure, isSlow }: VersionOutcome): void {
     const move = this.#open.get(service);
--- a/packages/gateway/src/peers/crash_evidence_exchange.ts
+++ b/packages/gateway/src/peers/crash_evidence_exchange.ts
@@ -37,8 +37,8 @@
 /** Protocol version from which on gateways understand these messages. */
 const SINCE_VERSION = 3;
 const SUBJECT = "crash_evidence";
-/** Largest number of requests at crashes that a gateway keeps and sends in one message. */
-export const MAX_SUSPECTS = 32;
+/** Largest number of requests at crashes in one message. */
+const MAX_SUSPECTS = 32;
 /** Largest number of traits with evidence in one message. */
 const MAX_HARMLESS = 256;
 /** Longest random time before evidence is announced, for each gateway and in total. */
@@ -134,15 +134,18 @@
   /** Sends a peer everything, which it does not pass on. */
   #answer(peer: string): void {
     const { attribution, network, clock } = this.#options;
-    const suspects = attribution.suspects(clock.now()).slice(-MAX_SUSPECTS);
-    network.send(peer, {
-      kind: "crash_evidence",
-      origin: "",
-      hops: 0,
-      suspects: suspects.map((suspect) => this.#report(suspect)),
-      harmless: this.#harmlessOf(suspects.flatMap((suspect) => suspect.traits)),
-      trials: [],
-    });
+    const suspects = attribution.suspects(clock.now());
+    for (let from = 0; from < suspects.length; from += MAX_SUSPECTS) {
+      const part = suspects.slice(from, from + MAX_SUSPECTS);
+      network.send(peer, {
+        kind: "crash_evidence",
+        origin: "",
+        hops: 0,
+        suspects: part.map((suspect) => this.#report(suspect)),
+        harmless: this.#harmlessOf(part.flatMap((suspect) => suspect.traits)),
+        trials: [],
+      });
+    }
   }
 
   #onEvidence(peer: string, msg: CrashEvidence): void {
--- a/packages/gateway/src/relay/crash_tracker.ts
+++ b/packages/gateway/src/relay/crash_tracker.ts
@@ -10,6 +10,7 @@
   contentTrait,
   CrashAttribution,
   type CrashSuspect,
+  isContentTrait,
   MAX_TRAITS,
   segmentTrait,
   type Trait,
@@ -17,11 +18,7 @@
 import type { EndpointRecord } from "../config/types.ts";
 import type { DecisionLog } from "../observe/decision_log.ts";
 import type { GatewayMetrics } from "../observe/metrics.ts";
-import {
-  CrashEvidenceExchange,
-  decodeOldSuspects,
-  MAX_SUSPECTS,
-} from "../peers/crash_evidence_exchange.ts";
+import { CrashEvidenceExchange, decodeOldSuspects } from "../peers/crash_evidence_exchange.ts";
 import type { PeerGroup } from "../peers/peer_group.ts";
 import type { InboundRequest } from "./inbound.ts";
 
@@ -51,8 +48,10 @@
  * known first.
  */
 const NOT_BEGUN_DELAY_MS = 150;
-/** Largest number of requests without a response that a gateway reports in a second. */
-const MAX_NOT_BEGUN_PER_SECOND = 16;
+/** Largest number of requests without a response that a gateway reports at a time. */
+const MAX_NOT_BEGUN_REPORTED = 8;
+/** Largest number of requests at crashes that are remembered: those of several crashes of full endpoints. */
+const MAX_RECORDED_SUSPECTS = 128;
 const DIGEST_LENGTH = 24;
 /** Longest id of a segment that is used as it is; a longer one is replaced by its digest. */
 const MAX_SEGMENT_ID_LENGTH = 32;
@@ -61,7 +60,7 @@
 /** Decides which requests are refused, wait or are sent after crashes. */
 export class CrashTracker {
   readonly #options: CrashTrackerOptions;
-  readonly #attribution = new CrashAttribution({ maxSuspects: MAX_SUSPECTS });
+  readonly #attribution = new CrashAttribution({ maxSuspects: MAX_RECORDED_SUSPECTS });
   /** Traits that a request of this gateway tries now, by the request's id. */
   readonly #ownTrials = new Map<string, readonly Trait[]>();
   readonly #peerTrialUntilMs = new Map<Trait, number>();
@@ -185,18 +184,25 @@
     this.#onChange();
   }
 
-  /** Reports the requests without a response, except those beside one whose response had begun. */
+  /** Reports the requests without a response, those first whose content was at an earlier crash too. */
   #reportNotBegun(): void {
-    const suspects = this.#notBegun.filter(({ crash }) =>
-      !this.#attribution.hasBegunSuspect(crash)
-    );
+    const suspects = this.#notBegun.map((suspect) => this.#withoutInnocentSegments(suspect));
     this.#notBegun = [];
-    const reported = suspects.slice(0, MAX_NOT_BEGUN_PER_SECOND * NOT_BEGUN_DELAY_MS / 1_000 + 1);
+    const wasSeen = ({ traits }: CrashSuspect) =>
+      traits.some((trait) => isContentTrait(trait) && this.#attribution.isRecorded(trait));
+    const inOrder = suspects.sort((a, b) => Number(wasSeen(b)) - Number(wasSeen(a)));
+    const reported = inOrder.slice(0, MAX_NOT_BEGUN_REPORTED);
     if (reported.length < suspects.length) {
       const requests = suspects.length - reported.length;
       this.#options.log.state("crash_suspects_left_out", { requests });
     }
-    if (reported.length > 0) this.#report(reported);
+    this.#report(reported);
+  }
+
+  /** Leaves only the content of a request without a response beside one whose response had begun. */
+  #withoutInnocentSegments(suspect: CrashSuspect): CrashSuspect {
+    if (!this.#attribution.hasBegunSuspect(suspect.crash)) return suspect;
+    return { ...suspect, traits: suspect.traits.filter(isContentTrait) };
   }
 
   #isOnTrial(trait: Trait, requestId: string, nowMs: number): boolean {
--- a/packages/gateway/src/relay/engine_dispatcher.ts
+++ b/packages/gateway/src/relay/engine_dispatcher.ts
@@ -21,6 +21,7 @@
 import { isWithinColdLimit } from "./cold_limit.ts";
 import type { RelayContext } from "./context.ts";
 import type { InboundRequest, PromptSegment, Responder } from "./inbound.ts";
+import { isEndPlanned } from "./planned_end.ts";
 import { ALL_ACCOUNTS, lengthKey, RunRegistry } from "./run_registry.ts";
 import { type RunLoss, StreamRun } from "./stream_run.ts";
 import { chooseService } from "./service_choice.ts";
@@ -359,7 +360,7 @@
     if (loss.type === "misdirected" && endpoint !== null) {
       this.#ctx.fleet.markLeaving(endpoint.id, "another endpoint responds at its address");
     }
-    if (loss.type === "lost" && endpoint !== null && this.#ctx.fleet.isUsable(endpoint.id)) {
+    if (loss.type === "lost" && endpoint !== null && !isEndPlanned(this.#ctx, endpoint.record)) {
       this.#recordVersionOutcome(run, endpoint.record, true);
       if (loss.isDisconnected === true && !run.hasBegunWell) {
         this.#ctx.crashes.recordCrash(run.req, endpoint.record, { hasBegun: run.hasBegun });
--- a/packages/gateway/src/relay/plain_call.ts
+++ b/packages/gateway/src/relay/plain_call.ts
@@ -14,6 +14,7 @@
 import { isWithinColdLimit } from "./cold_limit.ts";
 import type { RelayContext } from "./context.ts";
 import type { InboundRequest, Rejection, Responder } from "./inbound.ts";
+import { isEndPlanned } from "./planned_end.ts";
 import { chooseService } from "./service_choice.ts";
 
 /** Largest body that is buffered until the response is complete, in bytes; a longer one is streamed to the caller. */
@@ -338,8 +339,8 @@
     this.#mayHaveRun = true;
     attempt.endpoint.recordFailure();
     this.#recordVersionOutcome(attempt, true);
-    if (failure.type === "connection_lost") {
-      const { record } = attempt.endpoint;
+    const { record } = attempt.endpoint;
+    if (failure.type === "connection_lost" && !isEndPlanned(this.#ctx, record)) {
       this.#ctx.crashes.recordCrash(this.#req, record, { hasBegun: attempt.hasHead });
     }
     this.#retry("lost");
--- a/packages/gateway/src/state/fleet.ts
+++ b/packages/gateway/src/state/fleet.ts
@@ -62,8 +62,11 @@
   readonly log: DecisionLog;
   readonly regionOf: (dataCentre: DataCentreId) => RegionId | null;
   readonly outage: () => StoreOutage;
+  /** Time for which an endpoint that leaves goes on serving, in milliseconds. */
+  readonly drainMs?: number;
 }
 
+const DEFAULT_DRAIN_MS = 2_000;
 /** Registrations that expired during an outage of the store are back about two seconds after it ends. */
 const LAPSE_GRACE_MS = 2_300;
 /** Routes that are indexed at once; more would delay the events of streams on a host with a small share of a core. */
@@ -140,6 +143,19 @@
       !this.#evacuated.has(row.record.dataCentre);
   }
 
+  /**
+   * Whether the end of an endpoint is planned, so that it says nothing of the requests that the endpoint had. One that
+   * leaves without notice goes on serving for the drain time after its registration was removed.
+   */
+  isEndPlanned(id: EndpointId): boolean {
+    const row = this.#endpoints.get(id);
+    if (row === undefined) return true;
+    if (row.phase !== "leaving") return false;
+    const { drainMs = DEFAULT_DRAIN_MS } = this.#options;
+    const hasNotice = row.record.isDraining || row.isRegistered;
+    return hasNotice || this.#now() - row.phaseSinceMs >= drainMs;
+  }
+
   /** Marks an endpoint as leaving because of its own drain notice, before the store has the change. */
   markLeaving(id: EndpointId, reason: string): void {
     const row = this.#endpoints.get(id);
--- a/packages/gateway/tests/crash_tracker_test.ts
+++ b/packages/gateway/tests/crash_tracker_test.ts
@@ -181,3 +181,25 @@
     assert.deepEqual(suspected.map(({ fields }) => fields.trait), ["segment:dd"]);
   }
 });
+
+// Guards against a harmful request that comes again at any gateway and is never recorded, as sound requests at the same
+// engines had just begun their responses (BUDGET).
+test("a request that crashes engines before they respond is refused beside sound traffic", () => {
+  const { clock, gateways } = makeScene(4);
+  const harmful = makeRequest("a0");
+  for (const i of [0, 1, 2]) {
+    const { tracker } = gateways[i]!;
+    const endpoint = makeEndpoint(`crashed-${i}`);
+    for (let n = 0; n < 6; n++) {
+      const sound = makeRequest("a0");
+      tracker.recordCrash(sound, endpoint, { hasBegun: n < 2 });
+      if (n < 2) clock.setTimer(500, () => tracker.recordHarmless(sound, clock.now()));
+    }
+    tracker.recordCrash({ ...harmful, requestId: `copy-${i}` }, endpoint, { hasBegun: false });
+    clock.advance(1_000);
+  }
+  for (const { tracker } of gateways) {
+    assert.equal(tracker.admission({ ...harmful, requestId: "copy-4" }).type, "refused");
+    assert.equal(tracker.admission(makeRequest("a0")).type, "send");
+  }
+});
--- a/packages/gateway/tests/fleet_test.ts
+++ b/packages/gateway/tests/fleet_test.ts
@@ -167,3 +167,17 @@
   clock.advance(1);
   assert.equal(fleet.routes?.config.version, 3);
 });
+
+// Guards against a crash that is taken for a departure because its registration is removed before its connections end.
+test("the end of an endpoint is planned after a notice, or the drain time after its registration was removed", () => {
+  const { clock, view, fleet } = makeFleet();
+  const { endpoints } = view.kinds;
+  const [a, b] = [makeEndpoint("a"), makeEndpoint("b")];
+  endpoints.replace(makeSnapshot(1, { a, b }), "store");
+  assert.equal(fleet.isEndPlanned(a.id), false);
+  endpoints.replace(makeSnapshot(2, { a: { ...a, isDraining: true } }), "store");
+  assert.equal(fleet.isEndPlanned(a.id), true);
+  assert.equal(fleet.isEndPlanned(b.id), false);
+  clock.advance(2_000);
+  assert.equal(fleet.isEndPlanned(b.id), true);
+});
--- a/packages/gateway/tests/version_moves_test.ts
+++ b/packages/gateway/tests/version_moves_test.ts
@@ -166,3 +166,20 @@
   await simulateTraffic(cluster, 300, 0.02);
   assert.deepEqual(statesOf(cluster), ["running"]);
 });
+
+// Guards against requests that are suspected of crashes because the old version's endpoints were stopped.
+test("the versions that a move takes away are retired once it has ended", async () => {
+  const cluster = await makeCluster(6);
+  const { moves } = cluster.gateways[0]!;
+  const retired = () => [V1, V2].map((version) => moves.isRetired({ service: SCRIBE, version }));
+  assert.deepEqual(retired(), [false, false]);
+  cluster.store.set("moves", "scribe", makeMove());
+  await settle();
+  assert.deepEqual(retired(), [false, false]);
+  cluster.store.set("moves", "scribe", makeMove({ state: "completed" }));
+  await settle();
+  assert.deepEqual(retired(), [true, false]);
+  cluster.store.set("moves", "scribe", makeMove({ state: "rolled_back" }));
+  await settle();
+  assert.deepEqual(retired(), [false, true]);
+});
--- a/packages/policy/src/crash_attribution.ts
+++ b/packages/policy/src/crash_attribution.ts
@@ -5,10 +5,13 @@
  * Load pattern: requests of which no two are alike crash every endpoint that begins to respond to them, because of one
  * segment that they have in common. Harmless requests share their other segments and their account.
  *
+ * The second pattern: one request comes again and again, and crashes each endpoint before it responds, beside harmless
+ * requests whose responses have just begun.
+ *
  * Each request that may have caused a crash is recorded with its traits. A trait is cleared when a request that has it
- * runs well. A second crash without that makes it refused; until then, requests with it run one at a time as trials, so
- * that a crash has one candidate (adaptive group testing: D.-Z. Du, F. K. Hwang, "Combinatorial Group Testing and Its
- * Applications", 1993).
+ * runs well. A second crash without that makes a segment refused, a third one a content. Requests with a suspected trait
+ * run one at a time as trials until then, and again when the refusal has ended, so that a crash has one candidate
+ * (adaptive group testing: D.-Z. Du, F. K. Hwang, "Combinatorial Group Testing and Its Applications", 1993).
  *
  * @module
  */
@@ -31,6 +34,11 @@
   return `${CONTENT_PREFIX}${digest}` as Trait;
 }
 
+/** Whether a trait is the content of requests rather than a segment of their prompts. */
+export function isContentTrait(trait: Trait): boolean {
+  return trait.startsWith(CONTENT_PREFIX);
+}
+
 /** A request that may have caused a crash. */
 export interface CrashSuspect {
   /** Identifies the crash, the same for all requests at it. */
@@ -85,8 +93,10 @@
 const WEAK_POINTS = 1;
 const SUSPECTED_POINTS = 3;
 const REFUSED_POINTS = 6;
-/** Crashes after which a content is refused. It gets no trials, so it may be at some by coincidence. */
+/** Crashes after which a content is refused. It may be at one by coincidence, so it runs freely until the second. */
 const CONTENT_CRASH_LIMIT = 3;
+const CONTENT_SUSPECTED_POINTS = (CONTENT_CRASH_LIMIT - 1) * STRONG_POINTS;
+const CONTENT_REFUSED_POINTS = CONTENT_CRASH_LIMIT * STRONG_POINTS;
 /** Interval at which old entries are removed, in milliseconds. */
 const EXPIRY_INTERVAL_MS = 250;
 
@@ -254,12 +264,16 @@
     this.#scores = null;
   }
 
-  /** Removes surplus requests: those that support no refusal and had no response first, then the oldest. */
+  /**
+   * Removes surplus requests: those that support no refusal first, of them those whose content was at one crash only,
+   * of them those without a response, then the oldest.
+   */
   #evict(nowMs: number): void {
     this.#expire(nowMs);
     const scores = this.#scoresNow();
     const inOrder = [...this.#suspects].sort(([, a], [, b]) =>
       Number(supportsRefusal(a, scores)) - Number(supportsRefusal(b, scores)) ||
+      Number(hasSuspectedContent(a, scores)) - Number(hasSuspectedContent(b, scores)) ||
       Number(a.hasBegun) - Number(b.hasBegun) || a.atMs - b.atMs
     );
     const surplus = Math.max(0, this.#suspects.size - this.#cfg.maxSuspects);
@@ -296,30 +310,32 @@
     const ordered = [...this.#suspects.values()].sort((a, b) => a.atMs - b.atMs);
     const begun = new Set(ordered.filter((s) => s.hasBegun).map((s) => s.crash));
     for (const suspect of ordered) {
-      const { crash, hasBegun, atMs, traits } = suspect;
-      for (const trait of traits) {
-        if (!isSegment(trait)) addCrash(scores, trait, { atMs, points: STRONG_POINTS });
-      }
-      // An endpoint crashes as it begins to respond, so requests without a response are no candidates beside one.
-      if (hasBegun || !begun.has(crash)) this.#addSegments(scores, suspect);
+      // A segment crashes an endpoint that has begun to respond, so those of requests without a response are no
+      // candidates beside one that has. A content may do so before the first byte.
+      const isAmongFirst = suspect.hasBegun || !begun.has(suspect.crash);
+      this.#addCandidates(scores, suspect, isAmongFirst ? () => true : (t) => isContentTrait(t));
     }
     return scores;
   }
 
-  #addSegments(
+  #addCandidates(
     scores: Map<Trait, Score>,
     { traits, atMs, isTrial }: CrashSuspect,
+    isCandidate: (trait: Trait) => boolean,
   ): void {
     const candidates = new Map<Trait, number>();
     for (const trait of traits) {
       const known = this.#standing(trait, atMs);
-      if (!isSegment(trait) || known === "cleared") continue;
-      const isOnTrial = isTrial && (scores.get(trait)?.points ?? 0) >= SUSPECTED_POINTS;
+      if (!isCandidate(trait) || known === "cleared") continue;
+      const isOnTrial = isTrial && isSuspected(scores.get(trait));
       candidates.set(trait, known === "unknown" || isOnTrial ? STRONG_POINTS : WEAK_POINTS);
     }
     for (const [trait, points] of candidates) {
+      // A content identifies a request, whatever segments it has.
       const companions = [...candidates]
-        .filter(([other, otherPoints]) => other !== trait && otherPoints >= points)
+        .filter(([other, otherPoints]) =>
+          isSegment(trait) && isSegment(other) && other !== trait && otherPoints >= points
+        )
         .map(([other]) => other);
       addCrash(scores, trait, { atMs, points, companions });
     }
@@ -368,12 +384,14 @@
   score.crashes++;
 }
 
-function isSuspected({ trait, points }: Score): boolean {
-  return isSegment(trait) && points >= SUSPECTED_POINTS;
+function isSuspected(score: Score | undefined): boolean {
+  if (score === undefined) return false;
+  const { trait, points } = score;
+  return points >= (isSegment(trait) ? SUSPECTED_POINTS : CONTENT_SUSPECTED_POINTS);
 }
 
-function isRefused({ trait, points, crashes }: Score): boolean {
-  return isSegment(trait) ? points >= REFUSED_POINTS : crashes >= CONTENT_CRASH_LIMIT;
+function isRefused({ trait, points }: Score): boolean {
+  return points >= (isSegment(trait) ? REFUSED_POINTS : CONTENT_REFUSED_POINTS);
 }
 
 function supportsRefusal({ traits }: CrashSuspect, scores: ReadonlyMap<Trait, Score>): boolean {
@@ -382,3 +400,10 @@
     return score !== undefined && isRefused(score);
   });
 }
+
+function hasSuspectedContent(
+  { traits }: CrashSuspect,
+  scores: ReadonlyMap<Trait, Score>,
+): boolean {
+  return traits.some((trait) => isContentTrait(trait) && isSuspected(scores.get(trait)));
+}
--- a/packages/policy/tests/crash_attribution_test.ts
+++ b/packages/policy/tests/crash_attribution_test.ts
@@ -105,13 +105,61 @@
 test("a content is refused after three crashes, whatever its segments", () => {
   const attribution = new CrashAttribution();
   const content = contentTrait("d1");
-  for (const atMs of [1_000, 2_000, 3_000]) {
-    assert.equal(attribution.verdict([content], atMs).type, "free");
+  for (const [i, atMs] of [1_000, 2_000, 3_000].entries()) {
+    // From the second crash on, copies of the request do not run together.
+    assert.equal(attribution.verdict([content], atMs).type, i < 2 ? "free" : "trial");
     crash(attribution, atMs, [content], { hasBegun: false });
   }
   assert.equal(attribution.verdict([content], 3_001).type, "refused");
 });
 
+// Guards against a request that crashes endpoints for ever because others had just begun their responses (BUDGET).
+test("a content without a response is refused after three crashes beside responses that had begun", () => {
+  const attribution = new CrashAttribution();
+  const harmful = contentTrait("d1");
+  for (const atMs of [1_000, 2_000, 3_000]) {
+    const sound = contentTrait(`sound-${atMs}`);
+    crash(attribution, atMs, [OTHER, sound]);
+    crash(attribution, atMs, [VARIANT, harmful], { hasBegun: false });
+    for (const trait of [OTHER, VARIANT, sound]) attribution.recordHarmless(trait, atMs + 100);
+  }
+  assert.equal(attribution.verdict([VARIANT, harmful], 3_101).type, "refused");
+  assert.equal(attribution.verdict([VARIANT], 3_101).type, "free");
+});
+
+// Guards against refusing a sound request that is repeated and happened to be at three crashes.
+test("a content that runs well between crashes is not refused", () => {
+  const attribution = new CrashAttribution();
+  const content = contentTrait("d1");
+  for (const atMs of [1_000, 2_000, 3_000, 4_000]) {
+    crash(attribution, atMs, [content], { hasBegun: false });
+    attribution.recordHarmless(content, atMs + 500);
+  }
+  assert.equal(attribution.verdict([content], 4_501).type, "free");
+});
+
+// Guards against copies of a harmful request that reach an endpoint each as soon as its refusal ends.
+test("a refused content is tried one at a time after the refusal", () => {
+  const attribution = new CrashAttribution({ retrialMs: 1_000 });
+  const content = contentTrait("d1");
+  for (const atMs of [0, 100, 200]) crash(attribution, atMs, [content], { hasBegun: false });
+  assert.equal(attribution.verdict([content], 1_199).type, "refused");
+  assert.equal(attribution.verdict([content], 1_201).type, "trial");
+});
+
+// Guards against forgetting a harmful content among the requests of endpoints that crash with many others.
+test("a content of several crashes is kept when there are many others", () => {
+  const attribution = new CrashAttribution({ maxSuspects: 30 });
+  const harmful = contentTrait("d1");
+  for (const atMs of [1_000, 2_000, 3_000]) {
+    crash(attribution, atMs, [harmful], { hasBegun: false });
+    for (let i = 0; i < 20; i++) {
+      crash(attribution, atMs, [contentTrait(`${atMs}-${i}`)], { hasBegun: i % 2 === 0 });
+    }
+  }
+  assert.equal(attribution.verdict([harmful], 3_001).type, "refused");
+});
+
 // Guards against a refusal that never ends, and against one that lets a crash through each minute.
 test("a refused segment is tried again after a time that doubles, and is refused again by one crash", () => {
   const attribution = new CrashAttribution({ retrialMs: 1_000, suspectMs: 500 });
