Ignore registrations that their endpoint wrote before the newest known one

Cause: the fleet took the store's newest revision for the endpoint's newest state. The sequence of a registration was not read, and an older start time counted as a restart, which closed the connections to a sound server.

Change: registrations are ordered by start time and sequence; an older one is ignored and logged, and accepted only if it is not replaced within 4 s while the store can be reached, as the time of day of a host may be set back.

--- a/packages/gateway/src/config/types.ts
+++ b/packages/gateway/src/config/types.ts
@@ -125,6 +125,8 @@
   readonly coldMs: number;
   /** Unix time of the endpoint's start, which distinguishes processes with the same id; `null` if not reported. */
   readonly startedAtUnixMs: number | null;
+  /** Number of the registration's write since the process started; `null` if it does not say. */
+  readonly sequence: number | null;
 }
 
 /** An operator's order to evacuate a data centre. */
--- a/packages/gateway/src/state/fleet.ts
+++ b/packages/gateway/src/state/fleet.ts
@@ -17,6 +17,7 @@
 import { RouteTable } from "../config/route_table.ts";
 import type { EndpointRecord, GatewayConfig } from "../config/types.ts";
 import type { DecisionLog } from "../observe/decision_log.ts";
+import { isOutdated } from "./registration_order.ts";
 import { FOLLOWED_KINDS, type StoreView, type ViewSource } from "./store_view.ts";
 
 /**
@@ -66,7 +67,19 @@
   readonly drainMs?: number;
 }
 
+/** A registration that was written before the one in force. */
+interface OutdatedRegistration {
+  readonly record: EndpointRecord;
+  readonly revision: number;
+  readonly sinceMs: number;
+}
+
 const DEFAULT_DRAIN_MS = 2_000;
+/**
+ * Time after which an outdated registration is taken as it is. An endpoint that lives replaces it with its next write,
+ * about a second later; the start time of one whose time of day was set back is earlier than that of its predecessor.
+ */
+const OUTDATED_MS = 4_000;
 /** Registrations that expired during an outage of the store are back about two seconds after it ends. */
 const LAPSE_GRACE_MS = 2_300;
 /** Routes that are indexed at once; more would delay the events of streams on a host with a small share of a core. */
@@ -84,6 +97,7 @@
   /** The configuration in force, or the one whose table is being built. */
   #nextConfig: GatewayConfig | null = null;
   #evacuated: ReadonlySet<DataCentreId> = new Set();
+  readonly #outdated = new Map<EndpointId, OutdatedRegistration>();
   #listeners: readonly ((change: EndpointChange) => void)[] = [];
   #configListeners: readonly (() => void)[] = [];
 
@@ -194,6 +208,7 @@
         this.#set(id, null, { reason: "gone" });
       }
     }
+    this.#acceptOutdated(now);
   }
 
   #now(): number {
@@ -253,22 +268,61 @@
     for (const { value: record, revision: changedAt } of items.values()) {
       const before = this.#endpoints.get(record.id);
       if (before !== undefined && before.revision === changedAt && before.isRegistered) continue;
-      const phase = record.isDraining ? "leaving" : "ready";
-      this.#set(record.id, {
-        record,
-        phase,
-        phaseSinceMs: before?.phase === phase ? before.phaseSinceMs : now,
-        coldUntilMs: now + record.coldMs,
-        revision: changedAt,
-        isRegistered: true,
-      }, { source, revision });
+      if (before !== undefined && isOutdated(record, before.record)) {
+        this.#ignoreOutdated({ record, revision: changedAt, sinceMs: now }, before);
+        continue;
+      }
+      this.#outdated.delete(record.id);
+      this.#register(record, changedAt, { source, revision });
     }
+    for (const id of [...this.#outdated.keys()]) if (!items.has(id)) this.#outdated.delete(id);
     for (const [id, row] of [...this.#endpoints.entries()]) {
       if (items.has(id) || !row.isRegistered) continue;
       this.#set(id, this.#unregistered(row, now), { source, revision });
     }
   }
 
+  #register(record: EndpointRecord, revision: number, cause: Record<string, unknown>): void {
+    const before = this.#endpoints.get(record.id);
+    const phase = record.isDraining ? "leaving" : "ready";
+    const now = this.#now();
+    this.#set(record.id, {
+      record,
+      phase,
+      phaseSinceMs: before?.phase === phase ? before.phaseSinceMs : now,
+      coldUntilMs: now + record.coldMs,
+      revision,
+      isRegistered: true,
+    }, cause);
+  }
+
+  /** Leaves an endpoint as it is, although the store holds a registration that the endpoint wrote earlier. */
+  #ignoreOutdated(outdated: OutdatedRegistration, { record: known, phase }: EndpointRow): void {
+    const { record, revision } = outdated;
+    if (this.#outdated.get(record.id)?.revision === revision) return;
+    this.#outdated.set(record.id, outdated);
+    this.#options.log.state("registration_outdated", {
+      endpoint: record.id,
+      revision,
+      phase,
+      sequence: record.sequence,
+      knownSequence: known.sequence,
+      startedAtUnixMs: record.startedAtUnixMs,
+      knownStartedAtUnixMs: known.startedAtUnixMs,
+    });
+  }
+
+  /** Accepts outdated registrations that their endpoints have not replaced while the store could be reached. */
+  #acceptOutdated(now: number): void {
+    const { isDown, endedAtMs } = this.#options.outage();
+    if (isDown) return;
+    for (const [id, { record, revision, sinceMs }] of [...this.#outdated]) {
+      if (now < Math.max(sinceMs, endedAtMs) + OUTDATED_MS) continue;
+      this.#outdated.delete(id);
+      this.#register(record, revision, { reason: "an outdated registration was not replaced" });
+    }
+  }
+
   /** The row of an endpoint whose registration is gone. During or after an outage it may only have expired. */
   #unregistered(row: EndpointRow, now: number): EndpointRow {
     const { isDown, endedAtMs } = this.#options.outage();
--- a/packages/gateway/tests/fixtures.ts
+++ b/packages/gateway/tests/fixtures.ts
@@ -91,6 +91,7 @@
     isDraining: false,
     coldMs: 0,
     startedAtUnixMs: 1_700_000_000_000,
+    sequence: 1,
     ...overrides,
   };
 }
