Take late requests of a planned stop only if they must end in time

In a planned stop, requests that came late in the grace period were passed on and cut at its end without a response, orders among them (LOST; reported by other operators, and seen by our users on real machines).

Cause: a stopping entry took a call with 600 ms left and a generation by its usual time, though a call may take its route's timeout; and at the end of the grace period it closed connections on which no response had begun.

Change: 3 s after the order to stop, a request is taken only if its deadline or timeout ends before the process does; what is in progress 250 ms before the end gets 503 if it was never sent, 502 otherwise.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -27,7 +27,7 @@
 import { AccessControl } from "./relay/access_control.ts";
 import type { RelayContext } from "./relay/context.ts";
 import { VersionMoves } from "./moves/version_moves.ts";
-import { Relay } from "./relay/relay.ts";
+import { Relay, type StopProgress } from "./relay/relay.ts";
 import { RunMigrator } from "./relay/run_migrator.ts";
 import type { GatewaySettings } from "./settings.ts";
 import { Fleet } from "./state/fleet.ts";
@@ -63,8 +63,10 @@
 const FIRST_WATCH_DELAY_MS = 800;
 /** Number of gateways that are registered in the store, of any number. */
 const ENTRY_POINTS = 16;
-/** Time before the end of the grace period at which connections close, so that the last responses are still sent. */
+/** Time before the end of the grace period at which connections close. */
 const CLOSE_MARGIN_MS = 100;
+/** Time before connections close at which requests in progress are ended, so that the last responses are still sent. */
+const LAST_RESPONSES_MS = 150;
 
 /**
  * Wires the modules of a gateway together and controls their life cycle.
@@ -231,7 +233,7 @@
     this.#relay = new Relay({
       ctx,
       dispatcher: this.#dispatcher,
-      remainingMs: () => this.#remainingMs(),
+      stop: () => this.#stopProgress(),
       hasServingPeer: () => this.#network.servingPeers().length > 0,
       shouldShedStreams: () =>
         this.#isOverloaded && canShedToOthers(this.#network.overloadCounts()),
@@ -311,9 +313,11 @@
     this.#network.announceStop();
     const removal = this.#registration.remove();
     const closeAtMs = clock.now() + settings.bounds.grace_ms - CLOSE_MARGIN_MS;
-    while (clock.now() < closeAtMs && !this.#isIdle()) await clock.sleep(TICK_MS);
+    while (this.#stopProgress()!.remainingMs > 0 && !this.#isIdle()) await clock.sleep(TICK_MS);
     log.state("stopped", { active: this.#proxy.active });
+    this.#relay.endAll();
     await Promise.race([removal, clock.sleep(CLOSE_MARGIN_MS / 2)]);
+    while (clock.now() < closeAtMs && this.#proxy.active > 0) await clock.sleep(TICK_MS);
     await this.kill();
   }
 
@@ -323,13 +327,15 @@
    */
   #isIdle(): boolean {
     return this.#proxy.active === 0 &&
-      this.#remainingMs()! < this.#options.settings.bounds.grace_ms / 2;
+      this.#stopProgress()!.remainingMs < this.#options.settings.bounds.grace_ms / 2;
   }
 
-  #remainingMs(): number | null {
+  #stopProgress(): StopProgress | null {
     if (this.#stoppingSinceMs === null) return null;
     const { clock, settings } = this.#options;
-    return this.#stoppingSinceMs + settings.bounds.grace_ms - CLOSE_MARGIN_MS - clock.now();
+    const sinceMs = clock.now() - this.#stoppingSinceMs;
+    const endsAfterMs = settings.bounds.grace_ms - CLOSE_MARGIN_MS - LAST_RESPONSES_MS;
+    return { sinceMs, remainingMs: endsAfterMs - sinceMs };
   }
 
   /** Closes everything at once, as when the process dies. */
--- a/packages/gateway/src/relay/plain_call.ts
+++ b/packages/gateway/src/relay/plain_call.ts
@@ -40,12 +40,20 @@
   readonly body: Buffer;
 }
 
+/** Options of {@link PlainCall}. */
+export interface PlainCallOptions {
+  readonly ejection: OutlierEjection;
+  /** Called once, when the call has ended. */
+  readonly onEnd: () => void;
+}
+
 /** One call in progress. */
 export class PlainCall {
   readonly #ctx: RelayContext;
   readonly #req: InboundRequest;
   readonly #responder: Responder;
   readonly #ejection: OutlierEjection;
+  readonly #onEnd: () => void;
   readonly #attempts = new Set<Attempt>();
   readonly #attemptedEndpoints = new Set<EndpointId>();
   readonly #undos: Undo[] = [];
@@ -71,12 +79,13 @@
     ctx: RelayContext,
     req: InboundRequest,
     responder: Responder,
-    ejection: OutlierEjection,
+    { ejection, onEnd }: PlainCallOptions,
   ) {
     this.#ctx = ctx;
     this.#req = req;
     this.#responder = responder;
     this.#ejection = ejection;
+    this.#onEnd = onEnd;
   }
 
   start(): void {
@@ -396,16 +405,25 @@
 
   #onDeadline(): void {
     if (this.#hasEnded) return;
-    const wasSent = this.#attempts.size > 0 || this.#mayHaveRun;
     for (const attempt of this.#attempts) this.#recordVersionOutcome(attempt, true);
+    this.#endWithoutResponse("deadline_exceeded");
+  }
+
+  /** Ends the call as the process ends. */
+  giveUp(): void {
+    if (!this.#hasEnded) this.#endWithoutResponse("draining");
+  }
+
+  /** Ends the call before an attempt has completed, with what is known so far. */
+  #endWithoutResponse(reason: RefusalReason): void {
+    const wasSent = this.#attempts.size > 0 || this.#mayHaveRun;
+    this.#abortAttempts();
     if (this.#committed !== null) {
-      this.#abortAttempts();
       this.#responder.abort();
-      return this.#finish("cut", null, "deadline");
+      return this.#finish("cut", null, reason);
     }
-    this.#abortAttempts();
     if (this.#failure !== null) return this.#deliver(this.#failure.head, this.#failure.body, null);
-    this.#reject({ reason: "deadline_exceeded", notRun: wasSent ? "unknown" : true });
+    this.#reject({ reason, notRun: wasSent ? "unknown" : true });
   }
 
   #onCallerLeft(): void {
@@ -444,6 +462,7 @@
     rejection?: Rejection,
   ): void {
     this.#hasEnded = true;
+    this.#onEnd();
     this.#stopSlowTimer();
     this.#stopPermitWait();
     this.#ctx.crashes.recordEnded(this.#req);
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import { OutlierEjection } from "@wisteriapick/policy";
+import { canTakeWhileStopping, OutlierEjection } from "@wisteriapick/policy";
 import type { CallerLimits, RouteConfig } from "../config/types.ts";
 import { RETRY_AFTER_ELSEWHERE_MS } from "./access_control.ts";
 import type { RelayContext } from "./context.ts";
@@ -12,12 +12,20 @@
 import type { InboundHead, InboundRequest, Rejection, Responder } from "./inbound.ts";
 import { PlainCall } from "./plain_call.ts";
 
+/** How far the stop of a process has come. */
+export interface StopProgress {
+  /** Time since the order to stop, in milliseconds. */
+  readonly sinceMs: number;
+  /** Time until requests in progress are ended, in milliseconds. */
+  readonly remainingMs: number;
+}
+
 /** Options of {@link Relay}. */
 export interface RelayOptions {
   readonly ctx: RelayContext;
   readonly dispatcher: EngineDispatcher;
-  /** Time until this process ends, in milliseconds; `null` while it is not stopping. */
-  readonly remainingMs: () => number | null;
+  /** How far the stop of this process has come; `null` while it is not stopping. */
+  readonly stop: () => StopProgress | null;
   /** Whether there is another gateway that is not stopping, to which a rejected caller can go. */
   readonly hasServingPeer: () => boolean;
   /** Whether this host is overloaded and others have the capacity to take its new streams. */
@@ -31,10 +39,10 @@
   headerTimeoutMs: 3_000,
   idleTimeoutMs: 15_000,
 };
-/** Time that a stopping process must have left to take a call, in milliseconds: several times what almost all take. */
-const MIN_CALL_TIME_MS = 600;
-/** Time for a generation's first event that a stopping process must have left, in milliseconds. */
-const MIN_FIRST_EVENT_TIME_MS = 1_500;
+/** Time that a call takes, in milliseconds: several times what almost all take. */
+const USUAL_CALL_MS = 600;
+/** Time until a generation's first event, in milliseconds. */
+const USUAL_FIRST_EVENT_MS = 1_500;
 /** Time for each output token that a generation may have, in milliseconds; most generations take half of it. */
 const OUTPUT_TOKEN_MS = 5;
 /** Output time within which about half of the long generations end, in milliseconds. */
@@ -43,6 +51,7 @@
 export class Relay {
   readonly #options: RelayOptions;
   readonly #ejection = new OutlierEjection();
+  readonly #calls = new Set<PlainCall>();
 
   constructor(options: RelayOptions) {
     this.#options = options;
@@ -97,7 +106,7 @@
       } as const;
       return this.#reject(head, rejection, responder);
     }
-    if (this.#stopsWithin(this.#timeNeededMs(req))) {
+    if (!this.#canFinish(req)) {
       const rejection = {
         reason: "draining",
         notRun: true,
@@ -116,16 +125,42 @@
       }
       return dispatcher.submit(req, responder);
     }
-    new PlainCall(ctx, req, responder, this.#ejection).start();
+    const call: PlainCall = new PlainCall(ctx, req, responder, {
+      ejection: this.#ejection,
+      onEnd: () => this.#calls.delete(call),
+    });
+    this.#calls.add(call);
+    call.start();
+  }
+
+  /**
+   * Ends all requests in progress, as the process ends. Callers whose response has not begun get one, which says that
+   * the request did not run only if it was not sent.
+   */
+  endAll(): void {
+    for (const call of [...this.#calls]) call.giveUp();
+    for (const run of [...this.#options.dispatcher.runs]) run.giveUp();
   }
 
-  /** Time that a stopping process must have left to take a request, in milliseconds. */
-  #timeNeededMs({ generation }: InboundRequest): number {
-    if (generation === null) return MIN_CALL_TIME_MS;
+  /** Whether a request can be taken although this process may be stopping. */
+  #canFinish(req: InboundRequest): boolean {
+    const stop = this.#options.stop();
+    if (stop === null) return true;
+    return canTakeWhileStopping({
+      sinceStopMs: stop.sinceMs,
+      remainingMs: stop.remainingMs,
+      usualMs: this.#usualMs(req),
+      longestMs: req.dueAtMs - this.#options.ctx.clock.now(),
+    });
+  }
+
+  /** Time that a request like this one usually takes, in milliseconds. */
+  #usualMs({ generation }: InboundRequest): number {
+    if (generation === null) return USUAL_CALL_MS;
     const outputMs = OUTPUT_TOKEN_MS * generation.maxOutputTokens;
     // While every gateway is stopping, an even chance to finish here is better than none elsewhere.
     const maxOutputMs = this.#options.hasServingPeer() ? Infinity : MEDIAN_LONG_OUTPUT_MS;
-    return MIN_FIRST_EVENT_TIME_MS + Math.min(outputMs, maxOutputMs);
+    return USUAL_FIRST_EVENT_MS + Math.min(outputMs, maxOutputMs);
   }
 
   #isGeneration(route: RouteConfig): boolean {
@@ -133,11 +168,6 @@
     return route.targets.some((t) => fleet.routes?.service(t.service)?.engine !== null);
   }
 
-  #stopsWithin(ms: number): boolean {
-    const remaining = this.#options.remainingMs();
-    return remaining !== null && remaining < ms;
-  }
-
   #reject(head: InboundHead, rejection: Rejection, responder: Responder): void {
     const { ctx } = this.#options;
     ctx.metrics.countRejection(rejection.reason);
--- a/packages/gateway/src/relay/stream_run.ts
+++ b/packages/gateway/src/relay/stream_run.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { EndpointId, RefusalReason, Undo } from "@wisteriapick/core";
+import type { EndpointId, NotRun, RefusalReason, Undo } from "@wisteriapick/core";
 import type { ForecastItem } from "@wisteriapick/policy";
 import type { EndpointRow } from "../state/fleet.ts";
 import type { UpstreamCall, UpstreamFailure } from "../upstream/connection.ts";
@@ -224,9 +224,8 @@
     if (refusal !== null) return this.fail(refusal);
     const admission = crashes.admission(this.req);
     if (admission.type === "refused") {
-      const notRun = this.#engines.length === 0 ? true : "unknown";
       const { retryAfterMs, trait } = admission;
-      return this.fail({ reason: "quarantined", notRun, retryAfterMs, trait });
+      return this.fail({ reason: "quarantined", notRun: this.#notRun, retryAfterMs, trait });
     }
     crashes.recordSent(this.req);
     this.#ctx.limits.take(row.record.id);
@@ -455,8 +454,16 @@
   #onDeadline(): void {
     if (this.#phase === "ended") return;
     if (this.#isAtEngine) this.#engineOutcome = "failed";
-    const notRun = this.#engines.length === 0 ? true : "unknown";
-    this.fail({ reason: "deadline_exceeded", notRun });
+    this.fail({ reason: "deadline_exceeded", notRun: this.#notRun });
+  }
+
+  /** Ends the run as the process ends. */
+  giveUp(): void {
+    this.fail({ reason: "draining", notRun: this.#notRun });
+  }
+
+  get #notRun(): NotRun {
+    return this.#engines.length === 0 ? true : "unknown";
   }
 
   #finish(
--- a/packages/gateway/tests/relay_test.ts
+++ b/packages/gateway/tests/relay_test.ts
@@ -78,7 +78,7 @@
     dispatcher: {
       submit: ({ requestId }: InboundHead) => void submitted.push(requestId),
     } as unknown as EngineDispatcher,
-    remainingMs: () => null,
+    stop: () => null,
     hasServingPeer: () => true,
     shouldShedStreams: () => overload.isOverloaded(clock.now()) && canShedToOthers(peers),
   });
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -25,6 +25,7 @@
 export * from "./move_pace.ts";
 export * from "./outlier_ejection.ts";
 export * from "./permit_issuer.ts";
+export * from "./planned_stop.ts";
 export * from "./prefix_directory.ts";
 export * from "./quarantine.ts";
 export * from "./retry_budget.ts";
