Handle SIGHUP from the first statement on, and a second SIGTERM

Reproduced with real processes: SIGHUP within 200 ms of the start ended the entry each time; a second SIGTERM cut 20 requests that ran.

Cause: signals without a handler have their default action. Handlers were installed once the program was loaded, and that of SIGTERM removed by its first call, here and in the command line.

Before: both tests of entry_process_test fail. After: they pass.

--- a/packages/cli/src/outcome.ts
+++ b/packages/cli/src/outcome.ts
@@ -37,14 +37,16 @@
   return process.exit();
 }
 
-/** Resolves on SIGTERM or SIGINT. */
+/**
+ * Resolves on SIGTERM or SIGINT. A further SIGTERM has no effect, so that it does not cut what the process finishes; a
+ * further SIGINT, as from a terminal, ends the process.
+ */
 export function waitForSignal(): Promise<void> {
   return new Promise((resolve) => {
     // Signal handlers don't keep the event loop alive; a timer does.
     const keepAlive = setInterval(() => {}, 1 << 30);
     const onSignal = () => {
       clearInterval(keepAlive);
-      process.off("SIGTERM", onSignal);
       process.off("SIGINT", onSignal);
       resolve();
     };
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,12 +1,12 @@
-// Bundles the programs that run on the platform into `target/`, with V8's code cache. A restarting entry has half a
-// core, and compiling its code takes most of the time before it serves.
+// Bundles the programs that run on the platform into `target/`, or the folder that is given, with V8's code cache. A
+// restarting entry has half a core, and compiling its code takes most of the time before it serves.
 import { build } from "esbuild";
 import { spawnSync } from "node:child_process";
 import { mkdirSync, writeFileSync } from "node:fs";
 import { fileURLToPath } from "node:url";
 
 const root = fileURLToPath(new URL("..", import.meta.url));
-const target = `${root}target`;
+const target = process.argv[2] ?? `${root}target`;
 
 // Optional dependencies of libraries, left out because resolving and loading them takes longer than loading the
 // libraries themselves.
@@ -22,7 +22,7 @@
 await build({
   absWorkingDir: root,
   entryPoints: { entry_bundle: "platform/src/main.ts" },
-  outdir: "target",
+  outdir: target,
   outExtension: { ".js": ".cjs" },
   bundle: true,
   platform: "node",
@@ -41,7 +41,10 @@
 
 writeFileSync(
   `${target}/entry.cjs`,
-  `// Runs the bundle with its code cache; without a valid cache V8 compiles as usual.
+  `// A change of the settings that is signalled before the program has read them needs no handling. Without a handler
+// the signal would end the process.
+process.on("SIGHUP", () => {});
+// Runs the bundle with its code cache; without a valid cache V8 compiles as usual.
 const { readFileSync } = require("node:fs");
 const { wrap } = require("node:module");
 const { Script } = require("node:vm");
