Wait for an address that is in use, and serve without metrics meanwhile

An entry ended at its start if any of its addresses was in use, that of its metrics included (FAULT; a suspicion of what our users saw on real machines).

Cause: the start failed with the first listener that could not be bound.

Before: all 4 tests of addresses_in_use_test fail with EADDRINUSE. After: they pass.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -9,6 +9,7 @@
   type RegionId,
   type Rng,
   SuspendAwareClock,
+  toWpError,
   type Undo,
 } from "@wisteriapick/core";
 import { canShedToOthers, ColdLimiter, HostOverload, RetryBudget } from "@wisteriapick/policy";
@@ -36,6 +37,7 @@
 import { StoreFollower } from "./state/store_follower.ts";
 import { StoreView } from "./state/store_view.ts";
 import type { CallerDialect } from "./surface/caller_dialect.ts";
+import { bindAddress } from "./surface/bind_address.ts";
 import { ProxyServer } from "./surface/proxy_server.ts";
 import { PlainServer } from "./surface/plain_server.ts";
 import type { EndpointDialect } from "./upstream/dialect.ts";
@@ -93,7 +95,8 @@
   readonly #loopMonitor: LoopMonitor;
   readonly #network: PeerNetwork;
   readonly #registration: Registration;
-  readonly #servers: PlainServer[] = [];
+  readonly #readinessServer: PlainServer;
+  readonly #metricsServer: PlainServer | null;
   readonly #undos: Undo[] = [];
   readonly #retryBudget: RetryBudget;
   readonly #coldLimiter: ColdLimiter;
@@ -101,6 +104,7 @@
   readonly #overload = new HostOverload();
   #isOverloaded = false;
   #stoppingSinceMs: number | null = null;
+  #isKilled = false;
   #stopTick: Undo = () => {};
 
   constructor(options: GatewayOptions) {
@@ -253,34 +257,32 @@
       loop: this.#loopMonitor,
     });
     this.#fleet.registerConfigListener(() => this.#proxy.applyLimits(this.#relay.limits()));
-    this.#servers.push(
-      new PlainServer(settings.listen.readiness, {
-        [options.callerDialect.readyPath]: () => ({ status: this.isReady ? 200 : 503 }),
-      }),
+    const readiness = () => ({ status: this.isReady ? 200 : 503 });
+    this.#readinessServer = new PlainServer(
+      settings.listen.readiness,
+      new Map([[options.callerDialect.readyPath, readiness]]),
     );
     const { metrics: metricsAddress } = settings.listen;
-    if (metricsAddress !== undefined) {
-      this.#servers.push(
-        new PlainServer(metricsAddress, {
-          [settings.metrics_path]: async () => ({
-            status: 200,
-            contentType: metrics.registry.contentType,
-            body: await metrics.text(),
-          }),
-        }),
-      );
-    }
+    const exposition = async () => ({
+      status: 200,
+      contentType: metrics.registry.contentType,
+      body: await metrics.text(),
+    });
+    this.#metricsServer = metricsAddress === undefined
+      ? null
+      : new PlainServer(metricsAddress, new Map([[settings.metrics_path, exposition]]));
   }
 
-  /** Starts serving. Rejects if an address cannot be bound. */
+  /** Starts serving. Rejects if an address that callers or gateways need cannot be bound. */
   async start(): Promise<void> {
     this.#follower.start();
     this.#registration.start();
     await Promise.all([
-      this.#proxy.listen(),
-      this.#network.start(),
-      ...this.#servers.map((s) => s.listen()),
+      this.#bind("callers", () => this.#proxy.listen()),
+      this.#bind("peers", () => this.#network.start()),
+      this.#bind("readiness", () => this.#readinessServer.listen()),
     ]);
+    void this.#serveMetrics();
     const stopLoopMonitor = this.#loopMonitor.start();
     const stopTick = this.#options.clock.setRepeating(TICK_MS, () => this.#tick());
     this.#stopTick = () => {
@@ -294,6 +296,22 @@
     });
   }
 
+  /** Serves metrics once their address can be bound. Callers are served without them. */
+  async #serveMetrics(): Promise<void> {
+    const server = this.#metricsServer;
+    if (server === null) return;
+    try {
+      await this.#bind("metrics", () => server.listen());
+    } catch (e) {
+      this.#options.log.state("metrics_not_served", { err: toWpError(e) });
+    }
+  }
+
+  #bind(what: string, listen: () => Promise<void>): Promise<void> {
+    const { clock, log } = this.#options;
+    return bindAddress(listen, { clock, log, what, isStopped: () => this.#isKilled });
+  }
+
   /** Applies those settings that may change while the process runs. */
   reconfigure({ bounds }: GatewaySettings): void {
     this.#retryBudget.configure(retryOptions(bounds));
@@ -340,11 +358,13 @@
 
   /** Closes everything at once, as when the process dies. */
   async kill(): Promise<void> {
+    this.#isKilled = true;
     this.#proxy.destroy();
     this.#registration.stop();
     this.#follower.stop();
     this.#stopTick();
-    for (const server of this.#servers) server.close();
+    this.#readinessServer.close();
+    this.#metricsServer?.close();
     this.#upstreams.close();
     for (const undo of this.#undos) undo();
     await this.#network.stop();
--- a/packages/gateway/src/surface/plain_server.ts
+++ b/packages/gateway/src/surface/plain_server.ts
@@ -13,20 +13,20 @@
   readonly body?: string;
 }
 
+/** Makes the response to a request. */
+export type PlainRoute = () => PlainResponse | Promise<PlainResponse>;
+
 /** Serves `GET` requests by path. */
 export class PlainServer {
   readonly #server: Server;
   readonly #address: Address;
 
-  constructor(
-    address: Address,
-    routes: Readonly<Record<string, () => PlainResponse | Promise<PlainResponse>>>,
-  ) {
+  constructor(address: Address, routes: ReadonlyMap<string, PlainRoute>) {
     this.#address = address;
     this.#server = createServer(async (req, res) => {
       const path = (req.url ?? "").split("?")[0]!;
-      const route = req.method === "GET" ? routes[path] : undefined;
-      const { status, contentType, body = "" } = route === undefined
+      const route = req.method === "GET" ? routes.get(path) : undefined;
+      const { status, contentType, body = "" }: PlainResponse = route === undefined
         ? { status: 404 }
         : await route();
       if (contentType !== undefined) res.setHeader("Content-Type", contentType);
@@ -38,7 +38,10 @@
   listen(): Promise<void> {
     return new Promise((resolve, reject) => {
       this.#server.once("error", reject);
-      this.#server.listen(this.#address, resolve);
+      this.#server.listen(this.#address, () => {
+        this.#server.off("error", reject);
+        resolve();
+      });
     });
   }
 
--- a/packages/gateway/src/surface/proxy_server.ts
+++ b/packages/gateway/src/surface/proxy_server.ts
@@ -105,7 +105,10 @@
     const { host, port } = this.#options.address;
     return new Promise((resolve, reject) => {
       this.#server.once("error", reject);
-      this.#server.listen({ host, port, backlog: 1_024 }, resolve);
+      this.#server.listen({ host, port, backlog: 1_024 }, () => {
+        this.#server.off("error", reject);
+        resolve();
+      });
     });
   }
 
--- a/packages/wire/src/connect.ts
+++ b/packages/wire/src/connect.ts
@@ -212,7 +212,7 @@
   return new Promise((resolve, reject) => {
     server.on("error", (e) => {
       const message = `cannot listen on ${host}:${port}: ${e.message}`;
-      reject(new WpFailure({ type: "unreachable", message }));
+      reject(new WpFailure({ type: "unreachable", message }, { cause: e }));
     });
     server.listen({ host, port }, () => {
       resolve({ host, port: (server.address() as AddressInfo).port });
