Keep bytes that arrive in small pieces in one block of memory

Cause: limits counted bytes, but each chunk was kept as an object with the block it was received in, some 150 bytes for one; and an incomplete event was joined anew with each chunk, in quadratic time.

Change: a buffer that doubles, for bodies of calls and callers, control calls and events; the end of an event is looked for in new bytes only.

--- /dev/null
+++ b/packages/core/src/byte_buffer.ts
@@ -0,0 +1,50 @@
+/**
+ * Collects bytes that arrive in pieces of any size.
+ *
+ * Load pattern: a body in pieces of one byte. A list of the pieces takes a hundred times the memory of their bytes, and
+ * joining them at each arrival takes time that grows with the square of the length.
+ *
+ * @module
+ */
+
+const MIN_BLOCK_BYTES = 256;
+
+/**
+ * Bytes in one block of memory, which doubles when it is full.
+ *
+ * @example
+ * ```ts
+ * const buffer = new ByteBuffer();
+ * buffer.append(chunk);
+ * const body = buffer.bytes();
+ * ```
+ */
+export class ByteBuffer {
+  #block: Buffer = Buffer.alloc(0);
+  #length = 0;
+
+  /** Number of bytes that were appended. */
+  get length(): number {
+    return this.#length;
+  }
+
+  /** Copies a piece to the end. */
+  append(piece: Uint8Array): void {
+    const length = this.#length + piece.length;
+    if (length > this.#block.length) this.#grow(length);
+    this.#block.set(piece, this.#length);
+    this.#length = length;
+  }
+
+  /** The bytes so far, without a copy. They do not change when more are appended. */
+  bytes(): Buffer {
+    return this.#block.subarray(0, this.#length);
+  }
+
+  #grow(length: number): void {
+    const size = Math.max(length, 2 * this.#block.length, MIN_BLOCK_BYTES);
+    const block = Buffer.allocUnsafeSlow(size);
+    block.set(this.bytes());
+    this.#block = block;
+  }
+}
--- a/packages/core/src/mod.ts
+++ b/packages/core/src/mod.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * from "./byte_buffer.ts";
 export * from "./clock.ts";
 export * from "./errors.ts";
 export * from "./fraction.ts";
--- a/packages/gateway/src/relay/event_reader.ts
+++ b/packages/gateway/src/relay/event_reader.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+import { ByteBuffer } from "@wisteriapick/core";
+
 /** Complete events found in the bytes of one `push`. */
 export interface EventBatch {
   /** The events' bytes, unchanged; empty where no event is complete yet. */
@@ -31,7 +33,8 @@
  * ```
  */
 export class EventReader {
-  #pending: Buffer = EMPTY;
+  /** Bytes of an event that is not complete yet. */
+  #pending = new ByteBuffer();
   #lastId: number;
   #fault: StreamFault | null = null;
 
@@ -56,12 +59,15 @@
   /** Takes the next bytes and returns the events that they complete; after a fault, none. */
   push(chunk: Buffer): EventBatch {
     if (this.#fault !== null) return { bytes: EMPTY, count: 0 };
-    const buf = this.#pending.length === 0 ? chunk : Buffer.concat([this.#pending, chunk]);
+    const known = this.#pending.length;
+    if (known > 0) this.#pending.append(chunk);
+    const buf = known > 0 ? this.#pending.bytes() : chunk;
     const events: Buffer[] = [];
     let start = 0;
     let count = 0;
     for (;;) {
-      const end = eventEnd(buf, start);
+      // The blank line may begin with the last byte that was there before.
+      const end = eventEnd(buf, Math.max(start, known - 1));
       if (end < 0) break;
       const isNew = this.#accept(buf, start, end);
       if (this.#fault !== null) break;
@@ -71,11 +77,19 @@
       }
       start = end;
     }
-    this.#pending = start === buf.length ? EMPTY : buf.subarray(start);
+    this.#keep(buf, start, known > 0);
     if (this.#pending.length > MAX_EVENT_BYTES) this.#fault = "event_too_large";
     return { bytes: events.length === 1 ? events[0]! : Buffer.concat(events), count };
   }
 
+  /** Keeps the bytes from `start` on, which are in `#pending` already if nothing precedes them there. */
+  #keep(buf: Buffer, start: number, isPending: boolean): void {
+    if (isPending && start === 0) return;
+    // A new buffer, as the events before `start` are still being written from the old one.
+    this.#pending = new ByteBuffer();
+    this.#pending.append(buf.subarray(start));
+  }
+
   /** Returns whether the event is new to the caller. */
   #accept(buf: Buffer, start: number, end: number): boolean {
     const id = eventId(buf, start, end);
@@ -93,9 +107,9 @@
   }
 }
 
-/** Position after the blank line that ends the event at `start`, or -1. */
-function eventEnd(buf: Buffer, start: number): number {
-  let at = start;
+/** Position after the first blank line at or after `from`, which ends an event; -1 if there is none. */
+function eventEnd(buf: Buffer, from: number): number {
+  let at = from;
   for (;;) {
     at = buf.indexOf(LF, at);
     if (at < 0 || at + 1 >= buf.length) return -1;
--- a/packages/gateway/src/relay/plain_call.ts
+++ b/packages/gateway/src/relay/plain_call.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import type { EndpointId, RefusalReason, Undo } from "@wisteriapick/core";
+import { ByteBuffer, type EndpointId, type RefusalReason, type Undo } from "@wisteriapick/core";
 import { chooseCallEndpoint, OutlierEjection } from "@wisteriapick/policy";
 import type { EndpointRow } from "../state/fleet.ts";
 import type { UpstreamCall, UpstreamFailure } from "../upstream/connection.ts";
@@ -501,8 +501,7 @@
   readonly #ctx: RelayContext;
   readonly #req: InboundRequest;
   readonly #events: AttemptEvents;
-  readonly #chunks: Buffer[] = [];
-  #bufferedBytes = 0;
+  #body = new ByteBuffer();
   #head: ResponseHead | null = null;
   #call: UpstreamCall | null = null;
   #forward: ((chunk: Buffer) => boolean) | null = null;
@@ -547,12 +546,12 @@
 
   /** The head and the body buffered so far. */
   response(): { head: ResponseHead; body: Buffer } {
-    return { head: this.#head!, body: Buffer.concat(this.#chunks) };
+    return { head: this.#head!, body: this.#body.bytes() };
   }
 
   /** Passes the rest of the body to `fn` instead of buffering it. */
   forwardTo(fn: (chunk: Buffer) => boolean): void {
-    this.#chunks.length = 0;
+    this.#body = new ByteBuffer();
     this.#forward = fn;
   }
 
@@ -585,9 +584,8 @@
   #onData(chunk: Buffer): boolean {
     if (this.#hasEnded) return false;
     if (this.#forward !== null) return this.#forward(chunk);
-    this.#chunks.push(chunk);
-    this.#bufferedBytes += chunk.length;
-    if (this.#bufferedBytes > MAX_BUFFERED_BYTES) this.#events.onBufferFull(this);
+    this.#body.append(chunk);
+    if (this.#body.length > MAX_BUFFERED_BYTES) this.#events.onBufferFull(this);
     return true;
   }
 
--- a/packages/gateway/src/surface/proxy_server.ts
+++ b/packages/gateway/src/surface/proxy_server.ts
@@ -11,7 +11,7 @@
   type ServerResponse,
 } from "node:http";
 import type { Socket } from "node:net";
-import type { Clock } from "@wisteriapick/core";
+import { ByteBuffer, type Clock } from "@wisteriapick/core";
 import { type Address, formatAddress } from "@wisteriapick/wire";
 import type { CallerLimits } from "../config/types.ts";
 import type { DecisionLog } from "../observe/decision_log.ts";
@@ -230,7 +230,7 @@
     }
     const connection = this.#connections.get(req.socket);
     if (connection !== undefined) connection.isReading = true;
-    const chunks: Buffer[] = [];
+    let body = new ByteBuffer();
     let size = 0;
     let isDiscarded = false;
     const release = () => {
@@ -243,15 +243,15 @@
       size += chunk.length;
       this.#bufferedBytes += chunk.length;
       if (size <= maxBytes && this.#bufferedBytes <= MAX_BUFFERED_BODY_BYTES) {
-        return void chunks.push(chunk);
+        return body.append(chunk);
       }
       isDiscarded = true;
-      chunks.length = 0;
+      body = new ByteBuffer();
       this.#refuse(req, res, size > maxBytes ? 413 : 503);
     });
     req.on("end", () => {
       if (connection !== undefined) connection.isReading = false;
-      if (!isDiscarded) onBody(Buffer.concat(chunks));
+      if (!isDiscarded) onBody(body.bytes());
     });
     // The failure is on the caller's side, and the connection closes by itself.
     req.on("error", () => isDiscarded = true);
--- a/packages/gateway/src/upstream/control_call.ts
+++ b/packages/gateway/src/upstream/control_call.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Clock } from "@wisteriapick/core";
+import { ByteBuffer, type Clock } from "@wisteriapick/core";
 import type { UpstreamRequest } from "./connection.ts";
 import type { UpstreamEndpoint } from "./endpoint.ts";
 
@@ -30,8 +30,7 @@
   },
 ): Promise<ControlResult> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const received = new ByteBuffer();
     let status = 0;
     const stopTimer = clock.setTimer(timeoutMs, () => call.abort());
     const finish = (result: ControlResult) => {
@@ -43,8 +42,7 @@
         status = s;
       },
       onData: (chunk) => {
-        size += chunk.length;
-        if (size > MAX_RESPONSE_BYTES) {
+        if (received.length + chunk.length > MAX_RESPONSE_BYTES) {
           finish({
             type: "failed",
             sent: true,
@@ -53,10 +51,10 @@
           call.abort();
           return false;
         }
-        chunks.push(chunk);
+        received.append(chunk);
         return true;
       },
-      onEnd: () => finish({ type: "response", status, body: Buffer.concat(chunks) }),
+      onEnd: () => finish({ type: "response", status, body: received.bytes() }),
       onFailure: ({ sent, message }) => finish({ type: "failed", sent, message }),
     }, { closesAfter });
   });
