Use a caller's Last-Event-Id only where streams may be resumed

Cause: the header was not forwarded there, but the run began to read at its id.

Before: the test of Last-Event-Id in own_fields_test fails (events 3 to 6).

--- a/packages/gateway/src/relay/stream_run.ts
+++ b/packages/gateway/src/relay/stream_run.ts
@@ -109,7 +109,8 @@
     this.promptTokens = req.generation?.promptTokens ?? 0;
     this.maxTokens = req.generation?.maxOutputTokens ?? 0;
     this.#events = events;
-    this.#reader = new EventReader(req.lastEventId ?? 0);
+    // Where streams may not be resumed, a caller gets all events, whatever it says that it has.
+    this.#reader = new EventReader(req.route.isResumable ? req.lastEventId ?? 0 : 0);
   }
 
   get id(): string {
