Count repeats after a 421, and stop to use the endpoint whose address another has

Cause: after a 421 a call took nothing from the budget and left the endpoint in use; repeats of runs were not counted either.

Before: reused_address_test fails for counter (4 calls at the address).

--- a/packages/gateway/src/relay/engine_dispatcher.ts
+++ b/packages/gateway/src/relay/engine_dispatcher.ts
@@ -376,14 +376,24 @@
     if (run.phase === "ended") return;
     if (this.#events.onLost(run, loss)) return;
     const assigned = this.#services.get(run);
-    const mayRepeat = loss.type !== "lost" && !run.hasDelivered && run.sends < MAX_SENDS;
-    if (mayRepeat && assigned !== undefined) {
+    const isNotRun = !run.hasDelivered && !run.mayHaveRun;
+    if (isNotRun && run.sends < MAX_SENDS && assigned !== undefined && this.#isWithinBudget(loss)) {
       this.#enqueue(run, assigned.service, assigned.engine);
       return this.#dispatchQueue(this.#ctx.clock.now());
     }
+    if (isNotRun) {
+      return run.fail({ reason: "overloaded", notRun: true, retryAfterMs: RETRY_AFTER_FULL_MS });
+    }
     run.fail({ reason: "engine_lost", notRun: "unknown" });
   }
 
+  /** Whether a run may be sent once more. What another endpoint has refused has arrived there, so a repeat counts. */
+  #isWithinBudget({ type }: RunLoss): boolean {
+    if (type !== "misdirected") return true;
+    const { budget, clock, gatewayCount } = this.#ctx;
+    return budget.take(clock.now(), gatewayCount());
+  }
+
   #recordVersionOutcome(
     run: StreamRun,
     { service, version }: EndpointRecord,
--- a/packages/gateway/src/relay/plain_call.ts
+++ b/packages/gateway/src/relay/plain_call.ts
@@ -58,8 +58,10 @@
   readonly #attemptedEndpoints = new Set<EndpointId>();
   readonly #undos: Undo[] = [];
   #stopSlowTimer: Undo = () => {};
-  /** Number of endpoints that the request has reached, as far as is known. */
+  /** Number of endpoints that may run the request, as far as is known. */
   #reached = 0;
+  /** Number of times that the request has arrived at an endpoint, whether that ran or refused it. */
+  #arrivals = 0;
   #mayHaveRun = false;
   #wasRefused = false;
   /** Time for which calls like this one are not sent, in milliseconds; `null` if they are. */
@@ -118,11 +120,11 @@
       if (this.#limitedEndpoints.length > 0) return this.#waitForPermit(reason, now);
       return this.#finishWithoutRetry();
     }
-    if (this.#reached > 0 && !this.#ctx.budget.take(now, this.#ctx.gatewayCount())) {
+    if (this.#arrivals > 0 && !this.#ctx.budget.take(now, this.#ctx.gatewayCount())) {
       this.#ctx.log.request("repeat_denied", { req: this.#req.requestId, why: reason });
       return this.#finishWithoutRetry();
     }
-    if (this.#reached > 0) this.#ctx.metrics.countRetry(reason);
+    if (this.#arrivals > 0) this.#ctx.metrics.countRetry(reason);
     this.#send(row, reason, now);
   }
 
@@ -230,6 +232,7 @@
     this.#attemptedEndpoints.add(row.record.id);
     this.#ctx.limits.take(row.record.id);
     this.#reached++;
+    this.#arrivals++;
     if (row.coldUntilMs > now) this.#ctx.coldLimiter.recordSent(row.record.id, now);
     const remainingMs = this.#req.dueAtMs - now;
     const request = dialect.encode(this.#req, {
@@ -295,8 +298,12 @@
         this.#ctx.metrics.countAttempt("not_run");
         return this.#retry("endpoint_full");
       case "misdirected":
-        // Another endpoint has the address, so the chosen one was not reached.
+        // Another endpoint has the address, so the chosen one is gone.
         this.#reached--;
+        this.#ctx.fleet.markLeaving(
+          attempt.endpoint.id,
+          "another endpoint responds at its address",
+        );
         this.#ctx.metrics.countAttempt("misdirected");
         return this.#retry("misdirected");
       case "foreign":
@@ -340,6 +347,7 @@
     if (!failure.sent) {
       // Nothing was sent, so the endpoint does not count as reached.
       this.#reached--;
+      this.#arrivals--;
       if (failure.type === "unsendable") {
         return this.#reject({ reason: "invalid_request", notRun: true });
       }
--- a/packages/gateway/src/relay/stream_run.ts
+++ b/packages/gateway/src/relay/stream_run.ts
@@ -88,6 +88,7 @@
   readonly #ctx: RelayContext;
   readonly #events: RunEvents;
   readonly #undos: Undo[] = [];
+  /** Engines that may have run the request. */
   readonly #engines: EndpointId[] = [];
   #phase: RunPhase = "waiting";
   #segment: RunSegment | null = null;
@@ -279,10 +280,15 @@
   refusalToSend(resumeFrom: RunMemory | null = null): Rejection | null {
     if (this.#hasSentHead || resumeFrom !== null) return null;
     const refusal = this.#ctx.access.refusalToSend(this.req);
-    if (refusal === null || this.#engines.length === 0) return refusal;
+    if (refusal === null || !this.mayHaveRun) return refusal;
     return { reason: "engine_lost", notRun: "unknown" };
   }
 
+  /** Whether an engine may have run the request, so that it cannot be sent anew. */
+  get mayHaveRun(): boolean {
+    return this.#engines.length > 0;
+  }
+
   /** Number of times that the run was sent. */
   get sends(): number {
     return this.#sends;
@@ -422,7 +428,7 @@
   #onSegmentLoss(segment: RunSegment, loss: RunLoss): void {
     if (segment !== this.#segment || this.#phase === "ended") return;
     segment.pendingLoss = loss;
-    if (loss.type === "withdrawn" || loss.type === "unsendable") this.#engines.pop();
+    if (loss.type !== "lost") this.#engines.pop();
     if (segment.isPassThrough) {
       this.#engineOutcome = "failed";
       this.responder.abort();
@@ -471,7 +477,7 @@
   }
 
   get #notRun(): NotRun {
-    return this.#engines.length === 0 ? true : "unknown";
+    return this.mayHaveRun ? "unknown" : true;
   }
 
   #finish(
