Send a request that an endpoint has refused to another one

Cause: a truthful refusal ended the run, and counted against the endpoints that may run a call; nothing of it reached the choice of endpoints.

Change: a refused request goes on elsewhere within its time and the retry budget; an endpoint that refuses is avoided for 100 ms to 2 s.

--- a/packages/gateway/src/relay/engine_dispatcher.ts
+++ b/packages/gateway/src/relay/engine_dispatcher.ts
@@ -270,6 +270,7 @@
     const filter = {
       regions: route.regions,
       promptSegments: generation?.promptSegments,
+      excluded: run.refusedBy,
       requestId: run.id,
     };
     const options = { firstEventTargetMs: route.targetLatencyMs };
@@ -356,8 +357,8 @@
   #onRunLoss(run: StreamRun, loss: RunLoss): void {
     const endpoint = run.endpoint;
     this.registry.remove(run);
-    if (loss.type === "not_run") {
-      return run.fail({ reason: "overloaded", notRun: true, retryAfterMs: RETRY_AFTER_FULL_MS });
+    if (loss.type === "not_run" && endpoint !== null) {
+      endpoint.recordRefusal(this.#ctx.clock.now());
     }
     if (loss.type === "unsendable") {
       return run.fail({ reason: "invalid_request", notRun: true });
@@ -387,9 +388,9 @@
     run.fail({ reason: "engine_lost", notRun: "unknown" });
   }
 
-  /** Whether a run may be sent once more. What another endpoint has refused has arrived there, so a repeat counts. */
+  /** Whether a run may be sent once more. What an engine has refused has arrived there, so a repeat counts. */
   #isWithinBudget({ type }: RunLoss): boolean {
-    if (type !== "misdirected") return true;
+    if (type !== "not_run" && type !== "misdirected") return true;
     const { budget, clock, gatewayCount } = this.#ctx;
     return budget.take(clock.now(), gatewayCount());
   }
--- a/packages/gateway/src/relay/plain_call.ts
+++ b/packages/gateway/src/relay/plain_call.ts
@@ -294,7 +294,10 @@
     this.#attempts.delete(attempt);
     switch (verdict) {
       case "not_run":
+        // What ran nowhere may still run at as many endpoints as its route allows.
+        this.#reached--;
         this.#wasRefused = true;
+        attempt.endpoint.recordRefusal(this.#ctx.clock.now());
         this.#ctx.metrics.countAttempt("not_run");
         return this.#retry("endpoint_full");
       case "misdirected":
--- a/packages/gateway/src/relay/stream_run.ts
+++ b/packages/gateway/src/relay/stream_run.ts
@@ -90,6 +90,7 @@
   readonly #undos: Undo[] = [];
   /** Engines that may have run the request. */
   readonly #engines: EndpointId[] = [];
+  readonly #refusedBy = new Set<EndpointId>();
   #phase: RunPhase = "waiting";
   #segment: RunSegment | null = null;
   #reader: EventReader;
@@ -289,6 +290,11 @@
     return this.#engines.length > 0;
   }
 
+  /** Engines that have refused the run, which are not asked again. */
+  get refusedBy(): ReadonlySet<EndpointId> {
+    return this.#refusedBy;
+  }
+
   /** Number of times that the run was sent. */
   get sends(): number {
     return this.#sends;
@@ -429,6 +435,7 @@
     if (segment !== this.#segment || this.#phase === "ended") return;
     segment.pendingLoss = loss;
     if (loss.type !== "lost") this.#engines.pop();
+    if (loss.type === "not_run") this.#refusedBy.add(segment.endpoint.id);
     if (segment.isPassThrough) {
       this.#engineOutcome = "failed";
       this.responder.abort();
--- a/packages/gateway/src/upstream/endpoint.ts
+++ b/packages/gateway/src/upstream/endpoint.ts
@@ -19,6 +19,10 @@
 /** Time for which an endpoint with an overdue call gets no new work. */
 const OVERDUE_PAUSE_MS = 250;
 
+/** First pause after a refusal. It doubles with each consecutive one. */
+const REFUSED_MIN_PAUSE_MS = 100;
+const REFUSED_MAX_PAUSE_MS = 2_000;
+
 /** One endpoint as this gateway uses it. */
 export class UpstreamEndpoint implements OutlierSubject {
   readonly id: EndpointId;
@@ -36,6 +40,7 @@
   ejections = 0;
   #unreachableUntilMs = -Infinity;
   #connectFailures = 0;
+  #refusals = 0;
 
   constructor(record: EndpointRecord) {
     this.id = record.id;
@@ -53,6 +58,7 @@
       ? latencyMs
       : this.latencyMs + SMOOTHING_FACTOR * (latencyMs - this.latencyMs);
     this.#connectFailures = 0;
+    this.#refusals = 0;
     this.#recordOutcome(0);
   }
 
@@ -68,6 +74,16 @@
     this.#unreachableUntilMs = nowMs + Math.min(UNREACHABLE_MAX_PAUSE_MS, pause);
   }
 
+  /**
+   * Records that the endpoint has refused a request, which says nothing bad of its responses. One that refuses at once
+   * has no work in progress, and would otherwise be preferred for that.
+   */
+  recordRefusal(nowMs: number): void {
+    const pause = Math.min(REFUSED_MAX_PAUSE_MS, REFUSED_MIN_PAUSE_MS * 2 ** this.#refusals);
+    this.#refusals = Math.min(this.#refusals + 1, 10);
+    this.#unreachableUntilMs = Math.max(this.#unreachableUntilMs, nowMs + pause);
+  }
+
   /** Records that a call has waited much longer than usual for a response. Others are preferred for a short time. */
   recordOverdue(nowMs: number): void {
     this.#unreachableUntilMs = Math.max(this.#unreachableUntilMs, nowMs + OVERDUE_PAUSE_MS);
@@ -89,6 +105,7 @@
     this.ejections = 0;
     this.#unreachableUntilMs = -Infinity;
     this.#connectFailures = 0;
+    this.#refusals = 0;
     this.resetStatistics();
   }
 
