Hear from endpoints that they leave, and for how long they want nothing

Change: both are recorded by the fleet, which every path asks for usable endpoints; a leaving endpoint stays out of use until another process has its id. Where all ask for a pause, callers get the earliest end as Retry-After.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -203,6 +203,8 @@
       crashes,
       limits,
       moves: this.#moves,
+      announceLeaving: (endpoint) =>
+        this.#network.broadcast({ kind: "endpoint_leaving", endpoint }),
       gatewayCount: () => this.#network.memberCount(),
     };
     this.#dispatcher = new EngineDispatcher(ctx, {
--- a/packages/gateway/src/relay/context.ts
+++ b/packages/gateway/src/relay/context.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Clock, DataCentreId, Rng } from "@wisteriapick/core";
+import type { Clock, DataCentreId, EndpointId, Rng } from "@wisteriapick/core";
 import type { ColdLimiter, RetryBudget } from "@wisteriapick/policy";
 import type { DecisionLog } from "../observe/decision_log.ts";
 import type { GatewayMetrics } from "../observe/metrics.ts";
@@ -33,6 +33,8 @@
   readonly crashes: CrashTracker;
   readonly limits: EndpointLimits;
   readonly moves: VersionMoves;
+  /** Tells the other gateways that an endpoint leaves. */
+  announceLeaving(endpoint: EndpointId): void;
   /** Number of gateways that share budgets, this one included. */
   gatewayCount(): number;
 }
--- a/packages/gateway/src/relay/engine_dispatcher.ts
+++ b/packages/gateway/src/relay/engine_dispatcher.ts
@@ -17,7 +17,7 @@
   SHARED_PREFILL_TOKENS_PER_MS,
 } from "@wisteriapick/policy";
 import type { EndpointRecord, EngineConfig } from "../config/types.ts";
-import type { EndpointRow } from "../state/fleet.ts";
+import { ANOTHER_AT_ADDRESS, type EndpointRow } from "../state/fleet.ts";
 import { isWithinColdLimit } from "./cold_limit.ts";
 import type { RelayContext } from "./context.ts";
 import type { InboundRequest, PromptSegment, Responder } from "./inbound.ts";
@@ -275,6 +275,8 @@
     };
     const options = { firstEventTargetMs: route.targetLatencyMs };
     const { limits } = this.#ctx;
+    const pausedForMs = this.#ctx.fleet.pausedForMs(service, route.regions);
+    if (pausedForMs !== null) return now + pausedForMs > startByMs ? "limited" : null;
     const all = this.candidates(service, engine, filter);
     // Each turn without a result has asked for a permit of one engine and was refused it at once.
     for (let turn = 0; turn < MAX_PERMIT_TURNS; turn++) {
@@ -313,8 +315,10 @@
     return chooseEngine(item, candidates, options);
   }
 
-  /** Time until a permit for one of a service's engines can be there, in milliseconds. */
+  /** Time until one of a service's engines wants the generation, or has a permit for it, in milliseconds. */
   #permitWaitMs({ run, service }: QueuedGeneration): number {
+    const pausedForMs = this.#ctx.fleet.pausedForMs(service, run.req.route.regions);
+    if (pausedForMs !== null) return pausedForMs;
     const usable = this.#ctx.fleet.usable(service, run.req.route.regions);
     return this.#ctx.limits.expectedWaitMs(usable.map(({ record }) => record.id));
   }
@@ -364,7 +368,7 @@
       return run.fail({ reason: "invalid_request", notRun: true });
     }
     if (loss.type === "misdirected" && endpoint !== null) {
-      this.#ctx.fleet.markLeaving(endpoint.id, "another endpoint responds at its address");
+      this.#ctx.fleet.markLeaving(endpoint.id, ANOTHER_AT_ADDRESS);
     }
     if (loss.type === "lost" && endpoint !== null && !isEndPlanned(this.#ctx, endpoint.record)) {
       this.#recordVersionOutcome(run, endpoint.record, true);
--- a/packages/gateway/src/relay/engine_monitor.ts
+++ b/packages/gateway/src/relay/engine_monitor.ts
@@ -45,7 +45,7 @@
     this.#options = options;
     const { network, ctx } = options;
     network.registerHandler("endpoint_leaving", (peer, { endpoint }) => {
-      ctx.fleet.markLeaving(endpoint, `reported by ${peer}`);
+      ctx.fleet.markLeaving(endpoint, { reason: `reported by ${peer}`, isOwnNotice: false });
     });
   }
 
@@ -56,6 +56,7 @@
     const isStoreUnknown = !isStoreKnown();
     for (const [endpoint, runs] of runsByEngine(dispatcher.runs)) {
       if (ctx.fleet.endpoints.get(endpoint)?.phase === "leaving") continue;
+      if (ctx.fleet.isPaused(endpoint)) continue;
       const isSilent = runs.every((run) =>
         run.phase === "streaming" && run.silentMs(now) >= MAX_SILENCE_MS
       );
@@ -84,9 +85,9 @@
 
   #onReport(id: EndpointId, { isDraining, leavesInMs }: EngineReport): void {
     if (!isDraining && leavesInMs === null) return;
-    const { ctx, network } = this.#options;
-    ctx.fleet.markLeaving(id, "its own report");
-    network.broadcast({ kind: "endpoint_leaving", endpoint: id });
+    const { ctx } = this.#options;
+    const cause = { reason: "its own report", isOwnNotice: true };
+    if (ctx.fleet.markLeaving(id, cause)) ctx.announceLeaving(id);
   }
 
   /**
--- a/packages/gateway/src/relay/plain_call.ts
+++ b/packages/gateway/src/relay/plain_call.ts
@@ -6,11 +6,12 @@
  */
 import { ByteBuffer, type EndpointId, type RefusalReason, type Undo } from "@wisteriapick/core";
 import { chooseCallEndpoint, OutlierEjection } from "@wisteriapick/policy";
-import type { EndpointRow } from "../state/fleet.ts";
+import { ANOTHER_AT_ADDRESS, type EndpointRow } from "../state/fleet.ts";
 import type { UpstreamCall, UpstreamFailure } from "../upstream/connection.ts";
 import type { ResponseHead } from "../upstream/dialect.ts";
 import type { UpstreamEndpoint } from "../upstream/endpoint.ts";
-import { classifyResponseHead, type HeadVerdict, tellsLimit } from "./response_check.ts";
+import { recordNotices } from "./endpoint_notices.ts";
+import { classifyResponseHead, type HeadVerdict } from "./response_check.ts";
 import { isWithinColdLimit } from "./cold_limit.ts";
 import type { RelayContext } from "./context.ts";
 import type { InboundRequest, Rejection, Responder } from "./inbound.ts";
@@ -303,10 +304,7 @@
       case "misdirected":
         // Another endpoint has the address, so the chosen one is gone.
         this.#reached--;
-        this.#ctx.fleet.markLeaving(
-          attempt.endpoint.id,
-          "another endpoint responds at its address",
-        );
+        this.#ctx.fleet.markLeaving(attempt.endpoint.id, ANOTHER_AT_ADDRESS);
         this.#ctx.metrics.countAttempt("misdirected");
         return this.#retry("misdirected");
       case "foreign":
@@ -397,11 +395,24 @@
       const retryAfterMs = Math.max(RETRY_AFTER_FULL_MS, waitMs);
       return this.#reject({ reason: "overloaded", notRun: true, retryAfterMs });
     }
+    const pausedForMs = this.#pausedForMs();
+    if (pausedForMs !== null) {
+      return this.#reject({ reason: "overloaded", notRun: true, retryAfterMs: pausedForMs });
+    }
     const retryAfterMs = this.#wasRefused ? RETRY_AFTER_FULL_MS : RETRY_AFTER_NO_ENDPOINT_MS;
     const reason = this.#wasRefused ? "overloaded" : "no_endpoint";
     this.#reject({ reason, notRun: true, retryAfterMs });
   }
 
+  /** Time until an endpoint wants requests again, in milliseconds; `null` unless all have asked for a pause. */
+  #pausedForMs(): number | null {
+    const { fleet } = this.#ctx;
+    const { targets, regions } = this.#req.route;
+    const times = targets.map(({ service }) => fleet.pausedForMs(service, regions));
+    const known = times.filter((ms) => ms !== null);
+    return known.length > 0 ? Math.min(...known) : null;
+  }
+
   #deliver(head: ResponseHead, body: Buffer, attempt: Attempt | null): void {
     if (attempt !== null) this.#ctx.crashes.recordHarmless(this.#req, attempt.startedAtMs);
     for (const other of this.#attempts) this.#recordOvertaken(other);
@@ -587,11 +598,8 @@
     if (this.#hasEnded) return;
     this.#head = this.#ctx.dialect.readHead(status, headers);
     const verdict = classifyResponseHead(this.#head, this.#req.requestId);
-    if (tellsLimit(this.#head, verdict)) {
-      const { requestsPerSecond } = this.#head;
-      const notice = { sentAtMs: this.startedAtMs, requestsPerSecond };
-      this.#ctx.limits.recordResponse(this.endpoint.record, notice);
-    }
+    const judged = { head: this.#head, verdict, sentAtMs: this.startedAtMs };
+    recordNotices(this.#ctx, this.endpoint, judged);
     this.#events.onVerdict(this, verdict);
   }
 
--- a/packages/gateway/src/relay/stream_run.ts
+++ b/packages/gateway/src/relay/stream_run.ts
@@ -10,7 +10,8 @@
 import type { UpstreamCall, UpstreamFailure } from "../upstream/connection.ts";
 import type { RunMemory } from "../upstream/dialect.ts";
 import type { UpstreamEndpoint } from "../upstream/endpoint.ts";
-import { classifyResponseHead, tellsLimit } from "./response_check.ts";
+import { classifyResponseHead } from "./response_check.ts";
+import { recordNotices } from "./endpoint_notices.ts";
 import type { RelayContext } from "./context.ts";
 import { EventReader } from "./event_reader.ts";
 import type { InboundRequest, Rejection, Responder } from "./inbound.ts";
@@ -606,13 +607,7 @@
     this.hasHead = true;
     const head = this.#ctx.dialect.readHead(status, rawHeaders);
     const verdict = classifyResponseHead(head, this.#requestId);
-    if (tellsLimit(head, verdict)) {
-      const { requestsPerSecond } = head;
-      this.#ctx.limits.recordResponse(this.endpoint.record, {
-        sentAtMs: this.startedAtMs,
-        requestsPerSecond,
-      });
-    }
+    recordNotices(this.#ctx, this.endpoint, { head, verdict, sentAtMs: this.startedAtMs });
     if (verdict === "success" || verdict === "failure") {
       this.hasFraming = head.isFramed;
       if (verdict === "failure") this.endpoint.recordFailure();
--- a/packages/gateway/src/state/fleet.ts
+++ b/packages/gateway/src/state/fleet.ts
@@ -37,8 +37,23 @@
   /** Store revision of the registration's last change. */
   readonly revision: number;
   readonly isRegistered: boolean;
+  /** Whether the endpoint itself has said that it leaves, which its registration may not say yet. */
+  readonly hasOwnNotice: boolean;
 }
 
+/** How the endpoint's leaving became known. */
+export interface LeavingCause {
+  readonly reason: string;
+  /** Whether the endpoint itself has told this gateway. It then leaves, whatever is registered for this process of it. */
+  readonly isOwnNotice: boolean;
+}
+
+/** A request was answered by another endpoint than the one that is registered at the address. */
+export const ANOTHER_AT_ADDRESS: LeavingCause = {
+  reason: "another endpoint responds at its address",
+  isOwnNotice: false,
+};
+
 /** A change of one endpoint. */
 export interface EndpointChange {
   readonly id: EndpointId;
@@ -97,6 +112,8 @@
   /** The configuration in force, or the one whose table is being built. */
   #nextConfig: GatewayConfig | null = null;
   #evacuated: ReadonlySet<DataCentreId> = new Set();
+  /** Times until which endpoints have asked to get nothing. */
+  readonly #pausedUntilMs = new Map<EndpointId, number>();
   readonly #outdated = new Map<EndpointId, OutdatedRegistration>();
   #listeners: readonly ((change: EndpointChange) => void)[] = [];
   #configListeners: readonly (() => void)[] = [];
@@ -144,16 +161,42 @@
 
   /** Endpoints of a service in the given regions that may get new work; an empty list allows all regions. */
   usable(service: ServiceId, regions: readonly RegionId[]): EndpointRow[] {
+    return this.#placeable(service, regions).filter((row) => !this.isPaused(row.record.id));
+  }
+
+  /** Time until an endpoint of a service wants requests again, in milliseconds; `null` if one does, or none is there. */
+  pausedForMs(service: ServiceId, regions: readonly RegionId[]): number | null {
+    const rows = this.#placeable(service, regions);
+    if (rows.length === 0 || rows.some((row) => !this.isPaused(row.record.id))) return null;
+    const ends = rows.map((row) => this.#pausedUntilMs.get(row.record.id)!);
+    return Math.min(...ends) - this.#now();
+  }
+
+  /** Endpoints of a service in the given regions that do not leave, whether they want requests now or not. */
+  #placeable(service: ServiceId, regions: readonly RegionId[]): EndpointRow[] {
     return this.ofService(service).filter((row) =>
       row.phase !== "leaving" && !this.#evacuated.has(row.record.dataCentre) &&
       this.#isInRegions(row.record.dataCentre, regions)
     );
   }
 
+  /** Whether an endpoint has asked to get nothing for a time that has not ended. */
+  isPaused(id: EndpointId): boolean {
+    return (this.#pausedUntilMs.get(id) ?? -Infinity) > this.#now();
+  }
+
+  /** Sends nothing to an endpoint for a time that it has asked for, in milliseconds. */
+  pause(id: EndpointId, forMs: number): void {
+    const untilMs = this.#now() + forMs;
+    if (!this.#endpoints.has(id) || untilMs <= (this.#pausedUntilMs.get(id) ?? -Infinity)) return;
+    this.#pausedUntilMs.set(id, untilMs);
+    this.#options.log.state("endpoint_paused", { endpoint: id, forMs: Math.round(forMs) });
+  }
+
   /** Whether an endpoint may get new work now. */
   isUsable(id: EndpointId): boolean {
     const row = this.#endpoints.get(id);
-    return row !== undefined && row.phase !== "leaving" &&
+    return row !== undefined && row.phase !== "leaving" && !this.isPaused(id) &&
       !this.#evacuated.has(row.record.dataCentre);
   }
 
@@ -166,15 +209,22 @@
     if (row === undefined) return true;
     if (row.phase !== "leaving") return false;
     const { drainMs = DEFAULT_DRAIN_MS } = this.#options;
-    const hasNotice = row.record.isDraining || row.isRegistered;
+    const hasNotice = row.record.isDraining || row.hasOwnNotice || row.isRegistered;
     return hasNotice || this.#now() - row.phaseSinceMs >= drainMs;
   }
 
-  /** Marks an endpoint as leaving because of its own drain notice, before the store has the change. */
-  markLeaving(id: EndpointId, reason: string): void {
+  /** Marks an endpoint as leaving before the store has the change. Returns whether that was not known. */
+  markLeaving(id: EndpointId, { reason, isOwnNotice }: LeavingCause): boolean {
     const row = this.#endpoints.get(id);
-    if (row === undefined || row.phase === "leaving") return;
-    this.#set(row.record.id, { ...row, phase: "leaving", phaseSinceMs: this.#now() }, { reason });
+    if (row === undefined) return false;
+    const hasOwnNotice = row.hasOwnNotice || isOwnNotice;
+    if (row.phase === "leaving") {
+      if (hasOwnNotice !== row.hasOwnNotice) this.#set(id, { ...row, hasOwnNotice }, { reason });
+      return false;
+    }
+    const leaving = { phase: "leaving", phaseSinceMs: this.#now(), hasOwnNotice } as const;
+    this.#set(id, { ...row, ...leaving }, { reason });
+    return true;
   }
 
   /** Calls `fn` after each change of an endpoint. */
@@ -284,7 +334,9 @@
 
   #register(record: EndpointRecord, revision: number, cause: Record<string, unknown>): void {
     const before = this.#endpoints.get(record.id);
-    const phase = record.isDraining ? "leaving" : "ready";
+    const isSameProcess = before?.record.startedAtUnixMs === record.startedAtUnixMs;
+    const hasOwnNotice = before !== undefined && isSameProcess && before.hasOwnNotice;
+    const phase = record.isDraining || hasOwnNotice ? "leaving" : "ready";
     const now = this.#now();
     this.#set(record.id, {
       record,
@@ -293,6 +345,7 @@
       coldUntilMs: now + record.coldMs,
       revision,
       isRegistered: true,
+      hasOwnNotice,
     }, cause);
   }
 
@@ -337,6 +390,7 @@
     const restarted = before !== null && after !== null &&
       (before.record.startedAtUnixMs !== after.record.startedAtUnixMs ||
         !sameAddress(before.record, after.record));
+    if (restarted || after === null) this.#pausedUntilMs.delete(id);
     this.#world.update(() => {
       if (after === null) this.#endpoints.delete(id);
       else this.#endpoints.set(id, after);
--- a/packages/gateway/src/upstream/dialect.ts
+++ b/packages/gateway/src/upstream/dialect.ts
@@ -48,6 +48,10 @@
   readonly contentLength: number | null;
   /** Requests per second that the endpoint takes from all gateways together; `null` if it names no limit. */
   readonly requestsPerSecond: number | null;
+  /** Whether the endpoint says that it leaves. */
+  readonly isLeaving: boolean;
+  /** Time for which the endpoint wants nothing from this gateway, in milliseconds; `null` if it does not say. */
+  readonly pauseMs: number | null;
   /** Whether a length or chunks mark the end of the body, rather than the end of the connection. */
   readonly isFramed: boolean;
 }
--- a/packages/gateway/tests/endpoint_limits_test.ts
+++ b/packages/gateway/tests/endpoint_limits_test.ts
@@ -211,6 +211,7 @@
     coldUntilMs: 0,
     revision: 2,
     isRegistered: true,
+    hasOwnNotice: false,
   };
   change({ id, before: null, after, restarted: true });
   assert.equal(limits.mayTake(id), true);
--- a/packages/gateway/tests/fleet_test.ts
+++ b/packages/gateway/tests/fleet_test.ts
@@ -111,7 +111,7 @@
 test("an endpoint's own drain notice takes effect before the store has the change", () => {
   const { view, fleet, log } = makeFleet();
   view.kinds.endpoints.replace(makeSnapshot(1, { a: makeEndpoint("a") }), "store");
-  fleet.markLeaving(endpointId("a"), "its own report");
+  fleet.markLeaving(endpointId("a"), { reason: "its own report", isOwnNotice: true });
   assert.deepEqual(usable(fleet), []);
   assert.equal(log.events.at(-1)?.fields.reason, "its own report");
 });
@@ -253,3 +253,46 @@
   fleet.tick();
   assert.deepEqual(usable(fleet), ["a"]);
 });
+
+// Guards against work for an endpoint that has said that it leaves, as its registration does not say so (DRAIN).
+test("an endpoint that has said that it leaves is not used until another process has its id", () => {
+  const { fleet, view } = registerInTurn({ sequence: 1 });
+  const register = (revision: number, part: Partial<EndpointRecord>) =>
+    view.kinds.endpoints.replace(
+      makeSnapshot(revision, { a: makeEndpoint("a", part) }),
+      "store",
+    );
+  assert.equal(fleet.markLeaving(endpointId("a"), { reason: "test", isOwnNotice: true }), true);
+  register(2, { sequence: 9, slots: 12 });
+  assert.deepEqual(usable(fleet), []);
+  register(3, { startedAtUnixMs: START_MS + 1 });
+  assert.deepEqual(usable(fleet), ["a"]);
+});
+
+// Guards against an endpoint that is out of use for good because of what another endpoint has said.
+test("a new registration undoes a mark that is not the endpoint's own notice", () => {
+  const { fleet, view } = registerInTurn({ sequence: 1 });
+  fleet.markLeaving(endpointId("a"), { reason: "test", isOwnNotice: false });
+  assert.deepEqual(usable(fleet), []);
+  const a = makeEndpoint("a", { sequence: 9 });
+  view.kinds.endpoints.replace(makeSnapshot(2, { a }), "store");
+  assert.deepEqual(usable(fleet), ["a"]);
+});
+
+// Guards against requests to an endpoint that has asked for a pause (BUDGET).
+test("an endpoint that has asked for a pause is not used until it ends", () => {
+  const { fleet, clock, view } = registerInTurn({});
+  fleet.pause(endpointId("a"), 3_000);
+  assert.deepEqual(usable(fleet), []);
+  assert.equal(fleet.pausedForMs(SCRIBE, []), 3_000);
+  fleet.pause(endpointId("a"), 1_000);
+  clock.advance(2_999);
+  assert.deepEqual(usable(fleet), []);
+  clock.advance(1);
+  assert.deepEqual(usable(fleet), ["a"]);
+  assert.equal(fleet.pausedForMs(SCRIBE, []), null);
+  fleet.pause(endpointId("a"), 60_000);
+  const a = makeEndpoint("a", { startedAtUnixMs: START_MS + 1 });
+  view.kinds.endpoints.replace(makeSnapshot(2, { a }), "store");
+  assert.deepEqual(usable(fleet), ["a"]);
+});
