--- a/packages/gateway/src/relay/crash_tracker.ts
+++ b/packages/gateway/src/relay/crash_tracker.ts
@@ -199,7 +199,7 @@
     this.#report(reported);
   }
 
-  /** Leaves only the content of a request without a response beside one whose response had begun. */
+  /** Drops the segments of a request without a response if another one at the same crash had begun its response. */
   #withoutInnocentSegments(suspect: CrashSuspect): CrashSuspect {
     if (!this.#attribution.hasBegunSuspect(suspect.crash)) return suspect;
     return { ...suspect, traits: suspect.traits.filter(isContentTrait) };
--- a/packages/gateway/src/relay/endpoint_notices.ts
+++ b/packages/gateway/src/relay/endpoint_notices.ts
@@ -1,5 +1,5 @@
 /**
- * Takes note of what the head of a response says of its endpoint: a limit, a pause, or that it leaves.
+ * Records what the head of a response states about its endpoint: a limit, a pause, or that it leaves.
  *
  * @module
  */
@@ -19,7 +19,7 @@
 /** Verdicts of responses that the endpoint has given to the request itself. */
 const OWN_VERDICTS: ReadonlySet<HeadVerdict> = new Set(["success", "failure", "not_run"]);
 
-/** Records what a response says of its endpoint. One that belongs to another request, or another endpoint, says nothing. */
+/** Records what a response states about its endpoint. Responses to other requests or of other endpoints are ignored. */
 export function recordNotices(
   { limits, fleet, announceLeaving }: RelayContext,
   { id, record }: UpstreamEndpoint,
--- a/packages/gateway/src/relay/engine_dispatcher.ts
+++ b/packages/gateway/src/relay/engine_dispatcher.ts
@@ -70,7 +70,7 @@
 const NO_EXCLUSIONS: ReadonlySet<EndpointId> = new Set();
 /** Retry delay given to callers for which there was no room, in milliseconds: about the time until some run ends. */
 const RETRY_AFTER_FULL_MS = 600;
-/** Largest number of times that a run is sent: that of all engines of a service, which may leave one after the other. */
+/** Bound of the sends of one run, for services whose engines all fail before anything is sent. */
 const MAX_SENDS = 32;
 /** Largest number of engines whose permits are asked for at once for one generation. */
 const MAX_PERMIT_TURNS = 4;
@@ -315,7 +315,7 @@
     return chooseEngine(item, candidates, options);
   }
 
-  /** Time until one of a service's engines wants the generation, or has a permit for it, in milliseconds. */
+  /** Time until one of a service's engines ends its pause, or has a permit for a generation, in milliseconds. */
   #permitWaitMs({ run, service }: QueuedGeneration): number {
     const pausedForMs = this.#ctx.fleet.pausedForMs(service, run.req.route.regions);
     if (pausedForMs !== null) return pausedForMs;
@@ -392,7 +392,7 @@
     run.fail({ reason: "engine_lost", notRun: "unknown" });
   }
 
-  /** Whether a run may be sent once more. What an engine has refused has arrived there, so a repeat counts. */
+  /** Whether a run may be sent once more. A refused request has reached an endpoint, so that its repeat counts. */
   #isWithinBudget({ type }: RunLoss): boolean {
     if (type !== "not_run" && type !== "misdirected") return true;
     const { budget, clock, gatewayCount } = this.#ctx;
--- a/packages/gateway/src/relay/plain_call.ts
+++ b/packages/gateway/src/relay/plain_call.ts
@@ -61,7 +61,7 @@
   #stopSlowTimer: Undo = () => {};
   /** Number of endpoints that may run the request, as far as is known. */
   #reached = 0;
-  /** Number of times that the request has arrived at an endpoint, whether that ran or refused it. */
+  /** Number of endpoints that have received the request, including those that refused it. */
   #arrivals = 0;
   #mayHaveRun = false;
   #wasRefused = false;
@@ -221,7 +221,7 @@
     });
   }
 
-  /** Records an attempt whose call another endpoint has answered first: a slow one says so of its version. */
+  /** Records an attempt that another one has overtaken, if it is late enough to count against its version. */
   #recordOvertaken(attempt: Attempt): void {
     const isSlow = attempt.elapsedMs > this.#req.route.targetLatencyMs;
     if (isSlow) this.#recordVersionOutcome(attempt, false);
@@ -295,7 +295,7 @@
     this.#attempts.delete(attempt);
     switch (verdict) {
       case "not_run":
-        // What ran nowhere may still run at as many endpoints as its route allows.
+        // The route limits the endpoints that run a request, and this one did not.
         this.#reached--;
         this.#wasRefused = true;
         attempt.endpoint.recordRefusal(this.#ctx.clock.now());
@@ -404,7 +404,7 @@
     this.#reject({ reason, notRun: true, retryAfterMs });
   }
 
-  /** Time until an endpoint wants requests again, in milliseconds; `null` unless all have asked for a pause. */
+  /** Time until an endpoint accepts requests again, in milliseconds; `null` unless all have requested a pause. */
   #pausedForMs(): number | null {
     const { fleet } = this.#ctx;
     const { targets, regions } = this.#req.route;
--- a/packages/gateway/src/relay/stream_run.ts
+++ b/packages/gateway/src/relay/stream_run.ts
@@ -112,7 +112,7 @@
     this.promptTokens = req.generation?.promptTokens ?? 0;
     this.maxTokens = req.generation?.maxOutputTokens ?? 0;
     this.#events = events;
-    // Where streams may not be resumed, a caller gets all events, whatever it says that it has.
+    // On routes without resumption a caller gets all events.
     this.#reader = new EventReader(req.route.isResumable ? req.lastEventId ?? 0 : 0);
   }
 
--- a/packages/gateway/src/state/fleet.ts
+++ b/packages/gateway/src/state/fleet.ts
@@ -37,14 +37,14 @@
   /** Store revision of the registration's last change. */
   readonly revision: number;
   readonly isRegistered: boolean;
-  /** Whether the endpoint itself has said that it leaves, which its registration may not say yet. */
+  /** Whether the endpoint itself has announced that it leaves, which its registration may not contain yet. */
   readonly hasOwnNotice: boolean;
 }
 
-/** How the endpoint's leaving became known. */
+/** How this gateway learned that an endpoint leaves. */
 export interface LeavingCause {
   readonly reason: string;
-  /** Whether the endpoint itself has told this gateway. It then leaves, whatever is registered for this process of it. */
+  /** Whether the endpoint itself has announced it. Later registrations of the same process do not undo that. */
   readonly isOwnNotice: boolean;
 }
 
@@ -112,7 +112,7 @@
   /** The configuration in force, or the one whose table is being built. */
   #nextConfig: GatewayConfig | null = null;
   #evacuated: ReadonlySet<DataCentreId> = new Set();
-  /** Times until which endpoints have asked to get nothing. */
+  /** Ends of the pauses that endpoints have requested. */
   readonly #pausedUntilMs = new Map<EndpointId, number>();
   readonly #outdated = new Map<EndpointId, OutdatedRegistration>();
   #listeners: readonly ((change: EndpointChange) => void)[] = [];
@@ -164,7 +164,7 @@
     return this.#placeable(service, regions).filter((row) => !this.isPaused(row.record.id));
   }
 
-  /** Time until an endpoint of a service wants requests again, in milliseconds; `null` if one does, or none is there. */
+  /** Time until an endpoint of a service accepts requests, in milliseconds; `null` if one does now, or none is left. */
   pausedForMs(service: ServiceId, regions: readonly RegionId[]): number | null {
     const rows = this.#placeable(service, regions);
     if (rows.length === 0 || rows.some((row) => !this.isPaused(row.record.id))) return null;
@@ -172,7 +172,7 @@
     return Math.min(...ends) - this.#now();
   }
 
-  /** Endpoints of a service in the given regions that do not leave, whether they want requests now or not. */
+  /** Endpoints of a service in the given regions that do not leave, including paused ones. */
   #placeable(service: ServiceId, regions: readonly RegionId[]): EndpointRow[] {
     return this.ofService(service).filter((row) =>
       row.phase !== "leaving" && !this.#evacuated.has(row.record.dataCentre) &&
@@ -180,12 +180,12 @@
     );
   }
 
-  /** Whether an endpoint has asked to get nothing for a time that has not ended. */
+  /** Whether an endpoint has requested a pause that has not ended. */
   isPaused(id: EndpointId): boolean {
     return (this.#pausedUntilMs.get(id) ?? -Infinity) > this.#now();
   }
 
-  /** Sends nothing to an endpoint for a time that it has asked for, in milliseconds. */
+  /** Sends nothing to an endpoint for the pause that it has requested, in milliseconds. */
   pause(id: EndpointId, forMs: number): void {
     const untilMs = this.#now() + forMs;
     if (!this.#endpoints.has(id) || untilMs <= (this.#pausedUntilMs.get(id) ?? -Infinity)) return;
@@ -201,8 +201,8 @@
   }
 
   /**
-   * Whether the end of an endpoint is planned, so that it says nothing of the requests that the endpoint had. One that
-   * leaves without notice goes on serving for the drain time after its registration was removed.
+   * Whether the end of an endpoint is planned, so that it is no evidence against the requests in progress there. An
+   * endpoint that leaves without notice continues to serve for the drain time after its registration was removed.
    */
   isEndPlanned(id: EndpointId): boolean {
     const row = this.#endpoints.get(id);
--- a/packages/gateway/src/upstream/dialect.ts
+++ b/packages/gateway/src/upstream/dialect.ts
@@ -48,9 +48,9 @@
   readonly contentLength: number | null;
   /** Requests per second that the endpoint takes from all gateways together; `null` if it names no limit. */
   readonly requestsPerSecond: number | null;
-  /** Whether the endpoint says that it leaves. */
+  /** Whether the endpoint announces that it leaves. */
   readonly isLeaving: boolean;
-  /** Time for which the endpoint wants nothing from this gateway, in milliseconds; `null` if it does not say. */
+  /** Time for which the endpoint accepts nothing from this gateway, in milliseconds; `null` if it states none. */
   readonly pauseMs: number | null;
   /** Whether a length or chunks mark the end of the body, rather than the end of the connection. */
   readonly isFramed: boolean;
--- a/packages/gateway/src/upstream/endpoint.ts
+++ b/packages/gateway/src/upstream/endpoint.ts
@@ -75,8 +75,8 @@
   }
 
   /**
-   * Records that the endpoint has refused a request, which says nothing bad of its responses. One that refuses at once
-   * has no work in progress, and would otherwise be preferred for that.
+   * Records that the endpoint has refused a request, and prefers others for a short time. An endpoint that refuses at
+   * once has no work in progress, and would otherwise get most requests.
    */
   recordRefusal(nowMs: number): void {
     const pause = Math.min(REFUSED_MAX_PAUSE_MS, REFUSED_MIN_PAUSE_MS * 2 ** this.#refusals);
