Outlive an engine's report whose fields have other types

What callers saw: every process that asked a silent or leaving engine for its report ended with code 1, and all requests in progress with it, if a field of the report had another type (FAULT, and LOST for the others). The users report processes that end by themselves.

Cause: the decoder of reports raised an error inside a task that nothing waits for, and Node.js ends a process on a rejection without a handler.

--- a/packages/gateway/src/relay/engine_monitor.ts
+++ b/packages/gateway/src/relay/engine_monitor.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { EndpointId } from "@wisteriapick/core";
+import { runInBackground } from "../observe/background_task.ts";
 import type { PeerGroup } from "../peers/peer_group.ts";
 import { controlCall } from "../upstream/control_call.ts";
 import type { EngineReport } from "../upstream/dialect.ts";
@@ -63,7 +64,11 @@
       if (!isStoreUnknown && !isSilent) continue;
       if (now - (this.#requestedAtMs.get(endpoint) ?? -Infinity) < REPORT_INTERVAL_MS) continue;
       this.#requestedAtMs.set(endpoint, now);
-      void this.#requestReport(endpoint, isSilent);
+      runInBackground(
+        ctx.log,
+        "engine_report",
+        () => this.#requestReport(endpoint, isSilent),
+      );
     }
   }
 
@@ -80,7 +85,8 @@
       return;
     }
     const report = ctx.dialect.readReport(response.status, response.body);
-    if (report !== null) this.#onReport(id, report);
+    if (report !== null) return this.#onReport(id, report);
+    ctx.log.state("report_unreadable", { endpoint: id, status: response.status });
   }
 
   #onReport(id: EndpointId, { isDraining, leavesInMs }: EngineReport): void {
--- a/packages/gateway/src/relay/proactive_copies.ts
+++ b/packages/gateway/src/relay/proactive_copies.ts
@@ -8,6 +8,7 @@
  */
 import type { EndpointId } from "@wisteriapick/core";
 import { shouldReleaseBackup } from "@wisteriapick/policy";
+import { runInBackground } from "../observe/background_task.ts";
 import type { CopyCoordinator, PendingCopyGrant } from "../peers/copy_coordinator.ts";
 import type { EndpointRow } from "../state/fleet.ts";
 import type { RunMemory } from "../upstream/dialect.ts";
@@ -106,12 +107,17 @@
     if (source.phase === "leaving") return;
     const held = this.#copies.get(run);
     if (held === undefined) {
-      if (run.remainingMs >= MIN_REMAINING_MS) void this.#updateCopy(run, source, null);
+      if (run.remainingMs >= MIN_REMAINING_MS) this.#startUpdate(run, source, null);
       return;
     }
     if (this.#usable(run) === null || this.#isMemoryNeeded(held, nowMs)) return this.drop(run);
     const isDue = nowMs - held.createdAtMs >= REFRESH_FRACTION * assigned.engine.copyTtlMs;
-    if (isDue) void this.#updateCopy(run, source, this.heldCopy(run));
+    if (isDue) this.#startUpdate(run, source, this.heldCopy(run));
+  }
+
+  #startUpdate(run: StreamRun, source: EndpointRow, held: HeldCopy | null): void {
+    const { log } = this.#options.ctx;
+    runInBackground(log, "proactive_copy", () => this.#updateCopy(run, source, held));
   }
 
   /** The copy of a run, if it was made from the run's present engine and its target can resume the run. */
--- a/packages/gateway/src/relay/run_migrator.ts
+++ b/packages/gateway/src/relay/run_migrator.ts
@@ -7,6 +7,7 @@
  */
 import type { EndpointId } from "@wisteriapick/core";
 import type { EngineConfig } from "../config/types.ts";
+import { runInBackground } from "../observe/background_task.ts";
 import { CopyCoordinator } from "../peers/copy_coordinator.ts";
 import type { PeerGroup } from "../peers/peer_group.ts";
 import type { EndpointRow } from "../state/fleet.ts";
@@ -92,7 +93,8 @@
       this.#resume(run, copy.row, copy.memory, reason);
       return true;
     }
-    void this.#acquirePermit(run, copy.row).then((isPermitted) => {
+    runInBackground(this.#ctx.log, "resume_from_copy", async () => {
+      const isPermitted = await this.#acquirePermit(run, copy.row);
       if (run.phase === "ended") return;
       if (isPermitted) this.#resume(run, copy.row, copy.memory, reason);
       else run.fail({ reason: "engine_lost", notRun: "unknown" });
@@ -135,13 +137,29 @@
 
   /** Starts the migration of every run of an engine. */
   #migrateAll(id: EndpointId): void {
-    for (const run of this.#dispatcher.registry.ownRuns(id)) void this.#migrate(run, id);
+    for (const run of this.#dispatcher.registry.ownRuns(id)) this.#startMigration(run, id);
   }
 
-  /** Migrates one run, with further attempts for as long as the run has to leave its engine. */
-  async #migrate(run: StreamRun, source: EndpointId): Promise<void> {
+  #startMigration(run: StreamRun, source: EndpointId): void {
     if (this.#migrating.has(run)) return;
     this.#migrating.add(run);
+    runInBackground(this.#ctx.log, "migration", async () => {
+      try {
+        await this.#migrate(run, source);
+      } finally {
+        this.#migrating.delete(run);
+      }
+      // The new engine may be leaving as well.
+      const dst = run.endpoint;
+      if (run.phase === "ended" || dst === null || dst.id === source) return;
+      if (this.#ctx.fleet.endpoints.get(dst.id)?.phase === "leaving") {
+        this.#startMigration(run, dst.id);
+      }
+    });
+  }
+
+  /** Migrates one run, with further attempts for as long as the run has to leave its engine. */
+  async #migrate(run: StreamRun, source: EndpointId): Promise<void> {
     const refused = new Set<EndpointId>();
     while (this.#mustLeave(run, source)) {
       const row = this.#ctx.fleet.endpoints.get(source);
@@ -157,11 +175,6 @@
       if (outcome === "migrated" || outcome === "ended") break;
       await this.#ctx.clock.sleep(RETRY_DELAY_MS);
     }
-    this.#migrating.delete(run);
-    // The new engine may be leaving as well.
-    const dst = run.endpoint;
-    if (run.phase === "ended" || dst === null || dst.id === source) return;
-    if (this.#ctx.fleet.endpoints.get(dst.id)?.phase === "leaving") void this.#migrate(run, dst.id);
   }
 
   #mustLeave(run: StreamRun, source: EndpointId): boolean {
