Read the registrations again soon after registering

What was seen: "gateways without seeds find each other through the store" failed once ('the condition does not hold after 10 s') at a load average of about 30.

Cause: two gateways that start at the same moment each read the store before the other has written its registration, and the next read comes a minute later. Without seeds neither knows the other until then, and each divides shared limits by too few.

Change: a gateway that has registered reads again after three seconds, as stale reads may be some seconds old.

Failed before: 'gateways that register at the same moment find each other within ten seconds', with a manual clock.

--- a/packages/gateway/src/peers/registration.ts
+++ b/packages/gateway/src/peers/registration.ts
@@ -31,6 +31,11 @@
 const READ_INTERVAL_MS = 60_000;
 /** Shortest delay of the first read: links to seeds come first, and gateways that start together spread out. */
 const FIRST_READ_DELAY_MS = 1_000;
+/**
+ * Delay of the read after this gateway has registered: another one that did so at the same moment was not in the first,
+ * which may also have been some seconds old.
+ */
+const READ_AFTER_WRITE_DELAY_MS = 3_000;
 /** Time without a link after which a gateway's registration is removed as stale. */
 const STALE_AFTER_MS = 600_000;
 
@@ -72,15 +77,17 @@
   }
 
   async #run(): Promise<void> {
+    let hasWritten = false;
     try {
-      await this.#refresh();
+      hasWritten = await this.#refresh();
     } catch (e) {
       this.#options.log.state("registration_failed", { err: toWpError(e) });
     }
-    if (!this.#stopped) this.#schedule(READ_INTERVAL_MS);
+    if (!this.#stopped) this.#schedule(hasWritten ? READ_AFTER_WRITE_DELAY_MS : READ_INTERVAL_MS);
   }
 
-  async #refresh(): Promise<void> {
+  /** Reads the registrations and writes this gateway's where it is missing. Returns whether it was written. */
+  async #refresh(): Promise<boolean> {
     const { store, record, onFound, isEntryPoint } = this.#options;
     const { items } = await store.list("gateways", { isStaleAllowed: true });
     const records = [...items.values()].map((item) => item.value);
@@ -90,8 +97,10 @@
     const own = records.find((r) => r.name === record.name);
     const isCurrent = own !== undefined &&
       formatAddress(own.address) === formatAddress(record.address);
-    if (!isCurrent && isEntryPoint() && !this.#stopped) await store.writeGateway(record);
+    const mustWrite = !isCurrent && isEntryPoint() && !this.#stopped;
+    if (mustWrite) await store.writeGateway(record);
     for (const { name } of records) await this.#removeStale(name);
+    return mustWrite;
   }
 
   async #removeStale(name: string): Promise<void> {
