Write the last log lines and the reason of the end before the process exits

Users saw LOST and FAULT around ended processes, and the logs did not say whether and why a process had ended: the last lines were collected for 50 ms and written on the thread pool, and the program exited as soon as the gateway had stopped. An exception went to standard error only. Also, a thread of the pool that waits for a reader of the log keeps the process from exiting, so that a planned stop whose log is not read hangs until SIGKILL.

Each end of the process (planned stop, invalid settings, failed start, uncaught exception, unhandled rejection) now logs `process_ending` with its reason, exit code, error, uptime and memory, and exits when the log is written, after 500 ms at the latest, and 40 ms before SIGKILL at a planned stop. Pipes and sockets are written without blocking, and no longer on the thread pool.

Tests that failed before, with the real program: - "the log of a planned stop ends with ...": the last lines were `process_stalled` and `host_overload` in place of `stopped`, `process_ending`; - "the last lines are there after a reader that did not read for a while"; - "a process whose log nobody reads ends by itself": 'SIGKILL' in place of 0; - "invalid settings are the reason ...": the log was empty.

--- a/packages/gateway/src/observe/decision_log.ts
+++ b/packages/gateway/src/observe/decision_log.ts
@@ -4,9 +4,9 @@
  *
  * @module
  */
-import { write } from "node:fs";
-import type { Clock, Undo } from "@wisteriapick/core";
+import type { Clock } from "@wisteriapick/core";
 import bunyan from "bunyan";
+import { DescriptorSink, type LineSink } from "./descriptor_sink.ts";
 
 /** Writes log lines for decisions and state changes. */
 export abstract class DecisionLog {
@@ -14,6 +14,10 @@
   abstract request(event: string, fields: Record<string, unknown>): void;
   /** Logs a start, a stop, or a change of the process's state. */
   abstract state(event: string, fields: Record<string, unknown>): void;
+  /** Writes the lines that are still collected. `onWritten` is called when none are left. */
+  flush(onWritten: () => void): void {
+    onWritten();
+  }
 }
 
 /** Options of {@link createDecisionLog}. */
@@ -26,73 +30,8 @@
   readonly sink?: LineSink;
 }
 
-/** Accepts log lines without ever blocking. */
-export interface LineSink {
-  /** Returns false if the line was dropped. */
-  write(line: string): boolean;
-}
-
 /** About ten times the rate of a busy entry in present deployments. */
 const REQUEST_LINES_PER_SECOND = 500;
-/** Largest number of bytes buffered while the descriptor does not accept them. */
-const MAX_BUFFERED_BYTES = 1_048_576;
-/** Time for which lines are collected before they are written together. */
-const FLUSH_DELAY_MS = 50;
-const STDOUT = 1;
-
-/**
- * Writes lines to a file descriptor on the thread pool. While the descriptor accepts nothing, lines are buffered up to
- * a bound and dropped beyond it.
- */
-export class DescriptorSink implements LineSink {
-  readonly #fd: number;
-  readonly #clock: Clock;
-  #lines: string[] = [];
-  #bufferedBytes = 0;
-  #stopTimer: Undo | null = null;
-  #writing = false;
-
-  constructor(clock: Clock, fd: number = STDOUT) {
-    this.#fd = fd;
-    this.#clock = clock;
-  }
-
-  write(line: string): boolean {
-    if (this.#bufferedBytes + line.length > MAX_BUFFERED_BYTES) return false;
-    this.#lines.push(line);
-    this.#bufferedBytes += line.length;
-    this.#stopTimer ??= this.#clock.setTimer(FLUSH_DELAY_MS, () => this.flush());
-    return true;
-  }
-
-  /** Writes the buffered lines to the descriptor. `onEmpty` is called when none are left. */
-  flush(onEmpty: () => void = () => {}): void {
-    this.#stopTimer?.();
-    this.#stopTimer = null;
-    if (this.#writing) return void this.#clock.setTimer(FLUSH_DELAY_MS, () => this.flush(onEmpty));
-    if (this.#lines.length === 0) return onEmpty();
-    const buf = Buffer.from(this.#lines.join(""));
-    this.#lines = [];
-    this.#bufferedBytes = 0;
-    this.#writing = true;
-    this.#writeAll(buf, onEmpty);
-  }
-
-  #writeAll(buf: Buffer, onEmpty: () => void): void {
-    write(this.#fd, buf, (err, written) => {
-      // A failure to write the log cannot be logged: the lines are lost, and the process continues.
-      if (err !== null && err.code !== "EAGAIN") written = buf.length;
-      const rest = buf.subarray(err?.code === "EAGAIN" ? 0 : written);
-      if (rest.length > 0) {
-        this.#clock.setTimer(FLUSH_DELAY_MS, () => this.#writeAll(rest, onEmpty));
-        return;
-      }
-      this.#writing = false;
-      this.flush(onEmpty);
-    });
-  }
-}
-
 /** A token bucket that allows `perSecond` lines, with a burst of one second. */
 class LineBudget {
   readonly #perSecond: number;
@@ -119,11 +58,13 @@
   readonly #log: bunyan;
   readonly #clock: Clock;
   readonly #budget: LineBudget;
+  readonly #sink: LineSink;
   #dropped = 0;
 
   constructor(options: Required<DecisionLogOptions>) {
     super();
     this.#clock = options.clock;
+    this.#sink = options.sink;
     this.#budget = new LineBudget(options.requestLinesPerSecond, options.clock.now());
     const stream = {
       write: (line: string) => {
@@ -150,6 +91,12 @@
     this.#log.info(fields, event);
   }
 
+  override flush(onWritten: () => void): void {
+    this.#reportDropped();
+    if (this.#sink.flush === undefined) return onWritten();
+    this.#sink.flush(onWritten);
+  }
+
   #reportDropped(): void {
     if (this.#dropped === 0) return;
     const lines = this.#dropped;
