Keep the lines of requests that were sent beside refusals that repeat

With 150 callers that return at once to a stopping entry, the log dropped lines: one allowance of 500 lines a second held for all lines about requests, and refusals that repeat fifty times a second used it up, so that requests which ran were not named. `log_lines_dropped` was itself written hundreds of times.

Refusals may fill half of the buffer while the log is not read, lines about state all of it. `request_over` says to how many endpoints a request was sent.

Requests whose connections were reset at the end (149) have no line yet.

--- a/packages/gateway/src/observe/descriptor_sink.ts
+++ b/packages/gateway/src/observe/descriptor_sink.ts
@@ -9,8 +9,11 @@
 
 /** Accepts log lines without ever blocking. */
 export interface LineSink {
-  /** Returns false if the line was dropped. */
-  write(line: string): boolean;
+  /**
+   * Returns false if the line was dropped. `bufferShare` is the part of the buffer that it may fill, so that lines
+   * which matter less leave room for the others.
+   */
+  write(line: string, bufferShare: number): boolean;
   /** Writes what is buffered at once. `onEmpty` is called when nothing is left. */
   flush?(onEmpty: () => void): void;
 }
@@ -42,8 +45,8 @@
     this.#write = makeWriter(fd, clock);
   }
 
-  write(line: string): boolean {
-    if (this.#bufferedBytes + line.length > MAX_BUFFERED_BYTES) return false;
+  write(line: string, bufferShare: number): boolean {
+    if (this.#bufferedBytes + line.length > bufferShare * MAX_BUFFERED_BYTES) return false;
     this.#lines.push(line);
     this.#bufferedBytes += line.length;
     this.#stopTimer ??= this.#clock.setTimer(FLUSH_DELAY_MS, () => this.#writeBuffered());
--- a/packages/gateway/src/relay/plain_call.ts
+++ b/packages/gateway/src/relay/plain_call.ts
@@ -503,6 +503,7 @@
       outcome,
       endpoint: attempt?.endpoint.id,
       attempts: this.#reached,
+      sends: this.#attemptedEndpoints.size,
       ms: Math.round(ms),
       detail,
       notRun: rejection?.notRun,
--- a/packages/gateway/src/relay/stream_run.ts
+++ b/packages/gateway/src/relay/stream_run.ts
@@ -509,6 +509,7 @@
       outcome,
       detail,
       engines: this.#engines,
+      sends: this.#sends,
       events: this.#reader.lastId,
       firstEventMs: this.#firstEventMs === null ? undefined : Math.round(this.#firstEventMs),
       longestGapMs: Math.round(this.#longestGapMs),
--- a/packages/gateway/tests/descriptor_sink_test.ts
+++ b/packages/gateway/tests/descriptor_sink_test.ts
@@ -11,9 +11,9 @@
   const file = `${dir}/log`;
   const fd = openSync(file, "w");
   const sink = new DescriptorSink(new ManualClock(), fd);
-  sink.write("first\n");
+  sink.write("first\n", 1);
   const flushed = [1, 2].map(() => new Promise<void>((resolve) => sink.flush(resolve)));
-  sink.write("second\n");
+  sink.write("second\n", 1);
   await Promise.all(flushed);
   assert.equal(readFileSync(file, "utf8"), "first\nsecond\n");
   closeSync(fd);
