Log each request whose connection ends without an answer, and how far it had come

Several paths ended a request's connection without a line: the end of the process, requests that are read behind a refused or last one and dropped, bytes that cannot be parsed behind a request in progress, a response that is cut, a caller that leaves in the middle of its body.

`request_unanswered` now names the request, its `stage` (head read, waiting for the configuration, reading the body, deferred by a stall, with the relay, responding, dropped; at an end also a head that is half read), the bytes of its body and the `cause`: `caller_left`, `process_end`, `response_cut`, `unreadable_request` or `connection_closing`. `connection_refused` has the id of a request whose body cannot be parsed. `connections_closed` says how many connections the end of the process closed.

The tests in unanswered_test.ts fail before, as no such line comes ("test timed out after 4000ms" for the file).

--- a/packages/gateway/src/surface/http_responder.ts
+++ b/packages/gateway/src/surface/http_responder.ts
@@ -36,6 +36,8 @@
 export interface HttpResponderOptions {
   /** Whether the connection is to be closed after this response. */
   readonly closeAfter: () => boolean;
+  /** Called when a response that has begun is cut. */
+  readonly onAbort?: () => void;
 }
 
 /** Responds to one request of `node:http`. */
@@ -73,6 +75,7 @@
   }
 
   override abort(): void {
+    this.#options.onAbort?.();
     this.#res.destroy();
   }
 
--- a/packages/gateway/src/surface/proxy_server.ts
+++ b/packages/gateway/src/surface/proxy_server.ts
@@ -20,6 +20,7 @@
 import type { CallerDialect } from "./caller_dialect.ts";
 import { HttpResponder } from "./http_responder.ts";
 import { isForwardable } from "./request_grammar.ts";
+import { type CloseCause, Exchange } from "./unanswered.ts";
 
 /** Handles requests that the server has read. */
 export interface ProxyHandler {
@@ -60,12 +61,24 @@
 /** Largest total size of buffered bodies. A gateway has 178 MB of memory or more. */
 const MAX_BUFFERED_BODY_BYTES = 33_554_432;
 
+/** Codes of errors that say that the caller closed its connection. */
+const LEFT_CODES: ReadonlySet<string> = new Set(["ECONNRESET", "HPE_INVALID_EOF_STATE"]);
+
+/** A request that has begun to arrive. */
+interface Arrival {
+  readonly exchange: Exchange;
+  /** Monotonic time, in milliseconds. */
+  readonly arrivedAtMs: number;
+}
+
 /** State of one connection. */
 interface Connection {
-  /** Number of requests that are being read or answered. */
-  requests: number;
-  /** Whether the body of the newest request is being read. */
-  isReading: boolean;
+  /** Requests that are being read or answered. */
+  readonly exchanges: Set<Exchange>;
+  /** The newest request, while its body is being read. */
+  reading: Exchange | null;
+  /** Number of bytes that belong to requests whose heads have been read. */
+  requestBytes: number;
   /** Whether nothing more is taken from it: a request was refused, or the last response ends it. */
   isRefused: boolean;
 }
@@ -99,6 +112,7 @@
       res.writeContinue();
       this.#onRequest(req, res);
     });
+    this.#server.on("connect", (req, socket) => this.#onConnect(req, socket as Socket));
     this.#server.on("checkExpectation", (req, res) => this.#onRequest(req, res));
   }
 
@@ -122,7 +136,7 @@
   /** Number of requests in progress. */
   get active(): number {
     let active = 0;
-    for (const { requests } of this.#connections.values()) active += requests;
+    for (const { exchanges } of this.#connections.values()) active += exchanges.size;
     return active;
   }
 
@@ -137,8 +151,22 @@
     this.#server.closeIdleConnections();
   }
 
-  /** Closes every connection at once. */
+  /** Closes every connection at once. Requests in progress are logged, as the process may end before they close. */
   destroy(): void {
+    this.#options.log.state("connections_closed", {
+      open: this.#connections.size,
+      unanswered: this.active,
+    });
+    for (const [socket, { exchanges, requestBytes }] of this.#connections) {
+      for (const exchange of exchanges) exchange.endUnanswered("process_end");
+      if (exchanges.size > 0 || socket.bytesRead <= requestBytes) continue;
+      this.#options.log.request("request_unanswered", {
+        stage: "reading_head",
+        cause: "process_end",
+        headBytes: socket.bytesRead - requestBytes,
+        remote: socket.remoteAddress,
+      });
+    }
     this.#server.close();
     this.#server.closeAllConnections();
   }
@@ -151,13 +179,18 @@
     if (!this.#draining && !this.#options.handler.shouldLeave()) return false;
     const connection = this.#connections.get(socket);
     if (connection === undefined) return true;
-    if (connection.requests > 1) return false;
+    if (connection.exchanges.size > 1) return false;
     connection.isRefused = true;
     return true;
   }
 
   #onConnection(socket: Socket): void {
-    this.#connections.set(socket, { requests: 0, isReading: false, isRefused: false });
+    this.#connections.set(socket, {
+      exchanges: new Set(),
+      reading: null,
+      requestBytes: 0,
+      isRefused: false,
+    });
     socket.once("close", () => this.#connections.delete(socket));
   }
 
@@ -165,28 +198,49 @@
     const { handler, clock } = this.#options;
     const arrivedAtMs = clock.now();
     const connection = this.#connections.get(req.socket);
+    const exchange = this.#createExchange(req, res);
     // The parser may deliver requests that followed a refused one before the connection is closed.
-    if (connection === undefined || connection.isRefused) return void req.resume();
-    connection.requests++;
-    res.once("close", () => connection.requests--);
-    if (handler.isReady()) this.#read(req, res, arrivedAtMs);
-    else this.#waitForConfig(req, res, arrivedAtMs);
+    if (connection === undefined || connection.isRefused) {
+      exchange.stage = "dropped";
+      exchange.endUnanswered("connection_closing");
+      return void req.resume();
+    }
+    const recordBytes = () => connection.requestBytes = req.socket.bytesRead;
+    recordBytes();
+    req.once("end", recordBytes);
+    connection.exchanges.add(exchange);
+    res.once("close", () => connection.exchanges.delete(exchange));
+    if (handler.isReady()) this.#read(req, res, { exchange, arrivedAtMs });
+    else this.#waitForConfig(req, res, { exchange, arrivedAtMs });
+  }
+
+  #createExchange(req: IncomingMessage, res: ServerResponse): Exchange {
+    const { dialect, clock, log } = this.#options;
+    const { method = "", url: target = "", rawHeaders } = req;
+    const requestId = () => dialect.readHead({ method, target, rawHeaders })?.requestId ?? null;
+    return new Exchange(req, res, { clock, log, requestId });
   }
 
   /** Delays a request until the first configuration is known, as callers rarely retry more than once. */
-  #waitForConfig(req: IncomingMessage, res: ServerResponse, arrivedAtMs: number): void {
+  #waitForConfig(req: IncomingMessage, res: ServerResponse, arrival: Arrival): void {
     const { handler, clock } = this.#options;
+    const { exchange, arrivedAtMs } = arrival;
+    exchange.stage = "waiting_for_config";
     const undo = clock.setRepeating(CONFIG_CHECK_INTERVAL_MS, () => {
       const hasTimedOut = clock.now() >= arrivedAtMs + MAX_CONFIG_WAIT_MS;
       if (!res.destroyed && !handler.isReady() && !hasTimedOut) return;
       undo();
-      if (!res.destroyed) this.#read(req, res, arrivedAtMs);
+      if (!res.destroyed) this.#read(req, res, arrival);
     });
   }
 
-  #read(req: IncomingMessage, res: ServerResponse, arrivedAtMs: number): void {
+  #read(req: IncomingMessage, res: ServerResponse, { exchange, arrivedAtMs }: Arrival): void {
     const { dialect, handler } = this.#options;
-    const responder = new HttpResponder(res, { closeAfter: () => this.#closesAfter(req.socket) });
+    exchange.stage = "head_read";
+    const responder = new HttpResponder(res, {
+      closeAfter: () => this.#closesAfter(req.socket),
+      onAbort: () => exchange.recordClose("response_cut"),
+    });
     const { maxHeaderBytes, maxBodyBytes } = handler.limits();
     if (headerBytes(req) > maxHeaderBytes) return this.#refuse(req, res, 431);
     if (!isUnambiguous(req)) return this.#refuse(req, res, 400);
@@ -198,11 +252,13 @@
       return this.#refuse(req, res, 413);
     }
     if (!handler.accept(head, responder)) return void req.resume();
-    this.#readBody(req, res, maxBodyBytes, (body) => {
+    this.#readBody(req, res, { exchange, maxBytes: maxBodyBytes }, (body) => {
       const stallMs = this.#options.loop.stallMs();
+      exchange.stage = stallMs === 0 ? "with_relay" : "deferred_by_stall";
       if (stallMs === 0) return handler.handle(head, body, arrivedAtMs, responder);
       this.#options.loop.afterNextPoll(() => {
         if (!hasDisconnected(req, res)) {
+          exchange.stage = "with_relay";
           return handler.handle(head, body, arrivedAtMs - stallMs, responder);
         }
         this.#options.log.request("caller_left_unread", {
@@ -218,7 +274,7 @@
   #readBody(
     req: IncomingMessage,
     res: ServerResponse,
-    maxBytes: number,
+    { exchange, maxBytes }: { readonly exchange: Exchange; readonly maxBytes: number },
     onBody: (body: Buffer | null) => void,
   ): void {
     const hasBody = req.headers["content-length"] !== undefined ||
@@ -228,7 +284,8 @@
       return onBody(null);
     }
     const connection = this.#connections.get(req.socket);
-    if (connection !== undefined) connection.isReading = true;
+    if (connection !== undefined) connection.reading = exchange;
+    exchange.stage = "reading_body";
     let body = new ByteBuffer();
     let size = 0;
     let isDiscarded = false;
@@ -240,6 +297,7 @@
     req.on("data", (chunk: Buffer) => {
       if (isDiscarded) return;
       size += chunk.length;
+      exchange.bodyBytes = size;
       this.#bufferedBytes += chunk.length;
       if (size <= maxBytes && this.#bufferedBytes <= MAX_BUFFERED_BODY_BYTES) {
         return body.append(chunk);
@@ -249,7 +307,7 @@
       this.#refuse(req, res, size > maxBytes ? 413 : 503);
     });
     req.on("end", () => {
-      if (connection !== undefined) connection.isReading = false;
+      if (connection !== undefined) connection.reading = null;
       if (!isDiscarded) onBody(body.bytes());
     });
     // The failure is on the caller's side, and the connection closes by itself.
@@ -275,19 +333,40 @@
 
   /** Responds to data that could not be parsed, unless a response to an earlier request is in progress. */
   #onClientError(err: NodeJS.ErrnoException, socket: Socket): void {
-    const { log } = this.#options;
-    log.request("connection_refused", { code: err.code, remote: socket.remoteAddress });
     const connection = this.#connections.get(socket);
+    const exchanges = connection?.exchanges ?? new Set<Exchange>();
+    const reading = connection?.reading ?? null;
     // A request with an invalid body has no response yet, but requests before it may have one in progress.
-    const unanswered = (connection?.requests ?? 0) - (connection?.isReading ? 1 : 0);
-    if (unanswered > 0 || !socket.writable || err.code === "ECONNRESET") {
-      return void socket.destroy();
-    }
-    const status = statusOfParserError(err.code);
+    const unanswered = exchanges.size - (reading === null ? 0 : 1);
+    const isAnswered = unanswered === 0 && socket.writable && err.code !== "ECONNRESET";
+    const status = isAnswered ? statusOfParserError(err.code) : null;
+    this.#options.log.request("connection_refused", {
+      code: err.code,
+      req: reading?.requestId ?? undefined,
+      status: status === null ? undefined : Number(status.slice(0, 3)),
+      unanswered: exchanges.size,
+      remote: socket.remoteAddress,
+    });
+    const cause: CloseCause = LEFT_CODES.has(err.code ?? "") ? "caller_left" : "unreadable_request";
+    for (const exchange of exchanges) exchange.recordClose(cause, err.code);
+    if (status === null) return void socket.destroy();
+    if (cause === "unreadable_request") reading?.recordAnswered();
     socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
     socket.destroySoon();
   }
 
+  /** Closes the connection of a request for a tunnel, which nothing here offers. */
+  #onConnect(req: IncomingMessage, socket: Socket): void {
+    this.#options.log.request("connection_refused", {
+      code: "CONNECT",
+      remote: req.socket.remoteAddress,
+    });
+    for (const exchange of this.#connections.get(req.socket)?.exchanges ?? []) {
+      exchange.recordClose("unreadable_request", "CONNECT");
+    }
+    socket.destroy();
+  }
+
   /** The address that the server listens on, for logs. */
   get address(): string {
     return formatAddress(this.#options.address);
--- /dev/null
+++ b/packages/gateway/tests/unanswered_test.ts
@@ -0,0 +1,230 @@
+import assert from "node:assert/strict";
+import { type AddressInfo, connect, createServer as createNetServer, type Socket } from "node:net";
+import { afterEach, test } from "node:test";
+import { SystemClock } from "@wisteriapick/core";
+import { LoopMonitor } from "../src/observe/loop_monitor.ts";
+import type { InboundHead } from "../src/relay/inbound.ts";
+import type { CallerDialect } from "../src/surface/caller_dialect.ts";
+import type { HttpResponder } from "../src/surface/http_responder.ts";
+import { type ProxyHandler, ProxyServer } from "../src/surface/proxy_server.ts";
+import { MemoryLog } from "./fixtures.ts";
+
+const LIMITS = {
+  maxHeaderBytes: 8_192,
+  maxBodyBytes: 64,
+  headerTimeoutMs: 30_000,
+  idleTimeoutMs: 30_000,
+};
+
+/** Reads the id of a request and nothing else. */
+const dialect: CallerDialect = {
+  readyPath: "/ready",
+  readHead: ({ method, target, rawHeaders }) => {
+    const at = rawHeaders.findIndex((s) => s.toLowerCase() === "x-id");
+    const head: InboundHead = {
+      requestId: rawHeaders[at + 1]!,
+      method,
+      target,
+      hostname: "shop.example",
+      headers: [],
+      deadlineMs: null,
+      apiKey: null,
+      generation: null,
+      lastEventId: null,
+    };
+    return head;
+  },
+};
+
+async function freePort(): Promise<number> {
+  const server = createNetServer();
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  await new Promise((resolve) => server.close(resolve));
+  return port;
+}
+
+const undos: (() => void)[] = [];
+
+afterEach(() => {
+  for (const undo of undos.splice(0)) undo();
+});
+
+/** A server whose handler keeps every request, and connections of a caller to it. */
+async function makeServer({ isReady = true, isStalled = false } = {}) {
+  const log = new MemoryLog();
+  const clock = new SystemClock();
+  const responders: HttpResponder[] = [];
+  const waiters: (() => void)[] = [];
+  const handler: ProxyHandler = {
+    isReady: () => isReady,
+    shouldLeave: () => false,
+    limits: () => LIMITS,
+    accept: () => true,
+    handle: (_head, _body, _arrivedAtMs, responder) => {
+      responders.push(responder);
+      for (const resolve of waiters.splice(0)) resolve();
+    },
+  };
+  const port = await freePort();
+  const address = { host: "127.0.0.1", port };
+  const loop = new LoopMonitor(clock, log);
+  loop.stallMs = () => isStalled ? 200 : 0;
+  if (isStalled) loop.afterNextPoll = () => {};
+  const server = new ProxyServer({ address, dialect, handler, clock, log, loop });
+  await server.listen();
+  undos.push(() => server.destroy());
+  const open = async () => {
+    const socket = connect(port, "127.0.0.1");
+    socket.on("error", () => {});
+    undos.push(() => socket.destroy());
+    await new Promise((resolve) => socket.once("connect", resolve));
+    return socket;
+  };
+  const handled = (count: number): Promise<void> =>
+    responders.length >= count
+      ? Promise.resolve()
+      : new Promise<void>((resolve) => waiters.push(resolve)).then(() => handled(count));
+  /** Waits until a line has been logged. */
+  const logged = async (event: string, count = 1) => {
+    while (log.count(event) < count) await new Promise((resolve) => setImmediate(resolve));
+    return log.events.filter((e) => e.event === event).map((e) => e.fields);
+  };
+  return { server, log, responders, open, handled, logged };
+}
+
+const head = (id: string, more = "") =>
+  `POST /orders HTTP/1.1\r\nHost: shop.example\r\nX-Id: ${id}\r\n${more}\r\n`;
+
+/** Waits until the server has read what was sent on connections before, by a request on one of its own. */
+async function readSoFar(of: Awaited<ReturnType<typeof makeServer>>): Promise<void> {
+  const before = of.responders.length;
+  const socket = await of.open();
+  socket.write(head("barrier"));
+  await of.handled(before + 1);
+  of.responders.at(-1)!.writeHead(200, [], 0);
+  of.responders.at(-1)!.end();
+  await closed(socket.end());
+}
+
+const closed = (socket: Socket) =>
+  new Promise<void>((resolve) => {
+    socket.resume();
+    if (socket.closed) resolve();
+    else socket.once("close", () => resolve());
+  });
+
+const summary = (fields: readonly Record<string, unknown>[]) =>
+  fields.map(({ req, stage, cause }) => [req, stage, cause]);
+
+// Guards against requests that are cut at the end of a process and named nowhere (LOST).
+test("each request that the end of a process cuts is logged with how far it had come", async () => {
+  const of = await makeServer();
+  const sockets = await Promise.all(Array.from({ length: 4 }, of.open));
+  sockets[0]!.write(head("relayed"));
+  await of.handled(1);
+  sockets[1]!.write(head("responding"));
+  await of.handled(2);
+  of.responders[1]!.writeHead(200, [], null);
+  of.responders[1]!.write(Buffer.from("part"));
+  sockets[2]!.write(`${head("half-a-body", "Content-Length: 10\r\n")}12345`);
+  sockets[3]!.write("POST /orders HTTP/1.1\r\nHost: sh");
+  await readSoFar(of);
+  of.server.destroy();
+  const lines = await of.logged("request_unanswered", 4);
+  assert.deepEqual(summary(lines), [
+    ["relayed", "with_relay", "process_end"],
+    ["responding", "responding", "process_end"],
+    ["half-a-body", "reading_body", "process_end"],
+    [undefined, "reading_head", "process_end"],
+  ]);
+  assert.equal(lines[2]!.bodyBytes, 5);
+  assert.equal(lines[3]!.headBytes, 31);
+});
+
+test("a request that waits for the first configuration at the end is logged as such", async () => {
+  const of = await makeServer({ isReady: false });
+  const socket = await of.open();
+  socket.write(head("early"));
+  while (of.server.active === 0) await new Promise((resolve) => setImmediate(resolve));
+  of.server.destroy();
+  const lines = await of.logged("request_unanswered");
+  assert.deepEqual(summary(lines), [["early", "waiting_for_config", "process_end"]]);
+});
+
+test("a request that a stall has deferred at the end is logged as such", async () => {
+  const of = await makeServer({ isStalled: true });
+  const socket = await of.open();
+  socket.write(head("deferred"));
+  while (of.server.active === 0) await new Promise((resolve) => setImmediate(resolve));
+  of.server.destroy();
+  const lines = await of.logged("request_unanswered");
+  assert.deepEqual(summary(lines), [["deferred", "deferred_by_stall", "process_end"]]);
+});
+
+// Guards against counting callers that left as requests that the gateway lost.
+test("a caller that leaves in the middle of its body is told apart from a closed connection", async () => {
+  for (const leave of [(s: Socket) => s.end(), (s: Socket) => s.resetAndDestroy()]) {
+    const of = await makeServer();
+    const socket = await of.open();
+    socket.write(`${head("gone", "Content-Length: 10\r\n")}123`);
+    await readSoFar(of);
+    leave(socket);
+    const lines = await of.logged("request_unanswered");
+    assert.deepEqual(summary(lines), [["gone", "reading_body", "caller_left"]]);
+  }
+});
+
+test("a response that the gateway cuts is logged as cut, and a complete one is not", async () => {
+  const of = await makeServer();
+  const [first, second] = [await of.open(), await of.open()];
+  first.write(head("cut"));
+  await of.handled(1);
+  of.responders[0]!.writeHead(200, [], null);
+  of.responders[0]!.abort();
+  second.write(head("answered"));
+  await of.handled(2);
+  of.responders[1]!.writeHead(200, [], 0);
+  of.responders[1]!.end();
+  second.end();
+  await Promise.all([closed(first), closed(second)]);
+  const lines = await of.logged("request_unanswered");
+  assert.deepEqual(summary(lines), [["cut", "responding", "response_cut"]]);
+});
+
+// Guards against requests that were read and dropped without a line, as their connection is about to close.
+test("requests behind one that was refused are logged as dropped", async () => {
+  const of = await makeServer();
+  const socket = await of.open();
+  const tooLong = `${head("too-long", "Content-Length: 100\r\n")}${"x".repeat(100)}`;
+  socket.write(tooLong + head("behind"));
+  await closed(socket);
+  assert.equal(of.responders.length, 0);
+  const lines = await of.logged("request_unanswered");
+  assert.deepEqual(summary(lines), [["behind", "dropped", "connection_closing"]]);
+});
+
+// Guards against a request at an endpoint whose connection is closed for bytes behind it, without a line.
+test("a request before bytes that cannot be parsed is logged with the parser's code", async () => {
+  const of = await makeServer();
+  const socket = await of.open();
+  socket.write(head("before"));
+  await of.handled(1);
+  socket.write("\x00\x01\r\n\r\n");
+  await closed(socket);
+  const lines = await of.logged("request_unanswered");
+  assert.deepEqual(summary(lines), [["before", "with_relay", "unreadable_request"]]);
+  assert.match(String(lines[0]!.detail), /^HPE_/);
+});
+
+test("a request whose body cannot be parsed is answered, and its refusal has its id", async () => {
+  const of = await makeServer();
+  const socket = await of.open();
+  socket.write(head("bad-chunk", "Transfer-Encoding: chunked\r\n"));
+  await readSoFar(of);
+  socket.write("zz\r\n");
+  await closed(socket);
+  const [line] = await of.logged("connection_refused");
+  assert.deepEqual([line!.req, line!.status], ["bad-chunk", 400]);
+  assert.equal(of.log.count("request_unanswered"), 0);
+});
