Tell the service and the number of gateways of each repeat and denial

Callers saw three cases of more repeats than the retry budget allows on a deployment with 30 gateways. The logs could not tell which service the repeats counted for, what was left, or by how many gateways the fixed part was divided: repeats had no line, and their counter had no service.

Repeats and denials now have lines with these fields, counters by service and reason, and the number of gateways is a gauge. What is allowed is unchanged.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -29,6 +29,7 @@
 import type { RelayContext } from "./relay/context.ts";
 import { VersionMoves } from "./moves/version_moves.ts";
 import { Relay, type StopProgress } from "./relay/relay.ts";
+import { Repeats } from "./relay/repeats.ts";
 import { RunMigrator } from "./relay/run_migrator.ts";
 import type { GatewaySettings } from "./settings.ts";
 import { Fleet } from "./state/fleet.ts";
@@ -198,7 +199,13 @@
       dialect: options.endpointDialect,
       access: new AccessControl({ fleet: this.#fleet, keys: this.#keys }),
       keys: this.#keys,
-      budget: this.#retryBudget,
+      repeats: new Repeats({
+        budget: this.#retryBudget,
+        clock,
+        log,
+        metrics,
+        gatewayCount: () => this.#network.memberCount(),
+      }),
       coldLimiter: this.#coldLimiter,
       crashes,
       limits,
--- a/packages/gateway/src/observe/metrics.ts
+++ b/packages/gateway/src/observe/metrics.ts
@@ -20,7 +20,9 @@
   readonly #requests: Counter<"route" | "outcome">;
   readonly #rejections: Counter<"reason">;
   readonly #attempts: Counter<"outcome">;
-  readonly #retries: Counter<"reason">;
+  readonly #repeats: Counter<"service" | "reason">;
+  readonly #deniedRepeats: Counter<"service" | "reason">;
+  readonly #retryBudgetGateways: Gauge<string>;
   readonly #copies: Counter<"outcome">;
   readonly #storeCalls: Counter<"call" | "outcome">;
   readonly #storeBytes: Counter<"kind">;
@@ -49,7 +51,12 @@
       "reason",
     ]);
     this.#attempts = counter("attempts_total", "Requests sent to endpoints", ["outcome"]);
-    this.#retries = counter("repeats_total", "Requests sent once more", ["reason"]);
+    this.#repeats = counter("repeats_total", "Requests sent once more", ["service", "reason"]);
+    this.#deniedRepeats = counter(
+      "repeats_denied_total",
+      "Requests not sent once more, as the retry budget was exhausted",
+      ["service", "reason"],
+    );
     this.#copies = counter("run_copies_total", "Copies of running requests", ["outcome"]);
     this.#storeCalls = counter("store_calls_total", "Calls to the store", ["call", "outcome"]);
     this.#storeBytes = counter("store_read_bytes_total", "Bytes of the store's responses", [
@@ -99,6 +106,10 @@
       "config_age_seconds",
       "Time since the configuration in force was last known to be the newest one",
     );
+    this.#retryBudgetGateways = gauge(
+      "retry_budget_gateways",
+      "Gateways among which the fixed part of the retry budgets is divided",
+    );
     this.#queued = gauge("waiting_requests", "Requests that wait for an engine");
     this.#running = gauge("running_streams", "Streams under way");
   }
@@ -116,8 +127,18 @@
     this.#attempts.inc({ outcome });
   }
 
-  countRetry(reason: string): void {
-    this.#retries.inc({ reason });
+  /** Counts a request that is sent once more to an endpoint of a service. */
+  countRepeat(service: string, reason: string): void {
+    this.#repeats.inc({ service, reason });
+  }
+
+  /** Counts a request that is not sent once more, as the retry budget is exhausted. */
+  countDeniedRepeat(service: string, reason: string): void {
+    this.#deniedRepeats.inc({ service, reason });
+  }
+
+  setRetryBudgetGateways(count: number): void {
+    this.#retryBudgetGateways.set(count);
   }
 
   countCrashSuspect(hasBegun: boolean): void {
--- a/packages/gateway/src/relay/context.ts
+++ b/packages/gateway/src/relay/context.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Clock, DataCentreId, EndpointId, Rng } from "@wisteriapick/core";
-import type { ColdLimiter, RetryBudget } from "@wisteriapick/policy";
+import type { ColdLimiter } from "@wisteriapick/policy";
 import type { DecisionLog } from "../observe/decision_log.ts";
 import type { GatewayMetrics } from "../observe/metrics.ts";
 import type { VersionMoves } from "../moves/version_moves.ts";
@@ -15,6 +15,7 @@
 import type { AccessControl } from "./access_control.ts";
 import type { CrashTracker } from "./crash_tracker.ts";
 import type { EndpointLimits } from "./endpoint_limits.ts";
+import type { Repeats } from "./repeats.ts";
 
 /** State and services shared by the classes of the relay. */
 export interface RelayContext {
@@ -28,7 +29,7 @@
   readonly dialect: EndpointDialect;
   readonly access: AccessControl;
   readonly keys: KeyLease;
-  readonly budget: RetryBudget;
+  readonly repeats: Repeats;
   readonly coldLimiter: ColdLimiter;
   readonly crashes: CrashTracker;
   readonly limits: EndpointLimits;
--- a/packages/gateway/src/relay/engine_dispatcher.ts
+++ b/packages/gateway/src/relay/engine_dispatcher.ts
@@ -382,7 +382,10 @@
     if (this.#events.onLost(run, loss)) return;
     const assigned = this.#services.get(run);
     const isNotRun = !run.hasDelivered && !run.mayHaveRun;
-    if (isNotRun && run.sends < MAX_SENDS && assigned !== undefined && this.#isWithinBudget(loss)) {
+    if (
+      isNotRun && run.sends < MAX_SENDS && assigned !== undefined &&
+      this.#isWithinBudget(run, assigned.service, loss)
+    ) {
       this.#enqueue(run, assigned.service, assigned.engine);
       return this.#dispatchQueue(this.#ctx.clock.now());
     }
@@ -393,10 +396,9 @@
   }
 
   /** Whether a run may be sent once more. A refused request has reached an endpoint, so that its repeat counts. */
-  #isWithinBudget({ type }: RunLoss): boolean {
+  #isWithinBudget(run: StreamRun, service: ServiceId, { type }: RunLoss): boolean {
     if (type !== "not_run" && type !== "misdirected") return true;
-    const { budget, clock, gatewayCount } = this.#ctx;
-    return budget.take(clock.now(), gatewayCount());
+    return this.#ctx.repeats.take({ requestId: run.id, service, reason: type });
   }
 
   #recordVersionOutcome(
--- a/packages/gateway/src/relay/plain_call.ts
+++ b/packages/gateway/src/relay/plain_call.ts
@@ -121,11 +121,11 @@
       if (this.#limitedEndpoints.length > 0) return this.#waitForPermit(reason, now);
       return this.#finishWithoutRetry();
     }
-    if (this.#arrivals > 0 && !this.#ctx.budget.take(now, this.#ctx.gatewayCount())) {
-      this.#ctx.log.request("repeat_denied", { req: this.#req.requestId, why: reason });
-      return this.#finishWithoutRetry();
+    if (this.#arrivals > 0) {
+      const { requestId } = this.#req;
+      const repeat = { requestId, service: row.record.service, reason };
+      if (!this.#ctx.repeats.take(repeat)) return this.#finishWithoutRetry();
     }
-    if (this.#arrivals > 0) this.#ctx.metrics.countRetry(reason);
     this.#send(row, reason, now);
   }
 
@@ -286,7 +286,7 @@
   #canRetry(): boolean {
     const now = this.#ctx.clock.now();
     return this.#reached < this.#req.route.maxEndpoints && this.#chooseEndpoint(now) !== null &&
-      this.#ctx.budget.remaining(now, this.#ctx.gatewayCount()) >= 1;
+      this.#ctx.repeats.isAllowed();
   }
 
   #onVerdict(attempt: Attempt, verdict: HeadVerdict): void {
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -95,7 +95,7 @@
       arrivedAtMs,
       dueAtMs: arrivedAtMs + timeoutMs,
     };
-    ctx.budget.recordRequest(arrivedAtMs);
+    ctx.repeats.recordRequest(arrivedAtMs);
     const admission = ctx.crashes.admission(req);
     if (admission.type === "refused") {
       const rejection = {
--- a/packages/gateway/tests/relay_test.ts
+++ b/packages/gateway/tests/relay_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { ManualClock, type Undo } from "@wisteriapick/core";
-import { canShedToOthers, HostOverload, RetryBudget } from "@wisteriapick/policy";
+import { canShedToOthers, HostOverload } from "@wisteriapick/policy";
 import type { ServiceConfig } from "../src/config/types.ts";
 import { RouteTable } from "../src/config/route_table.ts";
 import { GatewayMetrics } from "../src/observe/metrics.ts";
@@ -70,7 +70,7 @@
     fleet,
     keys,
     access: new AccessControl({ fleet, keys }),
-    budget: new RetryBudget({ ratio: 0.2, extra: 50, windowMs: 10_000 }),
+    repeats: { recordRequest: () => {} },
     crashes: { admission: () => ({ type: "send", isTrial: false }) },
   } as unknown as RelayContext;
   const relay = new Relay({
