Keep the repeats of all gateways within the budget of each service

Causes: - A gateway had one budget for all services, so that calls, three quarters of all requests, allowed repeats of generations. - The fixed part was divided by the gateways that this one reached in the last 20 s, so that each gateway behind a partition took all of it; one that had just started took a share as large as its seeds gave, right after its last process had used its own. - What a gateway allowed was the requests of the last window, which at its end may be more than those of each window that the rule looks at. - A repeat was taken when a run was lost, not when it was sent once more, up to seconds later; a run that was refused, and then found its next engine unreachable, took nothing for the third.

Changes: each service has its own budget, filled by the requests of the routes to it. Every send of a run that has reached an engine takes a repeat; a run whose repeat is denied is refused at once as not run.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,7 +12,7 @@
   toWpError,
   type Undo,
 } from "@wisteriapick/core";
-import { canShedToOthers, ColdLimiter, HostOverload, RetryBudget } from "@wisteriapick/policy";
+import { canShedToOthers, ColdLimiter, HostOverload, RetryBudgets } from "@wisteriapick/policy";
 import type { Address } from "@wisteriapick/wire";
 import type { DecisionLog } from "./observe/decision_log.ts";
 import { LoopMonitor } from "./observe/loop_monitor.ts";
@@ -99,7 +99,7 @@
   readonly #readinessServer: PlainServer;
   readonly #metricsServer: PlainServer | null;
   readonly #undos: Undo[] = [];
-  readonly #retryBudget: RetryBudget;
+  readonly #retryBudgets: RetryBudgets;
   readonly #coldLimiter: ColdLimiter;
   readonly #keys: KeyLease;
   readonly #overload = new HostOverload();
@@ -142,7 +142,10 @@
       revocation: revocationOptions(settings.bounds),
     });
     this.#upstreams = new Upstreams(this.#fleet);
-    this.#retryBudget = new RetryBudget(retryOptions(settings.bounds));
+    this.#retryBudgets = new RetryBudgets({
+      ...retryOptions(settings.bounds),
+      startedAtMs: clock.now(),
+    });
     this.#coldLimiter = new ColdLimiter(coldOptions(settings.bounds), rng.fork("cold"));
     this.#network = new PeerNetwork({
       name: settings.name,
@@ -200,11 +203,11 @@
       access: new AccessControl({ fleet: this.#fleet, keys: this.#keys }),
       keys: this.#keys,
       repeats: new Repeats({
-        budget: this.#retryBudget,
+        budgets: this.#retryBudgets,
         clock,
         log,
         metrics,
-        gatewayCount: () => this.#network.memberCount(),
+        gatewayCount: () => this.#network.sharingCount(),
       }),
       coldLimiter: this.#coldLimiter,
       crashes,
@@ -323,7 +326,7 @@
 
   /** Applies those settings that may change while the process runs. */
   reconfigure({ bounds }: GatewaySettings): void {
-    this.#retryBudget.configure(retryOptions(bounds));
+    this.#retryBudgets.configure(retryOptions(bounds));
     this.#coldLimiter.configure(coldOptions(bounds));
     this.#keys.configure(revocationOptions(bounds));
   }
--- a/packages/gateway/src/peers/peer_network.ts
+++ b/packages/gateway/src/peers/peer_network.ts
@@ -13,6 +13,7 @@
   toWpError,
   type Undo,
 } from "@wisteriapick/core";
+import { GatewayCensus } from "@wisteriapick/policy";
 import {
   type Address,
   formatAddress,
@@ -82,6 +83,7 @@
   /** Addresses that this gateway dials now or will dial after the fallback delay, with how to stop. */
   readonly #dialled = new Map<string, Undo>();
   readonly #stopping = new Set<string>();
+  readonly #census = new GatewayCensus();
   readonly #overloaded = new Set<string>();
   readonly #known = new Map<string, GatewayAddress>();
   readonly #handlers = new Map<string, PeerHandler<Message["kind"]>>();
@@ -141,7 +143,10 @@
       (peer, { digest }) => this.#exchange.onDigest(peer, digest),
     );
     this.registerHandler("gateways_request", (peer) => this.#exchange.onRequest(peer));
-    this.registerHandler("gateway_stopping", (peer) => void this.#stopping.add(peer));
+    this.registerHandler("gateway_stopping", (peer) => {
+      this.#stopping.add(peer);
+      this.#census.recordStop(peer, clock.now());
+    });
     this.registerHandler("gateway_overload", (peer, { isOverloaded }) => {
       if (isOverloaded) this.#overloaded.add(peer);
       else this.#overloaded.delete(peer);
@@ -236,10 +241,28 @@
     return Math.max(count, this.#options.seeds.length);
   }
 
+  /**
+   * Number of gateways among which limits that must not be exceeded are divided, this one included: all that were known
+   * lately, as those without a link may be serving behind a partition. `null` if no other is known yet, though the
+   * settings name some.
+   */
+  sharingCount(): number | null {
+    const { clock, seeds, address } = this.#options;
+    const own = formatAddress(address);
+    const hasOthers = seeds.some((seed) => formatAddress(seed) !== own);
+    if (hasOthers && !this.#census.hasSeenAny) return null;
+    const now = clock.now();
+    for (const [name, { links }] of this.#peers) {
+      if (links.size > 0 && !this.#stopping.has(name)) this.#census.recordSeen(name, now);
+    }
+    return Math.max(this.#census.count(now) + 1, seeds.length);
+  }
+
   /** Adds or updates gateways that peers or the store know, and dials them. */
   addGateways(gateways: readonly GatewayAddress[]): void {
     for (const gateway of gateways) {
       if (gateway.name === this.#options.name) continue;
+      this.#census.recordNamed(gateway.name, this.#options.clock.now());
       this.#membershipVersion++;
       const known = this.#known.get(gateway.name);
       this.#known.set(gateway.name, {
@@ -322,6 +345,7 @@
     // The first link after a loss may lead to a new process with the same name.
     this.#stopping.delete(name);
     this.#overloaded.delete(name);
+    this.#census.recordSeen(name, this.#options.clock.now());
     this.#options.log.state("peer_linked", { peer: name, process: link.peer.process });
     for (const listener of this.#upListeners) listener(name);
   }
--- a/packages/gateway/src/relay/engine_dispatcher.ts
+++ b/packages/gateway/src/relay/engine_dispatcher.ts
@@ -325,8 +325,12 @@
 
   #place(queued: QueuedGeneration, choice: EngineChoice<EngineWithLoad>, now: number): void {
     const { candidate, peak, firstEventMs } = choice;
-    const { run } = queued;
+    const { run, service } = queued;
     const { id } = candidate.row.record;
+    const repeat = { requestId: run.id, service, reason: run.lastLoss ?? "not_run" };
+    if (run.arrivals > 0 && !this.#ctx.repeats.take(repeat)) {
+      return run.fail({ reason: "overloaded", notRun: true, retryAfterMs: RETRY_AFTER_FULL_MS });
+    }
     this.#ctx.log.request("run_placed", {
       req: run.id,
       endpoint: id,
@@ -395,10 +399,10 @@
     run.fail({ reason: "engine_lost", notRun: "unknown" });
   }
 
-  /** Whether a run may be sent once more. A refused request has reached an endpoint, so that its repeat counts. */
+  /** Whether a run may be queued once more. The repeat is taken from the budget when it is sent. */
   #isWithinBudget(run: StreamRun, service: ServiceId, { type }: RunLoss): boolean {
-    if (type !== "not_run" && type !== "misdirected") return true;
-    return this.#ctx.repeats.take({ requestId: run.id, service, reason: type });
+    return run.arrivals === 0 ||
+      this.#ctx.repeats.check({ requestId: run.id, service, reason: type });
   }
 
   #recordVersionOutcome(
--- a/packages/gateway/src/relay/plain_call.ts
+++ b/packages/gateway/src/relay/plain_call.ts
@@ -285,8 +285,9 @@
 
   #canRetry(): boolean {
     const now = this.#ctx.clock.now();
-    return this.#reached < this.#req.route.maxEndpoints && this.#chooseEndpoint(now) !== null &&
-      this.#ctx.repeats.isAllowed();
+    if (this.#reached >= this.#req.route.maxEndpoints) return false;
+    const row = this.#chooseEndpoint(now);
+    return row !== null && this.#ctx.repeats.isAllowed(row.record.service);
   }
 
   #onVerdict(attempt: Attempt, verdict: HeadVerdict): void {
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -95,7 +95,7 @@
       arrivedAtMs,
       dueAtMs: arrivedAtMs + timeoutMs,
     };
-    ctx.repeats.recordRequest(arrivedAtMs);
+    ctx.repeats.recordRequest(route);
     const admission = ctx.crashes.admission(req);
     if (admission.type === "refused") {
       const rejection = {
--- a/packages/gateway/src/relay/repeats.ts
+++ b/packages/gateway/src/relay/repeats.ts
@@ -1,21 +1,22 @@
 /**
- * Sends of requests that have reached an endpoint before, within the retry budget.
+ * Sends of requests that have reached an endpoint before, within the retry budget of their service.
  *
  * @module
  */
 import type { Clock, ServiceId } from "@wisteriapick/core";
-import type { RetryBudget } from "@wisteriapick/policy";
+import type { RetryBudgets } from "@wisteriapick/policy";
+import type { RouteConfig } from "../config/types.ts";
 import type { DecisionLog } from "../observe/decision_log.ts";
 import type { GatewayMetrics } from "../observe/metrics.ts";
 
 /** Options of {@link Repeats}. */
 export interface RepeatsOptions {
-  readonly budget: RetryBudget;
+  readonly budgets: RetryBudgets;
   readonly clock: Clock;
   readonly log: DecisionLog;
   readonly metrics: GatewayMetrics;
-  /** Number of gateways that share the budget, this one included. */
-  readonly gatewayCount: () => number;
+  /** Number of gateways that share the budgets, this one included; `null` while it is unknown. */
+  readonly gatewayCount: () => number | null;
 }
 
 /** A request that is about to be sent once more. */
@@ -26,7 +27,7 @@
   readonly reason: string;
 }
 
-/** Takes repeats from the retry budget, and records each one or its denial. */
+/** Takes repeats from the retry budgets, and records each one or its denial. */
 export class Repeats {
   readonly #options: RepeatsOptions;
 
@@ -34,25 +35,58 @@
     this.#options = options;
   }
 
-  /** Records a request of a caller, however often it is sent. */
-  recordRequest(nowMs: number): void {
-    this.#options.budget.recordRequest(nowMs);
+  /** Records a request of a caller, however often it is sent, for the services to which its route may send it. */
+  recordRequest({ targets }: RouteConfig): void {
+    const nowMs = this.#options.clock.now();
+    const total = targets.reduce((sum, { weight }) => sum + weight, 0);
+    for (const { service, weight } of targets) {
+      const fraction = targets.length === 1 ? 1 : weight / total;
+      if (fraction > 0) this.#options.budgets.of(service, nowMs).recordRequest(nowMs, fraction);
+    }
   }
 
-  /** Whether the budget allows a repeat now. */
-  isAllowed(): boolean {
-    return this.#remaining() >= 1;
+  /** Whether the budget of a service allows a repeat now. */
+  isAllowed(service: ServiceId): boolean {
+    return this.#remaining(service, this.#options.gatewayCount()) >= 1;
+  }
+
+  /** Like {@link isAllowed}, and records the denial if nothing is left. */
+  check(repeat: Repeat): boolean {
+    const gateways = this.#options.gatewayCount();
+    const remaining = this.#remaining(repeat.service, gateways);
+    if (remaining < 1) this.#record(repeat, { isAllowed: false, remaining, gateways });
+    return remaining >= 1;
   }
 
   /** Takes a repeat from the budget. Returns false, and records the denial, if nothing is left. */
-  take({ requestId, service, reason }: Repeat): boolean {
-    const { budget, clock, log, metrics, gatewayCount } = this.#options;
+  take(repeat: Repeat): boolean {
+    const { budgets, clock, gatewayCount } = this.#options;
+    const nowMs = clock.now();
     const gateways = gatewayCount();
-    const remaining = this.#remaining();
-    const isAllowed = budget.take(clock.now(), gateways);
+    const remaining = this.#remaining(repeat.service, gateways);
+    const isAllowed = budgets.of(repeat.service, nowMs).take(nowMs, gateways);
+    this.#record(repeat, { isAllowed, remaining, gateways });
+    return isAllowed;
+  }
+
+  #remaining(service: ServiceId, gateways: number | null): number {
+    const { budgets, clock } = this.#options;
+    const nowMs = clock.now();
+    return budgets.of(service, nowMs).remaining(nowMs, gateways);
+  }
+
+  #record(
+    { requestId, service, reason }: Repeat,
+    { isAllowed, remaining, gateways }: {
+      readonly isAllowed: boolean;
+      readonly remaining: number;
+      readonly gateways: number | null;
+    },
+  ): void {
+    const { log, metrics } = this.#options;
     if (isAllowed) metrics.countRepeat(service, reason);
     else metrics.countDeniedRepeat(service, reason);
-    metrics.setRetryBudgetGateways(gateways);
+    metrics.setRetryBudgetGateways(gateways ?? 0);
     log.request(isAllowed ? "repeat_sent" : "repeat_denied", {
       req: requestId,
       service,
@@ -60,11 +94,5 @@
       remaining: Number(remaining.toFixed(2)),
       gateways,
     });
-    return isAllowed;
-  }
-
-  #remaining(): number {
-    const { budget, clock, gatewayCount } = this.#options;
-    return budget.remaining(clock.now(), gatewayCount());
   }
 }
--- a/packages/gateway/src/relay/stream_run.ts
+++ b/packages/gateway/src/relay/stream_run.ts
@@ -52,6 +52,16 @@
   readonly isDisconnected?: boolean;
 }
 
+/** Whether the request has reached the engine, by the reason for which its segment there ended. */
+const HAS_ARRIVED: { readonly [type in RunLoss["type"]]: boolean } = {
+  not_run: true,
+  misdirected: true,
+  lost: true,
+  unreachable: false,
+  unsendable: false,
+  withdrawn: false,
+};
+
 /** Callbacks to the owner of a run. */
 export interface RunEvents {
   /** The segment at the engine ended before the run did. The owner places the run again or ends it. */
@@ -101,6 +111,7 @@
   #firstEventMs: number | null = null;
   #isStalled = false;
   #sends = 0;
+  #arrivals = 0;
   #isComplete = false;
   #engineOutcome: EngineOutcome | null = null;
 
@@ -252,6 +263,7 @@
     });
     this.#engines.push(row.record.id);
     this.#sends++;
+    this.#arrivals++;
     if (row.coldUntilMs > now) this.#ctx.coldLimiter.recordSent(row.record.id, now);
     // The new engine sends an event that was cut off once more in full, so its partial bytes are discarded.
     this.#reader = new EventReader(this.#reader.lastId);
@@ -301,6 +313,16 @@
     return this.#sends;
   }
 
+  /** Why the last segment ended before the run did; `null` if none has. */
+  get lastLoss(): RunLoss["type"] | null {
+    return this.#segment?.pendingLoss?.type ?? null;
+  }
+
+  /** Number of times that the run has reached an engine, including those that refused it. */
+  get arrivals(): number {
+    return this.#arrivals;
+  }
+
   /** Records that the engine has been requested to stop the run, so that the end of its stream is not a loss. */
   beginStop(): void {
     if (this.#phase === "streaming" || this.#phase === "sent") this.#phase = "stopping";
@@ -436,6 +458,7 @@
     if (segment !== this.#segment || this.#phase === "ended") return;
     segment.pendingLoss = loss;
     if (loss.type !== "lost") this.#engines.pop();
+    if (!HAS_ARRIVED[loss.type]) this.#arrivals--;
     if (loss.type === "not_run") this.#refusedBy.add(segment.endpoint.id);
     if (segment.isPassThrough) {
       this.#engineOutcome = "failed";
--- a/packages/gateway/tests/peer_network_test.ts
+++ b/packages/gateway/tests/peer_network_test.ts
@@ -59,3 +59,25 @@
   await until(() => a.overloadCounts().total === 0);
   assert.deepEqual(a.overloadCounts(), { total: 0, overloaded: 0 });
 });
+
+// Guards against limits for all gateways that are divided by too few: by a gateway that has just started, or by one whose
+// peer still serves, but is out of reach.
+test("a gateway shares limits with the peers that it has known lately", async (t) => {
+  const [first, second] = [await freeAddress(), await freeAddress()];
+  const a = makeNetwork("entry-1", first, [first]);
+  const b = makeNetwork("entry-2", second, [first]);
+  t.after(async () => {
+    await a.stop();
+    await b.stop();
+  });
+  assert.equal(a.sharingCount(), 1, "its only seed is itself");
+  assert.equal(b.sharingCount(), null, "its seed may know many others");
+  await a.start();
+  await b.start();
+  await until(() => a.linked().length === 1 && b.linked().length === 1);
+  assert.equal(a.sharingCount(), 2);
+  assert.equal(b.sharingCount(), 2);
+  await a.stop();
+  await until(() => b.linked().length === 0);
+  assert.equal(b.sharingCount(), 2);
+});
--- a/packages/gateway/tests/repeats_test.ts
+++ b/packages/gateway/tests/repeats_test.ts
@@ -1,17 +1,19 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { ManualClock } from "@wisteriapick/core";
-import { RetryBudget } from "@wisteriapick/policy";
+import { ManualClock, serviceId } from "@wisteriapick/core";
+import { RetryBudgets } from "@wisteriapick/policy";
 import { GatewayMetrics } from "../src/observe/metrics.ts";
 import { Repeats } from "../src/relay/repeats.ts";
-import { MemoryLog, SCRIBE } from "./fixtures.ts";
+import { makeRoute, MemoryLog, SCRIBE } from "./fixtures.ts";
 
-function makeRepeats() {
+const COUNTER = serviceId("counter");
+
+function makeRepeats({ ratio = 0, extra = 5 } = {}) {
   const clock = new ManualClock();
   const log = new MemoryLog();
   const metrics = new GatewayMetrics();
   const repeats = new Repeats({
-    budget: new RetryBudget({ ratio: 0, extra: 5, windowMs: 10_000 }),
+    budgets: new RetryBudgets({ ratio, extra, windowMs: 10_000 }),
     clock,
     log,
     metrics,
@@ -37,3 +39,29 @@
   assert.match(text, /wisteriapick_repeats_denied_total\{service="scribe",reason="not_run"\} 1/);
   assert.match(text, /wisteriapick_retry_budget_gateways 4/);
 });
+
+// Guards against calls to one service that let the requests for another one be repeated more often than is allowed.
+test("requests count for the services of their route", () => {
+  const { repeats } = makeRepeats({ ratio: 0.2, extra: 0 });
+  const call = makeRoute({ targets: [{ service: COUNTER, weight: 1 }] });
+  for (let i = 0; i < 100; i++) repeats.recordRequest(call);
+  assert.equal(repeats.isAllowed(COUNTER), true);
+  assert.equal(repeats.isAllowed(SCRIBE), false);
+  const split = makeRoute({
+    targets: [{ service: COUNTER, weight: 3 }, { service: SCRIBE, weight: 1 }],
+  });
+  for (let i = 0; i < 48; i++) repeats.recordRequest(split);
+  assert.equal(repeats.isAllowed(SCRIBE), false);
+  for (let i = 0; i < 8; i++) repeats.recordRequest(split);
+  assert.equal(repeats.isAllowed(SCRIBE), true);
+});
+
+test("a check takes nothing from the budget, and records a denial", () => {
+  const { repeats, log } = makeRepeats();
+  const repeat = { requestId: "r-1", service: SCRIBE, reason: "not_run" };
+  assert.equal(repeats.check(repeat), true);
+  assert.equal(log.events.length, 0);
+  assert.equal(repeats.take(repeat), true);
+  assert.equal(repeats.check(repeat), false);
+  assert.equal(log.count("repeat_denied"), 1);
+});
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -16,6 +16,7 @@
 export * from "./engine_placement.ts";
 export * from "./engine_queue.ts";
 export * from "./fair_queue.ts";
+export * from "./gateway_census.ts";
 export * from "./host_overload.ts";
 export * from "./interfaces.ts";
 export * from "./knowledge_lease.ts";
