Keep the share of cold endpoints small at gateways behind a partition

The limit of a cold endpoint was divided by the gateways that a gateway reached in the last 20 s. Behind a partition that is one, or the seeds, while all others go on serving, so that each of them took a whole share. Found as the same cause as that of too many repeats; no case of it was seen.

A gateway that knows no other yet still uses the number of seeds. Permits of limited endpoints are unchanged.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -216,6 +216,7 @@
       announceLeaving: (endpoint) =>
         this.#network.broadcast({ kind: "endpoint_leaving", endpoint }),
       gatewayCount: () => this.#network.memberCount(),
+      sharingCount: () => this.#network.sharingCount() ?? this.#network.memberCount(),
     };
     this.#dispatcher = new EngineDispatcher(ctx, {
       onEnd: (run) => this.#migrator.forget(run),
--- a/packages/gateway/src/peers/peer_network.ts
+++ b/packages/gateway/src/peers/peer_network.ts
@@ -59,7 +59,7 @@
 const DIAL_FALLBACK_DELAY_MS = 600;
 /** Bytes waiting on a link from which messages with state wait. At 10 Mbit/s, this much is sent in 50 ms. */
 const CONGESTED_BYTES = 65_536;
-/** Time without a link after which a peer no longer counts as a gateway that shares limits with this one. */
+/** Time without a link after which a peer no longer counts as one that this gateway reaches. */
 const MEMBER_TTL_MS = 20_000;
 
 /** Protocol version from which on gateways exchange digests instead of whole lists. */
@@ -230,7 +230,7 @@
     return { total: serving.length, overloaded };
   }
 
-  /** Number of gateways that may be sharing limits, including this one. */
+  /** Number of gateways that are or were just reached, including this one. */
   memberCount(): number {
     const oldest = this.#options.clock.now() - MEMBER_TTL_MS;
     let count = 1;
--- a/packages/gateway/src/relay/cold_limit.ts
+++ b/packages/gateway/src/relay/cold_limit.ts
@@ -11,5 +11,5 @@
   if (row.coldUntilMs <= nowMs) return true;
   const perSecond = ctx.fleet.routes?.service(row.record.service)?.coldPerSecond ?? 0;
   if (perSecond === 0) return true;
-  return ctx.coldLimiter.allows(row.record.id, perSecond, ctx.gatewayCount(), nowMs);
+  return ctx.coldLimiter.allows(row.record.id, perSecond, ctx.sharingCount(), nowMs);
 }
--- a/packages/gateway/src/relay/context.ts
+++ b/packages/gateway/src/relay/context.ts
@@ -36,6 +36,8 @@
   readonly moves: VersionMoves;
   /** Tells the other gateways that an endpoint leaves. */
   announceLeaving(endpoint: EndpointId): void;
-  /** Number of gateways that share budgets, this one included. */
+  /** Number of gateways that this one reaches, itself included. */
   gatewayCount(): number;
+  /** Number of gateways that may be sending to the same endpoints, those behind a partition included. */
+  sharingCount(): number;
 }
