--- a/packages/gateway/src/observe/metrics.ts
+++ b/packages/gateway/src/observe/metrics.ts
@@ -22,7 +22,7 @@
   readonly #attempts: Counter<"outcome">;
   readonly #repeats: Counter<"service" | "reason">;
   readonly #deniedRepeats: Counter<"service" | "reason">;
-  readonly #retryBudgetGateways: Gauge<string>;
+  #countGateways: () => number = () => 0;
   readonly #copies: Counter<"outcome">;
   readonly #storeCalls: Counter<"call" | "outcome">;
   readonly #storeBytes: Counter<"kind">;
@@ -106,10 +106,15 @@
       "config_age_seconds",
       "Time since the configuration in force was last known to be the newest one",
     );
-    this.#retryBudgetGateways = gauge(
-      "retry_budget_gateways",
-      "Gateways among which the fixed part of the retry budgets is divided",
-    );
+    const countGateways = () => this.#countGateways();
+    new Gauge({
+      name: "wisteriapick_retry_budget_gateways",
+      help: "Gateways among which the fixed part of the retry budgets is divided; 0 if unknown",
+      registers,
+      collect() {
+        this.set(countGateways());
+      },
+    });
     this.#queued = gauge("waiting_requests", "Requests that wait for an engine");
     this.#running = gauge("running_streams", "Streams under way");
   }
@@ -137,8 +142,9 @@
     this.#deniedRepeats.inc({ service, reason });
   }
 
-  setRetryBudgetGateways(count: number): void {
-    this.#retryBudgetGateways.set(count);
+  /** Sets how the gateways that share the retry budgets are counted when the metrics are read. */
+  setGatewayCounter(count: () => number): void {
+    this.#countGateways = count;
   }
 
   countCrashSuspect(hasBegun: boolean): void {
--- a/packages/gateway/src/relay/repeats.ts
+++ b/packages/gateway/src/relay/repeats.ts
@@ -33,6 +33,7 @@
 
   constructor(options: RepeatsOptions) {
     this.#options = options;
+    options.metrics.setGatewayCounter(() => options.gatewayCount() ?? 0);
   }
 
   /** Records a request of a caller, however often it is sent, for the services to which its route may send it. */
@@ -86,7 +87,6 @@
     const { log, metrics } = this.#options;
     if (isAllowed) metrics.countRepeat(service, reason);
     else metrics.countDeniedRepeat(service, reason);
-    metrics.setRetryBudgetGateways(gateways ?? 0);
     log.request(isAllowed ? "repeat_sent" : "repeat_denied", {
       req: requestId,
       service,
