Count runs that go on at another engine against the retry budget

A run that is moved off a leaving engine, or goes on from its copy after a crash, is one more arrival of its request at the service, and took nothing from the retry budget.

Such a run is sent whatever is left, as it would be lost otherwise, and takes from what is left for others. The field of the lines about repeats is called 'reason', as in the metrics.

--- a/packages/gateway/src/relay/repeats.ts
+++ b/packages/gateway/src/relay/repeats.ts
@@ -70,6 +70,16 @@
     return isAllowed;
   }
 
+  /** Records a repeat that is sent whatever is left, as a run that has begun would be lost without it. */
+  recordUnasked(repeat: Repeat): void {
+    const { budgets, clock, gatewayCount } = this.#options;
+    const nowMs = clock.now();
+    const gateways = gatewayCount();
+    const remaining = this.#remaining(repeat.service, gateways);
+    budgets.of(repeat.service, nowMs).recordRetry(nowMs);
+    this.#record(repeat, { isAllowed: true, remaining, gateways });
+  }
+
   #remaining(service: ServiceId, gateways: number | null): number {
     const { budgets, clock } = this.#options;
     const nowMs = clock.now();
@@ -90,7 +100,7 @@
     log.request(isAllowed ? "repeat_sent" : "repeat_denied", {
       req: requestId,
       service,
-      why: reason,
+      reason,
       remaining: Number(remaining.toFixed(2)),
       gateways,
     });
--- a/packages/gateway/src/relay/run_migrator.ts
+++ b/packages/gateway/src/relay/run_migrator.ts
@@ -265,13 +265,14 @@
     reason: string,
   ): void {
     const { registry } = this.#dispatcher;
+    this.#ctx.repeats.recordUnasked({ requestId: run.id, service: row.record.service, reason });
     registry.removeCopies(run);
     registry.place(run, row.record.id, this.#ctx.clock.now(), false);
     run.send({
       row,
       resumeFrom: { ...memory, lastEventId: run.lastEventId },
       enginePriority: this.#dispatcher.enginePriority(run),
-      reason: reason,
+      reason,
     });
   }
 }
--- a/packages/gateway/tests/repeats_test.ts
+++ b/packages/gateway/tests/repeats_test.ts
@@ -29,7 +29,7 @@
   const repeat = { requestId: "r-1", service: SCRIBE, reason: "not_run" };
   assert.equal(repeats.take(repeat), true);
   assert.equal(repeats.take(repeat), false);
-  const fields = { req: "r-1", service: SCRIBE, why: "not_run", gateways: 4 };
+  const fields = { req: "r-1", service: SCRIBE, reason: "not_run", gateways: 4 };
   assert.deepEqual(log.events, [
     { event: "repeat_sent", fields: { ...fields, remaining: 1 } },
     { event: "repeat_denied", fields: { ...fields, remaining: 0 } },
@@ -65,3 +65,14 @@
   assert.equal(repeats.check(repeat), false);
   assert.equal(log.count("repeat_denied"), 1);
 });
+
+// Guards against runs that go on at another engine beside as many repeats as the budget allows.
+test("a repeat that is sent whatever is left takes from the budget", () => {
+  const { repeats, log } = makeRepeats({ extra: 10 });
+  const repeat = { requestId: "r-1", service: SCRIBE, reason: "moved" };
+  repeats.recordUnasked(repeat);
+  assert.equal(repeats.isAllowed(SCRIBE), true);
+  repeats.recordUnasked(repeat);
+  assert.equal(repeats.take({ ...repeat, reason: "not_run" }), false);
+  assert.equal(log.count("repeat_sent"), 2);
+});
