Date a request back by a stall once, and only while its backlog lasts

What callers saw: requests cut as late although they had time left. In a test beside load, a draft whose caller had waited for 2.1 s was sent with waitedMs 4175 and remainingMs -1186, and then answered as late.

Cause: the arrival was read from the clock with the head, and dated back by the last stall when the body had been read. A stall between the two, which is where a busy process is interrupted, counted twice. The last stall also counted until the next poll of the monitor, up to 50 ms after its end, for requests that came after it; and no longer than that for connections that were opened during it. Node.js accepts one connection in each iteration of the loop (measured on 20.19.0: 60 connections of a stall were read in iterations 1 to 60), so behind a burst a caller's disconnect could be missed.

Change: the arrival is dated by the stall before the head. A stall counts until polls accept no new connection any more, at most for as long as it took.

On the code before: "a stall while a body is read counts once" fails with -850 in place of 0, and "nothing counts as having waited once connections have been polled after a stall" with "900 !== 0".

--- a/packages/gateway/src/observe/loop_monitor.ts
+++ b/packages/gateway/src/observe/loop_monitor.ts
@@ -1,8 +1,10 @@
 /**
- * Measures for how long the event loop has not polled its connections.
+ * Measures for how long the event loop has not polled its connections, and for how long what is read now may have
+ * waited.
  *
  * Load pattern: a weak or slowed host under a burst. Requests that are read after a stall arrived at any time during
- * it, and their callers may have disconnected since.
+ * it, and their callers may have disconnected since. New connections wait longest: Node.js accepts one in each
+ * iteration of the loop.
  *
  * @module
  */
@@ -18,12 +20,19 @@
 export class LoopMonitor {
   readonly #clock: Clock;
   readonly #log: DecisionLog;
-  readonly #onPoll: (delayMs: number) => void;
+  readonly #onPoll: (delayMs: number, nowMs: number) => void;
   #lastPollMs: number;
-  #lastDelayMs = 0;
+  /** Duration of the last stall, while connections that were opened during it may still be unread; otherwise 0. */
+  #backlogMs = 0;
+  #backlogSinceMs = 0;
+  #connections = 0;
 
-  /** `onPoll` is called after each poll with its delay in milliseconds. */
-  constructor(clock: Clock, log: DecisionLog, onPoll: (delayMs: number) => void = () => {}) {
+  /** `onPoll` is called after each poll with its delay in milliseconds, and the time by `clock`. */
+  constructor(
+    clock: Clock,
+    log: DecisionLog,
+    onPoll: (delayMs: number, nowMs: number) => void = () => {},
+  ) {
     this.#onPoll = onPoll;
     this.#clock = clock;
     this.#log = log;
@@ -34,25 +43,44 @@
     this.#lastPollMs = this.#clock.now();
     return this.#clock.setRepeating(POLL_INTERVAL_MS, () => {
       const now = this.#clock.now();
-      this.#lastDelayMs = now - this.#lastPollMs - POLL_INTERVAL_MS;
+      const delayMs = now - this.#lastPollMs - POLL_INTERVAL_MS;
       this.#lastPollMs = now;
-      this.#onPoll(this.#lastDelayMs);
-      if (this.#lastDelayMs < STALL_MS) return;
-      this.#log.state("process_stalled", { ms: Math.round(this.#lastDelayMs) });
+      this.#onPoll(delayMs, now);
+      if (delayMs < STALL_MS) return;
+      this.#log.state("process_stalled", { ms: Math.round(delayMs) });
+      const isReading = this.#backlogMs > 0;
+      this.#backlogMs = Math.max(this.#backlogMs, delayMs);
+      this.#backlogSinceMs = now;
+      if (!isReading) this.#awaitBacklog();
     });
   }
 
-  /** Time for which data that is read now may have been waiting, in milliseconds; 0 if the process is not stalled. */
+  /** Time for which data that is read now may have been waiting, in milliseconds; 0 if it was not held up by a stall. */
   stallMs(): number {
-    const delayMs = Math.max(
-      this.#lastDelayMs,
-      this.#clock.now() - this.#lastPollMs - POLL_INTERVAL_MS,
-    );
-    return delayMs < STALL_MS ? 0 : delayMs;
+    const delayMs = this.#clock.now() - this.#lastPollMs - POLL_INTERVAL_MS;
+    return Math.max(this.#backlogMs, delayMs < STALL_MS ? 0 : delayMs);
+  }
+
+  /** Records that a connection was accepted. */
+  recordConnection(): void {
+    this.#connections++;
   }
 
   /** Calls `fn` after connections have been polled once more, so that callers' disconnects are known by then. */
   afterNextPoll(fn: () => void): void {
     setImmediate(() => setImmediate(fn));
   }
+
+  /**
+   * Ends the backlog of a stall once polls accept no connection any more, or as much time has passed as the stall took:
+   * what is read then would count as having arrived after it.
+   */
+  #awaitBacklog(): void {
+    const connections = this.#connections;
+    this.afterNextPoll(() => {
+      const isOver = this.#clock.now() - this.#backlogSinceMs >= this.#backlogMs;
+      if (this.#connections !== connections && !isOver) return this.#awaitBacklog();
+      this.#backlogMs = 0;
+    });
+  }
 }
--- a/packages/gateway/src/surface/proxy_server.ts
+++ b/packages/gateway/src/surface/proxy_server.ts
@@ -185,6 +185,7 @@
   }
 
   #onConnection(socket: Socket): void {
+    this.#options.loop.recordConnection();
     this.#connections.set(socket, {
       exchanges: new Set(),
       reading: null,
@@ -195,8 +196,9 @@
   }
 
   #onRequest(req: IncomingMessage, res: ServerResponse): void {
-    const { handler, clock } = this.#options;
-    const arrivedAtMs = clock.now();
+    const { handler, clock, loop } = this.#options;
+    // A stall that holds up the request later, as while its body is read, passes on the clock.
+    const arrivedAtMs = clock.now() - loop.stallMs();
     const connection = this.#connections.get(req.socket);
     const exchange = this.#createExchange(req, res);
     // The parser may deliver requests that followed a refused one before the connection is closed.
@@ -224,10 +226,11 @@
   /** Delays a request until the first configuration is known, as callers rarely retry more than once. */
   #waitForConfig(req: IncomingMessage, res: ServerResponse, arrival: Arrival): void {
     const { handler, clock } = this.#options;
-    const { exchange, arrivedAtMs } = arrival;
+    const { exchange } = arrival;
     exchange.stage = "waiting_for_config";
+    const waitsUntilMs = clock.now() + MAX_CONFIG_WAIT_MS;
     const undo = clock.setRepeating(CONFIG_CHECK_INTERVAL_MS, () => {
-      const hasTimedOut = clock.now() >= arrivedAtMs + MAX_CONFIG_WAIT_MS;
+      const hasTimedOut = clock.now() >= waitsUntilMs;
       if (!res.destroyed && !handler.isReady() && !hasTimedOut) return;
       undo();
       if (!res.destroyed) this.#read(req, res, arrival);
@@ -259,7 +262,7 @@
       this.#options.loop.afterNextPoll(() => {
         if (!hasDisconnected(req, res)) {
           exchange.stage = "with_relay";
-          return handler.handle(head, body, arrivedAtMs - stallMs, responder);
+          return handler.handle(head, body, arrivedAtMs, responder);
         }
         this.#options.log.request("caller_left_unread", {
           req: head.requestId,
--- a/packages/gateway/tests/loop_monitor_test.ts
+++ b/packages/gateway/tests/loop_monitor_test.ts
@@ -18,6 +18,66 @@
   assert.equal(stalledMonitor.stallMs(), 900 - POLL_INTERVAL_MS);
 });
 
+/** A clock whose timers fire late: all that are due, after the time has passed. */
+class StalledClock extends ManualClock {
+  #lateMs = 0;
+
+  override now(): number {
+    return super.now() + this.#lateMs;
+  }
+
+  /** Stalls until the next timer, which is `ms` milliseconds late. */
+  stall(ms: number): void {
+    this.#lateMs += ms;
+    this.advance(POLL_INTERVAL_MS);
+  }
+}
+
+const nextIteration = () => new Promise<void>((resolve) => setImmediate(resolve));
+
+// Guards against requests that count as late although they arrived after the stall, for up to 50 ms.
+test("nothing counts as having waited once connections have been polled after a stall", async () => {
+  const clock = new StalledClock();
+  const monitor = new LoopMonitor(clock, new MemoryLog());
+  monitor.start();
+  clock.advance(POLL_INTERVAL_MS);
+  clock.stall(900);
+  assert.equal(monitor.stallMs(), 900);
+  for (let i = 0; i < 4; i++) await nextIteration();
+  assert.equal(monitor.stallMs(), 0);
+});
+
+// Guards against running requests of callers that disconnected during a stall, and against deadlines that are too late:
+// Node.js accepts one connection in each iteration, so the last of a burst are read many iterations after a stall.
+test("connections that were opened during a stall count as having waited, however many they are", async () => {
+  const clock = new StalledClock();
+  const monitor = new LoopMonitor(clock, new MemoryLog());
+  monitor.start();
+  clock.advance(POLL_INTERVAL_MS);
+  clock.stall(900);
+  for (let i = 0; i < 60; i++) {
+    await nextIteration();
+    monitor.recordConnection();
+    if (i % 6 === 0) clock.advance(POLL_INTERVAL_MS);
+    assert.equal(monitor.stallMs(), 900, `connection ${i}`);
+  }
+  for (let i = 0; i < 4; i++) await nextIteration();
+  assert.equal(monitor.stallMs(), 0);
+});
+
+test("a host on which connections never cease counts nothing as having waited for a stall long past", async () => {
+  const clock = new StalledClock();
+  const monitor = new LoopMonitor(clock, new MemoryLog());
+  monitor.start();
+  clock.stall(400);
+  for (let i = 0; i < 20; i++) {
+    await nextIteration();
+    monitor.recordConnection();
+    clock.advance(POLL_INTERVAL_MS);
+  }
+  assert.equal(monitor.stallMs(), 0);
+});
+
 // Guards against running the request of a caller that disconnected during a stall, as both are read after it.
 test("a caller's disconnect during a stall is known before its request is dispatched", async () => {
   const monitor = new LoopMonitor(new SystemClock(), new MemoryLog());
--- /dev/null
+++ b/packages/gateway/tests/proxy_server_test.ts
@@ -0,0 +1,100 @@
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import { type AddressInfo, connect, createServer } from "node:net";
+import { test, type TestContext } from "node:test";
+import { ManualClock } from "@wisteriapick/core";
+import { LoopMonitor, POLL_INTERVAL_MS } from "../src/observe/loop_monitor.ts";
+import type { InboundHead } from "../src/relay/inbound.ts";
+import type { CallerDialect } from "../src/surface/caller_dialect.ts";
+import type { HttpResponder } from "../src/surface/http_responder.ts";
+import { ProxyServer } from "../src/surface/proxy_server.ts";
+import { MemoryLog } from "./fixtures.ts";
+
+const STALL_MS = 900;
+/** The part of the stall that the monitor notices: less than a whole interval may have passed before. */
+const NOTICED_MS = STALL_MS - POLL_INTERVAL_MS;
+
+async function freeAddress() {
+  const server = createServer().listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  server.close();
+  await once(server, "close");
+  return { host: "127.0.0.1", port };
+}
+
+/** Starts a server on a clock that the test moves; a clock that has moved without a poll is a stall. */
+async function startServer(t: TestContext) {
+  const clock = new ManualClock();
+  const log = new MemoryLog();
+  const loop = new LoopMonitor(clock, log);
+  const arrivals: number[] = [];
+  const waiters = { accepted: () => {}, handled: () => {} };
+  const dialect = { readHead: () => ({ requestId: "r-1" }) as InboundHead };
+  const address = await freeAddress();
+  const server = new ProxyServer({
+    address,
+    dialect: dialect as unknown as CallerDialect,
+    handler: {
+      isReady: () => true,
+      shouldLeave: () => false,
+      limits: () => ({
+        maxHeaderBytes: 8_192,
+        maxBodyBytes: 65_536,
+        headerTimeoutMs: 2_000,
+        idleTimeoutMs: 10_000,
+      }),
+      accept: () => {
+        waiters.accepted();
+        return true;
+      },
+      handle: (_head, _body, arrivedAtMs, responder: HttpResponder) => {
+        arrivals.push(arrivedAtMs);
+        responder.reject({ reason: "draining", notRun: true });
+        waiters.handled();
+      },
+    },
+    clock,
+    log,
+    loop,
+  });
+  await server.listen();
+  const socket = connect(address.port, address.host);
+  socket.resume();
+  await once(socket, "connect");
+  t.after(() => {
+    socket.destroy();
+    server.destroy();
+  });
+  const event = (name: keyof typeof waiters) =>
+    new Promise<void>((resolve) => {
+      waiters[name] = resolve;
+    });
+  return { clock, arrivals, socket, event };
+}
+
+const HEAD = "POST /drafts/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\n";
+
+// Guards against a request that is cut as late by twice the length of a stall: on a host that was busy, a draft whose
+// head was read 2.1 s before counted as having waited for 4.2 s.
+test("a stall while a body is read counts once", async (t) => {
+  const { clock, arrivals, socket, event } = await startServer(t);
+  const accepted = event("accepted");
+  socket.write(HEAD);
+  await accepted;
+  clock.advance(STALL_MS);
+  const handled = event("handled");
+  socket.write("abc");
+  await handled;
+  assert.deepEqual(arrivals, [0]);
+});
+
+// Its caller may have waited for as long as the stall took, and gives up that much sooner.
+test("a request that is read after a stall counts as having arrived when it began", async (t) => {
+  const { clock, arrivals, socket, event } = await startServer(t);
+  clock.advance(STALL_MS);
+  const handled = event("handled");
+  socket.write(`${HEAD}abc`);
+  await handled;
+  assert.deepEqual(arrivals, [STALL_MS - NOTICED_MS]);
+});
