Reject a request that is read after its deadline in place of sending it

What callers saw: 504, or an answer too late, for a request that no endpoint could finish, and which may have run. In a test beside load, a draft was sent to an engine with a remaining time of -1186 ms after a stall of 2.1 s.

Cause: nothing looked at the deadline before the first send; its timer fires after the request has been placed.

Change: such a request is rejected as not run.

On the code before, "a request that is read after its deadline is rejected as not run" fails: undefined in place of 'deadline_exceeded'.

--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -96,6 +96,15 @@
       dueAtMs: arrivedAtMs + timeoutMs,
     };
     ctx.repeats.recordRequest(route);
+    // A request that was read after a stall may have no time left, and an endpoint would work for nobody.
+    if (req.dueAtMs <= ctx.clock.now()) {
+      const rejection = {
+        reason: "deadline_exceeded",
+        notRun: true,
+        retryAfterMs: RETRY_AFTER_ELSEWHERE_MS,
+      } as const;
+      return this.#reject(head, rejection, responder);
+    }
     const admission = ctx.crashes.admission(req);
     if (admission.type === "refused") {
       const rejection = {
--- a/packages/gateway/tests/relay_test.ts
+++ b/packages/gateway/tests/relay_test.ts
@@ -82,9 +82,9 @@
     hasServingPeer: () => true,
     shouldShedStreams: () => overload.isOverloaded(clock.now()) && canShedToOthers(peers),
   });
-  const request = () => {
+  const request = ({ arrivedAtMs = clock.now() } = {}) => {
     const responder = new RecordingResponder();
-    relay.handle(makeHead(), null, clock.now(), responder);
+    relay.handle(makeHead(), null, arrivedAtMs, responder);
     return responder.rejection;
   };
   return { clock, overload, log, submitted, request };
@@ -116,3 +116,13 @@
   assert.equal(request(), null);
   assert.equal(submitted.length, 1);
 });
+
+// Guards against an endpoint that works on a request that was read after its time, as its gateway had stalled.
+test("a request that is read after its deadline is rejected as not run", () => {
+  const { clock, submitted, request } = makeRelay({ total: 1, overloaded: 0 });
+  clock.advance(60_000);
+  const rejection = request({ arrivedAtMs: 60_000 - 39_000 });
+  assert.equal(rejection?.reason, "deadline_exceeded");
+  assert.equal(rejection?.notRun, true);
+  assert.deepEqual(submitted, []);
+});
