Take a host for too slow only once it stalls again and again

What callers saw: a gateway answered every new stream with 503 (Retry-After 20 ms) for a second after one stall of 150 ms or more, although it could serve. Stalls of that length come singly on cores that are shared, and each rejection costs a caller one of its few tries. Hosts that had the same stall rejected until each knew of the others'.

Cause: HostOverload counted one stall as overload, and a gateway shed streams before it could know whether the others were overloaded too, and again once the first of them had recovered.

Change: a host is overloaded once the stalls of three seconds, without the longest, add up to 300 ms. It sheds streams from 150 ms later on, and a host that has recovered counts as overloaded for another 500 ms at the others.

The clock of the loop monitor can be injected, so that tests control stalls.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -53,6 +53,8 @@
   readonly callerDialect: CallerDialect;
   readonly endpointDialect: EndpointDialect;
   readonly clock: Clock;
+  /** Clock by which stalls of the event loop are measured; `clock` by default. */
+  readonly loopClock?: Clock;
   readonly rng: Rng;
   readonly log: DecisionLog;
 }
@@ -110,7 +112,7 @@
 
   constructor(options: GatewayOptions) {
     this.#options = options;
-    const { settings, clock, rng, log, store, metrics } = options;
+    const { settings, clock, loopClock = clock, rng, log, store, metrics } = options;
     const view = new StoreView();
     const elapsed = new SuspendAwareClock(clock, { epoch: Math.floor(rng.next() * 2 ** 32) });
     this.#follower = new StoreFollower({
@@ -253,14 +255,19 @@
       stop: () => this.#stopProgress(),
       hasServingPeer: () => this.#network.servingPeers().length > 0,
       shouldShedStreams: () =>
-        this.#isOverloaded && canShedToOthers(this.#network.overloadCounts()),
+        this.#overload.shouldShed(loopClock.now()) &&
+        canShedToOthers(this.#network.overloadCounts()),
     });
     this.#network.registerUp((peer) => {
       if (this.#isOverloaded) {
         this.#network.send(peer, { kind: "gateway_overload", isOverloaded: true });
       }
     });
-    this.#loopMonitor = new LoopMonitor(clock, log, (delayMs) => this.#onLoopPoll(delayMs));
+    this.#loopMonitor = new LoopMonitor(
+      loopClock,
+      log,
+      (delayMs, nowMs) => this.#onLoopPoll(delayMs, nowMs),
+    );
     this.#proxy = new ProxyServer({
       address: settings.listen.callers,
       dialect: options.callerDialect,
@@ -390,14 +397,12 @@
       this.#fleet.endpoints.size > 0 && !this.#keys.needsRenewal;
   }
 
-  #onLoopPoll(delayMs: number): void {
-    const { clock, log } = this.#options;
-    const now = clock.now();
-    this.#overload.recordDelay(delayMs, now);
-    const isOverloaded = this.#overload.isOverloaded(now);
+  #onLoopPoll(delayMs: number, nowMs: number): void {
+    this.#overload.recordDelay(delayMs, nowMs);
+    const isOverloaded = this.#overload.isOverloaded(nowMs);
     if (isOverloaded === this.#isOverloaded) return;
     this.#isOverloaded = isOverloaded;
-    log.state("host_overload", { isOverloaded, delayMs: Math.round(delayMs) });
+    this.#options.log.state("host_overload", { isOverloaded, delayMs: Math.round(delayMs) });
     this.#network.announceOverload(isOverloaded);
   }
 
--- a/packages/gateway/src/peers/peer_network.ts
+++ b/packages/gateway/src/peers/peer_network.ts
@@ -13,7 +13,7 @@
   toWpError,
   type Undo,
 } from "@wisteriapick/core";
-import { GatewayCensus } from "@wisteriapick/policy";
+import { GatewayCensus, OverloadedHosts } from "@wisteriapick/policy";
 import {
   type Address,
   formatAddress,
@@ -84,7 +84,7 @@
   readonly #dialled = new Map<string, Undo>();
   readonly #stopping = new Set<string>();
   readonly #census = new GatewayCensus();
-  readonly #overloaded = new Set<string>();
+  readonly #overloaded = new OverloadedHosts();
   readonly #known = new Map<string, GatewayAddress>();
   readonly #handlers = new Map<string, PeerHandler<Message["kind"]>>();
   readonly #roomListeners = new Set<(peer: string) => void>();
@@ -148,8 +148,7 @@
       this.#census.recordStop(peer, clock.now());
     });
     this.registerHandler("gateway_overload", (peer, { isOverloaded }) => {
-      if (isOverloaded) this.#overloaded.add(peer);
-      else this.#overloaded.delete(peer);
+      this.#overloaded.record(peer, isOverloaded, clock.now());
     });
   }
 
@@ -223,10 +222,11 @@
     this.broadcast({ kind: "gateway_overload", isOverloaded });
   }
 
-  /** Number of serving peers, and how many of them are too slow for new streams. */
+  /** Number of serving peers, and how many of them are or just were too slow for new streams. */
   overloadCounts(): { readonly total: number; readonly overloaded: number } {
+    const now = this.#options.clock.now();
     const serving = this.servingPeers();
-    const overloaded = serving.filter(({ name }) => this.#overloaded.has(name)).length;
+    const overloaded = serving.filter(({ name }) => this.#overloaded.has(name, now)).length;
     return { total: serving.length, overloaded };
   }
 
@@ -344,7 +344,7 @@
     if (wasLinked) return;
     // The first link after a loss may lead to a new process with the same name.
     this.#stopping.delete(name);
-    this.#overloaded.delete(name);
+    this.#overloaded.forget(name);
     this.#census.recordSeen(name, this.#options.clock.now());
     this.#options.log.state("peer_linked", { peer: name, process: link.peer.process });
     for (const listener of this.#upListeners) listener(name);
--- a/packages/policy/src/host_overload.ts
+++ b/packages/policy/src/host_overload.ts
@@ -1,54 +1,138 @@
 /**
  * Decides when this host is too slow for new streams, and whether they are shed to other hosts.
+ *
  * Load pattern: some hosts are slowed, or have a fraction of a core, and stall for hundreds of
- * milliseconds at a time while the others have spare capacity. A stream that is relayed by such a
- * host stalls as long as the host does.
+ * milliseconds again and again while the others have spare capacity. A stream that is relayed by
+ * such a host stalls as long as the host does. A single stall is another thing: a pause of a whole
+ * machine, a moment without a core on a shared machine, the start of a process. It says little
+ * about the next second, and a rejection costs the caller one of its few tries.
  *
  * @module
  */
 
 /** Options of {@link HostOverload}. */
 export interface HostOverloadOptions {
-  /** Scheduling delay of the process from which on the host counts as overloaded, in milliseconds. */
+  /** Scheduling delay of the process from which on it counts as a stall, in milliseconds. */
   readonly stallMs?: number;
-  /** Time without such a delay after which the host accepts new streams again, in milliseconds. */
+  /** Time over which stalls are added up, in milliseconds. */
+  readonly windowMs?: number;
+  /** Sum of the stalls in the window but for the longest, from which on the host is overloaded, in milliseconds. */
+  readonly repeatedMs?: number;
+  /** Time without a stall after which the host accepts new streams again, in milliseconds. */
   readonly quietMs?: number;
+  /** Time from which on an overloaded host sheds streams, in milliseconds. */
+  readonly settleMs?: number;
 }
 
 /** Below the pauses that callers tolerate (180 ms), and above those of garbage collection. */
 const STALL_MS = 150;
+/** Holds two stalls in succession of a host that stalls for up to 1.3 s at a time. */
+const WINDOW_MS = 3_000;
+/**
+ * A tenth of the window. The longest stall does not count, so that neither one stall nor the work
+ * that piles up behind a long one (less than this) makes a host overloaded.
+ */
+const REPEATED_MS = 300;
 /** Several times the interval between stalls of a host that is too slow. */
 const QUIET_MS = 1_000;
+/**
+ * Three polls of the event loop: by then other hosts that had the same stalls, as on a machine that
+ * is busy as a whole, have said that they are overloaded too.
+ */
+const SETTLE_MS = 150;
 /** Fraction of the other hosts that must not be overloaded before this host's streams are shed to them. */
 const MIN_HEALTHY_FRACTION = 0.5;
+/**
+ * Time for which a host still counts as overloaded after it has said that it is not. Hosts that
+ * stall together recover within a few polls of each other, and the last would shed to the first.
+ */
+const RECOVERY_MS = 500;
+
+/** A stall of the process: when it ended and how long it was, in milliseconds. */
+interface Stall {
+  readonly endedAtMs: number;
+  readonly ms: number;
+}
 
 /**
- * Tracks whether the host is overloaded.
+ * Tracks whether the host is overloaded: whether it stalls again and again.
  *
  * @example
  * ```ts
  * const overload = new HostOverload();
  * overload.recordDelay(400, nowMs);
- * if (overload.isOverloaded(nowMs) && canShedToOthers(peers)) sendElsewhere(req);
+ * if (overload.shouldShed(nowMs) && canShedToOthers(peers)) sendElsewhere(req);
  * ```
  */
 export class HostOverload {
-  readonly #stallMs: number;
-  readonly #quietMs: number;
-  #lastStallMs = -Infinity;
+  readonly #options: Required<HostOverloadOptions>;
+  #stalls: Stall[] = [];
+  /** When the host became overloaded; `null` if it has not since it was last quiet. */
+  #sinceMs: number | null = null;
 
-  constructor({ stallMs = STALL_MS, quietMs = QUIET_MS }: HostOverloadOptions = {}) {
-    this.#stallMs = stallMs;
-    this.#quietMs = quietMs;
+  constructor(
+    {
+      stallMs = STALL_MS,
+      windowMs = WINDOW_MS,
+      repeatedMs = REPEATED_MS,
+      quietMs = QUIET_MS,
+      settleMs = SETTLE_MS,
+    }: HostOverloadOptions = {},
+  ) {
+    this.#options = { stallMs, windowMs, repeatedMs, quietMs, settleMs };
   }
 
-  /** Records for how long the process was not scheduled. */
+  /** Records for how long the process was not scheduled until `nowMs`. */
   recordDelay(delayMs: number, nowMs: number): void {
-    if (delayMs >= this.#stallMs) this.#lastStallMs = nowMs;
+    const { stallMs, windowMs, repeatedMs } = this.#options;
+    if (delayMs < stallMs) return;
+    if (!this.isOverloaded(nowMs)) this.#sinceMs = null;
+    this.#stalls = this.#stalls.filter(({ endedAtMs }) => nowMs - endedAtMs < windowMs);
+    this.#stalls.push({ endedAtMs: nowMs, ms: delayMs });
+    if (this.#sinceMs !== null) return;
+    const total = this.#stalls.reduce((sum, { ms }) => sum + ms, 0);
+    const longest = Math.max(...this.#stalls.map(({ ms }) => ms));
+    if (total - longest >= repeatedMs) this.#sinceMs = nowMs;
   }
 
   isOverloaded(nowMs: number): boolean {
-    return nowMs - this.#lastStallMs < this.#quietMs;
+    const last = this.#stalls.at(-1);
+    return this.#sinceMs !== null && last !== undefined &&
+      nowMs - last.endedAtMs < this.#options.quietMs;
+  }
+
+  /** Whether the host is overloaded, and has been for long enough to know whether the others are too. */
+  shouldShed(nowMs: number): boolean {
+    return this.isOverloaded(nowMs) && nowMs - this.#sinceMs! >= this.#options.settleMs;
+  }
+}
+
+/**
+ * Tracks which other hosts are overloaded, or were until a moment ago.
+ *
+ * @example
+ * ```ts
+ * const others = new OverloadedHosts();
+ * others.record("entry-2", true, nowMs);
+ * const overloaded = names.filter((name) => others.has(name, nowMs)).length;
+ * ```
+ */
+export class OverloadedHosts {
+  /** Until when each host counts as overloaded. */
+  readonly #untilMs = new Map<string, number>();
+
+  record(host: string, isOverloaded: boolean, nowMs: number): void {
+    if (isOverloaded) this.#untilMs.set(host, Infinity);
+    else if (this.has(host, nowMs)) this.#untilMs.set(host, nowMs + RECOVERY_MS);
+  }
+
+  /** Forgets what a host has said, as when its process has ended. */
+  forget(host: string): void {
+    this.#untilMs.delete(host);
+  }
+
+  has(host: string, nowMs: number): boolean {
+    return nowMs < (this.#untilMs.get(host) ?? -Infinity);
   }
 }
 
