End a stream that repeats its events without end

What callers saw: calls answered 504 or 503 in place of 200 while a faulty engine sent the same event again and again.

Cause: an event that the caller has received is dropped, so it meets no back-pressure, and libuv reads up to 32 blocks of each such connection in one iteration. 32 streams of 14 bytes an event keep an event loop busy.

Change: more than 1,000 events of one stream whose ids do not increase are a fault of the stream (events_repeated). The ids of a stream increase, and one that is resumed repeats each event once at most.

On the code before, "a stream that repeats its events without end is a fault" fails: null in place of 'events_repeated'.

--- a/packages/gateway/src/relay/event_reader.ts
+++ b/packages/gateway/src/relay/event_reader.ts
@@ -14,12 +14,22 @@
 }
 
 /** Reason for which a stream cannot be forwarded. */
-export type StreamFault = "event_missing" | "event_without_id" | "event_too_large";
+export type StreamFault =
+  | "event_missing"
+  | "event_without_id"
+  | "event_too_large"
+  | "events_repeated";
 
 const LF = 0x0a;
 const EMPTY = Buffer.alloc(0);
 /** Largest event, in bytes; a stream with a larger one is faulty, as an engine's events hold a few tokens. */
 const MAX_EVENT_BYTES = 262_144;
+/**
+ * Events of one stream whose ids do not increase, before the stream counts as faulty. A few are dropped without harm;
+ * a stream that repeats events without end makes no progress, and reading it takes the whole processor: dropped events
+ * meet no back-pressure.
+ */
+const MAX_REPEATED_EVENTS = 1_000;
 const ID_FIELD = "id:";
 
 /**
@@ -36,6 +46,9 @@
   /** Bytes of an event that is not complete yet. */
   #pending = new ByteBuffer();
   #lastId: number;
+  /** Id of the last event of this stream, which may repeat events of an earlier one. */
+  #lastReadId = 0;
+  #repeated = 0;
   #fault: StreamFault | null = null;
 
   /** `lastId` is the id of the last event that the caller has received. */
@@ -97,6 +110,11 @@
       this.#fault = "event_without_id";
       return false;
     }
+    if (id <= this.#lastReadId && ++this.#repeated > MAX_REPEATED_EVENTS) {
+      this.#fault = "events_repeated";
+      return false;
+    }
+    this.#lastReadId = id;
     if (id <= this.#lastId) return false;
     if (id !== this.#lastId + 1) {
       this.#fault = "event_missing";
--- a/packages/gateway/tests/event_reader_test.ts
+++ b/packages/gateway/tests/event_reader_test.ts
@@ -40,6 +40,25 @@
   assert.equal(readAll(reader, [makeEvent(2) + makeEvent(3) + makeEvent(4)]), makeEvent(4));
 });
 
+// Guards against a faulty engine that takes the whole processor of a gateway: dropped events meet no back-pressure, and
+// in a test beside load the gateway's event loop stalled for 4.9 s, while calls of others waited.
+test("a stream that repeats its events without end is a fault", () => {
+  const reader = new EventReader(0);
+  const repeated = Buffer.from(makeEvent(1).repeat(600));
+  assert.equal(reader.push(repeated).count, 1);
+  assert.equal(reader.fault, null);
+  assert.equal(reader.push(repeated).count, 0);
+  assert.equal(reader.fault, "events_repeated");
+});
+
+test("a run that is resumed may repeat all events of its caller, and a few of its own", () => {
+  const reader = new EventReader(20_000);
+  for (let id = 1; id <= 20_000; id++) reader.push(Buffer.from(makeEvent(id)));
+  reader.push(Buffer.from(makeEvent(20_000) + makeEvent(19_999)));
+  assert.equal(reader.push(Buffer.from(makeEvent(20_001))).count, 1);
+  assert.equal(reader.fault, null);
+});
+
 // Guards against a gap in the output that the caller could not notice.
 test("a missing event is a fault, and no event after it is returned", () => {
   const reader = new EventReader(0);
