End the backlog of a stall after as much time as it took

Guards against requests that are cut as late on a host that goes on to stall: a long stall before shorter ones counted for as long as connections came, as each later stall began its time anew. Seen while its code was read after a soak beside a load average of 48.

On the code before, "a long stall counts no longer than it took, whatever stalls follow it" fails: 1500 in place of 150.

--- a/packages/gateway/src/observe/loop_monitor.ts
+++ b/packages/gateway/src/observe/loop_monitor.ts
@@ -48,17 +48,19 @@
       this.#onPoll(delayMs, now);
       if (delayMs < STALL_MS) return;
       this.#log.state("process_stalled", { ms: Math.round(delayMs) });
-      const isReading = this.#backlogMs > 0;
-      this.#backlogMs = Math.max(this.#backlogMs, delayMs);
+      // A longer stall before it, whose backlog may still be unread, counts to its own end.
+      if (this.#unreadMs() >= delayMs) return;
+      const isWaiting = this.#backlogMs > 0;
+      this.#backlogMs = delayMs;
       this.#backlogSinceMs = now;
-      if (!isReading) this.#awaitBacklog();
+      if (!isWaiting) this.#awaitBacklog();
     });
   }
 
   /** Time for which data that is read now may have been waiting, in milliseconds; 0 if it was not held up by a stall. */
   stallMs(): number {
     const delayMs = this.#clock.now() - this.#lastPollMs - POLL_INTERVAL_MS;
-    return Math.max(this.#backlogMs, delayMs < STALL_MS ? 0 : delayMs);
+    return Math.max(this.#unreadMs(), delayMs < STALL_MS ? 0 : delayMs);
   }
 
   /** Records that a connection was accepted. */
@@ -72,14 +74,18 @@
   }
 
   /**
-   * Ends the backlog of a stall once polls accept no connection any more, or as much time has passed as the stall took:
-   * what is read then would count as having arrived after it.
+   * Duration of the stall from whose time connections may still be unread; 0 if there is none. After as much time as
+   * the stall took, what is read would count as having arrived after it.
    */
+  #unreadMs(): number {
+    return this.#clock.now() - this.#backlogSinceMs < this.#backlogMs ? this.#backlogMs : 0;
+  }
+
+  /** Ends the backlog of a stall once polls accept no connection any more, or its time is over. */
   #awaitBacklog(): void {
     const connections = this.#connections;
     this.afterNextPoll(() => {
-      const isOver = this.#clock.now() - this.#backlogSinceMs >= this.#backlogMs;
-      if (this.#connections !== connections && !isOver) return this.#awaitBacklog();
+      if (this.#connections !== connections && this.#unreadMs() > 0) return this.#awaitBacklog();
       this.#backlogMs = 0;
     });
   }
--- a/packages/gateway/tests/loop_monitor_test.ts
+++ b/packages/gateway/tests/loop_monitor_test.ts
@@ -78,6 +78,20 @@
   assert.equal(monitor.stallMs(), 0);
 });
 
+// Guards against requests that are cut as late on a host that goes on to stall for short times after a long stall.
+test("a long stall counts no longer than it took, whatever stalls follow it", async () => {
+  const clock = new StalledClock();
+  const monitor = new LoopMonitor(clock, new MemoryLog());
+  monitor.start();
+  clock.stall(1_500);
+  for (let i = 0; i < 12; i++) {
+    await nextIteration();
+    monitor.recordConnection();
+    clock.stall(150);
+  }
+  assert.equal(monitor.stallMs(), 150);
+});
+
 // Guards against running the request of a caller that disconnected during a stall, as both are read after it.
 test("a caller's disconnect during a stall is known before its request is dispatched", async () => {
   const monitor = new LoopMonitor(new SystemClock(), new MemoryLog());
