Name the request in the line of its refusal for its form or size

`request_refused` (400, 413, 431, 503 for a head or body that cannot be forwarded) had no id, so that a caller's request could not be found by it. It now has the id if the head has one that can be read.

The test "requests behind one that was refused are logged as dropped" asks for it too; before, the line had `undefined` in place of 'too-long'.

--- a/packages/gateway/src/surface/proxy_server.ts
+++ b/packages/gateway/src/surface/proxy_server.ts
@@ -217,10 +217,12 @@
   }
 
   #createExchange(req: IncomingMessage, res: ServerResponse): Exchange {
-    const { dialect, clock, log } = this.#options;
-    const { method = "", url: target = "", rawHeaders } = req;
-    const requestId = () => dialect.readHead({ method, target, rawHeaders })?.requestId ?? null;
-    return new Exchange(req, res, { clock, log, requestId });
+    const { clock, log } = this.#options;
+    return new Exchange(req, res, { clock, log, requestId: () => this.#requestIdOf(req) });
+  }
+
+  #requestIdOf({ method = "", url: target = "", rawHeaders }: IncomingMessage): string | null {
+    return this.#options.dialect.readHead({ method, target, rawHeaders })?.requestId ?? null;
   }
 
   /** Delays a request until the first configuration is known, as callers rarely retry more than once. */
@@ -323,6 +325,7 @@
     const connection = this.#connections.get(req.socket);
     if (connection !== undefined) connection.isRefused = true;
     log.request("request_refused", {
+      req: this.#requestIdOf(req) ?? undefined,
       status,
       method: req.method,
       host: req.headers.host,
--- a/packages/gateway/tests/unanswered_test.ts
+++ b/packages/gateway/tests/unanswered_test.ts
@@ -200,6 +200,8 @@
   socket.write(tooLong + head("behind"));
   await closed(socket);
   assert.equal(of.responders.length, 0);
+  const [refusal] = await of.logged("request_refused");
+  assert.deepEqual([refusal!.req, refusal!.status], ["too-long", 413]);
   const lines = await of.logged("request_unanswered");
   assert.deepEqual(summary(lines), [["behind", "dropped", "connection_closing"]]);
 });
