Decide by when a stopping process must have responded, stalls included

A process counts its grace period from the moment at which it handles SIGTERM.

StopDeadline takes the earliest moment at which the order may have been sent, and keeps twice the longest stall of the last ten seconds for the last responses (an eighth of the grace period at most). Responses that have begun may go on until shortly before the end. The tests replay processes that stall at the order to stop and from time to time.

--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -35,4 +35,5 @@
 export * from "./sequential_probability_ratio.ts";
 export * from "./side_admission.ts";
 export * from "./side_options.ts";
+export * from "./stop_deadline.ts";
 export * from "./subset_placement.ts";
--- /dev/null
+++ b/packages/policy/src/stop_deadline.ts
@@ -0,0 +1,126 @@
+/**
+ * Decides by when a process that was told to stop must have responded to everything and closed its connections, so that
+ * it does both before it is killed.
+ *
+ * Load pattern: a host with a fraction of a core stalls for hundreds of milliseconds, also when the order to stop comes
+ * and when the grace period ends. The process is killed a fixed time after the order was sent, not after it was handled.
+ *
+ * @module
+ */
+
+/** Options of {@link StopDeadline}. */
+export interface StopDeadlineOptions {
+  /** Time from the order to stop until the process is killed, in milliseconds. */
+  readonly graceMs: number;
+}
+
+/** Time that the process keeps for its exit, in milliseconds, and for a stall that is too short to be noticed. */
+const EXIT_MS = 100;
+/** Time that a host without stalls keeps for its last responses, in milliseconds. */
+const LAST_RESPONSES_MS = 150;
+/** Time for which a stall is expected to recur, in milliseconds: longer than the usual grace period. */
+const STALL_MEMORY_MS = 10_000;
+/** Multiple of the longest recent stall that is kept: one may precede the last responses, and one interrupt them. */
+const STALLS_KEPT = 2;
+/** Largest fraction of the grace period that is kept for stalls, as what is in progress ends without its result. */
+const MAX_RESERVE_FRACTION = 1 / 8;
+/** Largest fraction of the grace period that is given up as the order may have been sent during a stall. */
+const MAX_DELAY_FRACTION = 1 / 2;
+/**
+ * The same for responses that have begun. Closing them early gains nothing for their callers, who lose the rest in any
+ * case, and operators excuse it only in the last sixth of the grace period.
+ */
+const MAX_CLOSE_DELAY_FRACTION = 1 / 6;
+
+interface Stall {
+  readonly atMs: number;
+  readonly delayMs: number;
+}
+
+/**
+ * The deadline of a planned stop.
+ *
+ * @example
+ * ```ts
+ * const deadline = new StopDeadline({ graceMs: 8_000 });
+ * deadline.recordPoll(0, 1_000);
+ * deadline.begin(1_700, 650); // The process was stalled for up to 650 ms when it was told to stop.
+ * deadline.remainingMs(1_700); // 6_100
+ * ```
+ */
+export class StopDeadline {
+  readonly #graceMs: number;
+  /** Recent stalls, each shorter than the one before it. */
+  readonly #stalls: Stall[] = [];
+  #handledAtMs: number | null = null;
+  #delayedMs = 0;
+
+  constructor({ graceMs }: StopDeadlineOptions) {
+    this.#graceMs = graceMs;
+  }
+
+  /** Records for how long the process was not scheduled, in milliseconds. */
+  recordPoll(delayMs: number, nowMs: number): void {
+    while (this.#stalls.length > 0 && this.#stalls.at(-1)!.delayMs <= delayMs) this.#stalls.pop();
+    this.#stalls.push({ atMs: nowMs, delayMs });
+    this.#forget(nowMs);
+  }
+
+  /**
+   * Begins the stop. `unpolledMs` is the time for which the order may have been waiting, in milliseconds: it may have
+   * been sent at any moment of a stall that ends with its handling.
+   */
+  begin(nowMs: number, unpolledMs: number): void {
+    this.#handledAtMs = nowMs;
+    this.#delayedMs = Math.max(0, unpolledMs);
+    this.recordPoll(this.#delayedMs, nowMs);
+  }
+
+  get hasBegun(): boolean {
+    return this.#handledAtMs !== null;
+  }
+
+  /** Time for which the order to stop may have been waiting, in milliseconds. */
+  get delayedMs(): number {
+    return this.#delayedMs;
+  }
+
+  /** Longest time that may have passed since the order was sent, in milliseconds; 0 before the stop. */
+  sinceMs(nowMs: number): number {
+    return this.#handledAtMs === null ? 0 : nowMs - this.#handledAtMs + this.#delayedMs;
+  }
+
+  /** Whether a process without requests may end: callers still connect in the first half of the grace period. */
+  mayEndIdle(nowMs: number): boolean {
+    return this.#handledAtMs !== null && nowMs - this.#handledAtMs >= this.#graceMs / 2;
+  }
+
+  /** Time until all requests whose response has not begun must get one, in milliseconds; may be negative. */
+  remainingMs(nowMs: number): number {
+    if (this.#handledAtMs === null) return Infinity;
+    const delayMs = Math.min(this.#delayedMs, MAX_DELAY_FRACTION * this.#graceMs);
+    const endMs = this.#handledAtMs + this.#graceMs - delayMs - EXIT_MS;
+    return endMs - LAST_RESPONSES_MS - this.#reserveMs(nowMs) - nowMs;
+  }
+
+  /** Time until responses that have begun are cut and the process exits, in milliseconds; may be negative. */
+  closesInMs(nowMs: number): number {
+    if (this.#handledAtMs === null) return Infinity;
+    const maxDelayMs = Math.max(0, MAX_CLOSE_DELAY_FRACTION * this.#graceMs - EXIT_MS);
+    const delayMs = Math.min(this.#delayedMs, maxDelayMs);
+    return this.#handledAtMs + this.#graceMs - delayMs - EXIT_MS - nowMs;
+  }
+
+  /** Time that is kept for stalls like those of late, in milliseconds. */
+  #reserveMs(nowMs: number): number {
+    this.#forget(nowMs);
+    const longestMs = this.#stalls[0]?.delayMs ?? 0;
+    return Math.min(STALLS_KEPT * Math.max(0, longestMs), MAX_RESERVE_FRACTION * this.#graceMs);
+  }
+
+  #forget(nowMs: number): void {
+    while (this.#stalls.length > 0 && this.#stalls[0]!.atMs < nowMs - STALL_MEMORY_MS) {
+      this.#stalls.shift();
+    }
+  }
+}
--- /dev/null
+++ b/packages/policy/tests/stop_deadline_test.ts
@@ -0,0 +1,82 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { StopDeadline } from "../src/mod.ts";
+
+const GRACE_MS = 8_000;
+const POLL_MS = 50;
+
+/**
+ * Replays a process that polls every 50 ms and is stalled from time to time. The order to stop is sent at `sentAtMs`
+ * and handled at the first poll afterwards.
+ *
+ * Returns the times since the order was sent at which the last responses are written and connections are closed.
+ */
+function replay(
+  { sentAtMs, stalls }: {
+    readonly sentAtMs: number;
+    readonly stalls: readonly { readonly atMs: number; readonly ms: number }[];
+  },
+) {
+  const deadline = new StopDeadline({ graceMs: GRACE_MS });
+  let lastPollMs = 0;
+  let answeredAtMs: number | null = null;
+  for (;;) {
+    const stall = stalls.find(({ atMs }) => atMs >= lastPollMs && atMs < lastPollMs + POLL_MS);
+    const now = stall === undefined ? lastPollMs + POLL_MS : stall.atMs + stall.ms;
+    const delayMs = now - lastPollMs - POLL_MS;
+    deadline.recordPoll(delayMs, now);
+    if (!deadline.hasBegun && now >= sentAtMs) deadline.begin(now, delayMs);
+    if (deadline.remainingMs(now) <= 0) answeredAtMs ??= now;
+    if (deadline.closesInMs(now) <= 0) {
+      return { answeredMs: answeredAtMs! - sentAtMs, closedMs: now - sentAtMs };
+    }
+    lastPollMs = now;
+  }
+}
+
+test("a process without stalls uses its grace period but for a quarter of a second", () => {
+  const { answeredMs, closedMs } = replay({ sentAtMs: 1_010, stalls: [] });
+  assert.ok(answeredMs >= GRACE_MS - 300 && answeredMs <= GRACE_MS - 150, `${answeredMs}`);
+  assert.ok(closedMs <= GRACE_MS - POLL_MS, `${closedMs}`);
+});
+
+// Guards against a grace period that is counted from the handling of the order to stop, upon which a process that was
+// stalled when the order came is killed with its requests in progress (LOST).
+test("an order to stop that came during a stall is counted from the beginning of the stall", () => {
+  for (const ms of [300, 700, 1_500, 3_000]) {
+    const stalls = [{ atMs: 1_020, ms }];
+    const { answeredMs } = replay({ sentAtMs: 1_030, stalls });
+    assert.ok(answeredMs < GRACE_MS, `stalled for ${ms} ms, responds after ${answeredMs} ms`);
+  }
+});
+
+// Guards against a process on a weak host that stalls as it is about to write its last responses (LOST).
+test("a host that stalls from time to time responds before it is killed", () => {
+  const sentAtMs = 5_010;
+  for (const ms of [150, 300, 450]) {
+    for (let shift = 0; shift < 900; shift += 30) {
+      const stalls = [];
+      for (let atMs = shift; atMs < 20_000; atMs += 900) stalls.push({ atMs, ms });
+      const { answeredMs } = replay({ sentAtMs, stalls });
+      assert.ok(answeredMs < GRACE_MS, `stalls of ${ms} ms, responds after ${answeredMs} ms`);
+    }
+  }
+});
+
+// A stream that has begun loses its rest in any case, and is excused in the last sixth of the grace period only.
+test("responses that have begun go on into the last sixth of the grace period", () => {
+  for (const ms of [0, 300, 700, 1_500, 3_000]) {
+    // Handled at the end of the stall, and sent just before it: the whole stall was in vain.
+    const stalls = ms === 0 ? [] : [{ atMs: 1_020, ms }];
+    const { closedMs } = replay({ sentAtMs: 1_020 + ms, stalls });
+    assert.ok(closedMs >= GRACE_MS * 5 / 6, `stalled for ${ms} ms, closes after ${closedMs} ms`);
+  }
+});
+
+test("a stall of long ago keeps no time in reserve", () => {
+  const deadline = new StopDeadline({ graceMs: GRACE_MS });
+  deadline.recordPoll(400, 1_000);
+  deadline.recordPoll(10, 5_000);
+  deadline.begin(12_000, 0);
+  assert.equal(deadline.remainingMs(12_000), GRACE_MS - 250 - 2 * 10);
+});
