Respond before SIGKILL after a stall, and read what has arrived before an end as idle

What callers saw: connections that end without a response around a planned stop (LOST), and no log line about their requests. Three causes, each with its test on the code before:

- A process that was stalled as SIGTERM came was killed while it believed that it had time left. stalled_stop_test.ts, real process, paused for 0.7 s around SIGTERM, SIGKILL 3 s after it: "null !== 502".
- A process that is stalled while it waits for its end runs its timer before it reads what has arrived meanwhile, sees no active request and closes. planned_stop_test.ts: the second request has no response.
- A request whose body was still arriving, or that waited for a configuration, was in no list of those that get a last response: "The input did not match the regular expression /^HTTP\/1\.1 503 /.

Change: the stop follows StopDeadline. Connections are polled once more between the last wait and the look at them, and nothing is awaited between that look and their closing. Unread requests are refused as not run. Only requests without a response are ended early; responses that have begun go on until connections close. Generations that no engine has taken are refused as soon as they are not likely to end in time, if another gateway serves. The line `stopping` says how late the order may have been handled, and `stopped` how the process ended and what it ended by stage.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -12,7 +12,13 @@
   toWpError,
   type Undo,
 } from "@wisteriapick/core";
-import { canShedToOthers, ColdLimiter, HostOverload, RetryBudgets } from "@wisteriapick/policy";
+import {
+  canShedToOthers,
+  ColdLimiter,
+  HostOverload,
+  RetryBudgets,
+  StopDeadline,
+} from "@wisteriapick/policy";
 import type { Address } from "@wisteriapick/wire";
 import type { DecisionLog } from "./observe/decision_log.ts";
 import { LoopMonitor } from "./observe/loop_monitor.ts";
@@ -68,10 +74,22 @@
 const FIRST_WATCH_DELAY_MS = 800;
 /** Number of gateways that are registered in the store, of any number. */
 const ENTRY_POINTS = 16;
-/** Time before the end of the grace period at which connections close. */
-const CLOSE_MARGIN_MS = 100;
-/** Time before connections close at which requests in progress are ended, so that the last responses are still sent. */
-const LAST_RESPONSES_MS = 150;
+/** Longest wait for the removal of this gateway's registration, which others remove in time if the store is not reached. */
+const REMOVAL_WAIT_MS = 50;
+
+/** Requests that the end of a process has ended, by how far they had come. */
+interface EndedRequests {
+  /** Requests that were still being read. */
+  readonly reading: number;
+  /** Requests that no endpoint had received. */
+  readonly waiting: number;
+  /** Requests at an endpoint, whose response had not begun. */
+  readonly sent: number;
+  /** Requests whose response was cut. */
+  readonly streaming: number;
+}
+
+const NONE_ENDED: EndedRequests = { reading: 0, waiting: 0, sent: 0, streaming: 0 };
 
 /**
  * Wires the modules of a gateway together and controls their life cycle.
@@ -106,13 +124,14 @@
   readonly #keys: KeyLease;
   readonly #overload = new HostOverload();
   #isOverloaded = false;
-  #stoppingSinceMs: number | null = null;
+  readonly #stopDeadline: StopDeadline;
   #isKilled = false;
   #stopTick: Undo = () => {};
 
   constructor(options: GatewayOptions) {
     this.#options = options;
     const { settings, clock, loopClock = clock, rng, log, store, metrics } = options;
+    this.#stopDeadline = new StopDeadline({ graceMs: settings.bounds.grace_ms });
     const view = new StoreView();
     const elapsed = new SuspendAwareClock(clock, { epoch: Math.floor(rng.next() * 2 ** 32) });
     this.#follower = new StoreFollower({
@@ -295,6 +314,9 @@
 
   /** Starts serving. Rejects if an address that callers or gateways need cannot be bound. */
   async start(): Promise<void> {
+    // Measured from the beginning, as the order to stop may come before the addresses are bound.
+    const stopLoopMonitor = this.#loopMonitor.start();
+    this.#stopTick = stopLoopMonitor;
     this.#follower.start();
     this.#registration.start();
     await Promise.all([
@@ -303,7 +325,6 @@
       this.#bind("readiness", () => this.#readinessServer.listen()),
     ]);
     void this.#serveMetrics();
-    const stopLoopMonitor = this.#loopMonitor.start();
     const stopTick = this.#options.clock.setRepeating(TICK_MS, () => this.#tick());
     this.#stopTick = () => {
       stopLoopMonitor();
@@ -341,39 +362,84 @@
 
   /**
    * Shuts down gracefully: reports not ready, finishes requests in progress, then closes. Resolves within the grace
-   * period.
+   * period, counted from the earliest moment at which the order to stop may have been sent.
    */
   async stop(): Promise<void> {
     const { clock, log, settings } = this.#options;
-    this.#stoppingSinceMs = clock.now();
-    log.state("stopping", { active: this.#proxy.active });
+    const deadline = this.#stopDeadline;
+    deadline.begin(clock.now(), this.#loopMonitor.unpolledMs());
+    log.state("stopping", {
+      active: this.#proxy.active,
+      delayedMs: Math.round(deadline.delayedMs),
+      graceMs: settings.bounds.grace_ms,
+      respondsInMs: Math.round(deadline.remainingMs(clock.now())),
+      closesInMs: Math.round(deadline.closesInMs(clock.now())),
+    });
     this.#proxy.drain();
     this.#network.announceStop();
     const removal = this.#registration.remove();
-    const closeAtMs = clock.now() + settings.bounds.grace_ms - CLOSE_MARGIN_MS;
-    while (this.#stopProgress()!.remainingMs > 0 && !this.#isIdle()) await clock.sleep(TICK_MS);
-    log.state("stopped", { active: this.#proxy.active });
-    this.#relay.endAll();
-    await Promise.race([removal, clock.sleep(CLOSE_MARGIN_MS / 2)]);
-    while (clock.now() < closeAtMs && this.#proxy.active > 0) await clock.sleep(TICK_MS);
+    const isIdle = await this.#waitUntilIdle(removal);
+    const ended = isIdle ? NONE_ENDED : await this.#endRequests();
+    // No event may come between the last look at the connections and their closing.
+    log.state("stopped", {
+      outcome: isIdle ? "idle" : "grace_over",
+      sinceStopMs: Math.round(deadline.sinceMs(clock.now())),
+      active: this.#proxy.active,
+      ended,
+    });
     await this.kill();
   }
 
   /**
-   * Whether no request is active and no more are expected. Callers may still connect for some seconds after the gateway
-   * reports not ready, so about half of the grace period must have passed.
+   * Waits until no request is active and no more are expected, or the requests in progress must end. Returns whether
+   * none is active.
    */
-  #isIdle(): boolean {
-    return this.#proxy.active === 0 &&
-      this.#stopProgress()!.remainingMs < this.#options.settings.bounds.grace_ms / 2;
+  async #waitUntilIdle(removal: Promise<void>): Promise<boolean> {
+    const { clock } = this.#options;
+    const deadline = this.#stopDeadline;
+    for (;;) {
+      const remainingMs = deadline.remainingMs(clock.now());
+      if (remainingMs <= 0) return false;
+      if (deadline.mayEndIdle(clock.now()) && this.#proxy.active === 0) {
+        await Promise.race([removal, clock.sleep(REMOVAL_WAIT_MS)]);
+        // After a stall, timers run before what has arrived meanwhile is read.
+        await this.#nextPoll();
+        if (this.#proxy.active === 0) return true;
+      }
+      this.#relay.releaseLate();
+      await clock.sleep(Math.max(0, Math.min(TICK_MS, remainingMs)));
+    }
+  }
+
+  /**
+   * Responds to all requests whose response has not begun. Responses that have begun go on until connections close.
+   * Returns how many requests were ended.
+   */
+  async #endRequests(): Promise<EndedRequests> {
+    const { clock } = this.#options;
+    let reading = 0;
+    const { waiting, sent } = this.#relay.endUnbegun();
+    for (;;) {
+      // What has arrived during a stall is read before it is refused.
+      await this.#nextPoll();
+      reading += this.#proxy.refuseUnread();
+      const closesInMs = this.#stopDeadline.closesInMs(clock.now());
+      if (closesInMs <= 0 || this.#proxy.active === 0) break;
+      await clock.sleep(Math.min(TICK_MS, closesInMs));
+    }
+    return { reading, waiting, sent, streaming: this.#relay.endAll() };
+  }
+
+  /** Resolves after connections have been polled and what has arrived on them has been read. */
+  #nextPoll(): Promise<void> {
+    return new Promise((resolve) => this.#loopMonitor.afterNextPoll(resolve));
   }
 
   #stopProgress(): StopProgress | null {
-    if (this.#stoppingSinceMs === null) return null;
-    const { clock, settings } = this.#options;
-    const sinceMs = clock.now() - this.#stoppingSinceMs;
-    const endsAfterMs = settings.bounds.grace_ms - CLOSE_MARGIN_MS - LAST_RESPONSES_MS;
-    return { sinceMs, remainingMs: endsAfterMs - sinceMs };
+    const deadline = this.#stopDeadline;
+    if (!deadline.hasBegun) return null;
+    const now = this.#options.clock.now();
+    return { sinceMs: deadline.sinceMs(now), remainingMs: deadline.remainingMs(now) };
   }
 
   /** Closes everything at once, as when the process dies. */
@@ -393,11 +459,12 @@
 
   /** Whether callers may connect to this gateway. */
   get isReady(): boolean {
-    return this.#stoppingSinceMs === null && this.#fleet.isKnown &&
+    return !this.#stopDeadline.hasBegun && this.#fleet.isKnown &&
       this.#fleet.endpoints.size > 0 && !this.#keys.needsRenewal;
   }
 
   #onLoopPoll(delayMs: number, nowMs: number): void {
+    this.#stopDeadline.recordPoll(delayMs, this.#options.clock.now());
     this.#overload.recordDelay(delayMs, nowMs);
     const isOverloaded = this.#overload.isOverloaded(nowMs);
     if (isOverloaded === this.#isOverloaded) return;
--- a/packages/gateway/src/observe/loop_monitor.ts
+++ b/packages/gateway/src/observe/loop_monitor.ts
@@ -22,6 +22,7 @@
   readonly #log: DecisionLog;
   readonly #onPoll: (delayMs: number, nowMs: number) => void;
   #lastPollMs: number;
+  #lastDelayMs = 0;
   /** Duration of the last stall, while connections that were opened during it may still be unread; otherwise 0. */
   #backlogMs = 0;
   #backlogSinceMs = 0;
@@ -45,6 +46,7 @@
       const now = this.#clock.now();
       const delayMs = now - this.#lastPollMs - POLL_INTERVAL_MS;
       this.#lastPollMs = now;
+      this.#lastDelayMs = delayMs;
       this.#onPoll(delayMs, now);
       if (delayMs < STALL_MS) return;
       this.#log.state("process_stalled", { ms: Math.round(delayMs) });
@@ -63,6 +65,12 @@
     return Math.max(this.#unreadMs(), delayMs < STALL_MS ? 0 : delayMs);
   }
 
+  /** Longest time for which a signal that is handled now may have been waiting, in milliseconds. */
+  unpolledMs(): number {
+    const sincePollMs = this.#clock.now() - this.#lastPollMs;
+    return Math.max(0, this.#lastDelayMs, sincePollMs - POLL_INTERVAL_MS);
+  }
+
   /** Records that a connection was accepted. */
   recordConnection(): void {
     this.#connections++;
--- a/packages/gateway/src/relay/inbound.ts
+++ b/packages/gateway/src/relay/inbound.ts
@@ -64,6 +64,12 @@
   readonly dueAtMs: number;
 }
 
+/**
+ * How far a request has come: `waiting` before an endpoint has received it; `sent` to one, which may run it;
+ * `streaming` once its response has begun.
+ */
+export type RequestStage = "waiting" | "sent" | "streaming";
+
 /** A response by the gateway itself in place of an endpoint's. */
 export interface Rejection {
   readonly reason: RefusalReason;
--- a/packages/gateway/src/relay/plain_call.ts
+++ b/packages/gateway/src/relay/plain_call.ts
@@ -14,7 +14,7 @@
 import { classifyResponseHead, type HeadVerdict } from "./response_check.ts";
 import { isWithinColdLimit } from "./cold_limit.ts";
 import type { RelayContext } from "./context.ts";
-import type { InboundRequest, Rejection, Responder } from "./inbound.ts";
+import type { InboundRequest, Rejection, RequestStage, Responder } from "./inbound.ts";
 import { isEndPlanned } from "./planned_end.ts";
 import { chooseService } from "./service_choice.ts";
 
@@ -435,6 +435,12 @@
     this.#endWithoutResponse("deadline_exceeded");
   }
 
+  /** How far the call has come. */
+  get stage(): RequestStage {
+    if (this.#committed !== null) return "streaming";
+    return this.#attempts.size > 0 || this.#mayHaveRun ? "sent" : "waiting";
+  }
+
   /** Ends the call as the process ends. */
   giveUp(): void {
     if (!this.#hasEnded) this.#endWithoutResponse("draining");
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -11,6 +11,7 @@
 import type { EngineDispatcher } from "./engine_dispatcher.ts";
 import type { InboundHead, InboundRequest, Rejection, Responder } from "./inbound.ts";
 import { PlainCall } from "./plain_call.ts";
+import type { StreamRun } from "./stream_run.ts";
 
 /** How far the stop of a process has come. */
 export interface StopProgress {
@@ -143,12 +144,41 @@
   }
 
   /**
-   * Ends all requests in progress, as the process ends. Callers whose response has not begun get one, which says that
-   * the request did not run only if it was not sent.
+   * Responds to all requests whose response has not begun, as the process ends. The response says that a request did
+   * not run only if it was not sent. Returns how many had been sent and how many had not.
    */
-  endAll(): void {
-    for (const call of [...this.#calls]) call.giveUp();
-    for (const run of [...this.#options.dispatcher.runs]) run.giveUp();
+  endUnbegun(): { readonly waiting: number; readonly sent: number } {
+    const ended = { waiting: 0, sent: 0 };
+    for (const request of this.#inProgress()) {
+      if (request.stage === "streaming") continue;
+      ended[request.stage]++;
+      request.giveUp();
+    }
+    return ended;
+  }
+
+  /** Ends all requests in progress. Returns how many there were. */
+  endAll(): number {
+    const requests = this.#inProgress();
+    for (const request of requests) request.giveUp();
+    return requests.length;
+  }
+
+  /**
+   * Rejects generations that no engine has taken yet and that are no longer likely to end before this process does, as
+   * long as their callers can go to another gateway.
+   */
+  releaseLate(): void {
+    const stop = this.#options.stop();
+    if (stop === null || !this.#options.hasServingPeer()) return;
+    for (const run of [...this.#options.dispatcher.runs]) {
+      if (run.stage !== "waiting" || this.#usualMs(run.req) <= stop.remainingMs) continue;
+      run.fail({ reason: "draining", notRun: true, retryAfterMs: RETRY_AFTER_ELSEWHERE_MS });
+    }
+  }
+
+  #inProgress(): (PlainCall | StreamRun)[] {
+    return [...this.#calls, ...this.#options.dispatcher.runs];
   }
 
   /** Whether a request can be taken although this process may be stopping. */
--- a/packages/gateway/src/relay/stream_run.ts
+++ b/packages/gateway/src/relay/stream_run.ts
@@ -14,7 +14,7 @@
 import { recordNotices } from "./endpoint_notices.ts";
 import type { RelayContext } from "./context.ts";
 import { EventReader } from "./event_reader.ts";
-import type { InboundRequest, Rejection, Responder } from "./inbound.ts";
+import type { InboundRequest, Rejection, RequestStage, Responder } from "./inbound.ts";
 
 /** Time for one output token on a shared engine, in milliseconds. */
 const OUTPUT_TOKEN_MS = 10;
@@ -502,6 +502,12 @@
     this.fail({ reason: "deadline_exceeded", notRun: this.#notRun });
   }
 
+  /** How far the run has come for its caller. */
+  get stage(): RequestStage {
+    if (this.#hasSentHead) return "streaming";
+    return this.mayHaveRun ? "sent" : "waiting";
+  }
+
   /** Ends the run as the process ends. */
   giveUp(): void {
     this.fail({ reason: "draining", notRun: this.#notRun });
--- a/packages/gateway/src/surface/proxy_server.ts
+++ b/packages/gateway/src/surface/proxy_server.ts
@@ -88,6 +88,8 @@
   readonly #options: ProxyServerOptions;
   readonly #server: Server;
   readonly #connections = new Map<Socket, Connection>();
+  /** Requests that have not been passed to the handler, by their responses. */
+  readonly #unread = new Map<ServerResponse, IncomingMessage>();
   #draining = false;
   #bufferedBytes = 0;
 
@@ -145,6 +147,17 @@
     this.#draining = true;
   }
 
+  /**
+   * Refuses requests that have not been read whole, or that wait for a configuration, as not run. Returns how many.
+   * Called as the process ends.
+   */
+  refuseUnread(): number {
+    const unread = [...this.#unread];
+    this.#unread.clear();
+    for (const [res, req] of unread) this.#refuse(req, res, 503);
+    return unread.length;
+  }
+
   /** Stops accepting connections and closes idle ones. */
   close(): void {
     this.#server.close();
@@ -211,7 +224,11 @@
     recordBytes();
     req.once("end", recordBytes);
     connection.exchanges.add(exchange);
-    res.once("close", () => connection.exchanges.delete(exchange));
+    this.#unread.set(res, req);
+    res.once("close", () => {
+      connection.exchanges.delete(exchange);
+      this.#unread.delete(res);
+    });
     if (handler.isReady()) this.#read(req, res, { exchange, arrivedAtMs });
     else this.#waitForConfig(req, res, { exchange, arrivedAtMs });
   }
@@ -233,9 +250,9 @@
     const waitsUntilMs = clock.now() + MAX_CONFIG_WAIT_MS;
     const undo = clock.setRepeating(CONFIG_CHECK_INTERVAL_MS, () => {
       const hasTimedOut = clock.now() >= waitsUntilMs;
-      if (!res.destroyed && !handler.isReady() && !hasTimedOut) return;
+      if (this.#unread.has(res) && !handler.isReady() && !hasTimedOut) return;
       undo();
-      if (!res.destroyed) this.#read(req, res, arrival);
+      if (this.#unread.has(res)) this.#read(req, res, arrival);
     });
   }
 
@@ -256,12 +273,21 @@
     if (Number(req.headers["content-length"] ?? 0) > maxBodyBytes) {
       return this.#refuse(req, res, 413);
     }
-    if (!handler.accept(head, responder)) return void req.resume();
+    if (!handler.accept(head, responder)) {
+      this.#unread.delete(res);
+      return void req.resume();
+    }
     this.#readBody(req, res, { exchange, maxBytes: maxBodyBytes }, (body) => {
       const stallMs = this.#options.loop.stallMs();
-      exchange.stage = stallMs === 0 ? "with_relay" : "deferred_by_stall";
-      if (stallMs === 0) return handler.handle(head, body, arrivedAtMs, responder);
+      if (stallMs === 0) {
+        // It may have been refused while its body was read.
+        if (!this.#unread.delete(res)) return;
+        exchange.stage = "with_relay";
+        return handler.handle(head, body, arrivedAtMs, responder);
+      }
+      exchange.stage = "deferred_by_stall";
       this.#options.loop.afterNextPoll(() => {
+        if (!this.#unread.delete(res)) return;
         if (!hasDisconnected(req, res)) {
           exchange.stage = "with_relay";
           return handler.handle(head, body, arrivedAtMs, responder);
@@ -324,6 +350,7 @@
     const { log } = this.#options;
     const connection = this.#connections.get(req.socket);
     if (connection !== undefined) connection.isRefused = true;
+    this.#unread.delete(res);
     log.request("request_refused", {
       req: this.#requestIdOf(req) ?? undefined,
       status,
--- a/packages/policy/src/planned_stop.ts
+++ b/packages/policy/src/planned_stop.ts
@@ -38,5 +38,5 @@
   { sinceStopMs, remainingMs, usualMs, longestMs }: LateRequest,
 ): boolean {
   const neededMs = sinceStopMs <= ARRIVING_MS ? Math.min(usualMs, longestMs) : longestMs;
-  return neededMs <= remainingMs;
+  return remainingMs > 0 && neededMs <= remainingMs;
 }
