End what waits for an engine before what is at one as a process ends

What callers saw: a draft that no engine had received was sent to one in the last moments of a stopping process and then answered 502, which promises nothing, in place of 503 (not run, may be sent again).

Cause: the end of the run at an engine frees its place, upon which the queue is dispatched.

Now requests that wait are ended first.

--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -9,7 +9,7 @@
 import { RETRY_AFTER_ELSEWHERE_MS } from "./access_control.ts";
 import type { RelayContext } from "./context.ts";
 import type { EngineDispatcher } from "./engine_dispatcher.ts";
-import type { InboundHead, InboundRequest, Rejection, Responder } from "./inbound.ts";
+import type { InboundHead, InboundRequest, Rejection, RequestStage, Responder } from "./inbound.ts";
 import { PlainCall } from "./plain_call.ts";
 import type { StreamRun } from "./stream_run.ts";
 
@@ -145,16 +145,12 @@
 
   /**
    * Responds to all requests whose response has not begun, as the process ends. The response says that a request did
-   * not run only if it was not sent. Returns how many had been sent and how many had not.
+   * not run only if it was not sent, so what waits is ended first: the end of a run sends the next one to its engine.
+   * Returns how many had been sent and how many had not.
    */
   endUnbegun(): { readonly waiting: number; readonly sent: number } {
-    const ended = { waiting: 0, sent: 0 };
-    for (const request of this.#inProgress()) {
-      if (request.stage === "streaming") continue;
-      ended[request.stage]++;
-      request.giveUp();
-    }
-    return ended;
+    const waiting = this.#end("waiting");
+    return { waiting, sent: this.#end("sent") };
   }
 
   /** Ends all requests in progress. Returns how many there were. */
@@ -177,6 +173,13 @@
     }
   }
 
+  /** Ends the requests of a stage. Returns how many there were. */
+  #end(stage: RequestStage): number {
+    const requests = this.#inProgress().filter((request) => request.stage === stage);
+    for (const request of requests) request.giveUp();
+    return requests.length;
+  }
+
   #inProgress(): (PlainCall | StreamRun)[] {
     return [...this.#calls, ...this.#options.dispatcher.runs];
   }
