--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -362,9 +362,10 @@
 
   /**
    * Shuts down gracefully: reports not ready, finishes requests in progress, then closes. Resolves within the grace
-   * period, counted from the earliest moment at which the order to stop may have been sent.
+   * period, counted from the earliest moment at which the order to stop may have been sent, with the time by `clock` at
+   * which the process may be killed, in milliseconds.
    */
-  async stop(): Promise<void> {
+  async stop(): Promise<number> {
     const { clock, log, settings } = this.#options;
     const deadline = this.#stopDeadline;
     deadline.begin(clock.now(), this.#loopMonitor.unpolledMs());
@@ -388,6 +389,7 @@
       ended,
     });
     await this.kill();
+    return clock.now() + deadline.killedInMs(clock.now());
   }
 
   /**
--- a/packages/policy/src/stop_deadline.ts
+++ b/packages/policy/src/stop_deadline.ts
@@ -111,6 +111,12 @@
     return this.#handledAtMs + this.#graceMs - delayMs - EXIT_MS - nowMs;
   }
 
+  /** Time until the process may be killed, in milliseconds; may be negative. */
+  killedInMs(nowMs: number): number {
+    if (this.#handledAtMs === null) return Infinity;
+    return this.#graceMs - this.sinceMs(nowMs);
+  }
+
   /** Time that is kept for stalls like those of late, in milliseconds. */
   #reserveMs(nowMs: number): number {
     this.#forget(nowMs);
--- a/packages/policy/tests/stop_deadline_test.ts
+++ b/packages/policy/tests/stop_deadline_test.ts
@@ -80,3 +80,12 @@
   deadline.begin(12_000, 0);
   assert.equal(deadline.remainingMs(12_000), GRACE_MS - 250 - 2 * 10);
 });
+
+// Guards against an end that waits for the reader of the log until the process is killed.
+test("a stalled process is killed that much sooner after it has handled the order to stop", () => {
+  const deadline = new StopDeadline({ graceMs: 8_000 });
+  assert.equal(deadline.killedInMs(1_000), Infinity);
+  deadline.begin(1_000, 600);
+  assert.equal(deadline.killedInMs(1_000), 7_400);
+  assert.equal(deadline.killedInMs(8_900), -500);
+});
