Look for a caller's disconnect while connections queue to be accepted

Cause: after a stall, a request waits for one more poll, which shows its caller's disconnect, but only until the clock was polled again, 50 ms later. Node.js 20 accepts one connection in each iteration of its loop, so the last of a queue are read much later, and as the queue grows under load, without any stall.

Change: that poll is waited for while connections are accepted one after the other, until two polls have accepted none. A single connection does not wait.

--- a/packages/gateway/src/observe/loop_monitor.ts
+++ b/packages/gateway/src/observe/loop_monitor.ts
@@ -26,7 +26,9 @@
   /** Duration of the last stall, while connections that were opened during it may still be unread; otherwise 0. */
   #backlogMs = 0;
   #backlogSinceMs = 0;
-  #connections = 0;
+  /** Connections accepted since polls last accepted none. */
+  #burst = 0;
+  #isCounting = false;
 
   /** `onPoll` is called after each poll with its delay in milliseconds, and the time by `clock`. */
   constructor(
@@ -52,10 +54,9 @@
       this.#log.state("process_stalled", { ms: Math.round(delayMs) });
       // A longer stall before it, whose backlog may still be unread, counts to its own end.
       if (this.#unreadMs() >= delayMs) return;
-      const isWaiting = this.#backlogMs > 0;
       this.#backlogMs = delayMs;
       this.#backlogSinceMs = now;
-      if (!isWaiting) this.#awaitBacklog();
+      this.#awaitQuietPolls();
     });
   }
 
@@ -71,9 +72,18 @@
     return Math.max(0, this.#lastDelayMs, sincePollMs - POLL_INTERVAL_MS);
   }
 
+  /**
+   * Whether the caller of a request that is read now may have closed its connection long before: after a stall, and
+   * while connections queue to be accepted, however quick each iteration of the loop is.
+   */
+  get mayHaveLeft(): boolean {
+    return this.#burst > 1 || this.stallMs() > 0;
+  }
+
   /** Records that a connection was accepted. */
   recordConnection(): void {
-    this.#connections++;
+    this.#burst++;
+    this.#awaitQuietPolls();
   }
 
   /** Calls `fn` after connections have been polled once more, so that callers' disconnects are known by then. */
@@ -89,11 +99,15 @@
     return this.#clock.now() - this.#backlogSinceMs < this.#backlogMs ? this.#backlogMs : 0;
   }
 
-  /** Ends the backlog of a stall once polls accept no connection any more, or its time is over. */
-  #awaitBacklog(): void {
-    const connections = this.#connections;
+  /** Ends the backlog once polls accept no connection any more. */
+  #awaitQuietPolls(): void {
+    if (this.#isCounting) return;
+    this.#isCounting = true;
+    const burst = this.#burst;
     this.afterNextPoll(() => {
-      if (this.#connections !== connections && this.#unreadMs() > 0) return this.#awaitBacklog();
+      this.#isCounting = false;
+      if (this.#burst !== burst) return this.#awaitQuietPolls();
+      this.#burst = 0;
       this.#backlogMs = 0;
     });
   }
--- a/packages/gateway/src/surface/proxy_server.ts
+++ b/packages/gateway/src/surface/proxy_server.ts
@@ -278,21 +278,22 @@
       return void req.resume();
     }
     this.#readBody(req, res, { exchange, maxBytes: maxBodyBytes }, (body) => {
-      const stallMs = this.#options.loop.stallMs();
-      if (stallMs === 0) {
+      const { loop, log } = this.#options;
+      if (!loop.mayHaveLeft) {
         // It may have been refused while its body was read.
         if (!this.#unread.delete(res)) return;
         exchange.stage = "with_relay";
         return handler.handle(head, body, arrivedAtMs, responder);
       }
       exchange.stage = "deferred_by_stall";
-      this.#options.loop.afterNextPoll(() => {
+      const stallMs = loop.stallMs();
+      loop.afterNextPoll(() => {
         if (!this.#unread.delete(res)) return;
         if (!hasDisconnected(req, res)) {
           exchange.stage = "with_relay";
           return handler.handle(head, body, arrivedAtMs, responder);
         }
-        this.#options.log.request("caller_left_unread", {
+        log.request("caller_left_unread", {
           req: head.requestId,
           stallMs: Math.round(stallMs),
         });
--- a/packages/gateway/tests/loop_monitor_test.ts
+++ b/packages/gateway/tests/loop_monitor_test.ts
@@ -65,6 +65,21 @@
   assert.equal(monitor.stallMs(), 0);
 });
 
+// Guards against running requests of callers that left while their connections queued to be accepted, one in each
+// iteration: with 200 of them, the last were read seconds later, without a stall that the polls of the clock notice.
+test("callers may have left while connections are accepted one after the other, without any stall", async () => {
+  const monitor = new LoopMonitor(new ManualClock(), new MemoryLog());
+  monitor.recordConnection();
+  assert.equal(monitor.mayHaveLeft, false, "a single connection");
+  for (let i = 0; i < 200; i++) {
+    await nextIteration();
+    monitor.recordConnection();
+    assert.equal(monitor.mayHaveLeft, true, `connection ${i}`);
+  }
+  for (let i = 0; i < 4; i++) await nextIteration();
+  assert.equal(monitor.mayHaveLeft, false);
+});
+
 test("a host on which connections never cease counts nothing as having waited for a stall long past", async () => {
   const clock = new StalledClock();
   const monitor = new LoopMonitor(clock, new MemoryLog());
