Count a stall for the order to stop only until connections were polled once more

What callers saw, in a trial on a machine with a load average of 46: SIGTERM came 40 ms after a stall of 1.2 s, and the process took the stall for the delay of the signal. It responded to what was in progress 1.2 s after SIGTERM, with a grace period of 3 s.

Cause: the delay of the last poll counted until the next one, 50 ms later.

Change: a stall counts until signals and connections have been polled once after it.

An end as idle also accepts the connections that queue behind a stall, of which Node.js accepts one in each iteration of the loop.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -374,7 +374,7 @@
       delayedMs: Math.round(deadline.delayedMs),
       graceMs: settings.bounds.grace_ms,
       respondsInMs: Math.round(deadline.remainingMs(clock.now())),
-      closesInMs: Math.round(deadline.closesInMs(clock.now())),
+      closesInMs: Math.round(this.#closesInMs()),
     });
     this.#proxy.drain();
     this.#network.announceStop();
@@ -405,7 +405,7 @@
       if (deadline.mayEndIdle(clock.now()) && this.#proxy.active === 0) {
         await Promise.race([removal, clock.sleep(REMOVAL_WAIT_MS)]);
         // After a stall, timers run before what has arrived meanwhile is read.
-        await this.#nextPoll();
+        await this.#readArrived();
         if (this.#proxy.active === 0) return true;
       }
       this.#relay.releaseLate();
@@ -423,18 +423,27 @@
     const { waiting, sent } = this.#relay.endUnbegun();
     for (;;) {
       // What has arrived during a stall is read before it is refused.
-      await this.#nextPoll();
+      await this.#readArrived();
       reading += this.#proxy.refuseUnread();
-      const closesInMs = this.#stopDeadline.closesInMs(clock.now());
+      const closesInMs = this.#closesInMs();
       if (closesInMs <= 0 || this.#proxy.active === 0) break;
       await clock.sleep(Math.min(TICK_MS, closesInMs));
     }
     return { reading, waiting, sent, streaming: this.#relay.endAll() };
   }
 
-  /** Resolves after connections have been polled and what has arrived on them has been read. */
-  #nextPoll(): Promise<void> {
-    return new Promise((resolve) => this.#loopMonitor.afterNextPoll(resolve));
+  /** Resolves after connections have been accepted and polled, and what has arrived on them has been read. */
+  async #readArrived(): Promise<void> {
+    let accepted: number;
+    do {
+      accepted = this.#proxy.accepted;
+      await new Promise<void>((resolve) => this.#loopMonitor.afterNextPoll(resolve));
+      // Node.js accepts one connection in each iteration of the loop, so that a stall leaves a queue of them.
+    } while (this.#proxy.accepted !== accepted && this.#closesInMs() > 0);
+  }
+
+  #closesInMs(): number {
+    return this.#stopDeadline.closesInMs(this.#options.clock.now());
   }
 
   #stopProgress(): StopProgress | null {
--- a/packages/gateway/src/observe/loop_monitor.ts
+++ b/packages/gateway/src/observe/loop_monitor.ts
@@ -15,6 +15,8 @@
 export const POLL_INTERVAL_MS = 50;
 /** Delay of a poll from which on the process counts as stalled: several times its usual work. */
 const STALL_MS = 100;
+/** Delay of a poll from which on signals count as having waited; below it, a poll is as usual. */
+const SHORTEST_STALL_MS = 20;
 
 /** Detects stalls of the event loop from the delay of a repeating timer. */
 export class LoopMonitor {
@@ -22,7 +24,8 @@
   readonly #log: DecisionLog;
   readonly #onPoll: (delayMs: number, nowMs: number) => void;
   #lastPollMs: number;
-  #lastDelayMs = 0;
+  /** Duration of the last stall, until what had arrived by its end has been handled. */
+  #unhandledMs = 0;
   /** Duration of the last stall, while connections that were opened during it may still be unread; otherwise 0. */
   #backlogMs = 0;
   #backlogSinceMs = 0;
@@ -48,7 +51,8 @@
       const now = this.#clock.now();
       const delayMs = now - this.#lastPollMs - POLL_INTERVAL_MS;
       this.#lastPollMs = now;
-      this.#lastDelayMs = delayMs;
+      this.#unhandledMs = delayMs;
+      if (delayMs >= SHORTEST_STALL_MS) this.afterNextPoll(() => this.#unhandledMs = 0);
       this.#onPoll(delayMs, now);
       if (delayMs < STALL_MS) return;
       this.#log.state("process_stalled", { ms: Math.round(delayMs) });
@@ -69,7 +73,7 @@
   /** Longest time for which a signal that is handled now may have been waiting, in milliseconds. */
   unpolledMs(): number {
     const sincePollMs = this.#clock.now() - this.#lastPollMs;
-    return Math.max(0, this.#lastDelayMs, sincePollMs - POLL_INTERVAL_MS);
+    return Math.max(0, this.#unhandledMs, sincePollMs - POLL_INTERVAL_MS);
   }
 
   /**
--- a/packages/gateway/src/surface/proxy_server.ts
+++ b/packages/gateway/src/surface/proxy_server.ts
@@ -91,6 +91,7 @@
   /** Requests that have not been passed to the handler, by their responses. */
   readonly #unread = new Map<ServerResponse, IncomingMessage>();
   #draining = false;
+  #accepted = 0;
   #bufferedBytes = 0;
 
   constructor(options: ProxyServerOptions) {
@@ -142,6 +143,11 @@
     return active;
   }
 
+  /** Number of connections that were accepted so far. */
+  get accepted(): number {
+    return this.#accepted;
+  }
+
   /** Closes each connection after its next response. New connections are still served. */
   drain(): void {
     this.#draining = true;
@@ -199,6 +205,7 @@
 
   #onConnection(socket: Socket): void {
     this.#options.loop.recordConnection();
+    this.#accepted++;
     this.#connections.set(socket, {
       exchanges: new Set(),
       reading: null,
