Log the state of the key lease that a confirmation ends

What operators saw: requests refused as keys_unconfirmed, and no line that the lease was ending. "a gateway that reaches the store again takes requests with a key within half a second" failed now and then with near_end, held in place of ending, held.

Cause: requests see the lease's state at once, its lines come with the next tick, and a confirmation may come between the two; then the state has no line.

Change: a tick comes before the confirmation.

--- a/packages/gateway/src/state/key_lease.ts
+++ b/packages/gateway/src/state/key_lease.ts
@@ -125,6 +125,8 @@
     if (this.#pending === null) return;
     const { atMs, source } = this.#pending;
     this.#pending = null;
+    // Requests may have been refused since the last tick, so the state that this confirmation ends is logged first.
+    this.tick();
     if (!this.#lease.confirm(atMs, this.#options.elapsed.now())) return;
     this.#source = source;
     // The return of the lease is logged with the confirmation that brought it.
