Count late polls too, and let hosts hear of each other before they shed

So delays of 50 ms and more are added up.

A host sheds 250 ms after it has become overloaded in place of 150.

--- a/packages/policy/src/host_overload.ts
+++ b/packages/policy/src/host_overload.ts
@@ -14,9 +14,12 @@
 export interface HostOverloadOptions {
   /** Scheduling delay of the process from which on it counts as a stall, in milliseconds. */
   readonly stallMs?: number;
-  /** Time over which stalls are added up, in milliseconds. */
+  /** Time over which delays are added up, in milliseconds. */
   readonly windowMs?: number;
-  /** Sum of the stalls in the window but for the longest, from which on the host is overloaded, in milliseconds. */
+  /**
+   * Sum of the delays in the window but for the longest, from which on a host that has stalled is overloaded, in
+   * milliseconds.
+   */
   readonly repeatedMs?: number;
   /** Time without a stall after which the host accepts new streams again, in milliseconds. */
   readonly quietMs?: number;
@@ -26,20 +29,22 @@
 
 /** Below the pauses that callers tolerate (180 ms), and above those of garbage collection. */
 const STALL_MS = 150;
-/** Holds two stalls in succession of a host that stalls for up to 1.3 s at a time. */
+/** Delays from this on, the interval of polls, are added up: on a slowed host all polls are late. */
+const DELAY_MS = 50;
+/** Holds two stalls in succession of a host that stalls for up to 1.3 s at a time, and the delays between them. */
 const WINDOW_MS = 3_000;
 /**
- * A tenth of the window. The longest stall does not count, so that neither one stall nor the work
+ * A tenth of the window. The longest delay does not count, so that neither one stall nor the work
  * that piles up behind a long one (less than this) makes a host overloaded.
  */
 const REPEATED_MS = 300;
 /** Several times the interval between stalls of a host that is too slow. */
 const QUIET_MS = 1_000;
 /**
- * Three polls of the event loop: by then other hosts that had the same stalls, as on a machine that
+ * Five polls of the event loop: by then other hosts that had the same stalls, as on a machine that
  * is busy as a whole, have said that they are overloaded too.
  */
-const SETTLE_MS = 150;
+const SETTLE_MS = 250;
 /** Fraction of the other hosts that must not be overloaded before this host's streams are shed to them. */
 const MIN_HEALTHY_FRACTION = 0.5;
 /**
@@ -48,8 +53,8 @@
  */
 const RECOVERY_MS = 500;
 
-/** A stall of the process: when it ended and how long it was, in milliseconds. */
-interface Stall {
+/** A scheduling delay of the process: when it ended and how long it was, in milliseconds. */
+interface Delay {
   readonly endedAtMs: number;
   readonly ms: number;
 }
@@ -66,7 +71,8 @@
  */
 export class HostOverload {
   readonly #options: Required<HostOverloadOptions>;
-  #stalls: Stall[] = [];
+  #delays: Delay[] = [];
+  #lastStallMs = -Infinity;
   /** When the host became overloaded; `null` if it has not since it was last quiet. */
   #sinceMs: number | null = null;
 
@@ -85,20 +91,19 @@
   /** Records for how long the process was not scheduled until `nowMs`. */
   recordDelay(delayMs: number, nowMs: number): void {
     const { stallMs, windowMs, repeatedMs } = this.#options;
-    if (delayMs < stallMs) return;
+    if (delayMs < DELAY_MS) return;
     if (!this.isOverloaded(nowMs)) this.#sinceMs = null;
-    this.#stalls = this.#stalls.filter(({ endedAtMs }) => nowMs - endedAtMs < windowMs);
-    this.#stalls.push({ endedAtMs: nowMs, ms: delayMs });
+    if (delayMs >= stallMs) this.#lastStallMs = nowMs;
+    this.#delays = this.#delays.filter(({ endedAtMs }) => nowMs - endedAtMs < windowMs);
+    this.#delays.push({ endedAtMs: nowMs, ms: delayMs });
     if (this.#sinceMs !== null) return;
-    const total = this.#stalls.reduce((sum, { ms }) => sum + ms, 0);
-    const longest = Math.max(...this.#stalls.map(({ ms }) => ms));
-    if (total - longest >= repeatedMs) this.#sinceMs = nowMs;
+    const total = this.#delays.reduce((sum, { ms }) => sum + ms, 0);
+    const longest = Math.max(...this.#delays.map(({ ms }) => ms));
+    if (longest >= stallMs && total - longest >= repeatedMs) this.#sinceMs = nowMs;
   }
 
   isOverloaded(nowMs: number): boolean {
-    const last = this.#stalls.at(-1);
-    return this.#sinceMs !== null && last !== undefined &&
-      nowMs - last.endedAtMs < this.#options.quietMs;
+    return this.#sinceMs !== null && nowMs - this.#lastStallMs < this.#options.quietMs;
   }
 
   /** Whether the host is overloaded, and has been for long enough to know whether the others are too. */
