Date only what may have queued back by a stall that is over

What callers saw: after a pause of an entry, all requests were refused with 503 (deadline_exceeded) for as long as the pause had taken, although they were sent after it.

Cause: while each iteration of the loop accepts a connection, the backlog of a stall never ends, and each request, also on a connection that was in use, was dated back by the whole stall, for as long as it had taken.

Change: only the first request of a connection may have queued to be accepted. What comes later on a connection is read in the first poll after a stall.

On the code before, 'a further request of a connection counts as having waited only in the first poll after a stall' fails with '50 !== 950'.

--- a/packages/gateway/src/observe/loop_monitor.ts
+++ b/packages/gateway/src/observe/loop_monitor.ts
@@ -64,10 +64,15 @@
     });
   }
 
-  /** Time for which data that is read now may have been waiting, in milliseconds; 0 if it was not held up by a stall. */
-  stallMs(): number {
+  /**
+   * Time for which data that is read now may have been waiting, in milliseconds; 0 if it was not held up by a stall.
+   * `isFirst` says that it is the first of its connection, which may have queued to be accepted. What comes later on a
+   * connection is read in the first poll after the stall in which it arrived.
+   */
+  stallMs({ isFirst = true }: { readonly isFirst?: boolean } = {}): number {
     const delayMs = this.#clock.now() - this.#lastPollMs - POLL_INTERVAL_MS;
-    return Math.max(this.#unreadMs(), delayMs < STALL_MS ? 0 : delayMs);
+    const heldUpMs = isFirst ? this.#unreadMs() : longStallMs(this.#unhandledMs);
+    return Math.max(heldUpMs, longStallMs(delayMs));
   }
 
   /** Longest time for which a signal that is handled now may have been waiting, in milliseconds. */
@@ -116,3 +121,8 @@
     });
   }
 }
+
+/** The delay of a poll, or 0 where it is too short to count as a stall. */
+function longStallMs(delayMs: number): number {
+  return delayMs < STALL_MS ? 0 : delayMs;
+}
--- a/packages/gateway/src/surface/proxy_server.ts
+++ b/packages/gateway/src/surface/proxy_server.ts
@@ -217,9 +217,9 @@
 
   #onRequest(req: IncomingMessage, res: ServerResponse): void {
     const { handler, clock, loop } = this.#options;
-    // A stall that holds up the request later, as while its body is read, passes on the clock.
-    const arrivedAtMs = clock.now() - loop.stallMs();
     const connection = this.#connections.get(req.socket);
+    // A stall that holds up the request later, as while its body is read, passes on the clock.
+    const arrivedAtMs = clock.now() - loop.stallMs({ isFirst: connection?.requestBytes === 0 });
     const exchange = this.#createExchange(req, res);
     // The parser may deliver requests that followed a refused one before the connection is closed.
     if (connection === undefined || connection.isRefused) {
--- a/packages/gateway/tests/fixtures.ts
+++ b/packages/gateway/tests/fixtures.ts
@@ -4,6 +4,7 @@
   type Clock,
   dataCentreId,
   endpointId,
+  ManualClock,
   regionId,
   Rng,
   routeId,
@@ -19,6 +20,7 @@
   MoveRecord,
   RouteConfig,
 } from "../src/config/types.ts";
+import { POLL_INTERVAL_MS } from "../src/observe/loop_monitor.ts";
 import { DecisionLog } from "../src/observe/decision_log.ts";
 import { KeyLease } from "../src/state/key_lease.ts";
 import {
@@ -305,3 +307,18 @@
 export async function settle(): Promise<void> {
   for (let i = 0; i < 20; i++) await new Promise((resolve) => setImmediate(resolve));
 }
+
+/** A clock whose timers fire late: all that are due, after the time has passed. */
+export class StalledClock extends ManualClock {
+  #lateMs = 0;
+
+  override now(): number {
+    return super.now() + this.#lateMs;
+  }
+
+  /** Stalls until the next timer, which is `ms` milliseconds late. */
+  stall(ms: number): void {
+    this.#lateMs += ms;
+    this.advance(POLL_INTERVAL_MS);
+  }
+}
--- a/packages/gateway/tests/loop_monitor_test.ts
+++ b/packages/gateway/tests/loop_monitor_test.ts
@@ -4,7 +4,7 @@
 import { test } from "node:test";
 import { ManualClock, SystemClock } from "@wisteriapick/core";
 import { LoopMonitor, POLL_INTERVAL_MS } from "../src/observe/loop_monitor.ts";
-import { MemoryLog } from "./fixtures.ts";
+import { MemoryLog, StalledClock } from "./fixtures.ts";
 
 test("no stall is reported while polls are on time, and the duration of a stall is reported", () => {
   const clock = new ManualClock();
@@ -18,21 +18,6 @@
   assert.equal(stalledMonitor.stallMs(), 900 - POLL_INTERVAL_MS);
 });
 
-/** A clock whose timers fire late: all that are due, after the time has passed. */
-class StalledClock extends ManualClock {
-  #lateMs = 0;
-
-  override now(): number {
-    return super.now() + this.#lateMs;
-  }
-
-  /** Stalls until the next timer, which is `ms` milliseconds late. */
-  stall(ms: number): void {
-    this.#lateMs += ms;
-    this.advance(POLL_INTERVAL_MS);
-  }
-}
-
 const nextIteration = () => new Promise<void>((resolve) => setImmediate(resolve));
 
 // Guards against requests that count as late although they arrived after the stall, for up to 50 ms.
--- a/packages/gateway/tests/proxy_server_test.ts
+++ b/packages/gateway/tests/proxy_server_test.ts
@@ -8,7 +8,7 @@
 import type { CallerDialect } from "../src/surface/caller_dialect.ts";
 import type { HttpResponder } from "../src/surface/http_responder.ts";
 import { ProxyServer } from "../src/surface/proxy_server.ts";
-import { MemoryLog } from "./fixtures.ts";
+import { MemoryLog, StalledClock } from "./fixtures.ts";
 
 const STALL_MS = 900;
 /** The part of the stall that the monitor notices: less than a whole interval may have passed before. */
@@ -24,8 +24,7 @@
 }
 
 /** Starts a server on a clock that the test moves; a clock that has moved without a poll is a stall. */
-async function startServer(t: TestContext) {
-  const clock = new ManualClock();
+async function startServer(t: TestContext, clock = new ManualClock()) {
   const log = new MemoryLog();
   const loop = new LoopMonitor(clock, log);
   const arrivals: number[] = [];
@@ -70,7 +69,7 @@
     new Promise<void>((resolve) => {
       waiters[name] = resolve;
     });
-  return { clock, arrivals, socket, event };
+  return { clock, loop, arrivals, socket, event };
 }
 
 const HEAD = "POST /drafts/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\n";
@@ -98,3 +97,29 @@
   await handled;
   assert.deepEqual(arrivals, [STALL_MS - NOTICED_MS]);
 });
+
+// Guards against refusals of requests that were sent after a stall: while new connections come one after the other, a
+// request on a connection that was read from before counted as having waited for the whole stall.
+test("a further request of a connection counts as having waited only in the first poll after a stall", async (t) => {
+  const clock = new StalledClock();
+  const { loop, arrivals, socket, event } = await startServer(t, clock);
+  t.after(loop.start());
+  const first = event("handled");
+  socket.write(`${HEAD}abc`);
+  await first;
+  clock.stall(STALL_MS);
+  let isBusy = true;
+  const connectAgain = () => {
+    if (!isBusy) return;
+    loop.recordConnection();
+    setImmediate(connectAgain);
+  };
+  connectAgain();
+  for (let i = 0; i < 4; i++) await new Promise((resolve) => setImmediate(resolve));
+  assert.equal(loop.stallMs(), STALL_MS, "new connections may have queued during the stall");
+  const second = event("handled");
+  socket.write(`${HEAD}abc`);
+  await second;
+  isBusy = false;
+  assert.equal(arrivals[1], clock.now());
+});
