Read the responses that have arrived before ending requests of a stopping process

What callers saw: 502 for a request whose endpoint had responded, if the process was stalled when the time of its requests ended.

Cause: after a stall, the timer runs before connections are polled, so requests were ended before the responses in their connections were read.

On the code before, 'a response that has arrived before the end of a stalled process is delivered' fails with '502 !== 200'.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -420,6 +420,8 @@
   async #endRequests(): Promise<EndedRequests> {
     const { clock } = this.#options;
     let reading = 0;
+    // Responses that have arrived during a stall are read before their requests are ended.
+    await this.#readArrived();
     const { waiting, sent } = this.#relay.endUnbegun();
     for (;;) {
       // What has arrived during a stall is read before it is refused.
