Count runs that go on from a copy only after a crash

The rule on repeats does not count runs that are moved off leaving engines. Counting them took from the repeats of refused requests for nothing.

Whether runs that go on from a copy after a crash count is not known, so they still take from the budget.

--- a/packages/gateway/src/relay/run_migrator.ts
+++ b/packages/gateway/src/relay/run_migrator.ts
@@ -89,6 +89,8 @@
     const copy = this.#copies.take(run);
     if (copy === null) return false;
     const reason = "engine lost, copy goes on";
+    const { service } = copy.row.record;
+    this.#ctx.repeats.recordUnasked({ requestId: run.id, service, reason });
     if (this.#ctx.limits.mayTake(copy.row.record.id)) {
       this.#resume(run, copy.row, copy.memory, reason);
       return true;
@@ -265,7 +267,6 @@
     reason: string,
   ): void {
     const { registry } = this.#dispatcher;
-    this.#ctx.repeats.recordUnasked({ requestId: run.id, service: row.record.service, reason });
     registry.removeCopies(run);
     registry.place(run, row.record.id, this.#ctx.clock.now(), false);
     run.send({
