Never take a request for late that may have arrived after a stall

What callers saw, on the joined code before: after a pause of an entry, requests on new connections were refused with 503 (deadline_exceeded) for as long as the pause had taken, although they were sent after it.

Cause: a request that is read after a stall counted as having arrived when the stall began.

Change: its arrival is a span. A request is late only if it is so whenever it arrived, and has half a second left at least if it may have come later, which is as much as an endpoint may get beyond the deadline of the caller.

A stop that looks for what has arrived before it ends as idle does so until the time of its last responses, no longer until it closes its connections. (Found by reading.)

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -405,7 +405,7 @@
       if (deadline.mayEndIdle(clock.now()) && this.#proxy.active === 0) {
         await Promise.race([removal, clock.sleep(REMOVAL_WAIT_MS)]);
         // After a stall, timers run before what has arrived meanwhile is read.
-        await this.#readArrived();
+        await this.#readArrived(() => deadline.remainingMs(clock.now()));
         if (this.#proxy.active === 0) return true;
       }
       this.#relay.releaseLate();
@@ -421,11 +421,11 @@
     const { clock } = this.#options;
     let reading = 0;
     // Responses that have arrived during a stall are read before their requests are ended.
-    await this.#readArrived();
+    await this.#readArrived(() => 0);
     const { waiting, sent } = this.#relay.endUnbegun();
     for (;;) {
       // What has arrived during a stall is read before it is refused.
-      await this.#readArrived();
+      await this.#readArrived(() => this.#closesInMs());
       reading += this.#proxy.refuseUnread();
       const closesInMs = this.#closesInMs();
       if (closesInMs <= 0 || this.#proxy.active === 0) break;
@@ -434,14 +434,17 @@
     return { reading, waiting, sent, streaming: this.#relay.endAll() };
   }
 
-  /** Resolves after connections have been accepted and polled, and what has arrived on them has been read. */
-  async #readArrived(): Promise<void> {
+  /**
+   * Resolves after connections have been accepted and polled, and what has arrived on them has been read, or when no time
+   * is left.
+   */
+  async #readArrived(timeLeftMs: () => number): Promise<void> {
     let accepted: number;
     do {
       accepted = this.#proxy.accepted;
       await new Promise<void>((resolve) => this.#loopMonitor.afterNextPoll(resolve));
       // Node.js accepts one connection in each iteration of the loop, so that a stall leaves a queue of them.
-    } while (this.#proxy.accepted !== accepted && this.#closesInMs() > 0);
+    } while (this.#proxy.accepted !== accepted && timeLeftMs() > 0);
   }
 
   #closesInMs(): number {
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -4,7 +4,7 @@
  *
  * @module
  */
-import { canTakeWhileStopping, OutlierEjection } from "@wisteriapick/policy";
+import { type Arrival, canTakeWhileStopping, dueAtMs, OutlierEjection } from "@wisteriapick/policy";
 import type { CallerLimits, RouteConfig } from "../config/types.ts";
 import { RETRY_AFTER_ELSEWHERE_MS } from "./access_control.ts";
 import type { RelayContext } from "./context.ts";
@@ -81,23 +81,24 @@
   }
 
   /** Handles a request whose body has been read. */
-  handle(head: InboundHead, body: Buffer | null, arrivedAtMs: number, responder: Responder): void {
+  handle(head: InboundHead, body: Buffer | null, arrival: Arrival, responder: Responder): void {
     // The configuration may have changed while the body was read.
     const access = this.#options.ctx.access.check(head);
     if (access.type === "rejected") return this.#reject(head, access.rejection, responder);
     const { ctx, dispatcher } = this.#options;
     const { route, account } = access;
     const timeoutMs = Math.min(route.timeoutMs, head.deadlineMs ?? Infinity);
+    const dueMs = dueAtMs(arrival, { timeoutMs, nowMs: ctx.clock.now() });
     const req: InboundRequest = {
       ...head,
       route,
       account,
       body,
-      arrivedAtMs,
-      dueAtMs: arrivedAtMs + timeoutMs,
+      arrivedAtMs: dueMs - timeoutMs,
+      dueAtMs: dueMs,
     };
     ctx.repeats.recordRequest(route);
-    // A request that was read after a stall may have no time left, and an endpoint would work for nobody.
+    // A request whose body took all of its time has none left, and an endpoint would work for nobody.
     if (req.dueAtMs <= ctx.clock.now()) {
       const rejection = {
         reason: "deadline_exceeded",
--- a/packages/gateway/src/surface/proxy_server.ts
+++ b/packages/gateway/src/surface/proxy_server.ts
@@ -12,6 +12,7 @@
 } from "node:http";
 import type { Socket } from "node:net";
 import { ByteBuffer, type Clock } from "@wisteriapick/core";
+import type { Arrival } from "@wisteriapick/policy";
 import { type Address, formatAddress } from "@wisteriapick/wire";
 import type { CallerLimits } from "../config/types.ts";
 import type { DecisionLog } from "../observe/decision_log.ts";
@@ -35,7 +36,7 @@
   handle(
     head: InboundHead,
     body: Buffer | null,
-    arrivedAtMs: number,
+    arrival: Arrival,
     responder: HttpResponder,
   ): void;
 }
@@ -64,11 +65,10 @@
 /** Codes of errors that say that the caller closed its connection. */
 const LEFT_CODES: ReadonlySet<string> = new Set(["ECONNRESET", "HPE_INVALID_EOF_STATE"]);
 
-/** A request that has begun to arrive. */
-interface Arrival {
+/** A request that is being read. */
+interface Incoming {
   readonly exchange: Exchange;
-  /** Monotonic time, in milliseconds. */
-  readonly arrivedAtMs: number;
+  readonly arrival: Arrival;
 }
 
 /** State of one connection. */
@@ -219,7 +219,9 @@
     const { handler, clock, loop } = this.#options;
     const connection = this.#connections.get(req.socket);
     // A stall that holds up the request later, as while its body is read, passes on the clock.
-    const arrivedAtMs = clock.now() - loop.stallMs({ isFirst: connection?.requestBytes === 0 });
+    const latestMs = clock.now();
+    const stallMs = loop.stallMs({ isFirst: connection?.requestBytes === 0 });
+    const arrival: Arrival = { earliestMs: latestMs - stallMs, latestMs };
     const exchange = this.#createExchange(req, res);
     // The parser may deliver requests that followed a refused one before the connection is closed.
     if (connection === undefined || connection.isRefused) {
@@ -236,8 +238,8 @@
       connection.exchanges.delete(exchange);
       this.#unread.delete(res);
     });
-    if (handler.isReady()) this.#read(req, res, { exchange, arrivedAtMs });
-    else this.#waitForConfig(req, res, { exchange, arrivedAtMs });
+    if (handler.isReady()) this.#read(req, res, { exchange, arrival });
+    else this.#waitForConfig(req, res, { exchange, arrival });
   }
 
   #createExchange(req: IncomingMessage, res: ServerResponse): Exchange {
@@ -250,20 +252,20 @@
   }
 
   /** Delays a request until the first configuration is known, as callers rarely retry more than once. */
-  #waitForConfig(req: IncomingMessage, res: ServerResponse, arrival: Arrival): void {
+  #waitForConfig(req: IncomingMessage, res: ServerResponse, incoming: Incoming): void {
     const { handler, clock } = this.#options;
-    const { exchange } = arrival;
+    const { exchange } = incoming;
     exchange.stage = "waiting_for_config";
     const waitsUntilMs = clock.now() + MAX_CONFIG_WAIT_MS;
     const undo = clock.setRepeating(CONFIG_CHECK_INTERVAL_MS, () => {
       const hasTimedOut = clock.now() >= waitsUntilMs;
       if (this.#unread.has(res) && !handler.isReady() && !hasTimedOut) return;
       undo();
-      if (this.#unread.has(res)) this.#read(req, res, arrival);
+      if (this.#unread.has(res)) this.#read(req, res, incoming);
     });
   }
 
-  #read(req: IncomingMessage, res: ServerResponse, { exchange, arrivedAtMs }: Arrival): void {
+  #read(req: IncomingMessage, res: ServerResponse, { exchange, arrival }: Incoming): void {
     const { dialect, handler } = this.#options;
     exchange.stage = "head_read";
     const responder = new HttpResponder(res, {
@@ -290,7 +292,7 @@
         // It may have been refused while its body was read.
         if (!this.#unread.delete(res)) return;
         exchange.stage = "with_relay";
-        return handler.handle(head, body, arrivedAtMs, responder);
+        return handler.handle(head, body, arrival, responder);
       }
       exchange.stage = "deferred_by_stall";
       const stallMs = loop.stallMs();
@@ -298,7 +300,7 @@
         if (!this.#unread.delete(res)) return;
         if (!hasDisconnected(req, res)) {
           exchange.stage = "with_relay";
-          return handler.handle(head, body, arrivedAtMs, responder);
+          return handler.handle(head, body, arrival, responder);
         }
         log.request("caller_left_unread", {
           req: head.requestId,
--- a/packages/gateway/tests/proxy_server_test.ts
+++ b/packages/gateway/tests/proxy_server_test.ts
@@ -47,8 +47,8 @@
         waiters.accepted();
         return true;
       },
-      handle: (_head, _body, arrivedAtMs, responder: HttpResponder) => {
-        arrivals.push(arrivedAtMs);
+      handle: (_head, _body, { earliestMs }, responder: HttpResponder) => {
+        arrivals.push(earliestMs);
         responder.reject({ reason: "draining", notRun: true });
         waiters.handled();
       },
--- a/packages/gateway/tests/relay_test.ts
+++ b/packages/gateway/tests/relay_test.ts
@@ -84,7 +84,8 @@
   });
   const request = ({ arrivedAtMs = clock.now() } = {}) => {
     const responder = new RecordingResponder();
-    relay.handle(makeHead(), null, arrivedAtMs, responder);
+    const arrival = { earliestMs: arrivedAtMs, latestMs: arrivedAtMs };
+    relay.handle(makeHead(), null, arrival, responder);
     return responder.rejection;
   };
   /** Stalls twice, as a host that is too slow does, and lets the time pass that others need to say that they do too. */
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -7,6 +7,7 @@
  */
 export * from "./account_limits.ts";
 export * from "./account_shares.ts";
+export * from "./arrival.ts";
 export * from "./backup_choice.ts";
 export * from "./call_placement.ts";
 export * from "./cold_limiter.ts";
