--- a/packages/gateway/src/surface/unanswered.ts
+++ b/packages/gateway/src/surface/unanswered.ts
@@ -12,7 +12,7 @@
  * read whole and waited for one more poll of its connection, as the process was stalled; it was with the relay, whose
  * lines say whether it was sent; a response had begun; or it was dropped, as its connection took no more requests.
  */
-export type RequestStage =
+export type ExchangeStage =
   | "head_read"
   | "waiting_for_config"
   | "reading_body"
@@ -46,7 +46,7 @@
   #cause: CloseCause | null = null;
   #detail: string | undefined;
   #hasEnded = false;
-  stage: RequestStage = "head_read";
+  stage: ExchangeStage = "head_read";
   /** Bytes of the body that were read. */
   bodyBytes = 0;
 
