--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -314,7 +314,7 @@
 
   /** Starts serving. Rejects if an address that callers or gateways need cannot be bound. */
   async start(): Promise<void> {
-    // Measured from the beginning, as the order to stop may come before the addresses are bound.
+    // Stalls count from here on, as the order to stop may come before the addresses are bound.
     const stopLoopMonitor = this.#loopMonitor.start();
     this.#stopTick = stopLoopMonitor;
     this.#follower.start();
