Answer requests before bytes that cannot be read, rather than cut them

Callers saw a kept connection close without a response to a request that an endpoint was working on, when they had sent the start of a head that did not end within header_timeout_ms, bytes that cannot be parsed, a chunked body with a bad size or CONNECT behind it (LOST).

Cause: an error of the parser was answered only if no earlier request waited for its response; otherwise the whole connection was closed at once.

Now nothing more is taken from such a connection, and it ends once the requests before the error have their responses.

The test 'a request before bytes that cannot be parsed is logged with the parser's code' expected the cut; its replacements ask for the whole response, then the refusal, and for no line of an unanswered request.

--- a/packages/gateway/src/surface/proxy_server.ts
+++ b/packages/gateway/src/surface/proxy_server.ts
@@ -81,6 +81,8 @@
   requestBytes: number;
   /** Whether nothing more is taken from it: a request was refused, or the last response ends it. */
   isRefused: boolean;
+  /** Ends it for bytes that cannot be served, once the requests before them are answered; `null` if there are none. */
+  endsWith: (() => void) | null;
 }
 
 /** The HTTP server for callers. */
@@ -211,6 +213,7 @@
       reading: null,
       requestBytes: 0,
       isRefused: false,
+      endsWith: null,
     });
     socket.once("close", () => this.#connections.delete(socket));
   }
@@ -237,6 +240,7 @@
     res.once("close", () => {
       connection.exchanges.delete(exchange);
       this.#unread.delete(res);
+      if (countUnanswered(connection) === 0 && req.socket.writable) connection.endsWith?.();
     });
     if (handler.isReady()) this.#read(req, res, { exchange, arrival });
     else this.#waitForConfig(req, res, { exchange, arrival });
@@ -374,15 +378,18 @@
     res.end();
   }
 
-  /** Responds to data that could not be parsed, unless a response to an earlier request is in progress. */
+  /** Responds to data that could not be parsed, after the responses to the requests before it. */
   #onClientError(err: NodeJS.ErrnoException, socket: Socket): void {
     const connection = this.#connections.get(socket);
     const exchanges = connection?.exchanges ?? new Set<Exchange>();
     const reading = connection?.reading ?? null;
-    // A request with an invalid body has no response yet, but requests before it may have one in progress.
-    const unanswered = exchanges.size - (reading === null ? 0 : 1);
-    const isAnswered = unanswered === 0 && socket.writable && err.code !== "ECONNRESET";
-    const status = isAnswered ? statusOfParserError(err.code) : null;
+    const cause: CloseCause = LEFT_CODES.has(err.code ?? "") ? "caller_left" : "unreadable_request";
+    const isPending = connection !== undefined && countUnanswered(connection) > 0;
+    const hasLeft = err.code === "ECONNRESET" || !socket.writable ||
+      cause === "caller_left" && isPending;
+    // The parser reports each piece of the bytes that follow.
+    if (connection !== undefined && connection.endsWith !== null && !hasLeft) return;
+    const status = hasLeft ? null : statusOfParserError(err.code);
     this.#options.log.request("connection_refused", {
       code: err.code,
       req: reading?.requestId ?? undefined,
@@ -390,24 +397,37 @@
       unanswered: exchanges.size,
       remote: socket.remoteAddress,
     });
-    const cause: CloseCause = LEFT_CODES.has(err.code ?? "") ? "caller_left" : "unreadable_request";
-    for (const exchange of exchanges) exchange.recordClose(cause, err.code);
-    if (status === null) return void socket.destroy();
-    if (cause === "unreadable_request") reading?.recordAnswered();
-    socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
-    socket.destroySoon();
+    if (status === null) {
+      for (const exchange of exchanges) exchange.recordClose(cause, err.code);
+      return void socket.destroy();
+    }
+    this.#endAfterResponses(connection, () => {
+      reading?.recordClose(cause, err.code);
+      if (cause === "unreadable_request") reading?.recordAnswered();
+      socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+      socket.destroySoon();
+    });
   }
 
   /** Closes the connection of a request for a tunnel, which nothing here offers. */
   #onConnect(req: IncomingMessage, socket: Socket): void {
+    const connection = this.#connections.get(req.socket);
     this.#options.log.request("connection_refused", {
       code: "CONNECT",
+      unanswered: connection?.exchanges.size,
       remote: req.socket.remoteAddress,
     });
-    for (const exchange of this.#connections.get(req.socket)?.exchanges ?? []) {
-      exchange.recordClose("unreadable_request", "CONNECT");
-    }
-    socket.destroy();
+    // The parser no longer reads the connection, and would not notice that its caller leaves.
+    socket.once("end", () => socket.destroy());
+    socket.resume();
+    this.#endAfterResponses(connection, () => socket.destroySoon());
+  }
+
+  /** Takes nothing more from a connection, and ends it when the requests that were read are answered. */
+  #endAfterResponses(connection: Connection | undefined, end: () => void): void {
+    if (connection === undefined || countUnanswered(connection) === 0) return end();
+    connection.isRefused = true;
+    connection.endsWith = end;
   }
 
   /** The address that the server listens on, for logs. */
@@ -416,6 +436,11 @@
   }
 }
 
+/** Number of requests that were read and have no whole response yet. One with an invalid body gets none. */
+function countUnanswered({ exchanges, reading }: Connection): number {
+  return exchanges.size - (reading !== null && exchanges.has(reading) ? 1 : 0);
+}
+
 /** Whether the caller has closed its connection. */
 function hasDisconnected(req: IncomingMessage, res: ServerResponse): boolean {
   return res.destroyed || req.socket.destroyed || req.socket.readableEnded;
--- a/packages/gateway/tests/unanswered_test.ts
+++ b/packages/gateway/tests/unanswered_test.ts
@@ -51,7 +51,9 @@
 });
 
 /** A server whose handler keeps every request, and connections of a caller to it. */
-async function makeServer({ isReady = true, isStalled = false } = {}) {
+async function makeServer(
+  { isReady = true, isStalled = false, headerTimeoutMs = LIMITS.headerTimeoutMs } = {},
+) {
   const log = new MemoryLog();
   const clock = new SystemClock();
   const responders: HttpResponder[] = [];
@@ -59,7 +61,7 @@
   const handler: ProxyHandler = {
     isReady: () => isReady,
     shouldLeave: () => false,
-    limits: () => LIMITS,
+    limits: () => ({ ...LIMITS, headerTimeoutMs }),
     accept: () => true,
     handle: (_head, _body, _arrivedAtMs, responder) => {
       responders.push(responder);
@@ -206,17 +208,105 @@
   assert.deepEqual(summary(lines), [["behind", "dropped", "connection_closing"]]);
 });
 
-// Guards against a request at an endpoint whose connection is closed for bytes behind it, without a line.
-test("a request before bytes that cannot be parsed is logged with the parser's code", async () => {
+/** What follows a request on its connection and cannot be read, and how the server answers it. */
+const UNREADABLE: Readonly<Record<string, { readonly bytes: string; readonly status: number }>> = {
+  "bytes that cannot be parsed": { bytes: "\x00\x01\r\n\r\n", status: 400 },
+  "a head that does not end": { bytes: "POST /orders HTTP/1.1\r\nHost:", status: 408 },
+  "a bad body": { bytes: `${head("bad", "Transfer-Encoding: chunked\r\n")}zz\r\n`, status: 400 },
+};
+
+// Guards against a request at an endpoint whose connection is closed without an answer for bytes behind it (LOST).
+for (const [what, { bytes, status }] of Object.entries(UNREADABLE)) {
+  for (const hasBegun of [false, true]) {
+    const phase = hasBegun ? "whose response has begun" : "that is not answered yet";
+    test(`a request ${phase} gets its whole response before ${what} behind it`, async () => {
+      const of = await makeServer({ headerTimeoutMs: 300 });
+      const socket = await of.open();
+      let seen = "";
+      socket.on("data", (chunk) => seen += chunk.toString("latin1"));
+      socket.write(head("before"));
+      await of.handled(1);
+      const [responder] = of.responders;
+      if (hasBegun) {
+        responder!.writeHead(200, [], 8);
+        responder!.write(Buffer.from("half"));
+      }
+      socket.write(bytes);
+      await of.logged("connection_refused");
+      // Nothing that follows is served.
+      socket.write(head("behind"));
+      await readSoFar(of);
+      if (!hasBegun) {
+        responder!.writeHead(200, [], 8);
+        responder!.write(Buffer.from("half"));
+      }
+      responder!.write(Buffer.from("half"));
+      responder!.end();
+      await closed(socket);
+      const [first, second, ...others] = seen.split("HTTP/1.1 ").slice(1);
+      assert.match(first!, /^200 OK\r\n.*\r\n\r\nhalfhalf$/s);
+      assert.match(second!, new RegExp(`^${status} .*\r\nConnection: close\r\n`, "s"));
+      assert.deepEqual(others, []);
+      // The other one is that of `readSoFar`.
+      assert.equal(of.responders.length, 2);
+      assert.equal(of.log.count("connection_refused"), 1);
+      const unanswered = of.log.events.filter(({ event }) => event === "request_unanswered");
+      assert.ok(unanswered.every(({ fields }) => fields.req === "behind"));
+    });
+  }
+}
+
+// Guards against work that goes on for a caller that has left (GONE).
+for (const how of ["fin", "reset"] as const) {
+  test(`a caller that leaves behind bytes that cannot be parsed (${how}) is noticed`, async () => {
+    const of = await makeServer();
+    const socket = await of.open();
+    socket.write(head("before"));
+    await of.handled(1);
+    socket.write("\x00\x01\r\n\r\n");
+    await of.logged("connection_refused");
+    const hasLeft = new Promise<void>((resolve) => of.responders[0]!.registerClose(resolve));
+    if (how === "fin") socket.end();
+    else socket.resetAndDestroy();
+    await hasLeft;
+  });
+}
+
+// Guards against a caller that keeps a connection busy with bytes that nothing reads (FAULT).
+test("bytes behind one that cannot be parsed are neither kept nor logged one by one", async () => {
   const of = await makeServer();
   const socket = await of.open();
   socket.write(head("before"));
   await of.handled(1);
   socket.write("\x00\x01\r\n\r\n");
+  await of.logged("connection_refused");
+  for (let i = 0; i < 200; i++) {
+    const isTaken = socket.write("x".repeat(65_536));
+    if (!isTaken) await new Promise((resolve) => setImmediate(resolve));
+  }
+  await readSoFar(of);
+  of.responders[0]!.writeHead(200, [], 0);
+  of.responders[0]!.end();
   await closed(socket);
-  const lines = await of.logged("request_unanswered");
-  assert.deepEqual(summary(lines), [["before", "with_relay", "unreadable_request"]]);
-  assert.match(String(lines[0]!.detail), /^HPE_/);
+  assert.equal(of.log.count("connection_refused"), 1);
+});
+
+// Guards against a request at an endpoint whose caller asks for a tunnel behind it (LOST).
+test("a request before one for a tunnel is answered, and the connection then closes", async () => {
+  const of = await makeServer();
+  const socket = await of.open();
+  let seen = "";
+  socket.on("data", (chunk) => seen += chunk.toString("latin1"));
+  socket.write(head("before"));
+  await of.handled(1);
+  socket.write("CONNECT shop.example:443 HTTP/1.1\r\nHost: shop.example:443\r\n\r\n");
+  await of.logged("connection_refused");
+  of.responders[0]!.writeHead(200, [], 4);
+  of.responders[0]!.write(Buffer.from("done"));
+  of.responders[0]!.end();
+  await closed(socket);
+  assert.match(seen, /^HTTP\/1\.1 200 OK\r\n.*\r\n\r\ndone$/s);
+  assert.equal(of.log.count("request_unanswered"), 0);
 });
 
 test("a request whose body cannot be parsed is answered, and its refusal has its id", async () => {
