Say in the log how slow a stopping process is, and how late its end

The lines of a planned stop could not tell a process that was slow from one that was stalled or killed: process_stalled names pauses of 100 ms and more, and a quota of a core has shorter ones. Now stopping, requests_ended (new) and stopped have the slowdown of work (time in which the event loop did not wait, by processor time), the utilisation of the event loop, how late the step is against its plan, and the connections and requests that are open.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,11 +18,13 @@
   HostOverload,
   RetryBudgets,
   StopDeadline,
+  WorkSpeed,
 } from "@wisteriapick/policy";
 import type { Address } from "@wisteriapick/wire";
 import type { DecisionLog } from "./observe/decision_log.ts";
 import { LoopMonitor } from "./observe/loop_monitor.ts";
 import type { GatewayMetrics } from "./observe/metrics.ts";
+import { sampleWork } from "./observe/work_sample.ts";
 import { Registration } from "./peers/registration.ts";
 import { shareOccupancy } from "./peers/occupancy_share.ts";
 import { PeerNetwork } from "./peers/peer_network.ts";
@@ -123,6 +125,7 @@
   readonly #coldLimiter: ColdLimiter;
   readonly #keys: KeyLease;
   readonly #overload = new HostOverload();
+  readonly #speed = new WorkSpeed();
   #isOverloaded = false;
   readonly #stopDeadline: StopDeadline;
   #isKilled = false;
@@ -371,6 +374,8 @@
     deadline.begin(clock.now(), this.#loopMonitor.unpolledMs());
     log.state("stopping", {
       active: this.#proxy.active,
+      connections: this.#proxy.connections,
+      ...this.#speedFields(),
       delayedMs: Math.round(deadline.delayedMs),
       graceMs: settings.bounds.grace_ms,
       respondsInMs: Math.round(deadline.remainingMs(clock.now())),
@@ -385,7 +390,9 @@
     log.state("stopped", {
       outcome: isIdle ? "idle" : "grace_over",
       sinceStopMs: Math.round(deadline.sinceMs(clock.now())),
+      lateMs: Math.round(Math.max(0, -this.#closesInMs())),
       active: this.#proxy.active,
+      ...this.#speedFields(),
       ended,
     });
     await this.kill();
@@ -418,11 +425,22 @@
    * Returns how many requests were ended.
    */
   async #endRequests(): Promise<EndedRequests> {
-    const { clock } = this.#options;
+    const { clock, log } = this.#options;
     let reading = 0;
+    const lateMs = -this.#stopDeadline.remainingMs(clock.now());
     // Responses that have arrived during a stall are read before their requests are ended.
     await this.#readArrived(() => 0);
     const { waiting, sent } = this.#relay.endUnbegun();
+    log.state("requests_ended", {
+      sinceStopMs: Math.round(this.#stopDeadline.sinceMs(clock.now())),
+      lateMs: Math.round(lateMs),
+      waiting,
+      sent,
+      active: this.#proxy.active,
+      connections: this.#proxy.connections,
+      ...this.#speedFields(),
+      closesInMs: Math.round(this.#closesInMs()),
+    });
     for (;;) {
       // What has arrived during a stall is read before it is refused.
       await this.#readArrived(() => this.#closesInMs());
@@ -447,6 +465,12 @@
     } while (this.#proxy.accepted !== accepted && timeLeftMs() > 0);
   }
 
+  /** How slow this host is of late, for logs: a whole core has a slowdown of 1. */
+  #speedFields() {
+    const { slowdown, utilisation } = this.#speed;
+    return { slowdown: rounded(slowdown), utilisation: rounded(utilisation) };
+  }
+
   #closesInMs(): number {
     return this.#stopDeadline.closesInMs(this.#options.clock.now());
   }
@@ -481,6 +505,7 @@
 
   #onLoopPoll(delayMs: number, nowMs: number): void {
     this.#stopDeadline.recordPoll(delayMs, this.#options.clock.now());
+    this.#speed.record(sampleWork(nowMs));
     this.#overload.recordDelay(delayMs, nowMs);
     const isOverloaded = this.#overload.isOverloaded(nowMs);
     if (isOverloaded === this.#isOverloaded) return;
@@ -500,6 +525,11 @@
   }
 }
 
+/** A number with two digits behind the point. */
+function rounded(x: number): number {
+  return Math.round(100 * x) / 100;
+}
+
 /** Address under which other gateways reach this one. */
 function peersAddress({ listen }: GatewaySettings): Address {
   return listen.peers_advertised ?? listen.peers;
--- a/packages/gateway/src/surface/proxy_server.ts
+++ b/packages/gateway/src/surface/proxy_server.ts
@@ -145,6 +145,11 @@
     return active;
   }
 
+  /** Number of connections that are open. */
+  get connections(): number {
+    return this.#connections.size;
+  }
+
   /** Number of connections that were accepted so far. */
   get accepted(): number {
     return this.#accepted;
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -38,3 +38,4 @@
 export * from "./side_options.ts";
 export * from "./stop_deadline.ts";
 export * from "./subset_placement.ts";
+export * from "./work_speed.ts";
