Report the memory of an entry, its limit and what it holds

Whether a process was killed for its memory could not be told: only process_ending names memory, and a killed process writes none.

Metrics: wisteriapick_resident_bytes, wisteriapick_buffered_bytes{kind}.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -23,6 +23,7 @@
 import type { Address } from "@wisteriapick/wire";
 import type { DecisionLog } from "./observe/decision_log.ts";
 import { LoopMonitor } from "./observe/loop_monitor.ts";
+import { type MemoryHoldings, MemoryMonitor } from "./observe/memory_monitor.ts";
 import type { GatewayMetrics } from "./observe/metrics.ts";
 import { sampleWork } from "./observe/work_sample.ts";
 import { Registration } from "./peers/registration.ts";
@@ -116,6 +117,7 @@
   readonly #relay: Relay;
   readonly #proxy: ProxyServer;
   readonly #loopMonitor: LoopMonitor;
+  readonly #memoryMonitor: MemoryMonitor;
   readonly #network: PeerNetwork;
   readonly #registration: Registration;
   readonly #readinessServer: PlainServer;
@@ -290,6 +292,13 @@
       log,
       (delayMs, nowMs) => this.#onLoopPoll(delayMs, nowMs),
     );
+    this.#memoryMonitor = new MemoryMonitor({
+      clock,
+      log,
+      memoryMb: settings.memory_mb ?? null,
+      holdings: () => this.#memoryHoldings(),
+    });
+    metrics.setBufferCounter(() => this.#bufferedBytes());
     this.#proxy = new ProxyServer({
       address: settings.listen.callers,
       dialect: options.callerDialect,
@@ -297,6 +306,7 @@
       clock,
       log,
       loop: this.#loopMonitor,
+      onBytes: (bytes) => this.#memoryMonitor.recordArrived(bytes),
     });
     this.#fleet.registerConfigListener(() => this.#proxy.applyLimits(this.#relay.limits()));
     const readiness = () => ({ status: this.isReady ? 200 : 503 });
@@ -329,17 +339,35 @@
     ]);
     void this.#serveMetrics();
     const stopTick = this.#options.clock.setRepeating(TICK_MS, () => this.#tick());
+    const stopMemoryMonitor = this.#memoryMonitor.start();
     this.#stopTick = () => {
       stopLoopMonitor();
+      stopMemoryMonitor();
       stopTick();
     };
     this.#options.log.state("started", {
       sinceStartMs: Math.round(performance.now()),
       name: this.#options.settings.name,
       callers: this.#proxy.address,
+      memoryMb: this.#options.settings.memory_mb,
     });
   }
 
+  /** Bytes that are held for requests, by what they belong to. */
+  #bufferedBytes() {
+    return { bodies: this.#proxy.bufferedBytes, peers: this.#network.queuedBytes };
+  }
+
+  #memoryHoldings(): MemoryHoldings {
+    const { bodies, peers } = this.#bufferedBytes();
+    return {
+      bodyBytes: bodies,
+      peerBytes: peers,
+      connections: this.#proxy.connectionCount,
+      requests: this.#proxy.active,
+    };
+  }
+
   /** Serves metrics once their address can be bound. Callers are served without them. */
   async #serveMetrics(): Promise<void> {
     const server = this.#metricsServer;
@@ -374,7 +402,7 @@
     deadline.begin(clock.now(), this.#loopMonitor.unpolledMs());
     log.state("stopping", {
       active: this.#proxy.active,
-      connections: this.#proxy.connections,
+      connections: this.#proxy.connectionCount,
       ...this.#speedFields(),
       delayedMs: Math.round(deadline.delayedMs),
       graceMs: settings.bounds.grace_ms,
@@ -437,7 +465,7 @@
       waiting,
       sent,
       active: this.#proxy.active,
-      connections: this.#proxy.connections,
+      connections: this.#proxy.connectionCount,
       ...this.#speedFields(),
       closesInMs: Math.round(this.#closesInMs()),
     });
--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -8,6 +8,7 @@
 export * from "./gateway.ts";
 export * from "./observe/decision_log.ts";
 export * from "./observe/descriptor_sink.ts";
+export * from "./observe/memory_monitor.ts";
 export * from "./observe/metrics.ts";
 export * from "./relay/inbound.ts";
 export * from "./relay/relay.ts";
--- a/packages/gateway/src/observe/metrics.ts
+++ b/packages/gateway/src/observe/metrics.ts
@@ -5,6 +5,7 @@
  */
 import type { RefusalReason } from "@wisteriapick/core";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import { readResidentBytes } from "./memory_monitor.ts";
 
 /** Outcome of a caller's request. */
 export type RequestOutcome = "answered" | "endpoint_failure" | "rejected" | "cut" | "caller_left";
@@ -23,6 +24,7 @@
   readonly #repeats: Counter<"service" | "reason">;
   readonly #deniedRepeats: Counter<"service" | "reason">;
   #countGateways: () => number = () => 0;
+  #bufferedBytes: () => Readonly<Record<string, number>> = () => ({});
   readonly #copies: Counter<"outcome">;
   readonly #storeCalls: Counter<"call" | "outcome">;
   readonly #storeBytes: Counter<"kind">;
@@ -115,6 +117,24 @@
         this.set(countGateways());
       },
     });
+    new Gauge({
+      name: "wisteriapick_resident_bytes",
+      help: "Resident memory of the process",
+      registers,
+      collect() {
+        this.set(readResidentBytes() ?? NaN);
+      },
+    });
+    const bufferedBytes = () => this.#bufferedBytes();
+    new Gauge({
+      name: "wisteriapick_buffered_bytes",
+      help: "Bytes that are held for requests, by what they belong to",
+      labelNames: ["kind"],
+      registers,
+      collect() {
+        for (const [kind, bytes] of Object.entries(bufferedBytes())) this.set({ kind }, bytes);
+      },
+    });
     this.#queued = gauge("waiting_requests", "Requests that wait for an engine");
     this.#running = gauge("running_streams", "Streams under way");
   }
@@ -147,6 +167,11 @@
     this.#countGateways = count;
   }
 
+  /** Sets how buffered bytes are counted, by kind, when the metrics are read. */
+  setBufferCounter(count: () => Readonly<Record<string, number>>): void {
+    this.#bufferedBytes = count;
+  }
+
   countCrashSuspect(hasBegun: boolean): void {
     this.#crashSuspects.inc({ response: hasBegun ? "begun" : "none" });
   }
--- a/packages/gateway/src/peers/peer_network.ts
+++ b/packages/gateway/src/peers/peer_network.ts
@@ -287,6 +287,11 @@
     return (this.#linkTo(peer)?.queuedBytes ?? 0) >= CONGESTED_BYTES;
   }
 
+  /** Bytes that wait to be sent to other gateways. */
+  get queuedBytes(): number {
+    return this.#links().reduce((sum, link) => sum + link.queuedBytes, 0);
+  }
+
   override registerRoom(fn: (peer: string) => void): Undo {
     this.#roomListeners.add(fn);
     return () => void this.#roomListeners.delete(fn);
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -37,6 +37,8 @@
   processor_share: z.number().positive().default(1),
   /** Bandwidth of this process's link. Only gateways with much of it read the store for the others. */
   link_mbps: z.number().positive().optional(),
+  /** Memory over which the host kills this process, in MiB; without it, buffers have their largest bounds. */
+  memory_mb: z.number().positive().optional(),
   /** The region of each data centre. */
   regions: z.record(z.string(), idField(regionId, "a region id")),
   listen: z.object({
--- a/packages/gateway/src/surface/proxy_server.ts
+++ b/packages/gateway/src/surface/proxy_server.ts
@@ -49,6 +49,8 @@
   readonly clock: Clock;
   readonly log: DecisionLog;
   readonly loop: LoopMonitor;
+  /** Called as bytes of bodies arrive, with their number. */
+  readonly onBytes?: (bytes: number) => void;
 }
 
 /** Largest header section that the parser accepts. The configured limit is checked after parsing. */
@@ -145,11 +147,16 @@
     return active;
   }
 
-  /** Number of connections that are open. */
-  get connections(): number {
+  /** Number of open connections. */
+  get connectionCount(): number {
     return this.#connections.size;
   }
 
+  /** Bytes of bodies that are held. */
+  get bufferedBytes(): number {
+    return this.#bufferedBytes;
+  }
+
   /** Number of connections that were accepted so far. */
   get accepted(): number {
     return this.#accepted;
@@ -345,6 +352,7 @@
     };
     res.once("close", release);
     req.on("data", (chunk: Buffer) => {
+      this.#options.onBytes?.(chunk.length);
       if (isDiscarded) return;
       size += chunk.length;
       exchange.bodyBytes = size;
