Answer what waits to be accepted before a process on a share of a core ends

Callers saw connections that end without a response around a planned stop of an entry that has less than half of a core: it was killed, or ended while their requests waited.

Cause: the time kept for the end followed the longest pause. A quota pauses for less than 100 ms at a time, and all work takes several times as long. Node.js accepts one in each iteration of the loop, and each caller that was refused came back at once, so that the queue never ended.

The reserve now follows the measured slowdown and the number of connections, up to the last sixth of the grace period. From its beginning, requests that are read wait for their refusal until nothing queues; then the process stops listening and refuses them all. As a caller that waits sends nothing else, the queue comes to an end.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -399,6 +399,7 @@
   async stop(): Promise<number> {
     const { clock, log, settings } = this.#options;
     const deadline = this.#stopDeadline;
+    this.#recordLoad();
     deadline.begin(clock.now(), this.#loopMonitor.unpolledMs());
     log.state("stopping", {
       active: this.#proxy.active,
@@ -454,14 +455,19 @@
    */
   async #endRequests(): Promise<EndedRequests> {
     const { clock, log } = this.#options;
-    let reading = 0;
     const lateMs = -this.#stopDeadline.remainingMs(clock.now());
+    this.#proxy.hold();
     // Responses that have arrived during a stall are read before their requests are ended.
     await this.#readArrived(() => 0);
     const { waiting, sent } = this.#relay.endUnbegun();
+    // What waits to be accepted would be reset when the process stops listening.
+    await this.#readArrived(() => this.#closesInMs());
+    this.#proxy.stopListening();
+    let reading = this.#proxy.refuseUnread();
     log.state("requests_ended", {
       sinceStopMs: Math.round(this.#stopDeadline.sinceMs(clock.now())),
       lateMs: Math.round(lateMs),
+      reading,
       waiting,
       sent,
       active: this.#proxy.active,
@@ -470,12 +476,12 @@
       closesInMs: Math.round(this.#closesInMs()),
     });
     for (;;) {
-      // What has arrived during a stall is read before it is refused.
-      await this.#readArrived(() => this.#closesInMs());
-      reading += this.#proxy.refuseUnread();
       const closesInMs = this.#closesInMs();
       if (closesInMs <= 0 || this.#proxy.active === 0) break;
       await clock.sleep(Math.min(TICK_MS, closesInMs));
+      // What has arrived during a stall is read before it is refused.
+      await this.#readArrived(() => this.#closesInMs());
+      reading += this.#proxy.refuseUnread();
     }
     return { reading, waiting, sent, streaming: this.#relay.endAll() };
   }
@@ -493,6 +499,11 @@
     } while (this.#proxy.accepted !== accepted && timeLeftMs() > 0);
   }
 
+  #recordLoad(): void {
+    const { slowdown } = this.#speed;
+    this.#stopDeadline.recordLoad({ slowdown, connections: this.#proxy.connectionCount });
+  }
+
   /** How slow this host is of late, for logs: a whole core has a slowdown of 1. */
   #speedFields() {
     const { slowdown, utilisation } = this.#speed;
@@ -534,6 +545,7 @@
   #onLoopPoll(delayMs: number, nowMs: number): void {
     this.#stopDeadline.recordPoll(delayMs, this.#options.clock.now());
     this.#speed.record(sampleWork(nowMs));
+    this.#recordLoad();
     this.#overload.recordDelay(delayMs, nowMs);
     const isOverloaded = this.#overload.isOverloaded(nowMs);
     if (isOverloaded === this.#isOverloaded) return;
--- a/packages/gateway/src/surface/proxy_server.ts
+++ b/packages/gateway/src/surface/proxy_server.ts
@@ -10,7 +10,7 @@
   type ServerOptions,
   type ServerResponse,
 } from "node:http";
-import type { Socket } from "node:net";
+import { Server as NetServer, type Socket } from "node:net";
 import { ByteBuffer, type Clock } from "@wisteriapick/core";
 import type { Arrival } from "@wisteriapick/policy";
 import { type Address, formatAddress } from "@wisteriapick/wire";
@@ -95,6 +95,7 @@
   /** Requests that have not been passed to the handler, by their responses. */
   readonly #unread = new Map<ServerResponse, IncomingMessage>();
   #draining = false;
+  #isHolding = false;
   #accepted = 0;
   #bufferedBytes = 0;
 
@@ -167,6 +168,20 @@
     this.#draining = true;
   }
 
+  /**
+   * Passes on no more requests: what is read waits for {@link refuseUnread}. A caller that has no response yet does not
+   * connect again, so that the queue of connections to be accepted comes to an end.
+   */
+  hold(): void {
+    this.#isHolding = true;
+  }
+
+  /** Accepts no more connections. Those that are open stay so, as their requests may not have been read yet. */
+  stopListening(): void {
+    // The method of the HTTP server closes idle connections besides, unread requests included.
+    NetServer.prototype.close.call(this.#server);
+  }
+
   /**
    * Refuses requests that have not been read whole, or that wait for a configuration, as not run. Returns how many.
    * Called as the process ends.
@@ -304,6 +319,7 @@
     }
     this.#readBody(req, res, { exchange, maxBytes: maxBodyBytes }, (body) => {
       const { loop, log } = this.#options;
+      if (this.#isHolding) return;
       if (!loop.mayHaveLeft) {
         // It may have been refused while its body was read.
         if (!this.#unread.delete(res)) return;
@@ -313,7 +329,7 @@
       exchange.stage = "deferred_by_stall";
       const stallMs = loop.stallMs();
       loop.afterNextPoll(() => {
-        if (!this.#unread.delete(res)) return;
+        if (this.#isHolding || !this.#unread.delete(res)) return;
         if (!hasDisconnected(req, res)) {
           exchange.stage = "with_relay";
           return handler.handle(head, body, arrival, responder);
--- a/packages/policy/src/stop_deadline.ts
+++ b/packages/policy/src/stop_deadline.ts
@@ -4,6 +4,8 @@
  *
  * Load pattern: a host with a fraction of a core stalls for hundreds of milliseconds, also when the order to stop comes
  * and when the grace period ends. The process is killed a fixed time after the order was sent, not after it was handled.
+ * Under a quota the pauses are short, and all work takes several times as long: reading what callers go on sending over
+ * tens to hundreds of connections, the last responses, closing the connections and the exit.
  *
  * @module
  */
@@ -14,16 +16,30 @@
   readonly graceMs: number;
 }
 
-/** Time that the process keeps for its exit, in milliseconds, and for a stall that is too short to be noticed. */
+/** How much is left to do at the end, and how fast this host does it. */
+export interface EndLoad {
+  /** Factor by which work takes longer than on a whole core. */
+  readonly slowdown: number;
+  /** Number of open connections of callers. */
+  readonly connections: number;
+}
+
+/** Time that the exit takes on a whole core, in milliseconds, with a stall that is too short to be noticed. */
 const EXIT_MS = 100;
-/** Time that a host without stalls keeps for its last responses, in milliseconds. */
+/** Time that closing a connection with a response in progress takes on a whole core, in milliseconds. */
+const CLOSE_MS = 0.2;
+/** Time that the last responses take on a whole core, in milliseconds, beside what each connection takes. */
 const LAST_RESPONSES_MS = 150;
+/** Time for accepting a connection, reading a request and responding to it on a whole core, in milliseconds. */
+const RESPONSE_MS = 1;
 /** Time for which a stall is expected to recur, in milliseconds: longer than the usual grace period. */
 const STALL_MEMORY_MS = 10_000;
 /** Multiple of the longest recent stall that is kept: one may precede the last responses, and one interrupt them. */
 const STALLS_KEPT = 2;
-/** Largest fraction of the grace period that is kept for stalls, as what is in progress ends without its result. */
-const MAX_RESERVE_FRACTION = 1 / 8;
+/** Largest fraction of the grace period that is kept for the end: operators excuse what is cut in the last sixth. */
+const MAX_RESERVE_FRACTION = 1 / 6;
+/** Largest fraction of the grace period that is kept for closing connections and the exit. */
+const MAX_EXIT_FRACTION = 1 / 12;
 /** Largest fraction of the grace period that is given up as the order may have been sent during a stall. */
 const MAX_DELAY_FRACTION = 1 / 2;
 /**
@@ -54,6 +70,9 @@
   readonly #stalls: Stall[] = [];
   #handledAtMs: number | null = null;
   #delayedMs = 0;
+  #slowdown = 1;
+  /** Number of open connections; while stopping the largest so far, as those who were told to leave connect again. */
+  #connections = 0;
 
   constructor({ graceMs }: StopDeadlineOptions) {
     this.#graceMs = graceMs;
@@ -66,6 +85,12 @@
     this.#forget(nowMs);
   }
 
+  /** Records what is left to do and how fast it is done. */
+  recordLoad({ slowdown, connections }: EndLoad): void {
+    this.#slowdown = Math.max(1, slowdown);
+    this.#connections = this.hasBegun ? Math.max(this.#connections, connections) : connections;
+  }
+
   /**
    * Begins the stop. `unpolledMs` is the time for which the order may have been waiting, in milliseconds: it may have
    * been sent at any moment of a stall that ends with its handling.
@@ -99,16 +124,15 @@
   remainingMs(nowMs: number): number {
     if (this.#handledAtMs === null) return Infinity;
     const delayMs = Math.min(this.#delayedMs, MAX_DELAY_FRACTION * this.#graceMs);
-    const endMs = this.#handledAtMs + this.#graceMs - delayMs - EXIT_MS;
-    return endMs - LAST_RESPONSES_MS - this.#reserveMs(nowMs) - nowMs;
+    return this.#handledAtMs + this.#graceMs - delayMs - this.#reserveMs(nowMs) - nowMs;
   }
 
   /** Time until responses that have begun are cut and the process exits, in milliseconds; may be negative. */
   closesInMs(nowMs: number): number {
     if (this.#handledAtMs === null) return Infinity;
-    const maxDelayMs = Math.max(0, MAX_CLOSE_DELAY_FRACTION * this.#graceMs - EXIT_MS);
+    const maxDelayMs = Math.max(0, MAX_CLOSE_DELAY_FRACTION * this.#graceMs - this.#exitMs);
     const delayMs = Math.min(this.#delayedMs, maxDelayMs);
-    return this.#handledAtMs + this.#graceMs - delayMs - EXIT_MS - nowMs;
+    return this.#handledAtMs + this.#graceMs - delayMs - this.#exitMs - nowMs;
   }
 
   /** Time until the process may be killed, in milliseconds; may be negative. */
@@ -117,11 +141,18 @@
     return this.#graceMs - this.sinceMs(nowMs);
   }
 
-  /** Time that is kept for stalls like those of late, in milliseconds. */
+  /** Time that is kept for closing connections and the exit, in milliseconds. */
+  get #exitMs(): number {
+    const neededMs = this.#slowdown * (EXIT_MS + CLOSE_MS * this.#connections);
+    return Math.min(neededMs, MAX_EXIT_FRACTION * this.#graceMs);
+  }
+
+  /** Time that is kept for the end: for the work at the speed of late, and for stalls like those of late. */
   #reserveMs(nowMs: number): number {
     this.#forget(nowMs);
-    const longestMs = this.#stalls[0]?.delayMs ?? 0;
-    return Math.min(STALLS_KEPT * Math.max(0, longestMs), MAX_RESERVE_FRACTION * this.#graceMs);
+    const stallMs = STALLS_KEPT * Math.max(0, this.#stalls[0]?.delayMs ?? 0);
+    const responsesMs = this.#slowdown * (LAST_RESPONSES_MS + RESPONSE_MS * this.#connections);
+    return Math.min(this.#exitMs + responsesMs + stallMs, MAX_RESERVE_FRACTION * this.#graceMs);
   }
 
   #forget(nowMs: number): void {
--- a/packages/policy/tests/stop_deadline_test.ts
+++ b/packages/policy/tests/stop_deadline_test.ts
@@ -63,6 +63,42 @@
   }
 });
 
+/**
+ * Replays the end of a process under a quota that pauses it for the first part of each 100 ms: from the moment at which
+ * its requests must be responded to, it reads and refuses one on each connection, then closes them and exits. Times are
+ * processor time of a whole core. Returns the time since the order at which it has exited.
+ */
+function replayQuota(pausedMs: number, connections: number): number {
+  const refusalsMs = 50 + 0.8 * connections;
+  const exitMs = 50;
+  const slowdown = 100 / (100 - pausedMs);
+  const deadline = new StopDeadline({ graceMs: GRACE_MS });
+  const elapsed = (workMs: number) => workMs * slowdown;
+  deadline.recordLoad({ slowdown, connections });
+  deadline.begin(0, 0);
+  let nowMs = 0;
+  while (deadline.remainingMs(nowMs) > 0) {
+    nowMs += 2 * POLL_MS;
+    deadline.recordPoll(pausedMs, nowMs);
+    // Callers that were told to leave connect again, and most of them queue.
+    deadline.recordLoad({ slowdown, connections: 5 });
+  }
+  nowMs += elapsed(refusalsMs);
+  nowMs = Math.max(nowMs, nowMs + deadline.closesInMs(nowMs));
+  return nowMs + elapsed(exitMs);
+}
+
+// Guards against a reserve that follows the longest pause alone: those of a quota are short, and all work takes several
+// times as long as on a whole core (LOST).
+test("a process under a quota refuses what waits and exits before it is killed", () => {
+  for (const pausedMs of [0, 50, 70, 75]) {
+    for (const connections of [15, 40, 60, 200]) {
+      const exitedMs = replayQuota(pausedMs, connections);
+      assert.ok(exitedMs < GRACE_MS, `${pausedMs} ms, ${connections}: exits after ${exitedMs} ms`);
+    }
+  }
+});
+
 // A stream that has begun loses its rest in any case, and is excused in the last sixth of the grace period only.
 test("responses that have begun go on into the last sixth of the grace period", () => {
   for (const ms of [0, 300, 700, 1_500, 3_000]) {
@@ -73,6 +109,15 @@
   }
 });
 
+test("no load makes a process end its requests before the last sixth of the grace period", () => {
+  const deadline = new StopDeadline({ graceMs: GRACE_MS });
+  deadline.recordLoad({ slowdown: 5, connections: 4_000 });
+  deadline.begin(0, 0);
+  deadline.recordPoll(900, 100);
+  assert.equal(Math.round(deadline.remainingMs(100)), Math.round(GRACE_MS * 5 / 6) - 100);
+  assert.ok(deadline.closesInMs(100) > deadline.remainingMs(100));
+});
+
 test("a stall of long ago keeps no time in reserve", () => {
   const deadline = new StopDeadline({ graceMs: GRACE_MS });
   deadline.recordPoll(400, 1_000);
