Count the grace period from before the iteration that handles SIGTERM

What callers saw: on a share of a core, the end of a stop came later than planned, up to SIGKILL.

Cause: Node.js handles signals after everything else that one iteration of its loop has read, and an iteration takes 100 to 300 ms on 0.3 of a core under 60 callers. The monitor of the loop reckoned with the delay of its timer only.

A signal cannot have come before the iteration before, unless the loop has waited for events since. delayedMs is now at least the time for which the loop was active since the timer before the last one.

--- a/packages/gateway/src/observe/loop_monitor.ts
+++ b/packages/gateway/src/observe/loop_monitor.ts
@@ -9,6 +9,7 @@
  * @module
  */
 import type { Clock, Undo } from "@wisteriapick/core";
+import { performance } from "node:perf_hooks";
 import type { DecisionLog } from "./decision_log.ts";
 
 /** Interval of clock polls, in milliseconds: a third of the shortest delay that is acted on. */
@@ -23,7 +24,11 @@
   readonly #clock: Clock;
   readonly #log: DecisionLog;
   readonly #onPoll: (delayMs: number, nowMs: number) => void;
+  readonly #activeMs: () => number;
   #lastPollMs: number;
+  /** Time at which the timer before the last one fired, and how long the loop had been active in all by then. */
+  #earlier: { readonly atMs: number; readonly activeMs: number };
+  #lastActiveMs: number;
   /** Duration of the last stall, until what had arrived by its end has been handled. */
   #unhandledMs = 0;
   /** Duration of the last stall, while connections that were opened during it may still be unread; otherwise 0. */
@@ -33,24 +38,35 @@
   #burst = 0;
   #isCounting = false;
 
-  /** `onPoll` is called after each poll with its delay in milliseconds, and the time by `clock`. */
+  /**
+   * `onPoll` is called after each poll with its delay in milliseconds, and the time by `clock`. `activeMs` is the time
+   * for which the event loop has not waited for events so far.
+   */
   constructor(
     clock: Clock,
     log: DecisionLog,
     onPoll: (delayMs: number, nowMs: number) => void = () => {},
+    activeMs: () => number = () => performance.eventLoopUtilization().active,
   ) {
     this.#onPoll = onPoll;
     this.#clock = clock;
     this.#log = log;
+    this.#activeMs = activeMs;
     this.#lastPollMs = clock.now();
+    this.#lastActiveMs = activeMs();
+    this.#earlier = { atMs: this.#lastPollMs, activeMs: this.#lastActiveMs };
   }
 
   start(): Undo {
     this.#lastPollMs = this.#clock.now();
+    this.#lastActiveMs = this.#activeMs();
+    this.#earlier = { atMs: this.#lastPollMs, activeMs: this.#lastActiveMs };
     return this.#clock.setRepeating(POLL_INTERVAL_MS, () => {
       const now = this.#clock.now();
       const delayMs = now - this.#lastPollMs - POLL_INTERVAL_MS;
+      this.#earlier = { atMs: this.#lastPollMs, activeMs: this.#lastActiveMs };
       this.#lastPollMs = now;
+      this.#lastActiveMs = this.#activeMs();
       this.#unhandledMs = delayMs;
       if (delayMs >= SHORTEST_STALL_MS) this.afterNextPoll(() => this.#unhandledMs = 0);
       this.#onPoll(delayMs, now);
@@ -75,10 +91,17 @@
     return Math.max(heldUpMs, longStallMs(delayMs));
   }
 
-  /** Longest time for which a signal that is handled now may have been waiting, in milliseconds. */
+  /**
+   * Longest time for which a signal that is handled now may have been waiting, in milliseconds. Signals are handled after
+   * everything else that one iteration of the loop has read, so that a signal may have come as early as the iteration
+   * before, which had not ended when the timer before the last one fired. A loop that waits for events handles one at
+   * once.
+   */
   unpolledMs(): number {
-    const sincePollMs = this.#clock.now() - this.#lastPollMs;
-    return Math.max(0, this.#unhandledMs, sincePollMs - POLL_INTERVAL_MS);
+    const now = this.#clock.now();
+    const { atMs, activeMs } = this.#earlier;
+    const busyMs = Math.min(now - atMs, this.#activeMs() - activeMs);
+    return Math.max(0, this.#unhandledMs, now - this.#lastPollMs - POLL_INTERVAL_MS, busyMs);
   }
 
   /**
--- a/packages/gateway/tests/loop_monitor_test.ts
+++ b/packages/gateway/tests/loop_monitor_test.ts
@@ -121,3 +121,21 @@
   server.close();
   assert.deepEqual(events, ["left", "dispatch"]);
 });
+
+// Guards against a grace period that is counted from late in a long iteration of the loop, on a host with a share of a
+// core: the process believes that it has time left when it is killed (LOST).
+test("an order to stop may have waited through the iterations in which the loop was never idle", () => {
+  const clock = new ManualClock();
+  let activeMs = 0;
+  const monitor = new LoopMonitor(clock, new MemoryLog(), () => {}, () => activeMs);
+  monitor.start();
+  for (let i = 0; i < 10; i++) clock.advance(POLL_INTERVAL_MS);
+  assert.equal(monitor.unpolledMs(), 0, "the loop waited for events all the time");
+  for (let i = 0; i < 3; i++) {
+    activeMs += POLL_INTERVAL_MS;
+    clock.advance(POLL_INTERVAL_MS);
+  }
+  activeMs += 30;
+  clock.advance(30);
+  assert.equal(monitor.unpolledMs(), POLL_INTERVAL_MS + 30);
+});
--- a/packages/policy/src/stop_deadline.ts
+++ b/packages/policy/src/stop_deadline.ts
@@ -60,8 +60,8 @@
  * ```ts
  * const deadline = new StopDeadline({ graceMs: 8_000 });
  * deadline.recordPoll(0, 1_000);
- * deadline.begin(1_700, 650); // The process was stalled for up to 650 ms when it was told to stop.
- * deadline.remainingMs(1_700); // 6_100
+ * deadline.begin(1_700, 100); // The process was stalled for up to 100 ms when it was told to stop.
+ * deadline.remainingMs(1_700); // 7_450
  * ```
  */
 export class StopDeadline {
