Do not take a stall of the entry for the silence of a side

Known red: 'a caller that reads nothing for longer than the grace time still gets every token' failed with 'cancelled' beside load. In a deployment, all streams of an entry are broken off and resumed after a stall of 5 s, and calls whose response has begun are lost.

Cause: the entry breaks off a stream on which nothing came for idleTimeoutMs. After a stall its timers fire before the messages are read that arrived meanwhile. Link heartbeats already reckon with a stall.

Now a peer is silent after two checks in a row without a message, half of idleTimeoutMs apart; messages that waited are read between them. The limits stay: a silent side is noticed after 1 to 1.5 times idleTimeoutMs. Responses of plain calls had the same cause and use the same timer. A caller that reads on after the end of its response no longer leaves its check running.

--- a/packages/daemon/src/call_attempt.ts
+++ b/packages/daemon/src/call_attempt.ts
@@ -16,6 +16,7 @@
 import type { HeaderList } from "./http_headers.ts";
 import type { ReplayableBody } from "./replayable_body.ts";
 import { BODY_CHUNK_BYTES } from "./side_call.ts";
+import { SilenceTimer } from "./silence_timer.ts";
 
 /** Receives the response of a call. */
 export interface CallResponseSink {
@@ -62,7 +63,8 @@
   #hasResponseHead = false;
   #receivedBytes = 0;
   #resumeSending: (() => void) | null = null;
-  #cancelTimer: Undo = () => {};
+  readonly #cancelHeadTimer: Undo;
+  readonly #silence: SilenceTimer;
   readonly #onCallerGone = () => this.#finish({ type: "caller_gone" });
 
   constructor(link: Link, call: Call, options: CallAttemptOptions) {
@@ -71,7 +73,10 @@
     this.result = new Promise((resolve) => {
       this.#resolveResult = resolve;
     });
-    this.#cancelTimer = options.clock.setTimer(options.headTimeoutMs, () => this.#onHeadTimeout());
+    const { clock, headTimeoutMs, idleTimeoutMs } = options;
+    this.#cancelHeadTimer = clock.setTimer(headTimeoutMs, () => this.#onHeadTimeout());
+    const onSilent = () => this.#finishLost("silent");
+    this.#silence = new SilenceTimer({ clock, idleTimeoutMs, onSilent });
     options.callerSignal.addEventListener("abort", this.#onCallerGone, { once: true });
     try {
       this.#stream = link.openStream(call, {
@@ -102,8 +107,9 @@
         if (this.#hasResponseHead) return;
         this.#hasResponseHead = true;
         this.#o.onHead?.(msg.load);
+        this.#cancelHeadTimer();
         this.#o.sink.writeHead(msg.status, msg.headers);
-        return this.#restartIdleTimer();
+        return this.#silence.restart();
       case "body":
         return this.#onBody(msg);
     }
@@ -115,7 +121,7 @@
     // A duplicate chunk has been delivered already. The last chunk carries no bytes.
     if (offset < this.#receivedBytes) return;
     this.#receivedBytes += msg.bytes.length;
-    this.#restartIdleTimer();
+    this.#silence.restart();
     if (msg.bytes.length > 0) this.#write(msg.bytes);
     if (!msg.last) return;
     this.#o.sink.end();
@@ -127,11 +133,11 @@
     const onDrain = () => {
       if (this.#isSettled) return;
       stream.resume();
-      this.#restartIdleTimer();
+      this.#silence.restart();
     };
     if (this.#o.sink.write(bytes, onDrain)) return;
-    // No idle timer while the stream is paused: the slow caller is no sign of a stalled service.
-    this.#cancelTimer();
+    // A slow caller, for whom the stream is paused, is no sign of a stalled service.
+    this.#silence.stop();
     stream.pause();
   }
 
@@ -165,14 +171,6 @@
     this.#resumeSending = null;
   }
 
-  #restartIdleTimer(): void {
-    this.#cancelTimer();
-    this.#cancelTimer = this.#o.clock.setTimer(
-      this.#o.idleTimeoutMs,
-      () => this.#finishLost("silent"),
-    );
-  }
-
   #onHeadTimeout(): void {
     const message = "the service did not respond before the deadline";
     const notRun = this.#mayHaveRun ? "unknown" : true;
@@ -186,7 +184,8 @@
   #finish(res: CallResult): void {
     if (this.#isSettled) return;
     this.#isSettled = true;
-    this.#cancelTimer();
+    this.#cancelHeadTimer();
+    this.#silence.stop();
     this.#o.callerSignal.removeEventListener("abort", this.#onCallerGone);
     this.#resumeSending?.();
     if (res.type === "answered" || res.type === "not_run") this.#stream?.end();
--- a/packages/daemon/src/entry_follower.ts
+++ b/packages/daemon/src/entry_follower.ts
@@ -16,6 +16,7 @@
 import { GenerationStream, type GenerationStreamResult } from "./entry_generation_stream.ts";
 import type { ResponseSink } from "./entry_sinks.ts";
 import type { LinkSource } from "./link_source.ts";
+import { SilenceTimer } from "./silence_timer.ts";
 
 /** How a followed generation ended for this entry. */
 export type FollowResult =
@@ -113,14 +114,23 @@
   received: { value: boolean },
 ): Promise<WatchedStream | null> {
   const { clock, sink, cursor } = options;
-  const watched: WatchedStream = { stream: null, lastReceivedMs: clock.now(), isPaused: false };
+  const silence = new SilenceTimer({
+    clock,
+    idleTimeoutMs: options.limits.idleTimeoutMs,
+    onSilent: () => watched.stream?.breakOff("silent"),
+  });
+  const watched: WatchedStream = {
+    stream: null,
+    silence,
+    isPaused: false,
+    hasEnded: false,
+  };
   const markReceived = () => {
     received.value = true;
-    watched.lastReceivedMs = clock.now();
+    if (!watched.isPaused) silence.restart();
   };
   try {
     const link = await options.links.get(side);
-    watched.lastReceivedMs = clock.now();
     watched.stream = new GenerationStream(link, opening, cursor, {
       onAdmitted: (load) => {
         markReceived();
@@ -141,22 +151,25 @@
 
 interface WatchedStream {
   stream: GenerationStream | null;
-  lastReceivedMs: number;
+  readonly silence: SilenceTimer;
   /** Whether the side is held back because the caller is slow. */
   isPaused: boolean;
+  hasEnded: boolean;
 }
 
 /** Keeps a slow caller's tokens at the side, instead of in this process, until the caller reads again. */
 async function pauseUntilDrained(
   watched: WatchedStream,
-  { sink, clock }: FollowOptions,
+  { sink }: FollowOptions,
 ): Promise<void> {
   if (watched.isPaused || watched.stream === null) return;
   watched.isPaused = true;
   watched.stream.pause();
+  watched.silence.stop();
   await sink.waitForDrain();
   watched.isPaused = false;
-  watched.lastReceivedMs = clock.now();
+  if (watched.hasEnded) return;
+  watched.silence.restart();
   watched.stream.resume();
 }
 
@@ -164,17 +177,15 @@
   watched: WatchedStream,
   options: FollowOptions,
 ): Promise<StreamResult> {
-  const { clock, limits, callerSignal } = options;
+  const { callerSignal } = options;
   const stream = watched.stream!;
   const onCallerGone = () => stream.detach();
   if (callerSignal.aborted) stream.detach();
   callerSignal.addEventListener("abort", onCallerGone, { once: true });
-  const cancelTimer = clock.setRepeating(limits.idleTimeoutMs / 2, () => {
-    if (watched.isPaused) return;
-    if (clock.now() - watched.lastReceivedMs >= limits.idleTimeoutMs) stream.breakOff("silent");
-  });
+  watched.silence.restart();
   const res = await stream.result;
-  cancelTimer();
+  watched.hasEnded = true;
+  watched.silence.stop();
   callerSignal.removeEventListener("abort", onCallerGone);
   if (res.type !== "fail") return res;
   const { refusal, load, suspects } = res.fail;
--- a/packages/daemon/tests/follower_test.ts
+++ b/packages/daemon/tests/follower_test.ts
@@ -107,7 +107,7 @@
 
 class CollectingSink extends ResponseSink {
   readonly isCommitted = true;
-  readonly needsDrain = false;
+  readonly needsDrain: boolean = false;
   readonly items: string[] = [];
   begin(): void {}
   writeTokens(_offset: number, items: readonly string[]): void {
@@ -181,6 +181,89 @@
   assert.equal((await done).type, "lost");
 });
 
+/** A clock whose repeating timers fire only when the test says so, as after a stall of the process. */
+class StalledClock extends ManualClock {
+  readonly #repeating = new Set<() => void>();
+
+  override setRepeating(_ms: number, fn: () => void): Undo {
+    this.#repeating.add(fn);
+    return () => this.#repeating.delete(fn);
+  }
+
+  /** Passes time in which the process does not run, after which its timers fire before its sockets are read. */
+  stall(ms: number): void {
+    this.advance(ms);
+    for (const fn of [...this.#repeating]) fn();
+  }
+
+  get repeatingCount(): number {
+    return this.#repeating.size;
+  }
+}
+
+/** Lets promise reactions run. */
+async function settle(): Promise<void> {
+  for (let turn = 0; turn < 20; turn++) await Promise.resolve();
+}
+
+// Guards against breaking off every stream after a stall of the process: its timers fire before the messages are read
+// that came meanwhile, and a side cancels a generation that is not resumed within its grace time.
+test("a stream is kept whose messages waited for a stall of the process", async () => {
+  const clock = new StalledClock();
+  const link = new FakeLink();
+  const sink = new CollectingSink();
+  const done = follow(clock, new SingleLinkSource(link), sink);
+  await settle();
+  const { handler, stream } = link.streams[0]!;
+  for (let i = 0; i < 4; i++) {
+    clock.stall(10 * LIMITS.idleTimeoutMs);
+    await settle();
+    handler.onMessage({ kind: "tokens", offset: i, items: [`${i}`], about: GEN });
+  }
+  assert.equal(stream.aborted, false);
+  const usage = { promptTokens: 1, cachedTokens: 0, completionTokens: 4 };
+  handler.onMessage({ kind: "end", reason: "stop", ...usage, load: LOAD, about: GEN });
+  assert.equal((await done).type, "end");
+  assert.equal(link.streams.length, 1);
+  assert.equal(clock.repeatingCount, 0);
+});
+
+// Guards against waiting for ever for a side that fell silent, once a single check proves nothing.
+test("a stream on which nothing comes for two checks is resumed", async () => {
+  const clock = new ManualClock();
+  const link = new FakeLink();
+  void follow(clock, new SingleLinkSource(link), new CollectingSink());
+  await settle();
+  await advance(clock, LIMITS.idleTimeoutMs + LIMITS.resumeBackoffMs + 10);
+  assert.equal(link.streams.length, 2);
+});
+
+/** A sink whose caller reads nothing until the test says so. */
+class HeldSink extends CollectingSink {
+  override readonly needsDrain = true;
+  drain: () => void = () => {};
+  override waitForDrain(): Promise<void> {
+    return new Promise((resolve) => this.drain = resolve);
+  }
+}
+
+// Guards against a timer that is left behind for each response whose caller reads on after its end.
+test("a caller that reads on after its response has ended leaves no timer", async () => {
+  const clock = new StalledClock();
+  const link = new FakeLink();
+  const sink = new HeldSink();
+  const done = follow(clock, new SingleLinkSource(link), sink);
+  await settle();
+  const { handler } = link.streams[0]!;
+  handler.onMessage({ kind: "tokens", offset: 0, items: ["a"], about: GEN });
+  const usage = { promptTokens: 1, cachedTokens: 0, completionTokens: 1 };
+  handler.onMessage({ kind: "end", reason: "stop", ...usage, load: LOAD, about: GEN });
+  assert.equal((await done).type, "end");
+  sink.drain();
+  await settle();
+  assert.equal(clock.repeatingCount, 0);
+});
+
 function makeCall(): Call {
   return {
     kind: "call",
@@ -240,6 +323,31 @@
   assert.deepEqual(received, ["200", "one", "end"]);
 });
 
+// Guards against losing every response after a stall of the process, as their bytes are read after its timers fired.
+test("a response is kept whose bytes waited for a stall of the process", async () => {
+  const clock = new StalledClock();
+  const link = new FakeLink();
+  const sink: CallResponseSink = { writeHead() {}, write: () => true, end() {} };
+  const attempt = new CallAttempt(link, makeCall(), {
+    clock,
+    body: new ReplayableBody(emptyBody()),
+    sink,
+    headTimeoutMs: 5_000,
+    idleTimeoutMs: 100,
+    callerSignal: new AbortController().signal,
+  });
+  const { handler } = link.streams[0]!;
+  const about = "r-1";
+  handler.onMessage({ kind: "reply_head", status: 200, headers: [], load: LOAD, about });
+  clock.stall(1_000);
+  const bytes = Buffer.from("one");
+  handler.onMessage({ kind: "body", bytes, offset: 0, last: false, about });
+  clock.stall(1_000);
+  handler.onMessage({ kind: "body", bytes: Buffer.alloc(0), offset: 3, last: true, about });
+  assert.equal((await attempt.result).type, "answered");
+  assert.equal(clock.repeatingCount, 0);
+});
+
 // Guards against a call that hangs when its service sends the response head and nothing more.
 test("a response that stalls after its head is abandoned", async () => {
   const clock = new ManualClock();
