--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -131,6 +131,8 @@
   #isOverloaded = false;
   readonly #stopDeadline: StopDeadline;
   #isKilled = false;
+  #configKnownMs: number | null = null;
+  #wasReady = false;
   #stopTick: Undo = () => {};
 
   constructor(options: GatewayOptions) {
@@ -308,7 +310,10 @@
       loop: this.#loopMonitor,
       onBytes: (bytes) => this.#memoryMonitor.recordArrived(bytes),
     });
-    this.#fleet.registerConfigListener(() => this.#proxy.applyLimits(this.#relay.limits()));
+    this.#fleet.registerConfigListener(() => {
+      this.#configKnownMs ??= performance.now();
+      this.#proxy.applyLimits(this.#relay.limits());
+    });
     const readiness = () => ({ status: this.isReady ? 200 : 503 });
     this.#readinessServer = new PlainServer(
       settings.listen.readiness,
@@ -554,10 +559,23 @@
     this.#network.announceOverload(isOverloaded);
   }
 
+  /** Logs when callers may connect for the first time. */
+  #logFirstReady(): void {
+    if (this.#wasReady || !this.isReady) return;
+    this.#wasReady = true;
+    const { user, system } = process.cpuUsage();
+    this.#options.log.state("ready", {
+      sinceStartMs: Math.round(performance.now()),
+      configKnownMs: Math.round(this.#configKnownMs ?? 0),
+      processorMs: Math.round((user + system) / 1_000),
+    });
+  }
+
   #tick(): void {
     this.#viewSync.tick();
     this.#keys.tick();
     this.#fleet.tick();
+    this.#logFirstReady();
     this.#dispatcher.tick();
     this.#engineMonitor.tick();
     this.#migrator.tick();
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -44,6 +44,7 @@
   `// A change of the settings that is signalled before the program has read them needs no handling. Without a handler
 // the signal would end the process.
 process.on("SIGHUP", () => {});
+const firstStatementMs = performance.now();
 // Runs the bundle with its code cache; without a valid cache V8 compiles as usual.
 const { readFileSync } = require("node:fs");
 const { wrap } = require("node:module");
@@ -62,6 +63,11 @@
 };
 const source = wrap(readFileSync(filename, "utf8"));
 const script = new Script(source, { filename, cachedData });
+// Read by platform/src/start_report.ts.
+globalThis[Symbol.for("wisteriapick.load_report")] = {
+  firstStatementMs,
+  isCodeCacheUsed: script.cachedDataRejected === false,
+};
 script.runInThisContext().call(exports, exports, requireModule, module, filename, __dirname);
 if (process.env.WISTERIAPICK_CODE_CACHE !== undefined) {
   setTimeout(() => {
