Create the code cache with the options that the deployment file gives Node.js

Callers and operators saw slow starts on hosts with a fraction of a core. The cause: V8 compares the options of the process with those of the process that made the cache, and the bundle script made it without options. Nothing noticed it, as tests ran the program without options, where the cache was accepted.

The script now takes the options from the run line, and fails if it does not find one.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -2,7 +2,7 @@
 // restarting entry has half a core, and compiling its code takes most of the time before it serves.
 import { build } from "esbuild";
 import { spawnSync } from "node:child_process";
-import { mkdirSync, writeFileSync } from "node:fs";
+import { mkdirSync, readFileSync, writeFileSync } from "node:fs";
 import { fileURLToPath } from "node:url";
 
 const root = fileURLToPath(new URL("..", import.meta.url));
@@ -78,6 +78,14 @@
 `,
 );
 
+/** The options for Node.js with which the platform runs the entry. V8 refuses a code cache of other options. */
+function runFlags() {
+  const deploy = readFileSync(`${root}deploy/system.toml`, "utf8");
+  const run = /^run = "node (.*) target\/entry\.cjs"$/m.exec(deploy);
+  if (run === null) throw new Error("deploy/system.toml does not run target/entry.cjs");
+  return run[1].split(" ");
+}
+
 // Runs the entry briefly with minimal settings, so that the code that a start needs is compiled and cached.
 const settings = `${target}/code_cache_settings.yaml`;
 writeFileSync(
@@ -92,7 +100,7 @@
   cold_slack: 0, grace_ms: 1000, drain_ms: 1000, expose_share: 0, expose_extra: 0 }
 `,
 );
-const run = spawnSync(process.execPath, [`${target}/entry.cjs`], {
+const run = spawnSync(process.execPath, [...runFlags(), `${target}/entry.cjs`], {
   env: { ...process.env, WISTERIAPICK_BOOT: settings, WISTERIAPICK_CODE_CACHE: "write" },
   stdio: ["ignore", "ignore", "inherit"],
   timeout: 30_000,
