Reckon with the turns of a slow process when a stopping one takes a request

A request that comes to a stopping process was taken if the time that it usually takes, or its deadline, ends before the process does. On a share of a core it also waits for the process: once before it is passed on, and its response before it is written. The turn is now part of the time that is needed, and the release of waiting generations counts it too.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -523,7 +523,11 @@
     const deadline = this.#stopDeadline;
     if (!deadline.hasBegun) return null;
     const now = this.#options.clock.now();
-    return { sinceMs: deadline.sinceMs(now), remainingMs: deadline.remainingMs(now) };
+    return {
+      sinceMs: deadline.sinceMs(now),
+      remainingMs: deadline.remainingMs(now),
+      turnMs: deadline.turnMs,
+    };
   }
 
   /** Closes everything at once, as when the process dies. */
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -19,6 +19,8 @@
   readonly sinceMs: number;
   /** Time until requests in progress are ended, in milliseconds. */
   readonly remainingMs: number;
+  /** Time that this process needs for one request or response on each open connection, in milliseconds. */
+  readonly turnMs: number;
 }
 
 /** Options of {@link Relay}. */
@@ -169,7 +171,8 @@
     const stop = this.#options.stop();
     if (stop === null || !this.#options.hasServingPeer()) return;
     for (const run of [...this.#options.dispatcher.runs]) {
-      if (run.stage !== "waiting" || this.#usualMs(run.req) <= stop.remainingMs) continue;
+      if (run.stage !== "waiting") continue;
+      if (this.#usualMs(run.req) + stop.turnMs <= stop.remainingMs) continue;
       run.fail({ reason: "draining", notRun: true, retryAfterMs: RETRY_AFTER_ELSEWHERE_MS });
     }
   }
@@ -194,6 +197,7 @@
       remainingMs: stop.remainingMs,
       usualMs: this.#usualMs(req),
       longestMs: req.dueAtMs - this.#options.ctx.clock.now(),
+      turnMs: stop.turnMs,
     });
   }
 
--- a/packages/policy/src/planned_stop.ts
+++ b/packages/policy/src/planned_stop.ts
@@ -2,7 +2,8 @@
  * Decides which requests a process that is stopping still takes.
  *
  * Load pattern: callers that go on using their open connections until the process is gone, at endpoints that are slow
- * or full, so that what is taken late is still at an endpoint when the grace period ends.
+ * or full, so that what is taken late is still at an endpoint when the grace period ends. On a share of a core, a request
+ * and its response also wait for the process itself, for as long as a turn of all open connections takes.
  *
  * @module
  */
@@ -17,6 +18,8 @@
   readonly usualMs: number;
   /** Time until its deadline or its route's timeout, in milliseconds: the longest that it can take. */
   readonly longestMs: number;
+  /** Time that this process needs for one request or response on each open connection, in milliseconds. */
+  readonly turnMs: number;
 }
 
 /**
@@ -31,12 +34,24 @@
  *
  * @example
  * ```ts
- * canTakeWhileStopping({ sinceStopMs: 4_000, remainingMs: 3_900, usualMs: 100, longestMs: 6_000 }); // false
+ * canTakeWhileStopping({
+ *   sinceStopMs: 4_000,
+ *   remainingMs: 3_900,
+ *   usualMs: 100,
+ *   longestMs: 6_000,
+ *   turnMs: 60,
+ * }); // false
  * ```
  */
 export function canTakeWhileStopping(
-  { sinceStopMs, remainingMs, usualMs, longestMs }: LateRequest,
+  { sinceStopMs, remainingMs, usualMs, longestMs, turnMs }: LateRequest,
 ): boolean {
-  const neededMs = sinceStopMs <= ARRIVING_MS ? Math.min(usualMs, longestMs) : longestMs;
+  // The request waits for its turn before it is passed on, and the response before it is written.
+  const usualHereMs = usualMs + 2 * turnMs;
+  // At its deadline the process responds by itself.
+  const longestHereMs = longestMs + turnMs;
+  const neededMs = sinceStopMs <= ARRIVING_MS
+    ? Math.min(usualHereMs, longestHereMs)
+    : longestHereMs;
   return remainingMs > 0 && neededMs <= remainingMs;
 }
--- a/packages/policy/src/stop_deadline.ts
+++ b/packages/policy/src/stop_deadline.ts
@@ -141,6 +141,11 @@
     return this.#graceMs - this.sinceMs(nowMs);
   }
 
+  /** Time that this process needs for one request or response on each open connection, in milliseconds. */
+  get turnMs(): number {
+    return this.#slowdown * RESPONSE_MS * this.#connections;
+  }
+
   /** Time that is kept for closing connections and the exit, in milliseconds. */
   get #exitMs(): number {
     const neededMs = this.#slowdown * (EXIT_MS + CLOSE_MS * this.#connections);
@@ -151,7 +156,7 @@
   #reserveMs(nowMs: number): number {
     this.#forget(nowMs);
     const stallMs = STALLS_KEPT * Math.max(0, this.#stalls[0]?.delayMs ?? 0);
-    const responsesMs = this.#slowdown * (LAST_RESPONSES_MS + RESPONSE_MS * this.#connections);
+    const responsesMs = this.#slowdown * LAST_RESPONSES_MS + this.turnMs;
     return Math.min(this.#exitMs + responsesMs + stallMs, MAX_RESERVE_FRACTION * this.#graceMs);
   }
 
