Read connections once more before an idle or a late one is closed

Callers whose request came while the process was stalled for longer than idle_timeout_ms saw their connection close without a response, and 408 for a head whose rest had come in time.

Cause: after a stall, timers run before sockets are read, so that the idle timeout and the check of heads judge by what had been read before the stall.

Evidence: two new tests of unanswered_test failed before.

An idle or late connection is now closed after one more poll that brings nothing.

--- a/packages/gateway/src/surface/proxy_server.ts
+++ b/packages/gateway/src/surface/proxy_server.ts
@@ -64,6 +64,8 @@
 /** Largest total size of buffered bodies. A gateway has 178 MB of memory or more. */
 const MAX_BUFFERED_BODY_BYTES = 33_554_432;
 
+/** Code of the error for a head that has not ended in its time. Node.js reports it once for a connection. */
+const LATE_HEAD_CODE = "ERR_HTTP_REQUEST_TIMEOUT";
 /** Codes of errors that say that the caller closed its connection. */
 const LEFT_CODES: ReadonlySet<string> = new Set(["ECONNRESET", "HPE_INVALID_EOF_STATE"]);
 
@@ -114,7 +116,11 @@
     };
     this.#server = createServer(serverOptions, (req, res) => this.#onRequest(req, res));
     this.#server.on("connection", (socket) => this.#onConnection(socket));
-    this.#server.on("clientError", (err, socket) => this.#onClientError(err, socket as Socket));
+    this.#server.on("timeout", (socket) => this.#onIdle(socket));
+    this.#server.on("clientError", (err: NodeJS.ErrnoException, socket) => {
+      if (err.code === LATE_HEAD_CODE) this.#onLateHead(err, socket as Socket);
+      else this.#onUnreadable(err, socket as Socket);
+    });
     // A body is always read, so a caller that expects 100 (Continue) gets it at once.
     this.#server.on("checkContinue", (req, res) => {
       res.writeContinue();
@@ -245,6 +251,14 @@
     socket.once("close", () => this.#connections.delete(socket));
   }
 
+  /** Closes an idle connection, unless a request came during a stall: timers may run before it is read. */
+  #onIdle(socket: Socket): void {
+    const { bytesRead } = socket;
+    this.#options.loop.afterNextPoll(() => {
+      if (socket.bytesRead === bytesRead) socket.destroy();
+    });
+  }
+
   #onRequest(req: IncomingMessage, res: ServerResponse): void {
     const { handler, clock, loop } = this.#options;
     const connection = this.#connections.get(req.socket);
@@ -407,8 +421,18 @@
     res.end();
   }
 
+  /** Refuses a connection whose head is late, unless the rest of it came during a stall. */
+  #onLateHead(err: NodeJS.ErrnoException, socket: Socket): void {
+    const connection = this.#connections.get(socket);
+    const requestBytes = connection?.requestBytes;
+    this.#options.loop.afterNextPoll(() => {
+      const hasHead = connection !== undefined && connection.requestBytes !== requestBytes;
+      if (!hasHead && !socket.destroyed) this.#onUnreadable(err, socket);
+    });
+  }
+
   /** Responds to data that could not be parsed, after the responses to the requests before it. */
-  #onClientError(err: NodeJS.ErrnoException, socket: Socket): void {
+  #onUnreadable(err: NodeJS.ErrnoException, socket: Socket): void {
     const connection = this.#connections.get(socket);
     const exchanges = connection?.exchanges ?? new Set<Exchange>();
     const reading = connection?.reading ?? null;
@@ -477,7 +501,7 @@
 
 function statusOfParserError(code: string | undefined): string {
   if (code === "HPE_HEADER_OVERFLOW") return "431 Request Header Fields Too Large";
-  if (code === "ERR_HTTP_REQUEST_TIMEOUT") return "408 Request Timeout";
+  if (code === LATE_HEAD_CODE) return "408 Request Timeout";
   return "400 Bad Request";
 }
 
--- a/packages/gateway/tests/unanswered_test.ts
+++ b/packages/gateway/tests/unanswered_test.ts
@@ -52,7 +52,12 @@
 
 /** A server whose handler keeps every request, and connections of a caller to it. */
 async function makeServer(
-  { isReady = true, isStalled = false, headerTimeoutMs = LIMITS.headerTimeoutMs } = {},
+  {
+    isReady = true,
+    isStalled = false,
+    headerTimeoutMs = LIMITS.headerTimeoutMs,
+    idleTimeoutMs = LIMITS.idleTimeoutMs,
+  } = {},
 ) {
   const log = new MemoryLog();
   const clock = new SystemClock();
@@ -61,7 +66,7 @@
   const handler: ProxyHandler = {
     isReady: () => isReady,
     shouldLeave: () => false,
-    limits: () => ({ ...LIMITS, headerTimeoutMs }),
+    limits: () => ({ ...LIMITS, headerTimeoutMs, idleTimeoutMs }),
     accept: () => true,
     handle: (_head, _body, _arrivedAtMs, responder) => {
       responders.push(responder);
@@ -272,6 +277,63 @@
   });
 }
 
+/** Holds up this process, and with it the server. */
+const stall = (ms: number) => Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, ms);
+
+const answer = (responder: HttpResponder) => {
+  responder.writeHead(200, [], 0);
+  responder.end();
+};
+
+// Guards against connections closed after a stall with requests in them that came in time: timers run before sockets
+// are read.
+test("a request that came during a stall longer than the idle timeout is served", async () => {
+  const of = await makeServer({ idleTimeoutMs: 100 });
+  const socket = await of.open();
+  socket.write(head("first"));
+  await of.handled(1);
+  const answered = new Promise((resolve) => socket.once("data", resolve));
+  answer(of.responders[0]!);
+  await answered;
+  socket.write(head("second"));
+  // Node.js waits for up to a second longer than the timeout.
+  stall(1_500);
+  const ended = closed(socket).then(() => Promise.reject(new Error("closed unanswered")));
+  await Promise.race([of.handled(2), ended]);
+  const answeredToo = new Promise((resolve) => socket.once("data", resolve));
+  answer(of.responders[1]!);
+  await answeredToo;
+  // An idle connection is still closed in the end.
+  await assert.rejects(ended, /closed unanswered/);
+});
+
+test("a head whose rest came during a stall longer than its timeout is served", async () => {
+  const of = await makeServer({ headerTimeoutMs: 300 });
+  const socket = await of.open();
+  const bytes = head("whole");
+  socket.write(bytes.slice(0, 20));
+  await readSoFar(of);
+  socket.write(bytes.slice(20));
+  stall(1_200);
+  const seen = new Promise((resolve) => socket.once("data", (b) => resolve(b.toString("latin1"))));
+  await Promise.race([of.handled(2), seen.then((text) => assert.fail(`${text}`))]);
+  answer(of.responders[1]!);
+  assert.match(`${await seen}`, /^HTTP\/1\.1 200 /);
+});
+
+// Guards against heads without end, whose timeout Node.js reports only once.
+test("a head that goes on after a stall but does not end is refused", async () => {
+  const of = await makeServer({ headerTimeoutMs: 300 });
+  const socket = await of.open();
+  const bytes = head("half");
+  socket.write(bytes.slice(0, 20));
+  await readSoFar(of);
+  socket.write(bytes.slice(20, 30));
+  stall(1_200);
+  const seen = new Promise((resolve) => socket.once("data", (b) => resolve(b.toString("latin1"))));
+  assert.match(`${await seen}`, /^HTTP\/1\.1 408 /);
+});
+
 // Guards against a caller that keeps a connection busy with bytes that nothing reads (FAULT).
 test("bytes behind one that cannot be parsed are neither kept nor logged one by one", async () => {
   const of = await makeServer();
