Bound buffers by the memory of the host

What callers saw: an entry that its host kills for its memory loses all requests in progress (LOST), and the process has ended by itself (FAULT).

Cause: bounds that do not know their host (32 MiB of bodies, 256 KiB of each response, none for all responses), and that count what is in use, not the garbage of buffers, which V8 collects after tens of MiB.

Evidence: half of 300 callers send 4.1 MB to endpoints that read late, the others leave answers of 21 MB unread, and a watch kills the program over 200 MB resident.

Fix: MemoryBudget divides what memory_mb leaves beside the process between bodies, responses and garbage. Large bodies wait unread for room, then get 503, not run, with Retry-After; a small part is kept for small bodies. Responses count until their callers' connections have taken them. Garbage of buffers is collected when as much has arrived as its share. The connection of a request that is refused for memory stays open: closing it with unread bytes reset it, and 1 or 2 of 600 callers had no response.

--- a/packages/core/src/byte_buffer.ts
+++ b/packages/core/src/byte_buffer.ts
@@ -20,9 +20,15 @@
  * ```
  */
 export class ByteBuffer {
+  readonly #expectedBytes: number;
   #block: Buffer = Buffer.alloc(0);
   #length = 0;
 
+  /** `expectedBytes` is allocated at once with the first piece, where the length is known; the system gives it as used. */
+  constructor({ expectedBytes = 0 }: { readonly expectedBytes?: number } = {}) {
+    this.#expectedBytes = expectedBytes;
+  }
+
   /** Number of bytes that were appended. */
   get length(): number {
     return this.#length;
@@ -42,7 +48,8 @@
   }
 
   #grow(length: number): void {
-    const size = Math.max(length, 2 * this.#block.length, MIN_BLOCK_BYTES);
+    const usual = this.#length === 0 ? this.#expectedBytes : 2 * this.#block.length;
+    const size = Math.max(length, usual, MIN_BLOCK_BYTES);
     const block = Buffer.allocUnsafeSlow(size);
     block.set(this.bytes());
     this.#block = block;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -16,12 +16,14 @@
   canShedToOthers,
   ColdLimiter,
   HostOverload,
+  MemoryBudget,
   RetryBudgets,
   StopDeadline,
   WorkSpeed,
 } from "@wisteriapick/policy";
 import type { Address } from "@wisteriapick/wire";
 import type { DecisionLog } from "./observe/decision_log.ts";
+import { GarbageCollector } from "./observe/garbage_collector.ts";
 import { LoopMonitor } from "./observe/loop_monitor.ts";
 import { type MemoryHoldings, MemoryMonitor } from "./observe/memory_monitor.ts";
 import type { GatewayMetrics } from "./observe/metrics.ts";
@@ -118,6 +120,7 @@
   readonly #proxy: ProxyServer;
   readonly #loopMonitor: LoopMonitor;
   readonly #memoryMonitor: MemoryMonitor;
+  readonly #budget: MemoryBudget;
   readonly #network: PeerNetwork;
   readonly #registration: Registration;
   readonly #readinessServer: PlainServer;
@@ -139,6 +142,18 @@
     this.#options = options;
     const { settings, clock, loopClock = clock, rng, log, store, metrics } = options;
     this.#stopDeadline = new StopDeadline({ graceMs: settings.bounds.grace_ms });
+    this.#budget = new MemoryBudget({ memoryMb: settings.memory_mb ?? null });
+    this.#memoryMonitor = new MemoryMonitor({
+      clock,
+      log,
+      memoryMb: this.#budget.memoryMb,
+      holdings: () => this.#memoryHoldings(),
+    });
+    const collector = new GarbageCollector(this.#budget);
+    const recordArrived = (bytes: number) => {
+      this.#memoryMonitor.recordArrived(bytes);
+      collector.recordArrived(bytes);
+    };
     const view = new StoreView();
     const elapsed = new SuspendAwareClock(clock, { epoch: Math.floor(rng.next() * 2 ** 32) });
     this.#follower = new StoreFollower({
@@ -241,6 +256,8 @@
       crashes,
       limits,
       moves: this.#moves,
+      budget: this.#budget,
+      recordArrived,
       announceLeaving: (endpoint) =>
         this.#network.broadcast({ kind: "endpoint_leaving", endpoint }),
       gatewayCount: () => this.#network.memberCount(),
@@ -294,12 +311,6 @@
       log,
       (delayMs, nowMs) => this.#onLoopPoll(delayMs, nowMs),
     );
-    this.#memoryMonitor = new MemoryMonitor({
-      clock,
-      log,
-      memoryMb: settings.memory_mb ?? null,
-      holdings: () => this.#memoryHoldings(),
-    });
     metrics.setBufferCounter(() => this.#bufferedBytes());
     this.#proxy = new ProxyServer({
       address: settings.listen.callers,
@@ -308,7 +319,8 @@
       clock,
       log,
       loop: this.#loopMonitor,
-      onBytes: (bytes) => this.#memoryMonitor.recordArrived(bytes),
+      budget: this.#budget,
+      onBytes: recordArrived,
     });
     this.#fleet.registerConfigListener(() => {
       this.#configKnownMs ??= performance.now();
@@ -360,16 +372,19 @@
 
   /** Bytes that are held for requests, by what they belong to. */
   #bufferedBytes() {
-    return { bodies: this.#proxy.bufferedBytes, peers: this.#network.queuedBytes };
+    const { bodyBytes, responseBytes } = this.#budget;
+    return { bodies: bodyBytes, responses: responseBytes, peers: this.#network.queuedBytes };
   }
 
   #memoryHoldings(): MemoryHoldings {
-    const { bodies, peers } = this.#bufferedBytes();
+    const { bodies, responses, peers } = this.#bufferedBytes();
     return {
       bodyBytes: bodies,
+      responseBytes: responses,
       peerBytes: peers,
       connections: this.#proxy.connectionCount,
       requests: this.#proxy.active,
+      waitingForRoom: this.#proxy.waitingForRoom,
     };
   }
 
--- a/packages/gateway/src/relay/context.ts
+++ b/packages/gateway/src/relay/context.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Clock, DataCentreId, EndpointId, Rng } from "@wisteriapick/core";
-import type { ColdLimiter } from "@wisteriapick/policy";
+import type { ColdLimiter, MemoryBudget } from "@wisteriapick/policy";
 import type { DecisionLog } from "../observe/decision_log.ts";
 import type { GatewayMetrics } from "../observe/metrics.ts";
 import type { VersionMoves } from "../moves/version_moves.ts";
@@ -34,6 +34,9 @@
   readonly crashes: CrashTracker;
   readonly limits: EndpointLimits;
   readonly moves: VersionMoves;
+  readonly budget: MemoryBudget;
+  /** Records bytes of responses for which buffers were allocated. */
+  recordArrived(bytes: number): void;
   /** Tells the other gateways that an endpoint leaves. */
   announceLeaving(endpoint: EndpointId): void;
   /** Number of gateways that this one reaches, itself included. */
--- a/packages/gateway/src/relay/plain_call.ts
+++ b/packages/gateway/src/relay/plain_call.ts
@@ -18,8 +18,6 @@
 import { isEndPlanned } from "./planned_end.ts";
 import { chooseService } from "./service_choice.ts";
 
-/** Largest body that is buffered until the response is complete, in bytes; a longer one is streamed to the caller. */
-const MAX_BUFFERED_BYTES = 262_144;
 /** An idempotent call also goes to a second endpoint after this many times the endpoint's usual latency. */
 const SLOW_FACTOR = 5;
 /** Earliest time at which a call counts as slow, in milliseconds. */
@@ -471,7 +469,7 @@
   }
 
   /** Starts to stream a response that is too long to be buffered; the call can then no longer be retried. */
-  #commit(attempt: Attempt): void {
+  #commit(attempt: Attempt): boolean {
     this.#stopSlowTimer();
     this.#committed = attempt;
     for (const other of this.#attempts) {
@@ -484,7 +482,7 @@
     this.#responder.writeHead(head.status, head.headers, head.contentLength);
     this.#undos.push(this.#responder.registerDrain(() => attempt.resume()));
     attempt.forwardTo((chunk) => this.#responder.write(chunk));
-    this.#responder.write(body);
+    return this.#responder.write(body);
   }
 
   #finish(
@@ -522,8 +520,8 @@
 
 interface AttemptEvents {
   onVerdict(attempt: Attempt, verdict: HeadVerdict): void;
-  /** The body exceeds the buffer. */
-  onBufferFull(attempt: Attempt): void;
+  /** The body exceeds the buffer. Returns whether more of it is to be read now. */
+  onBufferFull(attempt: Attempt): boolean;
   onComplete(attempt: Attempt): void;
   onFailed(attempt: Attempt, failure: UpstreamFailure): void;
 }
@@ -535,6 +533,8 @@
   readonly #req: InboundRequest;
   readonly #events: AttemptEvents;
   #body = new ByteBuffer();
+  /** Bytes of the body that the budget counts for this attempt. */
+  #heldBytes = 0;
   #head: ResponseHead | null = null;
   #call: UpstreamCall | null = null;
   #forward: ((chunk: Buffer) => boolean) | null = null;
@@ -586,6 +586,7 @@
   forwardTo(fn: (chunk: Buffer) => boolean): void {
     this.#body = new ByteBuffer();
     this.#forward = fn;
+    this.#releaseHeld();
   }
 
   resume(): void {
@@ -613,10 +614,15 @@
 
   #onData(chunk: Buffer): boolean {
     if (this.#hasEnded) return false;
+    const { budget } = this.#ctx;
+    this.#ctx.recordArrived(chunk.length);
     if (this.#forward !== null) return this.#forward(chunk);
     this.#body.append(chunk);
-    if (this.#body.length > MAX_BUFFERED_BYTES) this.#events.onBufferFull(this);
-    return true;
+    this.#heldBytes += chunk.length;
+    budget.takeResponse(chunk.length);
+    // A longer response is streamed to the caller.
+    if (this.#body.length <= budget.responseBufferBytes) return true;
+    return this.#events.onBufferFull(this);
   }
 
   #onEnd(): void {
@@ -635,5 +641,11 @@
   #end(): void {
     this.#hasEnded = true;
     this.endpoint.inFlight--;
+    this.#releaseHeld();
+  }
+
+  #releaseHeld(): void {
+    this.#ctx.budget.releaseResponse(this.#heldBytes);
+    this.#heldBytes = 0;
   }
 }
--- a/packages/gateway/src/relay/stream_run.ts
+++ b/packages/gateway/src/relay/stream_run.ts
@@ -383,6 +383,7 @@
 
   #onData(segment: RunSegment, chunk: Buffer): boolean {
     if (segment !== this.#segment) return false;
+    this.#ctx.recordArrived(chunk.length);
     if (segment.isPassThrough) return this.#forward(chunk);
     const batch = this.#reader.push(chunk);
     if (batch.count > 0) {
--- a/packages/gateway/src/surface/http_responder.ts
+++ b/packages/gateway/src/surface/http_responder.ts
@@ -5,6 +5,7 @@
  */
 import type { ServerResponse } from "node:http";
 import type { RefusalReason, Undo } from "@wisteriapick/core";
+import type { MemoryBudget } from "@wisteriapick/policy";
 import { type HeaderList, type Rejection, Responder } from "../relay/inbound.ts";
 
 /** Status codes of rejections that do not mean "try again later". */
@@ -38,17 +39,22 @@
   readonly closeAfter: () => boolean;
   /** Called when a response that has begun is cut. */
   readonly onAbort?: () => void;
+  /** Counts what the caller has not read yet. */
+  readonly budget: MemoryBudget;
 }
 
 /** Responds to one request of `node:http`. */
 export class HttpResponder extends Responder {
   readonly #res: ServerResponse;
   readonly #options: HttpResponderOptions;
+  /** Bytes that were written and that the connection has not taken yet. */
+  #unreadBytes = 0;
 
   constructor(res: ServerResponse, options: HttpResponderOptions) {
     super();
     this.#res = res;
     this.#options = options;
+    res.once("close", () => this.#release(this.#unreadBytes));
   }
 
   override get isClosed(): boolean {
@@ -67,7 +73,18 @@
   }
 
   override write(chunk: Buffer): boolean {
-    return this.#res.write(chunk);
+    if (this.#res.destroyed) return false;
+    const bytes = chunk.length;
+    this.#unreadBytes += bytes;
+    this.#options.budget.takeResponse(bytes);
+    return this.#res.write(chunk, () => this.#release(bytes));
+  }
+
+  #release(bytes: number): void {
+    // What the end of the connection has released is not released by its writes again.
+    const released = Math.min(bytes, this.#unreadBytes);
+    this.#unreadBytes -= released;
+    this.#options.budget.releaseResponse(released);
   }
 
   override end(): void {
--- a/packages/gateway/src/surface/proxy_server.ts
+++ b/packages/gateway/src/surface/proxy_server.ts
@@ -12,13 +12,14 @@
 } from "node:http";
 import { Server as NetServer, type Socket } from "node:net";
 import { ByteBuffer, type Clock } from "@wisteriapick/core";
-import type { Arrival } from "@wisteriapick/policy";
+import { type Arrival, type MemoryBudget, SMALL_BODY_BYTES } from "@wisteriapick/policy";
 import { type Address, formatAddress } from "@wisteriapick/wire";
 import type { CallerLimits } from "../config/types.ts";
 import type { DecisionLog } from "../observe/decision_log.ts";
 import type { LoopMonitor } from "../observe/loop_monitor.ts";
 import type { InboundHead } from "../relay/inbound.ts";
 import type { CallerDialect } from "./caller_dialect.ts";
+import { BodyQueue } from "./body_queue.ts";
 import { HttpResponder } from "./http_responder.ts";
 import { isForwardable } from "./request_grammar.ts";
 import { type CloseCause, Exchange } from "./unanswered.ts";
@@ -49,6 +50,7 @@
   readonly clock: Clock;
   readonly log: DecisionLog;
   readonly loop: LoopMonitor;
+  readonly budget: MemoryBudget;
   /** Called as bytes of bodies arrive, with their number. */
   readonly onBytes?: (bytes: number) => void;
 }
@@ -61,8 +63,10 @@
 const MAX_CONFIG_WAIT_MS = 700;
 /** Interval at which a waiting request checks for the first configuration. */
 const CONFIG_CHECK_INTERVAL_MS = 10;
-/** Largest total size of buffered bodies. A gateway has 178 MB of memory or more. */
-const MAX_BUFFERED_BODY_BYTES = 33_554_432;
+/** Longest time for which a large body waits for room before the request is refused, in milliseconds. */
+const MAX_ROOM_WAIT_MS = 500;
+/** Retry delay given to callers while there is no memory for their request, in milliseconds. */
+const RETRY_AFTER_NO_ROOM_MS = 1_000;
 
 /** Code of the error for a head that has not ended in its time. Node.js reports it once for a connection. */
 const LATE_HEAD_CODE = "ERR_HTTP_REQUEST_TIMEOUT";
@@ -75,6 +79,14 @@
   readonly arrival: Arrival;
 }
 
+/** What reading a body needs to know of its request. */
+interface BodyOptions {
+  readonly exchange: Exchange;
+  readonly head: InboundHead;
+  readonly responder: HttpResponder;
+  readonly maxBytes: number;
+}
+
 /** State of one connection. */
 interface Connection {
   /** Requests that are being read or answered. */
@@ -98,11 +110,13 @@
   readonly #unread = new Map<ServerResponse, IncomingMessage>();
   #draining = false;
   #isHolding = false;
+  readonly #bodyQueue: BodyQueue;
   #accepted = 0;
-  #bufferedBytes = 0;
 
   constructor(options: ProxyServerOptions) {
     this.#options = options;
+    const { budget, clock } = options;
+    this.#bodyQueue = new BodyQueue({ budget, clock, maxWaitMs: MAX_ROOM_WAIT_MS });
     const limits = options.handler.limits();
     const serverOptions: ServerOptions = {
       maxHeaderSize: MAX_PARSED_HEADER_BYTES,
@@ -159,9 +173,9 @@
     return this.#connections.size;
   }
 
-  /** Bytes of bodies that are held. */
-  get bufferedBytes(): number {
-    return this.#bufferedBytes;
+  /** Number of requests that wait for room for their bodies. */
+  get waitingForRoom(): number {
+    return this.#bodyQueue.size;
   }
 
   /** Number of connections that were accepted so far. */
@@ -316,6 +330,7 @@
     const responder = new HttpResponder(res, {
       closeAfter: () => this.#closesAfter(req.socket),
       onAbort: () => exchange.recordClose("response_cut"),
+      budget: this.#options.budget,
     });
     const { maxHeaderBytes, maxBodyBytes } = handler.limits();
     if (headerBytes(req) > maxHeaderBytes) return this.#refuse(req, res, 431);
@@ -329,9 +344,14 @@
     }
     if (!handler.accept(head, responder)) {
       this.#unread.delete(res);
-      return void req.resume();
+      return this.#dropBody(req);
+    }
+    if (!this.#options.budget.hasRoomForResponses) {
+      this.#dropBody(req);
+      return this.#refuseForMemory(req, res, { head, responder });
     }
-    this.#readBody(req, res, { exchange, maxBytes: maxBodyBytes }, (body) => {
+    const options = { exchange, head, responder, maxBytes: maxBodyBytes };
+    this.#readBody(req, res, options, (body) => {
       const { loop, log } = this.#options;
       if (this.#isHolding) return;
       if (!loop.mayHaveLeft) {
@@ -361,45 +381,116 @@
   #readBody(
     req: IncomingMessage,
     res: ServerResponse,
-    { exchange, maxBytes }: { readonly exchange: Exchange; readonly maxBytes: number },
+    options: BodyOptions,
     onBody: (body: Buffer | null) => void,
   ): void {
-    const hasBody = req.headers["content-length"] !== undefined ||
-      req.headers["transfer-encoding"] !== undefined;
-    if (!hasBody) {
+    const length = req.headers["content-length"];
+    if (length === undefined && req.headers["transfer-encoding"] === undefined) {
       req.resume();
       return onBody(null);
     }
     const connection = this.#connections.get(req.socket);
-    if (connection !== undefined) connection.reading = exchange;
-    exchange.stage = "reading_body";
-    let body = new ByteBuffer();
+    if (connection !== undefined) connection.reading = options.exchange;
+    options.exchange.stage = "reading_body";
+    const expectedBytes = Number(length ?? 0);
+    // What a slow caller has not sent yet takes no room from the small bodies of others.
+    if (expectedBytes <= SMALL_BODY_BYTES) {
+      return this.#collectBody(req, res, { ...options, expectedBytes: 0 }, onBody);
+    }
+    // Unread, the body waits at its caller.
+    const leave = this.#bodyQueue.enter(expectedBytes, (hasRoom) => {
+      if (!this.#unread.has(res)) {
+        if (hasRoom) this.#bodyQueue.release(expectedBytes);
+        return;
+      }
+      if (hasRoom) return this.#collectBody(req, res, { ...options, expectedBytes }, onBody);
+      if (connection !== undefined) connection.reading = null;
+      this.#dropBody(req);
+      this.#refuseForMemory(req, res, options);
+    });
+    res.once("close", leave);
+  }
+
+  /** Collects a body as it arrives. Room for `expectedBytes` of it has been taken. */
+  #collectBody(
+    req: IncomingMessage,
+    res: ServerResponse,
+    options: BodyOptions & { readonly expectedBytes: number },
+    onBody: (body: Buffer | null) => void,
+  ): void {
+    const { exchange, maxBytes, expectedBytes } = options;
+    const { budget, onBytes } = this.#options;
+    const connection = this.#connections.get(req.socket);
+    let body = new ByteBuffer({ expectedBytes });
     let size = 0;
+    let taken = expectedBytes;
     let isDiscarded = false;
-    const release = () => {
-      this.#bufferedBytes -= size;
-      size = 0;
+    const discard = () => {
+      isDiscarded = true;
+      body = new ByteBuffer();
     };
-    res.once("close", release);
+    res.once("close", () => {
+      this.#bodyQueue.release(taken);
+      taken = 0;
+      discard();
+    });
     req.on("data", (chunk: Buffer) => {
-      this.#options.onBytes?.(chunk.length);
+      onBytes?.(chunk.length);
       if (isDiscarded) return;
       size += chunk.length;
       exchange.bodyBytes = size;
-      this.#bufferedBytes += chunk.length;
-      if (size <= maxBytes && this.#bufferedBytes <= MAX_BUFFERED_BODY_BYTES) {
+      if (size > maxBytes) {
+        discard();
+        return this.#refuse(req, res, 413);
+      }
+      const missing = Math.max(0, size - taken);
+      if (missing === 0 || budget.takeBody(missing)) {
+        taken += missing;
         return body.append(chunk);
       }
-      isDiscarded = true;
-      body = new ByteBuffer();
-      this.#refuse(req, res, size > maxBytes ? 413 : 503);
+      discard();
+      if (connection !== undefined) connection.reading = null;
+      this.#refuseForMemory(req, res, options);
     });
     req.on("end", () => {
+      if (isDiscarded) return;
       if (connection !== undefined) connection.reading = null;
-      if (!isDiscarded) onBody(body.bytes());
+      onBody(body.bytes());
     });
     // The failure is on the caller's side, and the connection closes by itself.
-    req.on("error", () => isDiscarded = true);
+    req.on("error", discard);
+  }
+
+  /** Reads the rest of a body without keeping it. */
+  #dropBody(req: IncomingMessage): void {
+    req.on("data", (chunk: Buffer) => this.#options.onBytes?.(chunk.length));
+    req.resume();
+  }
+
+  /**
+   * Refuses a request for which there is no memory now. The connection stays open, and the rest of the body is read and
+   * dropped: closing a connection with unread bytes would reset it, and the caller might lose the response.
+   */
+  #refuseForMemory(
+    req: IncomingMessage,
+    res: ServerResponse,
+    { head, responder }: Pick<BodyOptions, "head" | "responder">,
+  ): void {
+    if (!this.#unread.delete(res)) return;
+    const { budget, log } = this.#options;
+    log.request("request_rejected", {
+      req: head.requestId,
+      reason: "memory_pressure",
+      retryAfterMs: RETRY_AFTER_NO_ROOM_MS,
+      length: req.headers["content-length"],
+      bodyBytes: budget.bodyBytes,
+      responseBytes: budget.responseBytes,
+    });
+    responder.reject({
+      reason: "memory_pressure",
+      notRun: true,
+      retryAfterMs: RETRY_AFTER_NO_ROOM_MS,
+    });
   }
 
   /** Refuses a request that cannot be forwarded, and closes the connection, as the data after it is not trusted. */
@@ -415,7 +506,7 @@
       host: req.headers.host,
       remote: req.socket.remoteAddress,
     });
-    req.resume();
+    this.#dropBody(req);
     if (res.headersSent || res.destroyed) return void res.destroy();
     res.writeHead(status, { connection: "close", "content-length": "0" });
     res.end();
--- /dev/null
+++ b/packages/gateway/tests/body_queue_test.ts
@@ -0,0 +1,59 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ManualClock } from "@wisteriapick/core";
+import { MemoryBudget } from "@wisteriapick/policy";
+import { BodyQueue } from "../src/surface/body_queue.ts";
+
+const BODY = 4_100_000;
+const MAX_WAIT_MS = 500;
+
+function makeQueue() {
+  const clock = new ManualClock();
+  // One body of this size fits.
+  const budget = new MemoryBudget({ memoryMb: 88 });
+  const queue = new BodyQueue({ budget, clock, maxWaitMs: MAX_WAIT_MS });
+  const outcomes: [string, boolean][] = [];
+  const enter = (name: string, bytes = BODY) =>
+    queue.enter(bytes, (hasRoom) => outcomes.push([name, hasRoom]));
+  return { clock, budget, queue, outcomes, enter };
+}
+
+test("bodies get room in the order of their arrival", () => {
+  const { queue, outcomes, enter } = makeQueue();
+  for (const name of ["a", "b", "c"]) enter(name);
+  assert.deepEqual(outcomes, [["a", true]]);
+  queue.release(BODY);
+  queue.release(BODY);
+  assert.deepEqual(outcomes, [["a", true], ["b", true], ["c", true]]);
+});
+
+test("a body that gets no room in time is refused, and takes none later", () => {
+  const { clock, budget, queue, outcomes, enter } = makeQueue();
+  enter("a");
+  enter("b");
+  clock.advance(MAX_WAIT_MS);
+  assert.deepEqual(outcomes.at(-1), ["b", false]);
+  queue.release(BODY);
+  assert.equal(budget.bodyBytes, 0);
+});
+
+test("a body whose caller leaves is not waited for", () => {
+  const { queue, outcomes, enter } = makeQueue();
+  enter("a");
+  const leave = enter("b");
+  enter("c");
+  leave();
+  queue.release(BODY);
+  assert.deepEqual(outcomes, [["a", true], ["c", true]]);
+});
+
+test("a body that can never fit, and one behind too many others, are refused at once", () => {
+  const { budget, outcomes, enter, queue } = makeQueue();
+  enter("huge", budget.shares.bodies + 1);
+  assert.deepEqual(outcomes, [["huge", false]]);
+  enter("a");
+  // Connections read ahead of bodies that wait, so that these take memory too.
+  for (let i = 0; i < 100; i++) enter(`waiting-${i}`);
+  assert.ok(queue.size > 0 && queue.size * 65_536 <= budget.shares.bodies / 4);
+  assert.equal(outcomes.filter(([, hasRoom]) => !hasRoom).length, 101 - queue.size);
+});
--- a/packages/gateway/tests/proxy_server_test.ts
+++ b/packages/gateway/tests/proxy_server_test.ts
@@ -2,6 +2,7 @@
 import { once } from "node:events";
 import { type AddressInfo, connect, createServer } from "node:net";
 import { test, type TestContext } from "node:test";
+import { MemoryBudget } from "@wisteriapick/policy";
 import { ManualClock } from "@wisteriapick/core";
 import { LoopMonitor, POLL_INTERVAL_MS } from "../src/observe/loop_monitor.ts";
 import type { InboundHead } from "../src/relay/inbound.ts";
@@ -56,6 +57,7 @@
     clock,
     log,
     loop,
+    budget: new MemoryBudget({ memoryMb: null }),
   });
   await server.listen();
   const socket = connect(address.port, address.host);
--- a/packages/gateway/tests/unanswered_test.ts
+++ b/packages/gateway/tests/unanswered_test.ts
@@ -2,6 +2,7 @@
 import { type AddressInfo, connect, createServer as createNetServer, type Socket } from "node:net";
 import { afterEach, test } from "node:test";
 import { SystemClock } from "@wisteriapick/core";
+import { MemoryBudget } from "@wisteriapick/policy";
 import { LoopMonitor } from "../src/observe/loop_monitor.ts";
 import type { InboundHead } from "../src/relay/inbound.ts";
 import type { CallerDialect } from "../src/surface/caller_dialect.ts";
@@ -78,7 +79,8 @@
   const loop = new LoopMonitor(clock, log);
   loop.stallMs = () => isStalled ? 200 : 0;
   if (isStalled) loop.afterNextPoll = () => {};
-  const server = new ProxyServer({ address, dialect, handler, clock, log, loop });
+  const budget = new MemoryBudget({ memoryMb: null });
+  const server = new ProxyServer({ address, dialect, handler, clock, log, loop, budget });
   await server.listen();
   undos.push(() => server.destroy());
   const open = async () => {
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -23,6 +23,7 @@
 export * from "./knowledge_lease.ts";
 export * from "./length_estimator.ts";
 export * from "./log_allowance.ts";
+export * from "./memory_budget.ts";
 export * from "./memory_forecast.ts";
 export * from "./move_evidence.ts";
 export * from "./move_pace.ts";
