Send an order to copy a run on a connection of its own

An endpoint that writes an earlier refusal once more on a kept connection could answer an order to stop and copy a run with it: the order used an idle connection that had served requests, and its response names none. The run then counted as running on while its engine stopped it.

The number of new connections stays, as the one of an order was closed already; it now is a new one, and the idle one is kept.

--- a/packages/gateway/src/upstream/connection_pool.ts
+++ b/packages/gateway/src/upstream/connection_pool.ts
@@ -59,15 +59,15 @@
   /**
    * Sends a request on an idle connection, or on a new one if none is idle.
    *
-   * With `closesAfter`, nothing is sent on the connection afterwards.
+   * With `isAlone`, the connection is a new one, on which nothing is sent afterwards.
    */
   send(
     req: UpstreamRequest,
     sink: UpstreamSink,
-    { closesAfter = false }: { readonly closesAfter?: boolean } = {},
+    { isAlone = false }: { readonly isAlone?: boolean } = {},
   ): UpstreamCall {
-    const connection = this.#takeIdle() ?? this.#open();
-    const release = () => closesAfter ? connection.destroy() : this.#release(connection);
+    const connection = (isAlone ? null : this.#takeIdle()) ?? this.#open();
+    const release = () => isAlone ? connection.destroy() : this.#release(connection);
     return connection.send(req, {
       onHead: (status, headers) => sink.onHead(status, headers),
       onData: (chunk) => sink.onData(chunk),
--- a/packages/gateway/src/upstream/control_call.ts
+++ b/packages/gateway/src/upstream/control_call.ts
@@ -19,14 +19,14 @@
 export function controlCall(
   endpoint: UpstreamEndpoint,
   request: UpstreamRequest,
-  { clock, timeoutMs, closesAfter = false }: {
+  { clock, timeoutMs, isAlone = false }: {
     readonly clock: Clock;
     readonly timeoutMs: number;
     /**
-     * Whether nothing is sent on the connection afterwards. A response that names no request could come once more, and
-     * would be taken for the response to the next call of its kind.
+     * Whether nothing else is sent on the connection, before or afterwards. A response that names no request may be an
+     * earlier one that comes once more.
      */
-    readonly closesAfter?: boolean;
+    readonly isAlone?: boolean;
   },
 ): Promise<ControlResult> {
   return new Promise((resolve) => {
@@ -56,6 +56,6 @@
       },
       onEnd: () => finish({ type: "response", status, body: received.bytes() }),
       onFailure: ({ sent, message }) => finish({ type: "failed", sent, message }),
-    }, { closesAfter });
+    }, { isAlone });
   });
 }
