Do not take a stream for complete that its engine may have stopped

Callers got a stream that looked complete before its last event (ORDER): with an engine whose streams have neither a length nor chunks, when the connection of the order to stop and copy the run was lost and the engine stopped it.

Cause: an order without a response was taken for a refused one. Without framing, only its response tells a stopped stream from a complete one.

After an order to stop, an end without framing counts as a loss at that engine, unless the engine refused the order with 404 or 409.

--- a/packages/gateway/src/relay/run_migrator.ts
+++ b/packages/gateway/src/relay/run_migrator.ts
@@ -256,7 +256,7 @@
       this.#resume(run, source, memory, "copy refused");
       return "refused";
     }
-    run.cancelStop();
+    run.cancelStop({ isRefused: last.type === "busy" || last.type === "no_run" });
     return "failed";
   }
 
--- a/packages/gateway/src/relay/stream_run.ts
+++ b/packages/gateway/src/relay/stream_run.ts
@@ -325,12 +325,18 @@
 
   /** Records that the engine has been requested to stop the run, so that the end of its stream is not a loss. */
   beginStop(): void {
-    if (this.#phase === "streaming" || this.#phase === "sent") this.#phase = "stopping";
+    if (this.#phase !== "streaming" && this.#phase !== "sent") return;
+    this.#phase = "stopping";
+    if (this.#segment !== null) this.#segment.mayBeStopped = true;
   }
 
-  /** Records that the engine did not stop the run, and reports a loss that occurred meanwhile. */
-  cancelStop(): void {
+  /**
+   * Lets the run go on after an order to stop it that brought no copy, and reports a loss that occurred meanwhile.
+   * Unless `isRefused`, the engine may have stopped the run, or stop it later.
+   */
+  cancelStop({ isRefused }: { readonly isRefused: boolean }): void {
     if (this.#phase !== "stopping") return;
+    if (isRefused && this.#segment !== null) this.#segment.mayBeStopped = false;
     this.#phase = this.#hasSentHead ? "streaming" : "sent";
     const loss = this.#segment?.pendingLoss ?? null;
     if (loss !== null) this.#events.onLoss(this, loss);
@@ -440,7 +446,7 @@
     const isEndOfStream = this.#hasSentHead && !this.#reader.hasPartialEvent &&
       this.#reader.lastId > 0;
     // Without framing, a stopped stream ends like a complete one; the response to the copy order tells them apart.
-    if (!isEndOfStream || (this.#phase === "stopping" && !segment.hasFraming)) {
+    if (!isEndOfStream || (segment.mayBeStopped && !segment.hasFraming)) {
       const message = "stream ended early";
       return this.#onSegmentLoss(segment, {
         type: "lost",
@@ -578,6 +584,8 @@
   hasBegunWell = false;
   /** Whether the end of the body is marked, so that it can be distinguished from a broken connection. */
   hasFraming = true;
+  /** Whether the engine was ordered to stop the run, and has not refused to. */
+  mayBeStopped = false;
   /** Loss of the segment while the run was being stopped; reported if the stop is cancelled. */
   pendingLoss: RunLoss | null = null;
   readonly #ctx: RelayContext;
