Handle SIGTERM and SIGINT from the first statement of the program on

What operators saw: a process that was told to stop while it started was ended by the default action of the signal, without a line, or went on binding its addresses after the stop.

Cause: the handlers were installed when the settings had been read and the gateway had been made, and nothing in the start looked at whether the process stops.

entry.cjs handles the signals in its first statement. The program adds its handlers while it is loaded; Node.js delivers signals once the event loop runs, so that they get those that came before.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -354,6 +354,7 @@
       this.#bind("peers", () => this.#network.start()),
       this.#bind("readiness", () => this.#readinessServer.listen()),
     ]);
+    if (this.#isKilled) return;
     void this.#serveMetrics();
     const stopTick = this.#options.clock.setRepeating(TICK_MS, () => this.#tick());
     const stopMemoryMonitor = this.#memoryMonitor.start();
@@ -362,6 +363,7 @@
       stopMemoryMonitor();
       stopTick();
     };
+    if (this.#stopDeadline.hasBegun) return;
     this.#options.log.state("started", {
       sinceStartMs: Math.round(performance.now()),
       name: this.#options.settings.name,
@@ -401,7 +403,8 @@
 
   #bind(what: string, listen: () => Promise<void>): Promise<void> {
     const { clock, log } = this.#options;
-    return bindAddress(listen, { clock, log, what, isStopped: () => this.#isKilled });
+    const isStopped = () => this.#isKilled || this.#stopDeadline.hasBegun;
+    return bindAddress(listen, { clock, log, what, isStopped });
   }
 
   /** Applies those settings that may change while the process runs. */
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -41,9 +41,9 @@
 
 writeFileSync(
   `${target}/entry.cjs`,
-  `// A change of the settings that is signalled before the program has read them needs no handling. Without a handler
-// the signal would end the process.
-process.on("SIGHUP", () => {});
+  `// Without handlers, these signals would end the process. The program adds its own while it is loaded, and those get
+// the signals that came before, as signals are handled once the event loop runs.
+for (const signal of ["SIGHUP", "SIGTERM", "SIGINT"]) process.on(signal, () => {});
 const firstStatementMs = performance.now();
 // Runs the bundle with its code cache; without a valid cache V8 compiles as usual.
 const { readFileSync } = require("node:fs");
