Report ready only once callers can connect

What callers saw: refused connections at a process whose readiness check had passed. Each address is bound by itself, and one that is in use is tried again for up to 15 s, as while a predecessor ends. The readiness check looked at the configuration only.

Test, failing before: 'a gateway is not ready before the address of its callers is bound'.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -136,6 +136,7 @@
   #isKilled = false;
   #configKnownMs: number | null = null;
   #wasReady = false;
+  #acceptsCallers = false;
   #stopTick: Undo = () => {};
 
   constructor(options: GatewayOptions) {
@@ -350,7 +351,7 @@
     this.#follower.start();
     this.#registration.start();
     await Promise.all([
-      this.#bind("callers", () => this.#proxy.listen()),
+      this.#bind("callers", () => this.#proxy.listen()).then(() => this.#acceptsCallers = true),
       this.#bind("peers", () => this.#network.start()),
       this.#bind("readiness", () => this.#readinessServer.listen()),
     ]);
@@ -565,7 +566,7 @@
 
   /** Whether callers may connect to this gateway. */
   get isReady(): boolean {
-    return !this.#stopDeadline.hasBegun && this.#fleet.isKnown &&
+    return this.#acceptsCallers && !this.#stopDeadline.hasBegun && this.#fleet.isKnown &&
       this.#fleet.endpoints.size > 0 && !this.#keys.needsRenewal;
   }
 
