Close connections with their response while too many are open

What callers saw: with as many kept connections as the process has descriptors, new callers are disconnected without a response (LOST), and no line of the log says so.

Cause: nothing bounded the connections that callers keep; Node.js then accepts and closes.

Fix: max_fds in the settings, from limits.max_fds. Beyond half of it, each connection closes with its next response; connections_crowded says when that begins and ends.

Connections that send no request are closed after the header timeout as before, and can still use up all.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -16,6 +16,7 @@
   canShedToOthers,
   ColdLimiter,
   HostOverload,
+  keptConnectionLimit,
   MemoryBudget,
   RetryBudgets,
   StopDeadline,
@@ -321,6 +322,7 @@
       log,
       loop: this.#loopMonitor,
       budget: this.#budget,
+      maxKept: keptConnectionLimit(settings.max_fds ?? null),
       onBytes: recordArrived,
     });
     this.#fleet.registerConfigListener(() => {
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -39,6 +39,8 @@
   link_mbps: z.number().positive().optional(),
   /** Memory over which the host kills this process, in MiB; without it, buffers have their largest bounds. */
   memory_mb: z.number().positive().optional(),
+  /** Descriptors that this process may have open; without it, connections of callers are kept without a limit. */
+  max_fds: z.number().positive().optional(),
   /** The region of each data centre. */
   regions: z.record(z.string(), idField(regionId, "a region id")),
   listen: z.object({
--- a/packages/gateway/src/surface/proxy_server.ts
+++ b/packages/gateway/src/surface/proxy_server.ts
@@ -51,6 +51,8 @@
   readonly log: DecisionLog;
   readonly loop: LoopMonitor;
   readonly budget: MemoryBudget;
+  /** Number of open connections from which on each closes with its next response; without a limit by default. */
+  readonly maxKept?: number;
   /** Called as bytes of bodies arrive, with their number. */
   readonly onBytes?: (bytes: number) => void;
 }
@@ -73,6 +75,9 @@
 /** Codes of errors that say that the caller closed its connection. */
 const LEFT_CODES: ReadonlySet<string> = new Set(["ECONNRESET", "HPE_INVALID_EOF_STATE"]);
 
+/** Fraction of the limit of kept connections below which an end of the crowd is logged, so that lines stay few. */
+const FEW_CONNECTIONS_FRACTION = 0.8;
+
 /** A request that is being read. */
 interface Incoming {
   readonly exchange: Exchange;
@@ -112,6 +117,7 @@
   #isHolding = false;
   readonly #bodyQueue: BodyQueue;
   #accepted = 0;
+  #isCrowded = false;
 
   constructor(options: ProxyServerOptions) {
     this.#options = options;
@@ -244,7 +250,9 @@
    * response too, and none is taken afterwards.
    */
   #closesAfter(socket: Socket): boolean {
-    if (!this.#draining && !this.#options.handler.shouldLeave()) return false;
+    if (!this.#draining && !this.#hasManyConnections && !this.#options.handler.shouldLeave()) {
+      return false;
+    }
     const connection = this.#connections.get(socket);
     if (connection === undefined) return true;
     if (connection.exchanges.size > 1) return false;
@@ -262,7 +270,25 @@
       isRefused: false,
       endsWith: null,
     });
-    socket.once("close", () => this.#connections.delete(socket));
+    socket.once("close", () => {
+      this.#connections.delete(socket);
+      this.#reportConnections();
+    });
+    this.#reportConnections();
+  }
+
+  get #hasManyConnections(): boolean {
+    return this.#connections.size > (this.#options.maxKept ?? Infinity);
+  }
+
+  /** Logs when connections begin to close with their responses, and when they are kept again. */
+  #reportConnections(): void {
+    const { log, maxKept = Infinity } = this.#options;
+    const open = this.#connections.size;
+    if (!this.#isCrowded && open <= maxKept) return;
+    if (this.#isCrowded && open > FEW_CONNECTIONS_FRACTION * maxKept) return;
+    this.#isCrowded = !this.#isCrowded;
+    log.state("connections_crowded", { isCrowded: this.#isCrowded, open, maxKept });
   }
 
   /** Closes an idle connection, unless a request came during a stall: timers may run before it is read. */
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -20,6 +20,7 @@
 export * from "./gateway_census.ts";
 export * from "./host_overload.ts";
 export * from "./interfaces.ts";
+export * from "./kept_connections.ts";
 export * from "./knowledge_lease.ts";
 export * from "./length_estimator.ts";
 export * from "./log_allowance.ts";
