--- a/packages/gateway/tests/response_cut_test.ts
+++ b/packages/gateway/tests/response_cut_test.ts
@@ -18,6 +18,16 @@
     bytes: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
     body: "abcde",
   },
+  "extensions and a trailer": {
+    bytes:
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3;a=b\r\nabc\r\n0\r\nX-T: 1\r\n\r\n",
+    body: "abc",
+  },
+  "an interim response before it": {
+    bytes:
+      "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab",
+    body: "ab",
+  },
   "a refusal": {
     bytes: "HTTP/1.1 503 Busy\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n",
     body: "",
@@ -72,6 +82,17 @@
   }
 }
 
+// A response without a length ends with its connection, but its head does not.
+test("a response without a length that is cut in its head is never whole", async () => {
+  const bytes = "HTTP/1.1 200 OK\r\nX-A: b\r\n\r\n";
+  for (const how of ["fin", "reset"] as const) {
+    for (let length = 1; length < bytes.length; length++) {
+      const res = await exchange(bytes, { length, how, cutAt: 1 });
+      assert.equal(res.ended, false, `cut after ${length} bytes with ${how}`);
+    }
+  }
+});
+
 // Guards against bytes of one response in another, however the bytes of several are split on their way.
 test("a response split at any places gives the same body", async () => {
   await fc.assert(
