Say when to try again in the refusals at the end of a stop

Requests that a stopping process has not passed on by its end got 503 without Retry-After. Since they are held for the end of a stop, most refusals of that time are of this kind, so their callers were not told to go elsewhere at once.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -37,7 +37,7 @@
 import { EndpointLimits } from "./relay/endpoint_limits.ts";
 import { EngineMonitor } from "./relay/engine_monitor.ts";
 import { EngineDispatcher } from "./relay/engine_dispatcher.ts";
-import { AccessControl } from "./relay/access_control.ts";
+import { AccessControl, RETRY_AFTER_ELSEWHERE_MS } from "./relay/access_control.ts";
 import type { RelayContext } from "./relay/context.ts";
 import { VersionMoves } from "./moves/version_moves.ts";
 import { Relay, type StopProgress } from "./relay/relay.ts";
@@ -489,7 +489,7 @@
     // What waits to be accepted would be reset when the process stops listening.
     await this.#readArrived(() => this.#closesInMs());
     this.#proxy.stopListening();
-    let reading = this.#proxy.refuseUnread();
+    let reading = this.#proxy.refuseUnread(RETRY_AFTER_ELSEWHERE_MS);
     log.state("requests_ended", {
       sinceStopMs: Math.round(this.#stopDeadline.sinceMs(clock.now())),
       lateMs: Math.round(lateMs),
@@ -507,7 +507,7 @@
       await clock.sleep(Math.min(TICK_MS, closesInMs));
       // What has arrived during a stall is read before it is refused.
       await this.#readArrived(() => this.#closesInMs());
-      reading += this.#proxy.refuseUnread();
+      reading += this.#proxy.refuseUnread(RETRY_AFTER_ELSEWHERE_MS);
     }
     return { reading, waiting, sent, streaming: this.#relay.endAll() };
   }
--- a/packages/gateway/src/surface/proxy_server.ts
+++ b/packages/gateway/src/surface/proxy_server.ts
@@ -209,13 +209,14 @@
   }
 
   /**
-   * Refuses requests that have not been read whole, or that wait for a configuration, as not run. Returns how many.
-   * Called as the process ends.
+   * Refuses requests that have not been passed on, as they have not been read whole, wait for a configuration or are
+   * held. Their callers may try elsewhere after `retryAfterMs`. Returns how many. Called as the process ends.
    */
-  refuseUnread(): number {
+  refuseUnread(retryAfterMs: number): number {
     const unread = [...this.#unread];
     this.#unread.clear();
-    for (const [res, req] of unread) this.#refuse(req, res, 503);
+    const headers = { "retry-after": (retryAfterMs / 1_000).toFixed(3) };
+    for (const [res, req] of unread) this.#refuse(req, res, 503, headers);
     return unread.length;
   }
 
@@ -520,7 +521,12 @@
   }
 
   /** Refuses a request that cannot be forwarded, and closes the connection, as the data after it is not trusted. */
-  #refuse(req: IncomingMessage, res: ServerResponse, status: number): void {
+  #refuse(
+    req: IncomingMessage,
+    res: ServerResponse,
+    status: number,
+    headers: Readonly<Record<string, string>> = {},
+  ): void {
     const { log } = this.#options;
     const connection = this.#connections.get(req.socket);
     if (connection !== undefined) connection.isRefused = true;
@@ -534,7 +540,7 @@
     });
     this.#dropBody(req);
     if (res.headersSent || res.destroyed) return void res.destroy();
-    res.writeHead(status, { connection: "close", "content-length": "0" });
+    res.writeHead(status, { ...headers, connection: "close", "content-length": "0" });
     res.end();
   }
 
