Tell peers that are linked during a stop that this gateway stops

A gateway told its peers once that it stops. A peer that is linked afterwards, as by a start that was still in progress or after a reset of its link, counted it as serving for the rest of the grace period, and so refused streams in its favour and divided limits by it. The announcement is repeated on each new link. Test, failing before: 'a peer that is linked while it stops does not count as serving'.

--- a/packages/gateway/src/peers/peer_network.ts
+++ b/packages/gateway/src/peers/peer_network.ts
@@ -92,6 +92,7 @@
   #downListeners: readonly ((peer: string) => void)[] = [];
   #listener: LinkListener | null = null;
   #closed = false;
+  #isStopping = false;
   #membershipVersion = 0;
   readonly #stops: Undo[] = [];
 
@@ -207,8 +208,9 @@
     return linked;
   }
 
-  /** Notifies peers that this gateway is stopping. */
+  /** Notifies peers that this gateway is stopping, those that are linked later too. */
   announceStop(): void {
+    this.#isStopping = true;
     this.broadcast({ kind: "gateway_stopping" });
   }
 
@@ -346,6 +348,7 @@
     const others = hasDigests ? [] : this.#known.values();
     link.notify({ kind: "gateways", gateways: [this.#self(), ...others] });
     if (hasDigests) this.#exchange.announce(name);
+    if (this.#isStopping) link.notify({ kind: "gateway_stopping" });
     if (wasLinked) return;
     // The first link after a loss may lead to a new process with the same name.
     this.#stopping.delete(name);
--- a/packages/gateway/tests/peer_network_test.ts
+++ b/packages/gateway/tests/peer_network_test.ts
@@ -81,3 +81,23 @@
   await until(() => b.linked().length === 0);
   assert.equal(b.sharingCount(), 2);
 });
+
+// Guards against streams that are left to a peer that stops, as it was linked after its announcement.
+test("a peer that is linked while it stops does not count as serving", async (t) => {
+  const [first, second] = [await freeAddress(), await freeAddress()];
+  const a = makeNetwork("entry-1", first, []);
+  const b = makeNetwork("entry-2", second, [first]);
+  t.after(async () => {
+    await a.stop();
+    await b.stop();
+  });
+  await a.start();
+  const started = b.start();
+  b.announceStop();
+  await started;
+  await until(() => a.linked().length === 1);
+  for (let i = 0; i < 200 && a.servingPeers().length > 0; i++) {
+    await new Promise((resolve) => setTimeout(resolve, 10));
+  }
+  assert.deepEqual(a.servingPeers(), []);
+});
