Close a listener for peers that is bound after the stop of the network

The listener was kept only once it had been bound, so that a stop during that time did not close it: the address stayed in use, and seeds were dialled. Test, failing before with EADDRINUSE: 'a network that is stopped while it starts leaves its address free'.

--- a/packages/gateway/src/peers/peer_network.ts
+++ b/packages/gateway/src/peers/peer_network.ts
@@ -155,7 +155,7 @@
 
   async start(): Promise<void> {
     const { address, listenAddress = address, clusterKey, clock, seeds } = this.#options;
-    this.#listener = await listenLinks({
+    const listener = await listenLinks({
       address: listenAddress,
       identity: this.#identity,
       clusterKey,
@@ -163,6 +163,8 @@
       clock,
       traffic: this.#traffic,
     });
+    if (this.#closed) return await listener.close();
+    this.#listener = listener;
     this.#stops.push(this.#traffic.start(), this.#exchange.start());
     for (const seed of seeds) this.#dial(seed);
   }
--- a/packages/gateway/tests/peer_network_test.ts
+++ b/packages/gateway/tests/peer_network_test.ts
@@ -101,3 +101,17 @@
   }
   assert.deepEqual(a.servingPeers(), []);
 });
+
+// Guards against an address that stays bound by a process that stopped while it started.
+test("a network that is stopped while it starts leaves its address free", async () => {
+  const address = await freeAddress();
+  const network = makeNetwork("entry-1", address, []);
+  const started = network.start();
+  await network.stop();
+  await started;
+  const server = createServer();
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", reject).listen(address.port, address.host, resolve);
+  });
+  await new Promise((resolve) => server.close(resolve));
+});
