Remove a registration only after the write of it that is in progress

A gateway that was told to stop while it registered sent the removal beside the write. A store that handled the removal first kept the registration, and other gateways dialled an address of nobody for ten minutes. Test, failing before: 'a registration that is being written is removed after it'.

--- a/packages/gateway/src/peers/registration.ts
+++ b/packages/gateway/src/peers/registration.ts
@@ -45,6 +45,8 @@
   readonly #missingSinceMs = new Map<string, number>();
   #stopTimer: Undo = () => {};
   #stopped = false;
+  /** Write of this gateway's registration that is in progress, or the last one. */
+  #write: Promise<void> = Promise.resolve();
 
   constructor(options: RegistrationOptions) {
     this.#options = options;
@@ -58,6 +60,8 @@
   async remove(): Promise<void> {
     this.stop();
     const { store, record, log } = this.#options;
+    // The store may handle two calls in any order. The caller of the write logs its failure.
+    await this.#write.catch(() => {});
     try {
       await store.removeGateway(record.name);
     } catch (e) {
@@ -98,7 +102,7 @@
     const isCurrent = own !== undefined &&
       formatAddress(own.address) === formatAddress(record.address);
     const mustWrite = !isCurrent && isEntryPoint() && !this.#stopped;
-    if (mustWrite) await store.writeGateway(record);
+    if (mustWrite) await (this.#write = store.writeGateway(record));
     for (const { name } of records) await this.#removeStale(name);
     return mustWrite;
   }
--- a/packages/gateway/tests/registration_test.ts
+++ b/packages/gateway/tests/registration_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { ManualClock, Rng } from "@wisteriapick/core";
+import type { GatewayRecord } from "../src/config/types.ts";
 import { Registration } from "../src/peers/registration.ts";
 import { MemoryLog, MemoryStore, OSU, settle } from "./fixtures.ts";
 
@@ -8,7 +9,7 @@
 const STEP_MS = 100;
 
 /** A gateway without seeds, which finds others by the store only. */
-function startGateway(name: string, store: MemoryStore, clock: ManualClock): Set<string> {
+function startGateway(name: string, store: MemoryStore, clock: ManualClock) {
   const found = new Set<string>();
   const registration = new Registration({
     record: { name, address: { host: "10.0.0.1", port: 8_748 }, dataCentre: OSU },
@@ -21,7 +22,7 @@
     isLinked: () => false,
   });
   registration.start();
-  return found;
+  return { registration, found };
 }
 
 // Guards against gateways that start together, each reads the store before the other has written, and know of each
@@ -29,10 +30,45 @@
 test("gateways that register at the same moment find each other within ten seconds", async () => {
   const clock = new ManualClock();
   const store = new MemoryStore(clock);
-  const found = ["entry-1", "entry-2"].map((name) => startGateway(name, store, clock));
+  const found = ["entry-1", "entry-2"].map((name) => startGateway(name, store, clock).found);
   for (let ms = 0; ms < START_MS; ms += STEP_MS) {
     clock.advance(STEP_MS);
     await settle();
   }
   for (const names of found) assert.deepEqual([...names].sort(), ["entry-1", "entry-2"]);
 });
+
+/** A store that takes a while for a registration, and not for its removal. */
+class SlowWriteStore extends MemoryStore {
+  readonly #delay: Promise<void>;
+  hasReceived = false;
+
+  constructor(clock: ManualClock, delay: Promise<void>) {
+    super(clock);
+    this.#delay = delay;
+  }
+
+  override async writeGateway(record: GatewayRecord): Promise<void> {
+    this.hasReceived = true;
+    await this.#delay;
+    await super.writeGateway(record);
+  }
+}
+
+// Guards against a registration that is left in the store by a gateway that stops while it registers.
+test("a registration that is being written is removed after it", async () => {
+  const clock = new ManualClock();
+  let write = () => {};
+  const store = new SlowWriteStore(clock, new Promise((resolve) => write = resolve));
+  const { registration } = startGateway("entry-1", store, clock);
+  for (let ms = 0; ms < START_MS && !store.hasReceived; ms += STEP_MS) {
+    clock.advance(STEP_MS);
+    await settle();
+  }
+  const removed = registration.remove();
+  await settle();
+  write();
+  await removed;
+  await settle();
+  assert.equal((await store.list("gateways")).items.size, 0);
+});
