Try an address again that the host does not have yet

What operators saw: a process that ended with code 1 right after its start. An address in use is tried again for 15 s; one that the host does not have, as while it sets up its network, was an error at once. Found while looking for processes that end by themselves; not shown to be what the users saw.

Evidence: with an address of callers that the host lacks, end with code 1 after 0.25 s; now the process still tries 4 s after its start. Test, failing before: 'an address that fails with EADDRNOTAVAIL for 3 s is bound then'.

--- a/packages/gateway/src/surface/bind_address.ts
+++ b/packages/gateway/src/surface/bind_address.ts
@@ -1,5 +1,6 @@
 /**
- * Binds addresses that may be in use for a while, as by a predecessor of this process that has not ended yet.
+ * Binds addresses that may be in use for a while, as by a predecessor of this process that has not ended yet, or that the
+ * host does not have yet.
  *
  * @module
  */
@@ -25,7 +26,8 @@
 /**
  * Calls `listen` until the address can be bound, or is no longer needed.
  *
- * @throws the error of the last call, if it is another one than that the address is in use, or that for too long.
+ * @throws the error of the last call, if it is another one than that the address is in use or not there yet, or that
+ * for too long.
  *
  * @example
  * ```ts
@@ -44,7 +46,7 @@
       if (isLogged) log.state("address_bound", { what, afterMs: clock.now() - startedAtMs });
       return;
     } catch (e) {
-      if (!isInUse(e) || clock.now() - startedAtMs >= retryForMs) throw e;
+      if (!mayBecomeFree(e) || clock.now() - startedAtMs >= retryForMs) throw e;
       if (!isLogged) log.state("address_in_use", { what, err: toWpError(e) });
       isLogged = true;
     }
@@ -52,8 +54,11 @@
   }
 }
 
-/** Whether an error, or its cause, says that an address is in use. */
-function isInUse(e: unknown): boolean {
+/** The address is in use, or the host does not have it, as while it sets up its network. */
+const RETRIED_CODES: ReadonlySet<string | undefined> = new Set(["EADDRINUSE", "EADDRNOTAVAIL"]);
+
+/** Whether an error, or its cause, says that the address cannot be bound for now. */
+function mayBecomeFree(e: unknown): boolean {
   if (!(e instanceof Error)) return false;
-  return (e as NodeJS.ErrnoException).code === "EADDRINUSE" || isInUse(e.cause);
+  return RETRIED_CODES.has((e as NodeJS.ErrnoException).code) || mayBecomeFree(e.cause);
 }
