Notice that a connection ends before the turn of its pipelined responses

Callers that left were not noticed for requests that waited behind another one on their connection: endpoints went on working for them (GONE), and the room for their bodies and responses was never given back, until every request got 503 (found by the review of MemoryBudget; lost its count of buffered bodies in the same way).

Cause: Node.js reports the end of a connection only to the response whose turn it is. The others get neither 'close' nor the callbacks of their writes, also after destroy().

The end of a connection now closes the responses that still wait for their turn. The two new tests of unanswered_test time out without the change.

--- a/packages/gateway/src/surface/proxy_server.ts
+++ b/packages/gateway/src/surface/proxy_server.ts
@@ -264,14 +264,16 @@
   #onConnection(socket: Socket): void {
     this.#options.loop.recordConnection();
     this.#accepted++;
+    const exchanges = new Set<Exchange>();
     this.#connections.set(socket, {
-      exchanges: new Set(),
+      exchanges,
       reading: null,
       requestBytes: 0,
       isRefused: false,
       endsWith: null,
     });
     socket.once("close", () => {
+      for (const exchange of [...exchanges]) exchange.closeUnsent();
       this.#connections.delete(socket);
       this.#reportConnections();
     });
--- a/packages/gateway/src/surface/unanswered.ts
+++ b/packages/gateway/src/surface/unanswered.ts
@@ -64,6 +64,16 @@
     return this.#options.requestId();
   }
 
+  /**
+   * Closes a response whose turn on the connection has not come when the connection ends. Node.js reports the end only to
+   * the response whose turn it is.
+   */
+  closeUnsent(): void {
+    if (this.#res.socket !== null) return;
+    this.#res.destroy();
+    this.#res.emit("close");
+  }
+
   /** Records why the gateway closes the connection. The first reason stays. */
   recordClose(cause: CloseCause, detail?: string): void {
     if (this.#cause !== null) return;
--- a/packages/gateway/tests/unanswered_test.ts
+++ b/packages/gateway/tests/unanswered_test.ts
@@ -99,7 +99,7 @@
     while (log.count(event) < count) await new Promise((resolve) => setImmediate(resolve));
     return log.events.filter((e) => e.event === event).map((e) => e.fields);
   };
-  return { server, log, responders, open, handled, logged };
+  return { server, log, responders, budget, open, handled, logged };
 }
 
 const head = (id: string, more = "") =>
@@ -384,3 +384,29 @@
   assert.deepEqual([line!.req, line!.status], ["bad-chunk", 400]);
   assert.equal(of.log.count("request_unanswered"), 0);
 });
+
+// Guards against work for a caller that has left (GONE), and against memory that its requests hold for ever.
+for (const how of ["fin", "reset"] as const) {
+  test(`pipelined requests whose connection ends before their turn are given up (${how})`, async () => {
+    const of = await makeServer();
+    const socket = await of.open();
+    const body = "x".repeat(40);
+    const lengthField = `Content-Length: ${body.length}\r\n`;
+    for (const id of ["first", "second", "third"]) socket.write(head(id, lengthField) + body);
+    await of.handled(3);
+    const [, second, third] = of.responders;
+    second!.writeHead(200, [], 2_000);
+    second!.write(Buffer.alloc(1_000));
+    assert.equal(of.budget.bodyBytes, 3 * body.length);
+    assert.equal(of.budget.responseBytes, 1_000);
+    const haveLeft = [second, third].map((responder) =>
+      new Promise<void>((resolve) => responder!.registerClose(resolve))
+    );
+    if (how === "fin") socket.destroy();
+    else socket.resetAndDestroy();
+    await Promise.all(haveLeft);
+    assert.equal(of.budget.bodyBytes, 0);
+    assert.equal(of.budget.responseBytes, 0);
+    assert.equal(of.server.active, 0);
+  });
+}
