--- a/review/lib/system.mjs
+++ b/review/lib/system.mjs
@@ -134,12 +134,7 @@
   start() {
     const file = join(this.system.dir, `${this.name}.yaml`);
     writeFileSync(file, this.settings);
-    const args = [
-      "--max-old-space-size=110",
-      "--max-semi-space-size=2",
-      "--liftoff-only",
-      "target/entry.cjs",
-    ];
+    const args = ["--max-old-space-size=110", "--max-semi-space-size=2", "target/entry.cjs"];
     const child = spawn("node", args, {
       cwd: ROOT,
       env: { PATH: process.env.PATH, HOME: process.env.HOME, LANG: "C", WISTERIAPICK_BOOT: file },
