Do not take the refusal of a further order to stop for the end of the first

Callers could still get a stream that looked complete before its last event (ORDER): an order to stop and copy a run whose response was lost, and a further one that the engine refused with 409 while the first was in progress, or with 404 once it had stopped the run. The refusal was taken to mean that the run goes on.

A refusal now says something only if each order before it had a response.

--- a/packages/gateway/src/relay/stream_run.ts
+++ b/packages/gateway/src/relay/stream_run.ts
@@ -332,11 +332,12 @@
 
   /**
    * Lets the run go on after an order to stop it that brought no copy, and reports a loss that occurred meanwhile.
-   * Unless `isRefused`, the engine may have stopped the run, or stop it later.
+   * Unless `isRefused`, the engine may have stopped the run, or stop it later. It may refuse a further order because the
+   * one before it, whose response was lost, is in progress or done.
    */
   cancelStop({ isRefused }: { readonly isRefused: boolean }): void {
     if (this.#phase !== "stopping") return;
-    if (isRefused && this.#segment !== null) this.#segment.mayBeStopped = false;
+    if (this.#segment !== null) this.#segment.recordStopOrder({ isRefused });
     this.#phase = this.#hasSentHead ? "streaming" : "sent";
     const loss = this.#segment?.pendingLoss ?? null;
     if (loss !== null) this.#events.onLoss(this, loss);
@@ -584,8 +585,9 @@
   hasBegunWell = false;
   /** Whether the end of the body is marked, so that it can be distinguished from a broken connection. */
   hasFraming = true;
-  /** Whether the engine was ordered to stop the run, and has not refused to. */
+  /** Whether the engine was ordered to stop the run, and has not refused each of the orders. */
   mayBeStopped = false;
+  #hasUnansweredStop = false;
   /** Loss of the segment while the run was being stopped; reported if the stop is cancelled. */
   pendingLoss: RunLoss | null = null;
   readonly #ctx: RelayContext;
@@ -611,6 +613,12 @@
     return this.#call !== null && !this.#hasEnded;
   }
 
+  /** Records the outcome of an order to stop the run that brought no copy. */
+  recordStopOrder({ isRefused }: { readonly isRefused: boolean }): void {
+    if (!isRefused) this.#hasUnansweredStop = true;
+    this.mayBeStopped = this.#hasUnansweredStop;
+  }
+
   get hasProgress(): boolean {
     return this.firstEventAtMs !== null;
   }
