Count only connections in use as work of a stop

A stopping gateway keeps time for one request and one response on each open connection. It counted idle ones too. With 2,000 kept connections at a slowdown of 1 a call came to need 4.1 s, at a slowdown of 2 more than the grace period, so that callers were refused (503, not run) although the gateway could serve them.

A connection now counts while it has a request in progress and for a second after it was opened or had one. Closing and the exit still count all connections.

Before: with idle connections counted, the new policy test fails. After: it, the tests of the proxy server and of stops pass with their bounds unchanged.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -432,6 +432,7 @@
     log.state("stopping", {
       active: this.#proxy.active,
       connections: this.#proxy.connectionCount,
+      busyConnections: this.#proxy.busyConnectionCount,
       ...this.#speedFields(),
       delayedMs: Math.round(deadline.delayedMs),
       graceMs: settings.bounds.grace_ms,
@@ -541,7 +542,11 @@
 
   #recordLoad(): void {
     const { slowdown } = this.#speed;
-    this.#stopDeadline.recordLoad({ slowdown, connections: this.#proxy.connectionCount });
+    this.#stopDeadline.recordLoad({
+      slowdown,
+      connections: this.#proxy.connectionCount,
+      busyConnections: this.#proxy.busyConnectionCount,
+    });
   }
 
   /** How slow this host is of late, for logs: a whole core has a slowdown of 1. */
--- a/packages/gateway/src/surface/proxy_server.ts
+++ b/packages/gateway/src/surface/proxy_server.ts
@@ -70,6 +70,9 @@
 /** Retry delay given to callers while there is no memory for their request, in milliseconds. */
 const RETRY_AFTER_NO_ROOM_MS = 1_000;
 
+/** Time for which a connection counts as in use after its last request or response, in milliseconds. */
+const BUSY_MS = 1_000;
+
 /** Code of the error for a head that has not ended in its time. Node.js reports it once for a connection. */
 const LATE_HEAD_CODE = "ERR_HTTP_REQUEST_TIMEOUT";
 /** Codes of errors that say that the caller closed its connection. */
@@ -100,6 +103,8 @@
   reading: Exchange | null;
   /** Number of bytes that belong to requests whose heads have been read. */
   requestBytes: number;
+  /** When it was opened, or last had a request in progress. */
+  usedAtMs: number;
   /** Whether nothing more is taken from it: a request was refused, or the last response ends it. */
   isRefused: boolean;
   /** Ends it for bytes that cannot be served, once the requests before them are answered; `null` if there are none. */
@@ -179,6 +184,16 @@
     return this.#connections.size;
   }
 
+  /** Number of connections with a request in progress, or with one read or responded to of late. */
+  get busyConnectionCount(): number {
+    const sinceMs = this.#options.clock.now() - BUSY_MS;
+    let busy = 0;
+    for (const { exchanges, usedAtMs } of this.#connections.values()) {
+      if (exchanges.size > 0 || usedAtMs > sinceMs) busy++;
+    }
+    return busy;
+  }
+
   /** Number of requests that wait for room for their bodies. */
   get waitingForRoom(): number {
     return this.#bodyQueue.size;
@@ -269,6 +284,7 @@
       exchanges,
       reading: null,
       requestBytes: 0,
+      usedAtMs: this.#options.clock.now(),
       isRefused: false,
       endsWith: null,
     });
@@ -323,6 +339,7 @@
     this.#unread.set(res, req);
     res.once("close", () => {
       connection.exchanges.delete(exchange);
+      connection.usedAtMs = clock.now();
       this.#unread.delete(res);
       if (countUnanswered(connection) === 0 && req.socket.writable) connection.endsWith?.();
     });
--- a/packages/gateway/tests/proxy_server_test.ts
+++ b/packages/gateway/tests/proxy_server_test.ts
@@ -71,7 +71,7 @@
     new Promise<void>((resolve) => {
       waiters[name] = resolve;
     });
-  return { clock, loop, arrivals, socket, event };
+  return { clock, loop, arrivals, socket, event, server };
 }
 
 const HEAD = "POST /drafts/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\n";
@@ -125,3 +125,21 @@
   isBusy = false;
   assert.equal(arrivals[1], clock.now());
 });
+
+// Guards against a stopping process that keeps time for requests on connections that have been idle for long.
+test("a connection is in use with a request in progress and shortly after it only", async (t) => {
+  const { clock, socket, event, server } = await startServer(t);
+  const accepted = event("accepted");
+  socket.write(HEAD);
+  await accepted;
+  clock.advance(5_000);
+  assert.equal(server.busyConnectionCount, 1, "its request is being read");
+  const responded = once(socket, "data");
+  socket.write("abc");
+  await responded;
+  clock.advance(900);
+  assert.equal(server.busyConnectionCount, 1, "it had a response 0.9 s before");
+  clock.advance(200);
+  assert.equal(server.busyConnectionCount, 0, "it had a response 1.1 s before");
+  assert.equal(server.connectionCount, 1);
+});
--- a/packages/policy/src/stop_deadline.ts
+++ b/packages/policy/src/stop_deadline.ts
@@ -22,6 +22,8 @@
   readonly slowdown: number;
   /** Number of open connections of callers. */
   readonly connections: number;
+  /** Number of those that are in use; all of them by default. Idle ones leave nothing to read or to respond to. */
+  readonly busyConnections?: number;
 }
 
 /** Time that the exit takes on a whole core, in milliseconds, with a stall that is too short to be noticed. */
@@ -75,6 +77,8 @@
   #slowdown = 1;
   /** Number of open connections; while stopping the largest so far, as those who were told to leave connect again. */
   #connections = 0;
+  /** The same for connections in use. */
+  #busyConnections = 0;
 
   constructor({ graceMs }: StopDeadlineOptions) {
     this.#graceMs = graceMs;
@@ -88,9 +92,12 @@
   }
 
   /** Records what is left to do and how fast it is done. */
-  recordLoad({ slowdown, connections }: EndLoad): void {
+  recordLoad({ slowdown, connections, busyConnections = connections }: EndLoad): void {
     this.#slowdown = Math.max(1, slowdown);
     this.#connections = this.hasBegun ? Math.max(this.#connections, connections) : connections;
+    this.#busyConnections = this.hasBegun
+      ? Math.max(this.#busyConnections, busyConnections)
+      : busyConnections;
   }
 
   /**
@@ -155,9 +162,9 @@
     return this.#graceMs - this.sinceMs(nowMs);
   }
 
-  /** Time that this process needs for one request or response on each open connection, in milliseconds. */
+  /** Time that this process needs for one request or response on each connection in use, in milliseconds. */
   get turnMs(): number {
-    return this.#slowdown * RESPONSE_MS * this.#connections;
+    return this.#slowdown * RESPONSE_MS * this.#busyConnections;
   }
 
   /** Time that is kept for closing connections and the exit, in milliseconds. */
--- a/packages/policy/tests/stop_deadline_test.ts
+++ b/packages/policy/tests/stop_deadline_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { StopDeadline } from "../src/mod.ts";
+import { canTakeWhileStopping, StopDeadline } from "../src/mod.ts";
 
 const GRACE_MS = 8_000;
 const POLL_MS = 50;
@@ -99,6 +99,25 @@
   }
 });
 
+// Guards against a stopping process that refuses what it can serve: each kept connection counted as one with a request
+// to read, however long it had been idle.
+test("idle connections keep a stopping process neither from taking requests nor from responding", () => {
+  for (const slowdown of [1, 2, 5]) {
+    const deadline = new StopDeadline({ graceMs: GRACE_MS });
+    const load = { slowdown, connections: 2_000, busyConnections: 20 };
+    deadline.recordLoad(load);
+    deadline.begin(0, 0);
+    deadline.recordLoad({ ...load, busyConnections: 5 });
+    assert.equal(deadline.turnMs, slowdown * 20);
+    for (const nowMs of [0, 1_000, 2_500, 2_900]) {
+      const remainingMs = deadline.remainingMs(nowMs);
+      const { turnMs } = deadline;
+      const request = { sinceStopMs: nowMs, remainingMs, usualMs: 100, longestMs: 6_000, turnMs };
+      assert.ok(canTakeWhileStopping(request), `slowdown ${slowdown}, refused after ${nowMs} ms`);
+    }
+  }
+});
+
 // A stream that has begun loses its rest in any case, and is excused in the last sixth of the grace period only.
 test("responses that have begun go on into the last sixth of the grace period", () => {
   for (const ms of [0, 300, 700, 1_500, 3_000]) {
