Judge overdue calls after a stall with what has arrived read

After a stall, timers run before connections are read. A call whose response waited to be read went to a second endpoint (BUDGET), and a call or stream whose limit had passed during the stall was refused (504) although its response had arrived.

Without a stall they fire as before, in the same turn.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -261,6 +261,7 @@
       limits,
       moves: this.#moves,
       budget: this.#budget,
+      setPolledTimer: (ms, fn) => this.#loopMonitor.setPolledTimer(ms, fn, clock),
       recordArrived,
       announceLeaving: (endpoint) =>
         this.#network.broadcast({ kind: "endpoint_leaving", endpoint }),
--- a/packages/gateway/src/observe/loop_monitor.ts
+++ b/packages/gateway/src/observe/loop_monitor.ts
@@ -123,6 +123,30 @@
     setImmediate(() => setImmediate(fn));
   }
 
+  /**
+   * Calls `fn` once after `ms` milliseconds. After a stall, timers run before what has arrived meanwhile is read, so `fn`
+   * is then called after connections have been polled once more. `clock` is the one that the time is measured by.
+   */
+  setPolledTimer(ms: number, fn: () => void, clock = this.#clock): Undo {
+    let isStopped = false;
+    const undo = clock.setTimer(ms, () => {
+      if (!this.#hasUnpolled) return fn();
+      this.afterNextPoll(() => {
+        if (!isStopped) fn();
+      });
+    });
+    return () => {
+      isStopped = true;
+      undo();
+    };
+  }
+
+  /** Whether a stall has ended and connections have not been polled since. */
+  get #hasUnpolled(): boolean {
+    const delayMs = this.#clock.now() - this.#lastPollMs - POLL_INTERVAL_MS;
+    return Math.max(this.#unhandledMs, delayMs) >= SHORTEST_STALL_MS;
+  }
+
   /**
    * Duration of the stall from whose time connections may still be unread; 0 if there is none. After as much time as
    * the stall took, what is read would count as having arrived after it.
--- a/packages/gateway/src/relay/context.ts
+++ b/packages/gateway/src/relay/context.ts
@@ -3,7 +3,7 @@
  *
  * @module
  */
-import type { Clock, DataCentreId, EndpointId, Rng } from "@wisteriapick/core";
+import type { Clock, DataCentreId, EndpointId, Rng, Undo } from "@wisteriapick/core";
 import type { ColdLimiter, MemoryBudget } from "@wisteriapick/policy";
 import type { DecisionLog } from "../observe/decision_log.ts";
 import type { GatewayMetrics } from "../observe/metrics.ts";
@@ -35,6 +35,8 @@
   readonly limits: EndpointLimits;
   readonly moves: VersionMoves;
   readonly budget: MemoryBudget;
+  /** Calls `fn` once after `ms` milliseconds, with what had arrived by then read, also after a stall. */
+  setPolledTimer(ms: number, fn: () => void): Undo;
   /** Records bytes of responses for which buffers were allocated. */
   recordArrived(bytes: number): void;
   /** Tells the other gateways that an endpoint leaves. */
--- a/packages/gateway/src/relay/plain_call.ts
+++ b/packages/gateway/src/relay/plain_call.ts
@@ -90,10 +90,10 @@
   }
 
   start(): void {
-    const { clock } = this.#ctx;
+    const { clock, setPolledTimer } = this.#ctx;
     this.#undos.push(
       this.#responder.registerClose(() => this.#onCallerLeft()),
-      clock.setTimer(this.#req.dueAtMs - clock.now(), () => this.#onDeadline()),
+      setPolledTimer(this.#req.dueAtMs - clock.now(), () => this.#onDeadline()),
     );
     this.#sendNext("first");
   }
@@ -274,7 +274,7 @@
     this.#stopSlowTimer();
     const slowAfterMs = Math.max(SLOW_MIN_MS, SLOW_FACTOR * endpoint.latencyMs);
     const ms = Math.min(slowAfterMs, SLOW_FRACTION_OF_TIME_LEFT * remainingMs);
-    this.#stopSlowTimer = this.#ctx.clock.setTimer(ms, () => {
+    this.#stopSlowTimer = this.#ctx.setPolledTimer(ms, () => {
       if (this.#committed !== null || this.#hasEnded) return;
       endpoint.recordOverdue(this.#ctx.clock.now());
       if (this.#isIdempotent && this.#canRetry()) this.#sendNext("slow");
--- a/packages/gateway/src/relay/stream_run.ts
+++ b/packages/gateway/src/relay/stream_run.ts
@@ -225,11 +225,11 @@
 
   /** Starts to watch for the caller's disconnection and the deadline. */
   start(): void {
-    const { clock } = this.#ctx;
+    const { clock, setPolledTimer } = this.#ctx;
     this.#undos.push(
       this.responder.registerClose(() => this.#onCallerLeft()),
       this.responder.registerDrain(() => this.#onDrain()),
-      clock.setTimer(this.req.dueAtMs - clock.now(), () => this.#onDeadline()),
+      setPolledTimer(this.req.dueAtMs - clock.now(), () => this.#onDeadline()),
     );
   }
 
