Take back room from large bodies that hardly arrive

Callers of bodies over 64 KiB were refused (503 after 500 ms) for as long as others had announced large bodies and sent nothing more.

Room for the whole Content-Length is taken before a byte of the body has arrived, and nothing bounded the arrival. Four callers that announced 4 MiB and sent one byte each kept all the room of a host with 200 MB.

While bodies wait, those of which less than 64 KiB arrive in 200 ms now give back the room for what has not arrived. When more arrives, the request is paused and enters the queue again for the rest, and is refused after 500 ms without room, not run. Bodies that are half in and wait for each other end with that limit, which frees what they hold.

--- a/packages/gateway/src/surface/body_queue.ts
+++ b/packages/gateway/src/surface/body_queue.ts
@@ -14,6 +14,14 @@
   readonly maxWaitMs: number;
 }
 
+/** A body that arrives, for all of which room has been taken. */
+export interface ArrivingBody {
+  /** Bytes that have arrived. */
+  arrivedBytes(): number;
+  /** Gives back the room for what has not arrived, in bytes. The body enters the queue again when more of it arrives. */
+  giveBack(): number;
+}
+
 interface WaitingBody {
   readonly bytes: number;
   finish(hasRoom: boolean): void;
@@ -23,6 +31,10 @@
 const READ_AHEAD_BYTES = 65_536;
 /** Fraction of the room for bodies that may be read ahead by those that wait. */
 const READ_AHEAD_FRACTION = 0.25;
+/** Interval at which bodies that arrive too slowly give back room while others wait, in milliseconds. */
+const SLOW_CHECK_INTERVAL_MS = 200;
+/** Bytes that have to arrive of a body in this interval so that it keeps its room while others wait. */
+const MIN_ARRIVED_BYTES = 65_536;
 
 /**
  * Bodies that wait for room, in the order of their arrival.
@@ -36,6 +48,9 @@
 export class BodyQueue {
   readonly #options: BodyQueueOptions;
   readonly #waiting: WaitingBody[] = [];
+  /** Bodies that arrive, with the bytes that had arrived at the last check. */
+  readonly #arriving = new Map<ArrivingBody, number>();
+  #stopChecks: Undo | null = null;
 
   constructor(options: BodyQueueOptions) {
     this.#options = options;
@@ -65,6 +80,7 @@
       stopTimer();
       const i = this.#waiting.indexOf(waiting);
       if (i >= 0) this.#waiting.splice(i, 1);
+      if (this.#waiting.length === 0) this.#endChecks();
     };
     const finish = (hasRoom: boolean) => {
       leave();
@@ -73,6 +89,7 @@
     const waiting: WaitingBody = { bytes, finish };
     const stopTimer = clock.setTimer(maxWaitMs, () => finish(false));
     this.#waiting.push(waiting);
+    this.#beginChecks();
     return () => {
       leave();
       this.#serve();
@@ -85,6 +102,40 @@
     this.#serve();
   }
 
+  /**
+   * Watches a body that has room until the returned function is called or the body has given room back. A body that
+   * arrives too slowly gives it back while others wait: its caller decides how long it takes.
+   */
+  watch(body: ArrivingBody): Undo {
+    this.#arriving.set(body, body.arrivedBytes());
+    return () => this.#arriving.delete(body);
+  }
+
+  #beginChecks(): void {
+    if (this.#stopChecks !== null) return;
+    for (const body of this.#arriving.keys()) this.#arriving.set(body, body.arrivedBytes());
+    this.#stopChecks = this.#options.clock.setRepeating(
+      SLOW_CHECK_INTERVAL_MS,
+      () => this.#takeBack(),
+    );
+  }
+
+  #endChecks(): void {
+    this.#stopChecks?.();
+    this.#stopChecks = null;
+  }
+
+  #takeBack(): void {
+    for (const [body, before] of this.#arriving) {
+      const arrived = body.arrivedBytes();
+      this.#arriving.set(body, arrived);
+      if (arrived - before >= MIN_ARRIVED_BYTES) continue;
+      this.#arriving.delete(body);
+      this.#options.budget.releaseBody(body.giveBack());
+    }
+    this.#serve();
+  }
+
   #serve(): void {
     const [first] = this.#waiting;
     if (first === undefined || !this.#options.budget.takeBody(first.bytes)) return;
--- a/packages/gateway/src/surface/proxy_server.ts
+++ b/packages/gateway/src/surface/proxy_server.ts
@@ -471,15 +471,51 @@
     let size = 0;
     let taken = expectedBytes;
     let isDiscarded = false;
+    let unwatch = () => {};
+    const watch = () => {
+      unwatch = this.#bodyQueue.watch({
+        arrivedBytes: () => size,
+        giveBack: () => {
+          const unused = taken - size;
+          taken = size;
+          return unused;
+        },
+      });
+    };
+    if (expectedBytes > 0) watch();
     const discard = () => {
       isDiscarded = true;
+      unwatch();
       body = new ByteBuffer();
     };
     res.once("close", () => {
-      this.#bodyQueue.release(taken);
+      const held = taken;
       taken = 0;
       discard();
+      this.#bodyQueue.release(held);
     });
+    const refuse = () => {
+      discard();
+      if (connection !== undefined) connection.reading = null;
+      this.#refuseForMemory(req, res, options);
+    };
+    /** Takes room again for a body that has given back what had not arrived. */
+    const waitForRest = (chunk: Buffer) => {
+      const rest = expectedBytes - taken;
+      req.pause();
+      const leave = this.#bodyQueue.enter(rest, (hasRoom) => {
+        if (isDiscarded) {
+          if (hasRoom) this.#bodyQueue.release(rest);
+          return;
+        }
+        req.resume();
+        if (!hasRoom) return refuse();
+        taken += rest;
+        body.append(chunk);
+        watch();
+      });
+      res.once("close", leave);
+    };
     req.on("data", (chunk: Buffer) => {
       onBytes?.(chunk.length);
       if (isDiscarded) return;
@@ -490,16 +526,16 @@
         return this.#refuse(req, res, 413);
       }
       const missing = Math.max(0, size - taken);
+      if (missing > 0 && expectedBytes > 0) return waitForRest(chunk);
       if (missing === 0 || budget.takeBody(missing)) {
         taken += missing;
         return body.append(chunk);
       }
-      discard();
-      if (connection !== undefined) connection.reading = null;
-      this.#refuseForMemory(req, res, options);
+      refuse();
     });
     req.on("end", () => {
       if (isDiscarded) return;
+      unwatch();
       if (connection !== undefined) connection.reading = null;
       onBody(body.bytes());
     });
--- a/packages/gateway/tests/body_queue_test.ts
+++ b/packages/gateway/tests/body_queue_test.ts
@@ -57,3 +57,47 @@
   assert.ok(queue.size > 0 && queue.size * 65_536 <= budget.shares.bodies / 4);
   assert.equal(outcomes.filter(([, hasRoom]) => !hasRoom).length, 101 - queue.size);
 });
+
+/** A body that has room, of which nothing has arrived. */
+function makeArriving() {
+  const body = {
+    arrived: 0,
+    hasRoom: true,
+    arrivedBytes: () => body.arrived,
+    giveBack() {
+      body.hasRoom = false;
+      return BODY - body.arrived;
+    },
+  };
+  return body;
+}
+
+// Guards against callers that announce large bodies, send one byte and keep all other large bodies out.
+test("a body that hardly arrives gives back its room while others wait", () => {
+  const { clock, budget, queue, outcomes, enter } = makeQueue();
+  const body = makeArriving();
+  enter("slow");
+  queue.watch(body);
+  clock.advance(10 * MAX_WAIT_MS);
+  assert.ok(body.hasRoom, "nobody waits");
+  enter("other", 600_000);
+  body.arrived = 1;
+  clock.advance(MAX_WAIT_MS - 1);
+  assert.ok(!body.hasRoom);
+  assert.deepEqual(outcomes, [["slow", true], ["other", true]]);
+  assert.equal(budget.bodyBytes, 1 + 600_000);
+});
+
+test("a body that arrives keeps its room while others wait", () => {
+  const { clock, queue, outcomes, enter } = makeQueue();
+  const body = makeArriving();
+  enter("steady");
+  queue.watch(body);
+  enter("other");
+  for (let ms = 0; ms < MAX_WAIT_MS; ms += 100) {
+    body.arrived += 65_536;
+    clock.advance(100);
+  }
+  assert.ok(body.hasRoom);
+  assert.deepEqual(outcomes, [["steady", true], ["other", false]]);
+});
