Let bodies that fit pass a larger one that waits for room

A body of 100 KB waited for up to 500 ms and was refused behind one of 4 MiB that did not fit, although there was room for it: the queue was strictly in the order of arrival. Later bodies that fit now pass the first one, up to its size in total, so that a stream of smaller ones does not keep it out.

The new test fails before: the smaller body gets no room.

--- a/packages/gateway/src/surface/body_queue.ts
+++ b/packages/gateway/src/surface/body_queue.ts
@@ -24,6 +24,8 @@
 
 interface WaitingBody {
   readonly bytes: number;
+  /** Bytes of later bodies that got room while this one was the first to wait. */
+  passedBytes: number;
   finish(hasRoom: boolean): void;
 }
 
@@ -37,7 +39,8 @@
 const MIN_ARRIVED_BYTES = 65_536;
 
 /**
- * Bodies that wait for room, in the order of their arrival.
+ * Bodies that wait for room, in the order of their arrival. Later ones that fit pass one that does not, up to the size
+ * of that one in total, so that it is not kept out by many smaller ones.
  *
  * @example
  * ```ts
@@ -67,7 +70,7 @@
    */
   enter(bytes: number, onDone: (hasRoom: boolean) => void): Undo {
     const { budget, clock, maxWaitMs } = this.#options;
-    if (this.#waiting.length === 0 && budget.takeBody(bytes)) {
+    if (this.#takeInTurn(bytes)) {
       onDone(true);
       return () => {};
     }
@@ -86,7 +89,7 @@
       leave();
       onDone(hasRoom);
     };
-    const waiting: WaitingBody = { bytes, finish };
+    const waiting: WaitingBody = { bytes, passedBytes: 0, finish };
     const stopTimer = clock.setTimer(maxWaitMs, () => finish(false));
     this.#waiting.push(waiting);
     this.#beginChecks();
@@ -137,9 +140,22 @@
   }
 
   #serve(): void {
+    const { budget } = this.#options;
+    for (;;) {
+      const next = this.#waiting.find(({ bytes }, i) =>
+        i === 0 ? budget.takeBody(bytes) : this.#takeInTurn(bytes)
+      );
+      if (next === undefined) return;
+      next.finish(true);
+    }
+  }
+
+  /** Takes room for a body behind all that wait, if it may pass them. */
+  #takeInTurn(bytes: number): boolean {
     const [first] = this.#waiting;
-    if (first === undefined || !this.#options.budget.takeBody(first.bytes)) return;
-    first.finish(true);
-    this.#serve();
+    if (first !== undefined && first.passedBytes + bytes > first.bytes) return false;
+    if (!this.#options.budget.takeBody(bytes)) return false;
+    if (first !== undefined) first.passedBytes += bytes;
+    return true;
   }
 }
--- a/packages/gateway/tests/body_queue_test.ts
+++ b/packages/gateway/tests/body_queue_test.ts
@@ -58,6 +58,24 @@
   assert.equal(outcomes.filter(([, hasRoom]) => !hasRoom).length, 101 - queue.size);
 });
 
+// Guards against a body of 100 KB that is refused behind one of megabytes, although there is room for it.
+test("bodies that fit pass one that does not, up to its size in total", () => {
+  const { outcomes, enter, queue } = makeQueue();
+  const held = 3_000_000;
+  enter("held", held);
+  enter("large", 2_000_000);
+  enter("fits", 100_000);
+  assert.deepEqual(outcomes, [["held", true], ["fits", true]]);
+  enter("does not fit", 1_500_000);
+  queue.release(100_000);
+  assert.deepEqual(outcomes.slice(2), [["does not fit", true]]);
+  queue.release(1_500_000);
+  enter("one too many", 500_000);
+  assert.deepEqual(outcomes.slice(3), []);
+  queue.release(held);
+  assert.deepEqual(outcomes.slice(3), [["large", true], ["one too many", true]]);
+});
+
 /** A body that has room, of which nothing has arrived. */
 function makeArriving() {
   const body = {
