Judge a late check for silence after what has arrived is read

A peer is silent after two checks in a row without a message. When one check had passed without one and a stall followed, the second ran before the messages were read that had come meanwhile, so that a stream or call was broken off as silent.

A check that runs late is now judged after connections have been polled once more. A check on time is judged at once, as before.

--- a/packages/daemon/src/silence_timer.ts
+++ b/packages/daemon/src/silence_timer.ts
@@ -19,7 +19,7 @@
 
 /**
  * Calls `onSilent` when no message was recorded between checks. After a stall of this process, a check runs before the
- * messages are read that arrived meanwhile, so that a single one proves nothing.
+ * messages are read that arrived meanwhile, so that a single one proves nothing, and a late one is judged afterwards.
  *
  * @example
  * ```ts
@@ -31,6 +31,8 @@
   readonly #options: SilenceTimerOptions;
   #stop: Undo | null = null;
   #silentChecks = 0;
+  /** When the last check ran, or the first interval began. */
+  #checkedAtMs = 0;
 
   constructor(options: SilenceTimerOptions) {
     this.#options = options;
@@ -45,6 +47,7 @@
     }
     this.#silentChecks = 0;
     const { clock, idleTimeoutMs } = this.#options;
+    this.#checkedAtMs = clock.now();
     this.#stop = clock.setRepeating(idleTimeoutMs / CHECKS, () => this.#check());
   }
 
@@ -54,7 +57,17 @@
   }
 
   #check(): void {
+    const { clock, idleTimeoutMs } = this.#options;
+    const lateMs = clock.now() - this.#checkedAtMs - idleTimeoutMs / CHECKS;
+    this.#checkedAtMs = clock.now();
     if (++this.#silentChecks < CHECKS) return;
+    if (lateMs <= 0) return this.#endSilent();
+    // By the second turn, connections have been polled once more.
+    setImmediate(() => setImmediate(() => this.#endSilent()));
+  }
+
+  #endSilent(): void {
+    if (this.#stop === null || this.#silentChecks < CHECKS) return;
     this.stop();
     this.#options.onSilent();
   }
