Hold one body of the largest allowed size on small hosts

With max_body_bytes over seven eighths of the share for bodies (4.5 MB at 88 MB), a body within the limit had 503 with Retry-After at each attempt, as it could never fit.

Room for bodies now grows to what one body of max_body_bytes takes, up to twice the share. What does not fit even then is refused with 413, with or without Content-Length, as no later attempt would find room on this host. With a mixed set of hosts, a larger one might have held it.

--- a/packages/gateway/src/surface/proxy_server.ts
+++ b/packages/gateway/src/surface/proxy_server.ts
@@ -385,7 +385,11 @@
     if (!isForwardable({ method, target, rawHeaders })) return this.#refuse(req, res, 400);
     const head = dialect.readHead({ method, target, rawHeaders });
     if (head === null) return this.#refuse(req, res, 400);
-    if (Number(req.headers["content-length"] ?? 0) > maxBodyBytes) {
+    const { budget } = this.#options;
+    budget.allowBodies(maxBodyBytes);
+    const length = Number(req.headers["content-length"] ?? 0);
+    // No later attempt would find room on this host for a body that it can never hold.
+    if (length > maxBodyBytes || !budget.canHold(length)) {
       return this.#refuse(req, res, 413);
     }
     if (!handler.accept(head, responder)) {
@@ -521,7 +525,7 @@
       if (isDiscarded) return;
       size += chunk.length;
       exchange.bodyBytes = size;
-      if (size > maxBytes) {
+      if (size > maxBytes || !budget.canHold(size)) {
         discard();
         return this.#refuse(req, res, 413);
       }
--- a/packages/policy/src/memory_budget.ts
+++ b/packages/policy/src/memory_budget.ts
@@ -38,6 +38,8 @@
 export const SMALL_BODY_BYTES = 65_536;
 /** Fraction of the bodies' share that is kept for small ones. */
 const SMALL_FRACTION = 0.125;
+/** Largest multiple of the bodies' share that is used so that one body of the largest allowed size fits. */
+const MAX_SHARE_FACTOR = 2;
 /** Largest part of a response that is held until it is complete, in bytes. */
 const MAX_RESPONSE_BUFFER_BYTES = 262_144;
 /** The same while responses have used half of their share, in bytes: what one read of a connection brings. */
@@ -68,6 +70,8 @@
   readonly memoryMb: number | null;
   readonly shares: MemoryShares;
   #bodies = 0;
+  /** Room for bodies: their share, or more where a body of the largest allowed size would never fit in it. */
+  #bodyRoom: number;
   #responses = 0;
   /** Bytes of buffers that were allocated since recent garbage was last collected. */
   #allocated = 0;
@@ -77,6 +81,14 @@
   constructor({ memoryMb }: MemoryBudgetOptions) {
     this.memoryMb = memoryMb;
     this.shares = sharesOf(memoryMb);
+    this.#bodyRoom = this.shares.bodies;
+  }
+
+  /** Makes room for one body of the largest allowed size, in bytes, up to {@link MAX_SHARE_FACTOR} shares. */
+  allowBodies(maxBytes: number): void {
+    const { bodies } = this.shares;
+    const needed = Math.ceil(maxBytes / (1 - SMALL_FRACTION));
+    this.#bodyRoom = Math.min(MAX_SHARE_FACTOR * bodies, Math.max(bodies, needed));
   }
 
   /** Bytes of bodies that are held or have been promised room. */
@@ -153,7 +165,6 @@
   }
 
   #bodyLimit(bytes: number): number {
-    const { bodies } = this.shares;
-    return bytes <= SMALL_BODY_BYTES ? bodies : (1 - SMALL_FRACTION) * bodies;
+    return bytes <= SMALL_BODY_BYTES ? this.#bodyRoom : (1 - SMALL_FRACTION) * this.#bodyRoom;
   }
 }
--- a/packages/policy/tests/memory_budget_test.ts
+++ b/packages/policy/tests/memory_budget_test.ts
@@ -33,6 +33,21 @@
   }
 });
 
+// Guards against bodies within the limit of the settings that a small host refuses at each attempt.
+test("a host of any size holds one body of the largest allowed size, and small ones beside it", () => {
+  const largest = 8 * MIB;
+  for (const memoryMb of HOSTS) {
+    const budget = new MemoryBudget({ memoryMb });
+    budget.allowBodies(largest);
+    assert.ok(budget.takeBody(largest), `${memoryMb} MB`);
+    assert.ok(budget.takeBody(ORDINARY_BODY), `${memoryMb} MB`);
+    budget.allowBodies(1_000 * MIB);
+    assert.ok(!budget.canHold(1_000 * MIB), "more than the host has");
+    budget.allowBodies(0);
+    assert.ok(!budget.canHold(budget.shares.bodies), `${memoryMb} MB`);
+  }
+});
+
 // Guards against a process that is killed for bodies of megabytes to endpoints that read late (LOST, FAULT).
 test("large bodies take a part of their share and leave room to small ones", () => {
   const budget = new MemoryBudget({ memoryMb: 200 });
