Say not run, in place of too large, to a body that only this host can never hold

A body within max_body_bytes that one host cannot hold was refused with 413, which callers never try again, although another host may hold it. It gets 503 at once, with Retry-After, as nothing has run.

--- a/packages/gateway/src/surface/proxy_server.ts
+++ b/packages/gateway/src/surface/proxy_server.ts
@@ -387,9 +387,7 @@
     if (head === null) return this.#refuse(req, res, 400);
     const { budget } = this.#options;
     budget.allowBodies(maxBodyBytes);
-    const length = Number(req.headers["content-length"] ?? 0);
-    // No later attempt would find room on this host for a body that it can never hold.
-    if (length > maxBodyBytes || !budget.canHold(length)) {
+    if (Number(req.headers["content-length"] ?? 0) > maxBodyBytes) {
       return this.#refuse(req, res, 413);
     }
     if (!handler.accept(head, responder)) {
@@ -525,7 +523,7 @@
       if (isDiscarded) return;
       size += chunk.length;
       exchange.bodyBytes = size;
-      if (size > maxBytes || !budget.canHold(size)) {
+      if (size > maxBytes) {
         discard();
         return this.#refuse(req, res, 413);
       }
