--- a/packages/gateway/src/relay/run_copy.ts
+++ b/packages/gateway/src/relay/run_copy.ts
@@ -41,7 +41,7 @@
     target: target.record.address,
     stop,
   });
-  const options = { clock, timeoutMs: COPY_TIMEOUT_MS, isAlone: true };
+  const options = { clock, timeoutMs: COPY_TIMEOUT_MS, usesOwnConnection: true };
   const response = await controlCall(upstreams.of(source), request, options);
   const result: CopyResult = response.type === "response"
     ? dialect.readCopyResult(response.status, response.body)
--- a/packages/gateway/src/surface/body_queue.ts
+++ b/packages/gateway/src/surface/body_queue.ts
@@ -74,8 +74,8 @@
       onDone(true);
       return () => {};
     }
-    const mostWaiting = READ_AHEAD_FRACTION * budget.shares.bodies / READ_AHEAD_BYTES;
-    if (!budget.canHold(bytes) || this.#waiting.length >= mostWaiting) {
+    const maxWaiting = READ_AHEAD_FRACTION * budget.shares.bodies / READ_AHEAD_BYTES;
+    if (!budget.canHold(bytes) || this.#waiting.length >= maxWaiting) {
       onDone(false);
       return () => {};
     }
--- a/packages/gateway/src/upstream/connection_pool.ts
+++ b/packages/gateway/src/upstream/connection_pool.ts
@@ -59,15 +59,15 @@
   /**
    * Sends a request on an idle connection, or on a new one if none is idle.
    *
-   * With `isAlone`, the connection is a new one, on which nothing is sent afterwards.
+   * With `usesOwnConnection`, the connection is a new one, on which nothing is sent afterwards.
    */
   send(
     req: UpstreamRequest,
     sink: UpstreamSink,
-    { isAlone = false }: { readonly isAlone?: boolean } = {},
+    { usesOwnConnection = false }: { readonly usesOwnConnection?: boolean } = {},
   ): UpstreamCall {
-    const connection = (isAlone ? null : this.#takeIdle()) ?? this.#open();
-    const release = () => isAlone ? connection.destroy() : this.#release(connection);
+    const connection = (usesOwnConnection ? null : this.#takeIdle()) ?? this.#open();
+    const release = () => usesOwnConnection ? connection.destroy() : this.#release(connection);
     return connection.send(req, {
       onHead: (status, headers) => sink.onHead(status, headers),
       onData: (chunk) => sink.onData(chunk),
--- a/packages/gateway/src/upstream/control_call.ts
+++ b/packages/gateway/src/upstream/control_call.ts
@@ -19,14 +19,14 @@
 export function controlCall(
   endpoint: UpstreamEndpoint,
   request: UpstreamRequest,
-  { clock, timeoutMs, isAlone = false }: {
+  { clock, timeoutMs, usesOwnConnection = false }: {
     readonly clock: Clock;
     readonly timeoutMs: number;
     /**
      * Whether nothing else is sent on the connection, before or afterwards. A response that names no request may be an
      * earlier one that comes once more.
      */
-    readonly isAlone?: boolean;
+    readonly usesOwnConnection?: boolean;
   },
 ): Promise<ControlResult> {
   return new Promise((resolve) => {
@@ -56,6 +56,6 @@
       },
       onEnd: () => finish({ type: "response", status, body: received.bytes() }),
       onFailure: ({ sent, message }) => finish({ type: "failed", sent, message }),
-    }, { isAlone });
+    }, { usesOwnConnection });
   });
 }
--- a/packages/gateway/tests/control_call_test.ts
+++ b/packages/gateway/tests/control_call_test.ts
@@ -23,7 +23,7 @@
     controlCall(endpoint, makeGet("/copy"), {
       clock: new SystemClock(),
       timeoutMs: 2_000,
-      isAlone: true,
+      usesOwnConnection: true,
     });
   const handles = [];
   for (let i = 0; i < 3; i++) {
@@ -63,7 +63,7 @@
   const result = await controlCall(endpoint, makeGet("/copy"), {
     clock: new SystemClock(),
     timeoutMs: 2_000,
-    isAlone: true,
+    usesOwnConnection: true,
   });
   assert.ok(result.type === "response");
   assert.deepEqual([result.status, result.body.toString()], [200, "handle"]);
--- a/packages/policy/src/memory_budget.ts
+++ b/packages/policy/src/memory_budget.ts
@@ -76,7 +76,7 @@
   /** Bytes of buffers that were allocated since recent garbage was last collected. */
   #allocated = 0;
   /** Bytes of buffers that are in use for other things, as of the last collection of all garbage. */
-  #usual = 0;
+  #usualUncounted = 0;
 
   constructor({ memoryMb }: MemoryBudgetOptions) {
     this.memoryMb = memoryMb;
@@ -151,12 +151,12 @@
 
   /** Whether all garbage is to be collected, where buffers take so many bytes after a collection of recent ones. */
   needsFullCollection(bufferBytes: number): boolean {
-    return this.#uncounted(bufferBytes) - this.#usual >= this.shares.garbage;
+    return this.#uncounted(bufferBytes) - this.#usualUncounted >= this.shares.garbage;
   }
 
   /** Records how many bytes buffers take after a collection of all garbage. */
   recordCollected(bufferBytes: number): void {
-    this.#usual = this.#uncounted(bufferBytes);
+    this.#usualUncounted = this.#uncounted(bufferBytes);
   }
 
   /** Bytes of buffers that are neither of bodies nor of responses. */
--- a/packages/policy/src/stop_deadline.ts
+++ b/packages/policy/src/stop_deadline.ts
@@ -38,7 +38,7 @@
 const STALL_MEMORY_MS = 10_000;
 /** Multiple of the longest recent stall that is kept: one may precede the last responses, and one interrupt them. */
 const STALLS_KEPT = 2;
-/** Largest fraction of the grace period that is kept for the end: operators excuse what is cut in the last sixth. */
+/** Largest fraction of the grace period that is kept for the end. Beyond it, callers lose more than the end can save. */
 const MAX_RESERVE_FRACTION = 1 / 6;
 /** The same for requests that have not been passed on: they are refused as not run, which needs no excuse. */
 const MAX_REFUSAL_FRACTION = 1 / 4;
