--- a/packages/policy/src/planned_stop.ts
+++ b/packages/policy/src/planned_stop.ts
@@ -3,7 +3,7 @@
  *
  * Load pattern: callers that go on using their open connections until the process is gone, at endpoints that are slow
  * or full, so that what is taken late is still at an endpoint when the grace period ends. On a share of a core, a request
- * and its response also wait for the process itself, for as long as a turn of all open connections takes.
+ * and its response also wait for the process itself, for as long as a turn of all connections in use takes.
  *
  * @module
  */
@@ -18,7 +18,7 @@
   readonly usualMs: number;
   /** Time until its deadline or its route's timeout, in milliseconds: the longest that it can take. */
   readonly longestMs: number;
-  /** Time that this process needs for one request or response on each open connection, in milliseconds. */
+  /** Time that this process needs for one request or response on each connection in use, in milliseconds. */
   readonly turnMs: number;
 }
 
