--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -16,11 +16,11 @@
   canShedToOthers,
   ColdLimiter,
   HostOverload,
+  HostSpeed,
   keptConnectionLimit,
   MemoryBudget,
   RetryBudgets,
   StopDeadline,
-  WorkSpeed,
 } from "@wisteriapick/policy";
 import type { Address } from "@wisteriapick/wire";
 import type { DecisionLog } from "./observe/decision_log.ts";
@@ -28,7 +28,7 @@
 import { LoopMonitor } from "./observe/loop_monitor.ts";
 import { type MemoryHoldings, MemoryMonitor } from "./observe/memory_monitor.ts";
 import type { GatewayMetrics } from "./observe/metrics.ts";
-import { sampleWork } from "./observe/work_sample.ts";
+import { sampleWork } from "./observe/processor_sample.ts";
 import { Registration } from "./peers/registration.ts";
 import { shareOccupancy } from "./peers/occupancy_share.ts";
 import { PeerNetwork } from "./peers/peer_network.ts";
@@ -131,7 +131,7 @@
   readonly #coldLimiter: ColdLimiter;
   readonly #keys: KeyLease;
   readonly #overload = new HostOverload();
-  readonly #speed = new WorkSpeed();
+  readonly #speed = new HostSpeed();
   #isOverloaded = false;
   readonly #stopDeadline: StopDeadline;
   /** Requests that were refused before the others were ended, as this host is slow. */
--- a/packages/policy/src/work_speed.ts
+++ b/packages/policy/src/host_speed.ts
@@ -31,14 +31,14 @@
  *
  * @example
  * ```ts
- * const speed = new WorkSpeed();
+ * const speed = new HostSpeed();
  * speed.record({ nowMs: 0, activeMs: 0, cpuMs: 0 });
  * speed.record({ nowMs: 1_000, activeMs: 800, cpuMs: 400 });
  * speed.slowdown; // 2
  * speed.utilisation; // 0.8
  * ```
  */
-export class WorkSpeed {
+export class HostSpeed {
   readonly #samples: WorkSample[] = [];
   #last: WorkSample | null = null;
 
