Do not make a code cache from an earlier bundle of the same length

Processes ended by themselves with code 7 (FAULT): V8 tells sources apart by their length only. A bundle built over an earlier one of the same length read the earlier cache while it made its own, and ran functions at places where other code stands now.

The bundle script removes the earlier cache before it makes one. A clean build, as on the platform, has no earlier cache.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -2,7 +2,7 @@
 // restarting entry has half a core, and compiling its code takes most of the time before it serves.
 import { build } from "esbuild";
 import { spawnSync } from "node:child_process";
-import { mkdirSync, readFileSync, writeFileSync } from "node:fs";
+import { mkdirSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { fileURLToPath } from "node:url";
 
 const root = fileURLToPath(new URL("..", import.meta.url));
@@ -19,6 +19,8 @@
 ];
 
 mkdirSync(target, { recursive: true });
+// V8 tells sources apart by their length only, and would run an earlier bundle's code.
+rmSync(`${target}/entry_bundle.cjs.cache`, { force: true });
 await build({
   absWorkingDir: root,
   entryPoints: { entry_bundle: "platform/src/main.ts" },
