Log which address and which object an error of a connection is about

Entries ended with "Invalid URL", and no line said which text that was: `process_ending` had the library's error only, `endpoint` no address, `object_unreadable` no name, and calls that could not be sent were logged as "unreachable" without endpoint and cause.

An error while a connection's client is made names the address. - `endpoint` has the address. - `endpoint_connect_failed` has endpoint, address and cause of connections that could not be opened, for requests, orders and reports; one line per endpoint in 10 s, with the number of failures.

A run of the entry with a registration at `[fe80::1%eth0]:7301` still ends, with "cannot open a connection to http://[fe80::1%eth0]:7301" and "Invalid URL" as its cause.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -188,7 +188,7 @@
       metrics,
       revocation: revocationOptions(settings.bounds),
     });
-    this.#upstreams = new Upstreams(this.#fleet);
+    this.#upstreams = new Upstreams(this.#fleet, { clock, log });
     this.#retryBudgets = new RetryBudgets({
       ...retryOptions(settings.bounds),
       startedAtMs: clock.now(),
--- a/packages/gateway/src/state/fleet.ts
+++ b/packages/gateway/src/state/fleet.ts
@@ -14,6 +14,7 @@
   type Undo,
   World,
 } from "@wisteriapick/core";
+import { formatAddress } from "@wisteriapick/wire";
 import { RouteTable } from "../config/route_table.ts";
 import type { EndpointRecord, GatewayConfig } from "../config/types.ts";
 import type { DecisionLog } from "../observe/decision_log.ts";
@@ -398,10 +399,12 @@
     if (before !== null) this.#index(before.record.service);
     if (after !== null) this.#index(after.record.service);
     if (before?.phase !== after?.phase || restarted) {
+      const record = (after ?? before)?.record;
       this.#options.log.state("endpoint", {
         endpoint: id,
-        service: (after ?? before)?.record.service,
-        dataCentre: (after ?? before)?.record.dataCentre,
+        service: record?.service,
+        address: record === undefined ? null : formatAddress(record.address),
+        dataCentre: record?.dataCentre,
         from: before?.phase ?? null,
         to: after?.phase ?? null,
         restarted,
--- a/packages/gateway/src/upstream/connection.ts
+++ b/packages/gateway/src/upstream/connection.ts
@@ -103,18 +103,29 @@
 
   constructor(options: UpstreamConnectionOptions) {
     this.#options = options;
-    this.#client = new Client(`http://${formatAddress(options.address)}`, {
+    this.#client = this.#makeClient();
+    this.#client.on("disconnect", () => this.#drop());
+    this.#client.on("connectionError", () => this.#drop());
+  }
+
+  #makeClient(): Client {
+    const { address, idleTimeoutMs } = this.#options;
+    const origin = `http://${formatAddress(address)}`;
+    const options: Client.Options = {
       connect: (_opts, callback) => this.#connect(callback),
       pipelining: 1,
       headersTimeout: 0,
       bodyTimeout: 0,
-      keepAliveTimeout: options.idleTimeoutMs,
+      keepAliveTimeout: idleTimeoutMs,
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
       keepAliveMaxTimeout: MAX_IDLE_MS,
       maxHeaderSize: MAX_RESPONSE_HEADER_BYTES,
-    });
-    this.#client.on("disconnect", () => this.#drop());
-    this.#client.on("connectionError", () => this.#drop());
+    };
+    try {
+      return new Client(origin, options);
+    } catch (e) {
+      throw new Error(`cannot open a connection to ${origin}`, { cause: e });
+    }
   }
 
   get busy(): boolean {
--- a/packages/gateway/src/upstream/connection_pool.ts
+++ b/packages/gateway/src/upstream/connection_pool.ts
@@ -18,6 +18,8 @@
   readonly connectTimeoutMs?: number;
   /** Idle time of a connection if its endpoint announces none, in milliseconds. */
   readonly idleTimeoutMs?: number;
+  /** Called when a call fails because no connection could be opened. */
+  readonly onConnectFailed?: (message: string) => void;
 }
 
 /** Covers one retransmission, within about half a second. Waiting longer costs more than trying another endpoint. */
@@ -38,6 +40,7 @@
       address: options.address,
       connectTimeoutMs: options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
       idleTimeoutMs: options.idleTimeoutMs ?? IDLE_TIMEOUT_MS,
+      onConnectFailed: options.onConnectFailed ?? (() => {}),
     };
   }
 
@@ -75,7 +78,10 @@
         release();
         sink.onEnd();
       },
-      onFailure: (failure) => sink.onFailure(failure),
+      onFailure: (failure) => {
+        if (failure.type === "connect") this.#options.onConnectFailed(failure.message);
+        sink.onFailure(failure);
+      },
     });
   }
 
@@ -100,8 +106,11 @@
   }
 
   #open(): UpstreamConnection {
+    const { address, connectTimeoutMs, idleTimeoutMs } = this.#options;
     const connection: UpstreamConnection = new UpstreamConnection({
-      ...this.#options,
+      address,
+      connectTimeoutMs,
+      idleTimeoutMs,
       onClosed: () => this.#forget(connection),
     });
     this.#all.add(connection);
--- a/packages/gateway/src/upstream/endpoint.ts
+++ b/packages/gateway/src/upstream/endpoint.ts
@@ -4,10 +4,12 @@
  *
  * @module
  */
-import type { EndpointId, Undo } from "@wisteriapick/core";
+import type { Clock, EndpointId, Undo } from "@wisteriapick/core";
 import type { OutlierSubject } from "@wisteriapick/policy";
 import type { EndpointRecord } from "../config/types.ts";
+import type { DecisionLog } from "../observe/decision_log.ts";
 import type { EndpointRow, Fleet } from "../state/fleet.ts";
+import { ConnectFailureLog } from "./connect_failure_log.ts";
 import { ConnectionPool } from "./connection_pool.ts";
 
 /** Weight of the newest response in the moving averages. */
@@ -41,11 +43,14 @@
   #unreachableUntilMs = -Infinity;
   #connectFailures = 0;
   #refusals = 0;
+  readonly #failures: ConnectFailureLog | null;
 
-  constructor(record: EndpointRecord) {
+  /** `failures` logs the connections that cannot be opened; none are logged by default. */
+  constructor(record: EndpointRecord, failures: ConnectFailureLog | null = null) {
     this.id = record.id;
     this.record = record;
-    this.pool = new ConnectionPool({ address: record.address });
+    this.#failures = failures;
+    this.pool = this.#makePool();
   }
 
   /** Whether this gateway's own recent calls allow new work here. */
@@ -99,7 +104,8 @@
   restart(record: EndpointRecord): void {
     this.record = record;
     this.pool.destroy();
-    this.pool = new ConnectionPool({ address: record.address });
+    this.#failures?.forget(this.id);
+    this.pool = this.#makePool();
     this.latencyMs = 0;
     this.ejectedUntilMs = 0;
     this.ejections = 0;
@@ -109,6 +115,14 @@
     this.resetStatistics();
   }
 
+  #makePool(): ConnectionPool {
+    const { record } = this;
+    return new ConnectionPool({
+      address: record.address,
+      onConnectFailed: (message) => this.#failures?.record(record, message),
+    });
+  }
+
   #recordOutcome(failed: 0 | 1): void {
     this.attempts++;
     this.failureRate += SMOOTHING_FACTOR * (failed - this.failureRate);
@@ -119,10 +133,15 @@
 export class Upstreams {
   readonly #fleet: Fleet;
   readonly #endpoints = new Map<EndpointId, UpstreamEndpoint>();
+  readonly #failures: ConnectFailureLog;
   readonly #undo: Undo;
 
-  constructor(fleet: Fleet) {
+  constructor(
+    fleet: Fleet,
+    { clock, log }: { readonly clock: Clock; readonly log: DecisionLog },
+  ) {
     this.#fleet = fleet;
+    this.#failures = new ConnectFailureLog({ clock, log });
     this.#undo = fleet.registerEndpointListener(({ id, after, restarted }) =>
       this.#onChange(id, after, restarted)
     );
@@ -132,7 +151,7 @@
   of(row: EndpointRow): UpstreamEndpoint {
     let endpoint = this.#endpoints.get(row.record.id);
     if (endpoint === undefined) {
-      endpoint = new UpstreamEndpoint(row.record);
+      endpoint = new UpstreamEndpoint(row.record, this.#failures);
       this.#endpoints.set(row.record.id, endpoint);
     }
     return endpoint;
@@ -159,6 +178,7 @@
     if (endpoint === undefined) return;
     if (after === null) {
       endpoint.pool.destroy();
+      this.#failures.forget(id);
       this.#endpoints.delete(id);
       return;
     }
