Check the objects of a peer's view before they are used

What callers saw: a gateway ended, or answered everything with 404 or 504, after another gateway had sent it a view with an odd object. With real processes, a peer and one odd object each: the process ended with "Invalid URL" and "host.includes is not a function" (an endpoint's address), "Cannot read properties of null" (a route without targets or regions), "Value is not a valid number: NaN" (a timeout that is a text), and ran out of memory on a path prefix without a slash at its end. An endpoint that was null hid each later endpoint.

Cause: objects from the store are decoded field by field, but a view update of another gateway was JSON that was cast to the record types. A gateway of another release decodes by other rules, so in a rolling update what one release takes reaches the other unchecked, an address with a zone id as well.

Change: checkRecord() checks a record whoever decoded it, an address by the same parseAddress() as in a registration. An endpoint, evacuation or move that cannot be used counts as missing, as when it is read from the store, and is logged. A configuration that cannot be used refuses the whole update, so that the gateway reads the store for itself instead of taking its older one for the newest.

--- a/packages/gateway/src/peers/store_view_sync.ts
+++ b/packages/gateway/src/peers/store_view_sync.ts
@@ -248,7 +248,10 @@
     // An older view does not confirm this one, and a peer without a view has nothing to say.
     if (revision < before || revision === 0) return;
     const isApplied = from <= before &&
-      applyEncodedChanges(current as never, revision, update);
+      applyEncodedChanges(current as never, revision, update, {
+        kind,
+        onUnreadable: (name, err) => log.state("object_unreadable", { kind, peer, name, err }),
+      });
     if (!isApplied) {
       // Without the base of a patch, only the whole content helps.
       const known = from <= before ? 0 : before;
--- a/packages/gateway/src/peers/view_changes.ts
+++ b/packages/gateway/src/peers/view_changes.ts
@@ -5,6 +5,7 @@
  */
 import { deflateRawSync, inflateRawSync } from "node:zlib";
 import { applyConfigPatch, type ConfigPatch, diffConfig } from "../config/config_patch.ts";
+import { checkRecord } from "../config/record_checks.ts";
 import type { GatewayConfig } from "../config/types.ts";
 import type {
   FollowedKind,
@@ -13,6 +14,7 @@
   ViewEvent,
   ViewItem,
 } from "../state/store_view.ts";
+import { readReceivedItems, type ReceivedItemsOptions } from "./received_items.ts";
 
 /** Number of recent values of an object from which patches can be made. */
 const MAX_PAST_CONFIGS = 8;
@@ -121,12 +123,14 @@
 /**
  * Applies changes that a peer has encoded.
  *
- * Returns false, and leaves the view as it is, if a patch applies to another value than the view's.
+ * Returns false, and leaves the view as it is, if a patch applies to another value than the view's. Throws, and leaves
+ * the view as it is too, if the changes cannot be read.
  */
 export function applyEncodedChanges(
   view: KindView<never>,
   revision: number,
   { isCompressed, changes: encoded }: Pick<EncodedChanges, "isCompressed" | "changes">,
+  options: ReceivedItemsOptions<FollowedKind>,
 ): boolean {
   if (encoded.length === 0) {
     view.apply({ revision, events: [] }, "peer");
@@ -137,19 +141,22 @@
     : encoded;
   // JSON is parsed by native code, which is fast in a process whose own code is not compiled yet.
   const changes = JSON.parse(Buffer.from(bytes).toString("utf8")) as Changes;
+  const items = readReceivedItems(changes.items, options) as [string, ViewItem<never> | null][];
   if (changes.isFull) {
-    view.replace({ revision, items: new Map(changes.items as [string, never][]) }, "peer");
+    const usable = items.filter((entry): entry is [string, ViewItem<never>] => entry[1] !== null);
+    view.replace({ revision, items: new Map(usable) }, "peer");
     return true;
   }
   const events: ViewEvent<never>[] = [
     ...changes.removed.map((name) => ({ name, item: null })),
-    ...changes.items.map(([name, item]) => ({ name, item: item as ViewItem<never> })),
+    ...items.map(([name, item]) => ({ name, item })),
   ];
   for (const patched of changes.patches) {
     const current = view.snapshot.items.get(patched.name) as Item | undefined;
     if (current !== undefined && current.revision >= patched.revision) continue;
     if (current?.revision !== patched.base) return false;
-    const value = applyConfigPatch(current.value as GatewayConfig, patched.patch);
+    const patchedConfig = applyConfigPatch(current.value as GatewayConfig, patched.patch);
+    const value = checkRecord("config", patchedConfig);
     events.push({
       name: patched.name,
       item: { revision: patched.revision, value: value as never },
