--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * from "./config/record_checks.ts";
 export * from "./config/route_table.ts";
 export * from "./config/types.ts";
 export * from "./gateway.ts";
--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -96,5 +96,6 @@
 export function regionLookup(
   settings: GatewaySettings,
 ): (dataCentre: DataCentreId) => RegionId | null {
-  return (dataCentre) => settings.regions[dataCentre] ?? null;
+  const regions = new Map(Object.entries(settings.regions));
+  return (dataCentre) => regions.get(dataCentre) ?? null;
 }
