Do not let a timer of more than 24 days fire at once

What callers saw: with a route's timeout and a deadline of 25 days and more, a call was ended after a millisecond, while the endpoint was at work on it.

Cause: timers of Node.js have 31 bits, and a longer one counts as 1 ms. Times that others write reach timers unchanged: deadlines, timeouts of routes, waits for permits.

Change: SystemClock divides a longer time into several timers.

--- a/packages/core/src/clock.ts
+++ b/packages/core/src/clock.ts
@@ -15,7 +15,7 @@
   abstract now(): number;
   /** Unix time in milliseconds, used only for deadlines set by operators. */
   abstract wall(): number;
-  /** Calls `fn` once after `ms` milliseconds. */
+  /** Calls `fn` once after `ms` milliseconds, however many they are; never if they are infinitely many. */
   abstract setTimer(ms: number, fn: () => void): Undo;
 
   /** Resolves after `ms` milliseconds of this clock. */
@@ -43,6 +43,9 @@
   }
 }
 
+/** Longest time of a timer of Node.js, in milliseconds, which takes a longer one for 1 ms. */
+const MAX_TIMER_MS = 2 ** 31 - 1;
+
 /** The clock of the operating system. */
 export class SystemClock extends Clock {
   now(): number {
@@ -54,7 +57,13 @@
   }
 
   setTimer(ms: number, fn: () => void): Undo {
-    const timer = setTimeout(fn, ms);
+    let timer: NodeJS.Timeout;
+    const arm = (leftMs: number) => {
+      timer = leftMs > MAX_TIMER_MS
+        ? setTimeout(() => arm(leftMs - MAX_TIMER_MS), MAX_TIMER_MS)
+        : setTimeout(fn, leftMs);
+    };
+    arm(ms);
     return () => clearTimeout(timer);
   }
 }
