Contain errors of timers and periodic checks

What callers saw: an error in one of the gateway's periodic checks, or in any other callback of a timer, ended the process with all its requests.

Cause: callbacks have no caller that catches errors, and a repeating timer was not set again after a call that had thrown.

Change: ErrorBoundary runs a unit of work, and an error ends that unit only. It is logged as error_contained with its stack, at most once in a second for each unit and with the number of errors, and is counted in wisteriapick_contained_errors_total. The gateway's clock contains each callback, the periodic checks are contained one by one, and a repeating timer goes on. An error outside of a boundary still ends the process, as nobody knows what it has left undone.

--- a/packages/core/src/clock.ts
+++ b/packages/core/src/clock.ts
@@ -25,14 +25,17 @@
     });
   }
 
-  /** Calls `fn` every `ms` milliseconds until the returned function is called. */
+  /** Calls `fn` every `ms` milliseconds until the returned function is called, also after a call that has thrown. */
   setRepeating(ms: number, fn: () => void): Undo {
     let undo: Undo = () => {};
     let stopped = false;
     const schedule = () => {
       undo = this.setTimer(ms, () => {
-        fn();
-        if (!stopped) schedule();
+        try {
+          fn();
+        } finally {
+          if (!stopped) schedule();
+        }
       });
     };
     schedule();
--- a/packages/core/tests/clock_test.ts
+++ b/packages/core/tests/clock_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { SystemClock } from "../src/clock.ts";
+import { ManualClock, SystemClock } from "../src/clock.ts";
 
 const TOO_LONG_MS = [2 ** 31, 1e15, Infinity];
 
@@ -22,3 +22,18 @@
   await clock.sleep(5);
   assert.equal(undone, 0);
 });
+
+// Guards against checks that are never made again after one of them has failed.
+test("a repeating timer goes on after a call that has thrown", () => {
+  const clock = new ManualClock();
+  let calls = 0;
+  const undo = clock.setRepeating(10, () => {
+    if (++calls === 1) throw new Error("odd");
+  });
+  assert.throws(() => clock.advance(10), /odd/);
+  clock.advance(20);
+  undo();
+  assert.equal(calls, 3);
+  clock.advance(100);
+  assert.equal(calls, 3);
+});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -24,6 +24,7 @@
 } from "@wisteriapick/policy";
 import type { Address } from "@wisteriapick/wire";
 import type { DecisionLog } from "./observe/decision_log.ts";
+import { ContainedClock, ErrorBoundary } from "./observe/error_boundary.ts";
 import { GarbageCollector } from "./observe/garbage_collector.ts";
 import { LoopMonitor } from "./observe/loop_monitor.ts";
 import { type MemoryHoldings, MemoryMonitor } from "./observe/memory_monitor.ts";
@@ -109,6 +110,7 @@
  */
 export class Gateway {
   readonly #options: GatewayOptions;
+  readonly #errors: ErrorBoundary;
   readonly #fleet: Fleet;
   readonly #follower: StoreFollower;
   readonly #upstreams: Upstreams;
@@ -143,8 +145,14 @@
   #stopTick: Undo = () => {};
 
   constructor(options: GatewayOptions) {
-    this.#options = options;
-    const { settings, clock, loopClock = clock, rng, log, store, metrics } = options;
+    const { settings, rng, log, store, metrics } = options;
+    const errors = new ErrorBoundary({ log, clock: options.clock, metrics });
+    const clock = new ContainedClock(options.clock, errors);
+    const loopClock = options.loopClock === undefined
+      ? clock
+      : new ContainedClock(options.loopClock, errors);
+    this.#options = { ...options, clock };
+    this.#errors = errors;
     this.#stopDeadline = new StopDeadline({ graceMs: settings.bounds.grace_ms });
     this.#budget = new MemoryBudget({ memoryMb: settings.memory_mb ?? null });
     this.#memoryMonitor = new MemoryMonitor({
@@ -616,15 +624,20 @@
     });
   }
 
+  /** Makes the periodic checks. One that fails keeps none of the others from being made. */
   #tick(): void {
-    this.#viewSync.tick();
-    this.#keys.tick();
-    this.#fleet.tick();
-    this.#logFirstReady();
-    this.#dispatcher.tick();
-    this.#engineMonitor.tick();
-    this.#migrator.tick();
-    this.#moves.tick();
+    this.#check("viewSync", () => this.#viewSync.tick());
+    this.#check("keys", () => this.#keys.tick());
+    this.#check("fleet", () => this.#fleet.tick());
+    this.#check("readiness", () => this.#logFirstReady());
+    this.#check("dispatcher", () => this.#dispatcher.tick());
+    this.#check("engineMonitor", () => this.#engineMonitor.tick());
+    this.#check("migrator", () => this.#migrator.tick());
+    this.#check("moves", () => this.#moves.tick());
+  }
+
+  #check(part: string, check: () => void): void {
+    this.#errors.run("tick", check, undefined, { part });
   }
 }
 
--- /dev/null
+++ b/packages/gateway/src/observe/error_boundary.ts
@@ -0,0 +1,135 @@
+/**
+ * Boundaries of errors that nobody expects: an error ends the unit of work in which it was raised, and nothing else.
+ *
+ * Callbacks of timers, sockets and promises have no caller that could catch an error, so one that is raised there ends
+ * the process with all its requests. What raises it is often a value that another party wrote, which stays, so that
+ * every process ends that reads it, again and again.
+ *
+ * @module
+ */
+import { Clock, type Undo } from "@wisteriapick/core";
+import type { DecisionLog } from "./decision_log.ts";
+import type { GatewayMetrics } from "./metrics.ts";
+
+/** A kind of work that can fail without anything else. */
+export type ErrorUnit =
+  | "request"
+  | "call"
+  | "stream"
+  | "queued_stream"
+  | "connection"
+  | "plain_request"
+  | "peer_link"
+  | "peer_message"
+  | "tick"
+  | "timer";
+
+/** Options of {@link ErrorBoundary}. */
+export interface ErrorBoundaryOptions {
+  readonly log: DecisionLog;
+  readonly clock: Clock;
+  readonly metrics?: Pick<GatewayMetrics, "countContainedError">;
+}
+
+/** Fields of a log line that say where an error was contained. */
+export type ErrorDetails = Readonly<Record<string, unknown>>;
+
+/** Shortest time between two lines about one unit, in milliseconds: an odd value may raise an error with every request. */
+const LINE_INTERVAL_MS = 1_000;
+
+/** Errors of one unit since its last line. */
+interface Unreported {
+  lineAtMs: number;
+  errors: number;
+}
+
+/**
+ * Runs units of work, and logs and counts the errors in them.
+ *
+ * @example
+ * ```ts
+ * const errors = new ErrorBoundary({ log, clock, metrics });
+ * errors.run("peer_message", () => handler(peer, msg));
+ * socket.on("data", errors.wrap("call", (chunk) => call.onData(chunk), () => call.fail()));
+ * ```
+ */
+export class ErrorBoundary {
+  readonly #options: ErrorBoundaryOptions;
+  readonly #unreported = new Map<ErrorUnit, Unreported>();
+
+  constructor(options: ErrorBoundaryOptions) {
+    this.#options = options;
+  }
+
+  /** Runs `work`. After an error, `onError` ends the unit of work in a way that is true for those who wait for it. */
+  run(
+    unit: ErrorUnit,
+    work: () => void,
+    onError: () => void = () => {},
+    details: ErrorDetails = {},
+  ): void {
+    try {
+      work();
+    } catch (e) {
+      this.report(unit, e, details);
+      try {
+        onError();
+      } catch (e) {
+        this.report(unit, e, { ...details, isEnding: true });
+      }
+    }
+  }
+
+  /** Returns a function that calls `fn` within a boundary. */
+  wrap<A extends unknown[]>(
+    unit: ErrorUnit,
+    fn: (...args: A) => void,
+    onError: () => void = () => {},
+  ): (...args: A) => void {
+    return (...args) => this.run(unit, () => fn(...args), onError);
+  }
+
+  /** Counts an error, and logs it unless the unit had a line within the last second. The next line has the number. */
+  report(unit: ErrorUnit, e: unknown, details: ErrorDetails = {}): void {
+    const { log, clock, metrics } = this.#options;
+    metrics?.countContainedError(unit);
+    const known = this.#unreported.get(unit) ?? { lineAtMs: -Infinity, errors: 0 };
+    this.#unreported.set(unit, known);
+    known.errors++;
+    const now = clock.now();
+    if (now - known.lineAtMs < LINE_INTERVAL_MS) return;
+    const err = e instanceof Error ? e : new Error(String(e));
+    log.state("error_contained", {
+      unit,
+      errors: known.errors,
+      ...details,
+      err: { name: err.name, message: err.message, stack: err.stack },
+    });
+    known.lineAtMs = now;
+    known.errors = 0;
+  }
+}
+
+/** A clock of which an error in a callback ends that callback only. */
+export class ContainedClock extends Clock {
+  readonly #clock: Clock;
+  readonly #errors: ErrorBoundary;
+
+  constructor(clock: Clock, errors: ErrorBoundary) {
+    super();
+    this.#clock = clock;
+    this.#errors = errors;
+  }
+
+  override now(): number {
+    return this.#clock.now();
+  }
+
+  override wall(): number {
+    return this.#clock.wall();
+  }
+
+  override setTimer(ms: number, fn: () => void): Undo {
+    return this.#clock.setTimer(ms, this.#errors.wrap("timer", fn));
+  }
+}
--- a/packages/gateway/src/observe/metrics.ts
+++ b/packages/gateway/src/observe/metrics.ts
@@ -36,6 +36,7 @@
   readonly #crashSuspects: Counter<"response">;
   readonly #refusedTraits: Gauge<string>;
   readonly #permits: Counter<"outcome">;
+  readonly #containedErrors: Counter<"unit">;
   readonly #limitedEndpoints: Gauge<string>;
   readonly #configAge: Gauge<string>;
   readonly #queued: Gauge<string>;
@@ -76,6 +77,11 @@
     this.#permits = counter("permits_total", "Permits for requests to limited endpoints", [
       "outcome",
     ]);
+    this.#containedErrors = counter(
+      "contained_errors_total",
+      "Unexpected errors that ended one unit of work",
+      ["unit"],
+    );
     this.#latency = new Histogram({
       name: "wisteriapick_request_seconds",
       help: "Time from arrival to the end of the response",
@@ -184,6 +190,11 @@
     this.#permits.inc({ outcome }, count);
   }
 
+  /** Counts an unexpected error that ended a unit of work. */
+  countContainedError(unit: string): void {
+    this.#containedErrors.inc({ unit });
+  }
+
   setLimitedEndpoints(count: number): void {
     this.#limitedEndpoints.set(count);
   }
