Contain errors in the callbacks of requests

What callers saw: an error in a callback of one request (a response's head, a deadline, a permit, the end of a body) ended the process, and with it all requests in progress.

Cause: requests are handled in callbacks of sockets and timers, and nothing caught an error there. Runs that wait for an engine were placed in one loop, so that an error of one kept those behind it from being placed.

Change: the server, the relay, each call and each run contain their errors. A request that was not sent is answered 503, one that an endpoint may have run 502, and a response that has begun is cut. "internal" was 500, which says nothing on whether a request has run. A call is encoded before it counts as sent, a run frees what it occupies also if its end cannot be recorded, and an order to stop a run that fails lets the run go on.

Unit tests of one module use a boundary that contains nothing, so that they see errors as before.

--- a/packages/gateway/src/relay/context.ts
+++ b/packages/gateway/src/relay/context.ts
@@ -6,6 +6,7 @@
 import type { Clock, DataCentreId, EndpointId, Rng, Undo } from "@wisteriapick/core";
 import type { ColdLimiter, MemoryBudget } from "@wisteriapick/policy";
 import type { DecisionLog } from "../observe/decision_log.ts";
+import type { ErrorBoundary } from "../observe/error_boundary.ts";
 import type { GatewayMetrics } from "../observe/metrics.ts";
 import type { VersionMoves } from "../moves/version_moves.ts";
 import type { Fleet } from "../state/fleet.ts";
@@ -22,6 +23,8 @@
   readonly clock: Clock;
   readonly rng: Rng;
   readonly log: DecisionLog;
+  /** Contains errors in the callbacks of requests. */
+  readonly errors: ErrorBoundary;
   readonly metrics: GatewayMetrics;
   readonly dataCentre: DataCentreId;
   readonly fleet: Fleet;
--- a/packages/gateway/src/relay/engine_dispatcher.ts
+++ b/packages/gateway/src/relay/engine_dispatcher.ts
@@ -142,16 +142,23 @@
       },
     });
     this.#runs.add(run);
-    run.start();
-    if (service === null || engine === null) {
-      return run.fail({
-        reason: "no_endpoint",
-        notRun: true,
-        retryAfterMs: RETRY_AFTER_NO_ENDPOINT_MS,
-      });
-    }
-    this.#enqueue(run, service, engine);
-    this.#dispatchQueue(clock.now());
+    this.#contain(run, () => {
+      run.start();
+      if (service === null || engine === null) {
+        return run.fail({
+          reason: "no_endpoint",
+          notRun: true,
+          retryAfterMs: RETRY_AFTER_NO_ENDPOINT_MS,
+        });
+      }
+      this.#enqueue(run, service, engine);
+      this.#dispatchQueue(clock.now());
+    });
+  }
+
+  /** Does something for one run. An error ends that run only, so that those behind it in the queue are placed. */
+  #contain(run: StreamRun, work: () => void): void {
+    this.#ctx.errors.run("queued_stream", work, () => run.failInternally());
   }
 
   /** Places queued generations, and rejects those that can no longer start in time. Called each tick. */
@@ -221,39 +228,42 @@
   #dispatchQueue(now: number): void {
     for (const queued of this.#queue.inOrder()) {
       // The end of another run dispatches the queue as well.
-      if (!this.#queue.has(queued)) continue;
-      const refusal = queued.run.refusalToSend();
-      if (refusal !== null) {
-        this.#queue.remove(queued);
-        queued.run.fail(refusal);
-        continue;
-      }
-      const awaited = this.#awaitedPermits.get(queued);
-      if (awaited !== undefined && this.#ctx.limits.isAsking(awaited)) continue;
-      this.#awaitedPermits.delete(queued);
-      const admission = this.#ctx.crashes.admission(queued.run.req);
-      if (admission.type === "wait") continue;
-      if (admission.type === "refused") {
-        this.#queue.remove(queued);
-        const { retryAfterMs, trait } = admission;
-        queued.run.fail({ reason: "quarantined", notRun: true, retryAfterMs, trait });
-        continue;
-      }
-      const choice = this.#choose(queued, { isTrial: admission.isTrial, now });
-      if (choice === "limited") {
-        this.#queue.remove(queued);
-        const retryAfterMs = this.#permitWaitMs(queued);
-        queued.run.fail({ reason: "overloaded", notRun: true, retryAfterMs });
-        continue;
-      }
-      if (choice === null) continue;
-      this.#queue.remove(queued);
-      this.#place(queued, choice, now);
+      if (this.#queue.has(queued)) this.#contain(queued.run, () => this.#dispatch(queued, now));
     }
     for (const queued of this.#queue.expired(now)) {
       this.#queue.remove(queued);
-      queued.run.fail({ reason: "overloaded", notRun: true, retryAfterMs: RETRY_AFTER_FULL_MS });
+      this.#contain(queued.run, () => {
+        queued.run.fail({ reason: "overloaded", notRun: true, retryAfterMs: RETRY_AFTER_FULL_MS });
+      });
+    }
+  }
+
+  /** Places a queued generation, rejects it, or leaves it in the queue. */
+  #dispatch(queued: QueuedGeneration, now: number): void {
+    const refusal = queued.run.refusalToSend();
+    if (refusal !== null) {
+      this.#queue.remove(queued);
+      return queued.run.fail(refusal);
+    }
+    const awaited = this.#awaitedPermits.get(queued);
+    if (awaited !== undefined && this.#ctx.limits.isAsking(awaited)) return;
+    this.#awaitedPermits.delete(queued);
+    const admission = this.#ctx.crashes.admission(queued.run.req);
+    if (admission.type === "wait") return;
+    if (admission.type === "refused") {
+      this.#queue.remove(queued);
+      const { retryAfterMs, trait } = admission;
+      return queued.run.fail({ reason: "quarantined", notRun: true, retryAfterMs, trait });
+    }
+    const choice = this.#choose(queued, { isTrial: admission.isTrial, now });
+    if (choice === "limited") {
+      this.#queue.remove(queued);
+      const retryAfterMs = this.#permitWaitMs(queued);
+      return queued.run.fail({ reason: "overloaded", notRun: true, retryAfterMs });
     }
+    if (choice === null) return;
+    this.#queue.remove(queued);
+    this.#place(queued, choice, now);
   }
 
   /**
--- a/packages/gateway/src/relay/plain_call.ts
+++ b/packages/gateway/src/relay/plain_call.ts
@@ -10,6 +10,7 @@
 import type { UpstreamCall, UpstreamFailure } from "../upstream/connection.ts";
 import type { ResponseHead } from "../upstream/dialect.ts";
 import type { UpstreamEndpoint } from "../upstream/endpoint.ts";
+import { RETRY_AFTER_ELSEWHERE_MS } from "./access_control.ts";
 import { recordNotices } from "./endpoint_notices.ts";
 import { classifyResponseHead, type HeadVerdict } from "./response_check.ts";
 import { isWithinColdLimit } from "./cold_limit.ts";
@@ -74,6 +75,8 @@
   #stopPermitWait: Undo = () => {};
   #failure: EndpointFailure | null = null;
   #committed: Attempt | null = null;
+  /** Whether the head of the response may have been written. */
+  #hasResponseBegun = false;
   #hasEnded = false;
 
   constructor(
@@ -90,12 +93,38 @@
   }
 
   start(): void {
-    const { clock, setPolledTimer } = this.#ctx;
-    this.#undos.push(
-      this.#responder.registerClose(() => this.#onCallerLeft()),
-      setPolledTimer(this.#req.dueAtMs - clock.now(), () => this.#onDeadline()),
-    );
-    this.#sendNext("first");
+    this.#contain(() => {
+      const { clock, setPolledTimer } = this.#ctx;
+      this.#undos.push(
+        this.#responder.registerClose(() => this.#contain(() => this.#onCallerLeft())),
+        setPolledTimer(
+          this.#req.dueAtMs - clock.now(),
+          () => this.#contain(() => this.#onDeadline()),
+        ),
+      );
+      this.#sendNext("first");
+    });
+  }
+
+  /** Runs what a callback of this call does. An error ends this call only, with what is known of it so far. */
+  #contain(work: () => void): void {
+    this.#ctx.errors.run("call", work, () => this.#endAfterError());
+  }
+
+  /** Ends the call after an unexpected error, which may have kept the result of an attempt from being recorded. */
+  #endAfterError(): void {
+    if (this.#hasEnded) return;
+    const rejection: Rejection = this.#attemptedEndpoints.size > 0
+      ? { reason: "internal", notRun: "unknown" }
+      : { reason: "internal", notRun: true, retryAfterMs: RETRY_AFTER_ELSEWHERE_MS };
+    try {
+      this.#abortAttempts();
+      if (this.#hasResponseBegun) this.#responder.abort();
+      else this.#responder.reject(rejection);
+    } finally {
+      if (this.#hasResponseBegun) this.#finish("cut", null, "internal");
+      else this.#finish("rejected", null, "internal", rejection);
+    }
   }
 
   get #isIdempotent(): boolean {
@@ -144,9 +173,9 @@
     };
     const undos = [
       limits.registerListener(account?.priority ?? route.priority, (endpoint) => {
-        if (waited.has(endpoint)) retry();
+        if (waited.has(endpoint)) this.#contain(retry);
       }),
-      clock.setTimer(endsAtMs - now, retry),
+      clock.setTimer(endsAtMs - now, () => this.#contain(retry)),
     ];
     this.#stopPermitWait = () => {
       for (const undo of undos) undo();
@@ -228,11 +257,6 @@
   #send(row: EndpointRow, reason: string, now: number): void {
     const { upstreams, dialect, log, metrics } = this.#ctx;
     const endpoint = upstreams.of(row);
-    this.#attemptedEndpoints.add(row.record.id);
-    this.#ctx.limits.take(row.record.id);
-    this.#reached++;
-    this.#arrivals++;
-    if (row.coldUntilMs > now) this.#ctx.coldLimiter.recordSent(row.record.id, now);
     const remainingMs = this.#req.dueAtMs - now;
     const request = dialect.encode(this.#req, {
       endpoint: row.record,
@@ -240,6 +264,11 @@
       enginePriority: null,
       resumeFrom: null,
     });
+    this.#attemptedEndpoints.add(row.record.id);
+    this.#ctx.limits.take(row.record.id);
+    this.#reached++;
+    this.#arrivals++;
+    if (row.coldUntilMs > now) this.#ctx.coldLimiter.recordSent(row.record.id, now);
     log.request("call_sent", {
       req: this.#req.requestId,
       endpoint: row.record.id,
@@ -251,6 +280,7 @@
       revision: row.revision,
     });
     const attempt = new Attempt(this.#ctx, this.#req, endpoint, {
+      contain: (work) => this.#contain(work),
       onVerdict: (a, verdict) => this.#onVerdict(a, verdict),
       onBufferFull: (a) => this.#commit(a),
       onComplete: (a) => this.#onComplete(a),
@@ -274,11 +304,12 @@
     this.#stopSlowTimer();
     const slowAfterMs = Math.max(SLOW_MIN_MS, SLOW_FACTOR * endpoint.latencyMs);
     const ms = Math.min(slowAfterMs, SLOW_FRACTION_OF_TIME_LEFT * remainingMs);
-    this.#stopSlowTimer = this.#ctx.setPolledTimer(ms, () => {
-      if (this.#committed !== null || this.#hasEnded) return;
-      endpoint.recordOverdue(this.#ctx.clock.now());
-      if (this.#isIdempotent && this.#canRetry()) this.#sendNext("slow");
-    });
+    this.#stopSlowTimer = this.#ctx.setPolledTimer(ms, () =>
+      this.#contain(() => {
+        if (this.#committed !== null || this.#hasEnded) return;
+        endpoint.recordOverdue(this.#ctx.clock.now());
+        if (this.#isIdempotent && this.#canRetry()) this.#sendNext("slow");
+      }));
   }
 
   #canRetry(): boolean {
@@ -416,6 +447,7 @@
     if (attempt !== null) this.#ctx.crashes.recordHarmless(this.#req, attempt.startedAtMs);
     for (const other of this.#attempts) this.#recordOvertaken(other);
     this.#abortAttempts();
+    this.#hasResponseBegun = true;
     this.#responder.writeHead(head.status, head.headers, body.length);
     if (body.length > 0) this.#responder.write(body);
     this.#responder.end();
@@ -441,7 +473,9 @@
 
   /** Ends the call as the process ends. */
   giveUp(): void {
-    if (!this.#hasEnded) this.#endWithoutResponse("draining");
+    this.#contain(() => {
+      if (!this.#hasEnded) this.#endWithoutResponse("draining");
+    });
   }
 
   /** Ends the call before an attempt has completed, with what is known so far. */
@@ -479,8 +513,11 @@
       this.#attempts.delete(other);
     }
     const { head, body } = attempt.response();
+    this.#hasResponseBegun = true;
     this.#responder.writeHead(head.status, head.headers, head.contentLength);
-    this.#undos.push(this.#responder.registerDrain(() => attempt.resume()));
+    this.#undos.push(
+      this.#responder.registerDrain(() => this.#contain(() => attempt.resume())),
+    );
     attempt.forwardTo((chunk) => this.#responder.write(chunk));
     return this.#responder.write(body);
   }
@@ -519,6 +556,8 @@
 }
 
 interface AttemptEvents {
+  /** Runs what a callback of the attempt does, so that an error ends the call. */
+  contain(work: () => void): void;
   onVerdict(attempt: Attempt, verdict: HeadVerdict): void;
   /** The body exceeds the buffer. Returns whether more of it is to be read now. */
   onBufferFull(attempt: Attempt): boolean;
@@ -557,10 +596,14 @@
     this.#startedAtMs = this.#ctx.clock.now();
     this.endpoint.inFlight++;
     this.#call = this.endpoint.pool.send(request, {
-      onHead: (status, headers) => this.#onHead(status, headers),
-      onData: (chunk) => this.#onData(chunk),
-      onEnd: () => this.#onEnd(),
-      onFailure: (failure) => this.#onFailure(failure),
+      onHead: (status, headers) => this.#events.contain(() => this.#onHead(status, headers)),
+      onData: (chunk) => {
+        let wantsMore = false;
+        this.#events.contain(() => wantsMore = this.#onData(chunk));
+        return wantsMore;
+      },
+      onEnd: () => this.#events.contain(() => this.#onEnd()),
+      onFailure: (failure) => this.#events.contain(() => this.#onFailure(failure)),
     });
   }
 
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -42,6 +42,12 @@
   headerTimeoutMs: 3_000,
   idleTimeoutMs: 15_000,
 };
+/** Rejection of a request in whose handling an unexpected error was raised before it was sent. */
+const INTERNAL_ERROR: Rejection = {
+  reason: "internal",
+  notRun: true,
+  retryAfterMs: RETRY_AFTER_ELSEWHERE_MS,
+};
 /** Time that a call takes, in milliseconds: several times what almost all take. */
 const USUAL_CALL_MS = 600;
 /** Time until a generation's first event, in milliseconds. */
@@ -84,6 +90,15 @@
 
   /** Handles a request whose body has been read. */
   handle(head: InboundHead, body: Buffer | null, arrival: Arrival, responder: Responder): void {
+    // From where it is sent on, a request contains its errors itself.
+    this.#options.ctx.errors.run(
+      "request",
+      () => this.#handle(head, body, arrival, responder),
+      () => this.#reject(head, INTERNAL_ERROR, responder),
+    );
+  }
+
+  #handle(head: InboundHead, body: Buffer | null, arrival: Arrival, responder: Responder): void {
     // The configuration may have changed while the body was read.
     const access = this.#options.ctx.access.check(head);
     if (access.type === "rejected") return this.#reject(head, access.rejection, responder);
--- a/packages/gateway/src/relay/run_migrator.ts
+++ b/packages/gateway/src/relay/run_migrator.ts
@@ -148,6 +148,10 @@
     runInBackground(this.#ctx.log, "migration", async () => {
       try {
         await this.#migrate(run, source);
+      } catch (e) {
+        // Whether the order to stop the run has arrived is not known.
+        run.cancelStop({ isRefused: false });
+        throw e;
       } finally {
         this.#migrating.delete(run);
       }
--- a/packages/gateway/src/relay/stream_run.ts
+++ b/packages/gateway/src/relay/stream_run.ts
@@ -6,12 +6,14 @@
  */
 import type { EndpointId, NotRun, RefusalReason, Undo } from "@wisteriapick/core";
 import type { ForecastItem } from "@wisteriapick/policy";
+import type { RequestOutcome } from "../observe/metrics.ts";
 import type { EndpointRow } from "../state/fleet.ts";
 import type { UpstreamCall, UpstreamFailure } from "../upstream/connection.ts";
 import type { RunMemory } from "../upstream/dialect.ts";
 import type { UpstreamEndpoint } from "../upstream/endpoint.ts";
 import { classifyResponseHead } from "./response_check.ts";
 import { recordNotices } from "./endpoint_notices.ts";
+import { RETRY_AFTER_ELSEWHERE_MS } from "./access_control.ts";
 import type { RelayContext } from "./context.ts";
 import { EventReader } from "./event_reader.ts";
 import type { InboundRequest, Rejection, RequestStage, Responder } from "./inbound.ts";
@@ -106,6 +108,7 @@
   #segment: RunSegment | null = null;
   #reader: EventReader;
   #hasSentHead = false;
+  #isRejected = false;
   #lastEventAtMs = 0;
   #longestGapMs = 0;
   #firstEventMs: number | null = null;
@@ -227,14 +230,41 @@
   start(): void {
     const { clock, setPolledTimer } = this.#ctx;
     this.#undos.push(
-      this.responder.registerClose(() => this.#onCallerLeft()),
-      this.responder.registerDrain(() => this.#onDrain()),
-      setPolledTimer(this.req.dueAtMs - clock.now(), () => this.#onDeadline()),
+      this.responder.registerClose(() => this.#contain(() => this.#onCallerLeft())),
+      this.responder.registerDrain(() => this.#contain(() => this.#onDrain())),
+      setPolledTimer(
+        this.req.dueAtMs - clock.now(),
+        () => this.#contain(() => this.#onDeadline()),
+      ),
     );
   }
 
+  /** Runs what a callback of this run does. An error ends this run only, with what is known of it so far. */
+  #contain(work: () => void): void {
+    this.#ctx.errors.run("stream", work, () => this.failInternally());
+  }
+
+  /** Ends the run after an unexpected error in its handling. */
+  failInternally(): void {
+    if (this.#phase === "ended") return;
+    const rejection: Rejection = this.mayHaveRun
+      ? { reason: "internal", notRun: "unknown" }
+      : { reason: "internal", notRun: true, retryAfterMs: RETRY_AFTER_ELSEWHERE_MS };
+    try {
+      if (this.#hasSentHead) this.responder.abort();
+      else if (!this.#isRejected) this.responder.reject(rejection);
+    } finally {
+      if (this.#hasSentHead) this.#finish("cut", "internal");
+      else this.#finish("rejected", "internal", rejection);
+    }
+  }
+
   /** Sends the request to an engine, or resumes it there. Fails the run if requests like it crash engines. */
-  send({ row, resumeFrom, enginePriority, reason }: RunTarget): void {
+  send(target: RunTarget): void {
+    this.#contain(() => this.#send(target));
+  }
+
+  #send({ row, resumeFrom, enginePriority, reason }: RunTarget): void {
     const { clock, dialect, upstreams, log, metrics, crashes } = this.#ctx;
     const refusal = this.refusalToSend(resumeFrom);
     if (refusal !== null) return this.fail(refusal);
@@ -255,6 +285,7 @@
       resumeFrom,
     });
     const segment = new RunSegment(this.#ctx, this.req.requestId, upstreams.of(row), {
+      contain: (work) => this.#contain(work),
       onSignedHead: (seg, status, headers, isSuccess) =>
         this.#onSignedHead(seg, status, headers, isSuccess),
       onData: (seg, chunk) => this.#onData(seg, chunk),
@@ -359,6 +390,7 @@
       this.#finish("cut", rejection.reason);
       return;
     }
+    this.#isRejected = true;
     this.responder.reject(rejection);
     this.#ctx.metrics.countRejection(rejection.reason);
     this.#finish("rejected", rejection.reason, rejection);
@@ -518,7 +550,7 @@
 
   /** Ends the run as the process ends. */
   giveUp(): void {
-    this.fail({ reason: "draining", notRun: this.#notRun });
+    this.#contain(() => this.fail({ reason: "draining", notRun: this.#notRun }));
   }
 
   get #notRun(): NotRun {
@@ -526,7 +558,7 @@
   }
 
   #finish(
-    outcome: "answered" | "endpoint_failure" | "rejected" | "cut" | "caller_left",
+    outcome: RequestOutcome,
     detail?: RefusalReason | string,
     rejection?: Rejection,
   ): void {
@@ -535,6 +567,19 @@
     for (const undo of this.#undos) undo();
     this.#ctx.crashes.recordEnded(this.req);
     this.#segment?.abort();
+    try {
+      this.#recordEnd(outcome, detail, rejection);
+    } finally {
+      // The owner frees what the run occupies.
+      this.#events.onEnd(this);
+    }
+  }
+
+  #recordEnd(
+    outcome: RequestOutcome,
+    detail: RefusalReason | string | undefined,
+    rejection: Rejection | undefined,
+  ): void {
     const { clock, log, metrics } = this.#ctx;
     const ms = clock.now() - this.req.arrivedAtMs;
     metrics.countRequest(this.req.route.id, outcome, ms);
@@ -556,11 +601,12 @@
       configAgeMs: rejection?.configAgeMs,
       trait: rejection?.trait,
     });
-    this.#events.onEnd(this);
   }
 }
 
 interface SegmentEvents {
+  /** Runs what a callback of the segment does, so that an error ends the run. */
+  contain(work: () => void): void;
   onSignedHead(
     segment: RunSegment,
     status: number,
@@ -631,12 +677,19 @@
   start(request: Parameters<UpstreamEndpoint["pool"]["send"]>[0]): void {
     this.endpoint.inFlight++;
     this.#call = this.endpoint.pool.send(request, {
-      onHead: (status, headers) => this.#onHead(status, headers),
-      onData: (chunk) => this.#hasEnded ? false : this.#events.onData(this, chunk),
-      onEnd: () => {
-        if (this.#end()) this.#events.onEnd(this);
+      onHead: (status, headers) => this.#events.contain(() => this.#onHead(status, headers)),
+      onData: (chunk) => {
+        let wantsMore = false;
+        this.#events.contain(() => {
+          if (!this.#hasEnded) wantsMore = this.#events.onData(this, chunk);
+        });
+        return wantsMore;
       },
-      onFailure: (failure) => this.#onFailure(failure),
+      onEnd: () =>
+        this.#events.contain(() => {
+          if (this.#end()) this.#events.onEnd(this);
+        }),
+      onFailure: (failure) => this.#events.contain(() => this.#onFailure(failure)),
     });
   }
 
--- a/packages/gateway/src/surface/http_responder.ts
+++ b/packages/gateway/src/surface/http_responder.ts
@@ -17,7 +17,6 @@
   upstream_failed: 502,
   engine_lost: 502,
   quarantined: 503,
-  internal: 500,
 };
 const UNAVAILABLE = 503;
 const GATEWAY_TIMEOUT = 504;
--- a/packages/gateway/src/surface/proxy_server.ts
+++ b/packages/gateway/src/surface/proxy_server.ts
@@ -16,6 +16,7 @@
 import { type Address, formatAddress } from "@wisteriapick/wire";
 import type { CallerLimits } from "../config/types.ts";
 import type { DecisionLog } from "../observe/decision_log.ts";
+import { ErrorBoundary } from "../observe/error_boundary.ts";
 import type { LoopMonitor } from "../observe/loop_monitor.ts";
 import type { InboundHead } from "../relay/inbound.ts";
 import type { CallerDialect } from "./caller_dialect.ts";
@@ -49,6 +50,8 @@
   readonly handler: ProxyHandler;
   readonly clock: Clock;
   readonly log: DecisionLog;
+  /** Contains errors in the handling of one request or connection; one that only logs by default. */
+  readonly errors?: ErrorBoundary;
   readonly loop: LoopMonitor;
   readonly budget: MemoryBudget;
   /** Number of open connections from which on each closes with its next response; without a limit by default. */
@@ -114,6 +117,7 @@
 /** The HTTP server for callers. */
 export class ProxyServer {
   readonly #options: ProxyServerOptions;
+  readonly #errors: ErrorBoundary;
   readonly #server: Server;
   readonly #connections = new Map<Socket, Connection>();
   /** Requests that have not been passed to the handler, by their responses. */
@@ -126,7 +130,8 @@
 
   constructor(options: ProxyServerOptions) {
     this.#options = options;
-    const { budget, clock } = options;
+    const { budget, clock, log, errors = new ErrorBoundary({ clock, log }) } = options;
+    this.#errors = errors;
     this.#bodyQueue = new BodyQueue({ budget, clock, maxWaitMs: MAX_ROOM_WAIT_MS });
     const limits = options.handler.limits();
     const serverOptions: ServerOptions = {
@@ -140,18 +145,24 @@
       requireHostHeader: false,
     };
     this.#server = createServer(serverOptions, (req, res) => this.#onRequest(req, res));
-    this.#server.on("connection", (socket) => this.#onConnection(socket));
-    this.#server.on("timeout", (socket) => this.#onIdle(socket));
+    const contain = (socket: Socket, work: () => void) =>
+      errors.run("connection", work, () => socket.destroy());
+    this.#server.on("connection", (socket) => contain(socket, () => this.#onConnection(socket)));
+    this.#server.on("timeout", (socket) => contain(socket, () => this.#onIdle(socket)));
     this.#server.on("clientError", (err: NodeJS.ErrnoException, socket) => {
-      if (err.code === LATE_HEAD_CODE) this.#onLateHead(err, socket as Socket);
-      else this.#onUnreadable(err, socket as Socket);
+      contain(socket as Socket, () => {
+        if (err.code === LATE_HEAD_CODE) this.#onLateHead(err, socket as Socket);
+        else this.#onUnreadable(err, socket as Socket);
+      });
     });
     // A body is always read, so a caller that expects 100 (Continue) gets it at once.
     this.#server.on("checkContinue", (req, res) => {
       res.writeContinue();
       this.#onRequest(req, res);
     });
-    this.#server.on("connect", (req, socket) => this.#onConnect(req, socket as Socket));
+    this.#server.on("connect", (req, socket) => {
+      contain(socket as Socket, () => this.#onConnect(req, socket as Socket));
+    });
     this.#server.on("checkExpectation", (req, res) => this.#onRequest(req, res));
   }
 
@@ -319,6 +330,25 @@
   }
 
   #onRequest(req: IncomingMessage, res: ServerResponse): void {
+    this.#contain(req, res, () => this.#receive(req, res));
+  }
+
+  /** Does something for one request. An error ends that request only. */
+  #contain(req: IncomingMessage, res: ServerResponse, work: () => void): void {
+    this.#errors.run("request", work, () => this.#endAfterError(req, res));
+  }
+
+  /** Ends a request after an unexpected error. Whether one that was passed on has run is not known. */
+  #endAfterError(req: IncomingMessage, res: ServerResponse): void {
+    if (res.writableEnded || res.destroyed) return;
+    const isUnread = this.#unread.delete(res);
+    if (res.headersSent) return void res.destroy();
+    this.#dropBody(req);
+    res.writeHead(isUnread ? 503 : 502, { connection: "close", "content-length": "0" });
+    res.end();
+  }
+
+  #receive(req: IncomingMessage, res: ServerResponse): void {
     const { handler, clock, loop } = this.#options;
     const connection = this.#connections.get(req.socket);
     // A stall that holds up the request later, as while its body is read, passes on the clock.
@@ -366,7 +396,7 @@
       const hasTimedOut = clock.now() >= waitsUntilMs;
       if (this.#unread.has(res) && !handler.isReady() && !hasTimedOut) return;
       undo();
-      if (this.#unread.has(res)) this.#read(req, res, incoming);
+      if (this.#unread.has(res)) this.#contain(req, res, () => this.#read(req, res, incoming));
     });
   }
 
@@ -410,18 +440,20 @@
       }
       exchange.stage = "deferred_by_stall";
       const stallMs = loop.stallMs();
-      loop.afterNextPoll(() => {
-        if (this.#isHolding || !this.#unread.delete(res)) return;
-        if (!hasDisconnected(req, res)) {
-          exchange.stage = "with_relay";
-          return handler.handle(head, body, arrival, responder);
-        }
-        log.request("caller_left_unread", {
-          req: head.requestId,
-          stallMs: Math.round(stallMs),
-        });
-        res.destroy();
-      });
+      loop.afterNextPoll(() =>
+        this.#contain(req, res, () => {
+          if (this.#isHolding || !this.#unread.delete(res)) return;
+          if (!hasDisconnected(req, res)) {
+            exchange.stage = "with_relay";
+            return handler.handle(head, body, arrival, responder);
+          }
+          log.request("caller_left_unread", {
+            req: head.requestId,
+            stallMs: Math.round(stallMs),
+          });
+          res.destroy();
+        })
+      );
     });
   }
 
@@ -446,7 +478,7 @@
       return this.#collectBody(req, res, { ...options, expectedBytes: 0 }, onBody);
     }
     // Unread, the body waits at its caller.
-    const leave = this.#bodyQueue.enter(expectedBytes, (hasRoom) => {
+    const onRoom = (hasRoom: boolean) => {
       if (!this.#unread.has(res)) {
         if (hasRoom) this.#bodyQueue.release(expectedBytes);
         return;
@@ -455,6 +487,9 @@
       if (connection !== undefined) connection.reading = null;
       this.#dropBody(req);
       this.#refuseForMemory(req, res, options);
+    };
+    const leave = this.#bodyQueue.enter(expectedBytes, (hasRoom) => {
+      this.#contain(req, res, () => onRoom(hasRoom));
     });
     res.once("close", leave);
   }
@@ -518,7 +553,7 @@
       });
       res.once("close", leave);
     };
-    req.on("data", (chunk: Buffer) => {
+    const onChunk = (chunk: Buffer) => {
       onBytes?.(chunk.length);
       if (isDiscarded) return;
       size += chunk.length;
@@ -534,13 +569,16 @@
         return body.append(chunk);
       }
       refuse();
-    });
-    req.on("end", () => {
-      if (isDiscarded) return;
-      unwatch();
-      if (connection !== undefined) connection.reading = null;
-      onBody(body.bytes());
-    });
+    };
+    const contain = (work: () => void) => this.#contain(req, res, work);
+    req.on("data", (chunk: Buffer) => contain(() => onChunk(chunk)));
+    req.on("end", () =>
+      contain(() => {
+        if (isDiscarded) return;
+        unwatch();
+        if (connection !== undefined) connection.reading = null;
+        onBody(body.bytes());
+      }));
     // The failure is on the caller's side, and the connection closes by itself.
     req.on("error", discard);
   }
--- a/packages/gateway/tests/fixtures.ts
+++ b/packages/gateway/tests/fixtures.ts
@@ -22,6 +22,7 @@
 } from "../src/config/types.ts";
 import { POLL_INTERVAL_MS } from "../src/observe/loop_monitor.ts";
 import { DecisionLog } from "../src/observe/decision_log.ts";
+import { ErrorBoundary } from "../src/observe/error_boundary.ts";
 import { KeyLease } from "../src/state/key_lease.ts";
 import {
   type MoveStatus,
@@ -143,6 +144,17 @@
   }
 }
 
+/** A boundary that contains nothing, so that a test sees each error. */
+export class OpenBoundary extends ErrorBoundary {
+  constructor() {
+    super({ log: new MemoryLog(), clock: new ManualClock() });
+  }
+
+  override report(_unit: unknown, e: unknown): void {
+    throw e;
+  }
+}
+
 /** The lease on keys of a gateway whose routes are always indexed. */
 export function makeKeyLease(
   { clock, log, revokeMs = null }: {
--- a/packages/gateway/tests/late_timer_test.ts
+++ b/packages/gateway/tests/late_timer_test.ts
@@ -8,7 +8,7 @@
 import { PlainCall } from "../src/relay/plain_call.ts";
 import { StreamRun } from "../src/relay/stream_run.ts";
 import type { UpstreamSink } from "../src/upstream/connection.ts";
-import { makeRoute, MemoryLog, SCRIBE } from "./fixtures.ts";
+import { makeRoute, MemoryLog, OpenBoundary, SCRIBE } from "./fixtures.ts";
 
 const REQUEST_ID = "r-1";
 const LIMIT_MS = 2_000;
@@ -105,6 +105,7 @@
     clock,
     rng: new Rng(1),
     log,
+    errors: new OpenBoundary(),
     metrics: { countAttempt: nothing, countRequest: nothing, countRejection: nothing },
     dataCentre: "a",
     fleet: { usable: () => rows, ofService: () => rows, markLeaving: () => false },
--- a/packages/gateway/tests/relay_test.ts
+++ b/packages/gateway/tests/relay_test.ts
@@ -10,7 +10,14 @@
 import type { EngineDispatcher } from "../src/relay/engine_dispatcher.ts";
 import { type InboundHead, type Rejection, Responder } from "../src/relay/inbound.ts";
 import { Relay } from "../src/relay/relay.ts";
-import { makeConfig, makeKeyLease, makeRoute, MemoryLog, SCRIBE } from "./fixtures.ts";
+import {
+  makeConfig,
+  makeKeyLease,
+  makeRoute,
+  MemoryLog,
+  OpenBoundary,
+  SCRIBE,
+} from "./fixtures.ts";
 
 class RecordingResponder extends Responder {
   override readonly isClosed = false;
@@ -67,6 +74,7 @@
     clock,
     log,
     metrics: new GatewayMetrics(),
+    errors: new OpenBoundary(),
     fleet,
     keys,
     access: new AccessControl({ fleet, keys }),
