Answer a read of metrics or readiness that fails with 500

What operators saw: an error while metrics were collected ended the process, as the rejection of the request's handler was not handled.

Change: the error is contained, and the read is answered with 500.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -346,6 +346,7 @@
     this.#readinessServer = new PlainServer(
       settings.listen.readiness,
       new Map([[options.callerDialect.readyPath, readiness]]),
+      errors,
     );
     const { metrics: metricsAddress } = settings.listen;
     const exposition = async () => ({
@@ -355,7 +356,7 @@
     });
     this.#metricsServer = metricsAddress === undefined
       ? null
-      : new PlainServer(metricsAddress, new Map([[settings.metrics_path, exposition]]));
+      : new PlainServer(metricsAddress, new Map([[settings.metrics_path, exposition]]), errors);
   }
 
   /** Starts serving. Rejects if an address that callers or gateways need cannot be bound. */
--- a/packages/gateway/src/surface/plain_server.ts
+++ b/packages/gateway/src/surface/plain_server.ts
@@ -3,8 +3,9 @@
  *
  * @module
  */
-import { createServer, type Server } from "node:http";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Address } from "@wisteriapick/wire";
+import type { ErrorBoundary } from "../observe/error_boundary.ts";
 
 /** A response of a {@link PlainServer}. */
 export interface PlainResponse {
@@ -16,22 +17,28 @@
 /** Makes the response to a request. */
 export type PlainRoute = () => PlainResponse | Promise<PlainResponse>;
 
+const INTERNAL_ERROR = 500;
+
 /** Serves `GET` requests by path. */
 export class PlainServer {
   readonly #server: Server;
   readonly #address: Address;
 
-  constructor(address: Address, routes: ReadonlyMap<string, PlainRoute>) {
+  /** `errors` is told of routes that fail, whose requests are responded to with status 500. */
+  constructor(
+    address: Address,
+    routes: ReadonlyMap<string, PlainRoute>,
+    errors?: ErrorBoundary,
+  ) {
     this.#address = address;
     this.#server = createServer(async (req, res) => {
-      const path = (req.url ?? "").split("?")[0]!;
-      const route = req.method === "GET" ? routes.get(path) : undefined;
-      const { status, contentType, body = "" }: PlainResponse = route === undefined
-        ? { status: 404 }
-        : await route();
-      if (contentType !== undefined) res.setHeader("Content-Type", contentType);
-      res.writeHead(status, { "Content-Length": Buffer.byteLength(body) });
-      res.end(body);
+      try {
+        await respond(routes, req, res);
+      } catch (e) {
+        errors?.report("plain_request", e);
+        if (res.headersSent) return void res.destroy();
+        res.writeHead(INTERNAL_ERROR, { "Content-Length": 0 }).end();
+      }
     });
   }
 
@@ -50,3 +57,18 @@
     this.#server.closeAllConnections();
   }
 }
+
+async function respond(
+  routes: ReadonlyMap<string, PlainRoute>,
+  req: IncomingMessage,
+  res: ServerResponse,
+): Promise<void> {
+  const path = (req.url ?? "").split("?")[0]!;
+  const route = req.method === "GET" ? routes.get(path) : undefined;
+  const { status, contentType, body = "" }: PlainResponse = route === undefined
+    ? { status: 404 }
+    : await route();
+  if (contentType !== undefined) res.setHeader("Content-Type", contentType);
+  res.writeHead(status, { "Content-Length": Buffer.byteLength(body) });
+  res.end(body);
+}
