Contain errors in links and messages between gateways

What callers saw: a change of a configuration that does not fit into one message between gateways (20,000 accounts with keys that cannot be compressed) ended the gateway that reads the store for the others, with its requests. An error in what is told of room on a link ended the process, too, and one in what is told of a link that opens or closes kept other parts from being told, without a line in the log.

Cause: a message was sent in the callback of a timer, where the error of one that exceeds a frame had no catch. Listeners were called in one loop; the drain of a socket had no catch, and links had no log for the errors that they did catch.

Change: each message, sent or received, and each listener is contained.

Evidence: with real entry processes on, the test of the large configuration in platform/tests/odd_configs_test.ts ended one with code 1; it passes now. The two new tests of packages/gateway/tests/peer_network_test.ts did not pass before (the file was stopped after 60 s in the first of them) and pass now.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -215,6 +215,7 @@
       rng: rng.fork("peers"),
       log,
       metrics,
+      errors,
     });
     this.#registration = new Registration({
       record: {
--- a/packages/gateway/src/peers/peer_network.ts
+++ b/packages/gateway/src/peers/peer_network.ts
@@ -10,7 +10,6 @@
   hostId,
   processId,
   type Rng,
-  toWpError,
   type Undo,
 } from "@wisteriapick/core";
 import { GatewayCensus, OverloadedHosts } from "@wisteriapick/policy";
@@ -27,6 +26,7 @@
   type Message,
 } from "@wisteriapick/wire";
 import type { DecisionLog } from "../observe/decision_log.ts";
+import { ErrorBoundary } from "../observe/error_boundary.ts";
 import type { GatewayMetrics } from "../observe/metrics.ts";
 import { PeerTraffic } from "../observe/peer_traffic.ts";
 import { GatewayExchange } from "./gateway_exchange.ts";
@@ -51,6 +51,8 @@
   readonly rng: Rng;
   readonly log: DecisionLog;
   readonly metrics: GatewayMetrics;
+  /** Contains errors in the handling of one message or link; one with the log and the metrics above by default. */
+  readonly errors?: ErrorBoundary;
 }
 
 /** Longest pause between connection attempts, so that a peer that returns is found within a second. */
@@ -74,6 +76,7 @@
 /** A peer group over links between gateway processes. */
 export class PeerNetwork extends PeerGroup {
   readonly #options: PeerNetworkOptions;
+  readonly #errors: ErrorBoundary;
   readonly #pool: LinkPool;
   readonly #acceptor: LinkAcceptor;
   readonly #identity: Identity;
@@ -100,6 +103,8 @@
     super();
     this.#options = options;
     const { name, dataCentre, clusterKey, clock, rng, log, metrics } = options;
+    const { errors = new ErrorBoundary({ log, clock, metrics }) } = options;
+    this.#errors = errors;
     const incarnation = Math.floor(rng.next() * 2 ** 32).toString(16);
     this.#identity = {
       role: "entry",
@@ -110,7 +115,7 @@
     this.#acceptor = {
       onStream: () => ({ onMessage: () => {}, onClose: () => {} }),
       onNotify: (link, msg) => this.#onMessage(link, msg),
-      onLink: (link) => this.#onLink(link),
+      onLink: (link) => errors.run("peer_link", () => this.#onLink(link), () => link.close()),
       onDrain: (link) => this.#onDrain(link),
     };
     this.#traffic = new PeerTraffic({
@@ -283,8 +288,18 @@
   override send(peer: string, msg: Message): boolean {
     const link = this.#linkTo(peer);
     if (link === undefined) return false;
-    link.notify(msg);
-    return true;
+    let isSent = false;
+    // A message that exceeds a frame cannot be sent.
+    const notify = () => {
+      link.notify(msg);
+      isSent = true;
+    };
+    this.#errors.run("peer_message", notify, undefined, {
+      peer,
+      message: msg.kind,
+      isSending: true,
+    });
+    return isSent;
   }
 
   override isCongested(peer: string): boolean {
@@ -357,7 +372,7 @@
     this.#overloaded.forget(name);
     this.#census.recordSeen(name, this.#options.clock.now());
     this.#options.log.state("peer_linked", { peer: name, process: link.peer.process });
-    for (const listener of this.#upListeners) listener(name);
+    this.#tell(this.#upListeners, name);
   }
 
   #self(): GatewayAddress {
@@ -373,13 +388,20 @@
     peer.lastLinkedMs = this.#options.clock.now();
     if (this.#closed) return;
     this.#options.log.state("peer_lost", { peer: name, reason, queuedBytes: link.queuedBytes });
-    for (const listener of this.#downListeners) listener(name);
+    this.#tell(this.#downListeners, name);
     const gateway = this.#known.get(name);
     if (gateway !== undefined) this.#dial(gateway);
   }
 
   #onDrain(link: Link): void {
-    for (const listener of this.#roomListeners) listener(link.peer.host as string);
+    this.#tell([...this.#roomListeners], link.peer.host as string);
+  }
+
+  /** Calls each listener, also after one that has failed. */
+  #tell(listeners: readonly ((peer: string) => void)[], peer: string): void {
+    for (const listener of listeners) {
+      this.#errors.run("peer_link", () => listener(peer), undefined, { peer });
+    }
   }
 
   #linkTo(peer: string): Link | undefined {
@@ -389,16 +411,10 @@
   #onMessage(link: Link, msg: Message): void {
     const handler = this.#handlers.get(msg.kind);
     if (handler === undefined) return;
-    try {
-      handler(link.peer.host as string, msg as never);
-    } catch (e) {
-      // One bad message must not close the link; the peer sends important state again.
-      this.#options.log.state("peer_message_failed", {
-        peer: link.peer.host,
-        message: msg.kind,
-        err: toWpError(e),
-      });
-    }
+    const peer = link.peer.host as string;
+    // One bad message must not close the link; the peer sends important state again.
+    const details = { peer, message: msg.kind };
+    this.#errors.run("peer_message", () => handler(peer, msg as never), undefined, details);
   }
 
   #links(): Link[] {
--- a/packages/gateway/tests/peer_network_test.ts
+++ b/packages/gateway/tests/peer_network_test.ts
@@ -1,5 +1,5 @@
 import assert from "node:assert/strict";
-import { test } from "node:test";
+import { test, type TestContext } from "node:test";
 import { type DataCentreId, Rng, SystemClock } from "@wisteriapick/core";
 import type { Address } from "@wisteriapick/wire";
 import { createServer } from "node:net";
@@ -16,7 +16,12 @@
   return { host: "127.0.0.1", port };
 }
 
-function makeNetwork(name: string, address: Address, seeds: readonly Address[]): PeerNetwork {
+function makeNetwork(
+  name: string,
+  address: Address,
+  seeds: readonly Address[],
+  log = new MemoryLog(),
+): PeerNetwork {
   const dataCentre: DataCentreId = OSU;
   return new PeerNetwork({
     name,
@@ -28,13 +33,20 @@
     seeds,
     clock: new SystemClock(),
     rng: new Rng(name.length),
-    log: new MemoryLog(),
+    log,
     metrics: new GatewayMetrics(),
   });
 }
 
+const UNTIL_MS = 10_000;
+
+/** Waits until a condition holds. Throws after ten seconds. */
 async function until(condition: () => boolean): Promise<void> {
-  while (!condition()) await new Promise((resolve) => setTimeout(resolve, 5));
+  const deadline = Date.now() + UNTIL_MS;
+  while (!condition()) {
+    if (Date.now() > deadline) throw new Error("the condition does not hold after 10 s");
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
 }
 
 // Guards against stale overload states, by which gateways would reject streams that no peer can take.
@@ -115,3 +127,58 @@
   });
   await new Promise((resolve) => server.close(resolve));
 });
+
+/** Two networks that are linked, with the log of the first. */
+async function linkNetworks(t: TestContext) {
+  const [first, second] = [await freeAddress(), await freeAddress()];
+  const log = new MemoryLog();
+  const a = makeNetwork("entry-1", first, [], log);
+  const b = makeNetwork("entry-2", second, [first]);
+  t.after(async () => {
+    await a.stop();
+    await b.stop();
+  });
+  return { a, b, log, start: () => Promise.all([a.start(), b.start()]) };
+}
+
+function raiseOdd(): never {
+  throw new Error("odd");
+}
+
+/** Enough to fill the buffers of a socket. */
+const LARGE = {
+  kind: "view_state",
+  view: "x",
+  revision: 1,
+  items: new Uint8Array(900_000),
+} as const;
+
+// Guards against an error in one part of a gateway that ends the process, or keeps other parts from being told.
+test("a listener that fails keeps none of the others from hearing of links and of room", async (t) => {
+  const { a, b, log, start } = await linkNetworks(t);
+  const heard = { up: 0, down: 0, room: 0 };
+  a.registerUp(raiseOdd);
+  a.registerUp(() => heard.up++);
+  a.registerDown(raiseOdd);
+  a.registerDown(() => heard.down++);
+  a.registerRoom(raiseOdd);
+  a.registerRoom(() => heard.room++);
+  await start();
+  await until(() => heard.up === 1);
+  for (let i = 0; i < 4; i++) a.send("entry-2", LARGE);
+  await until(() => heard.room > 0);
+  await b.stop();
+  await until(() => heard.down === 1);
+  assert.ok(log.count("error_contained") > 0);
+});
+
+// Guards against a message that cannot be sent, which ended the process where it was sent from a timer.
+test("a message that exceeds a frame is not sent, and the link stays open", async (t) => {
+  const { a, b, log, start } = await linkNetworks(t);
+  await start();
+  await until(() => a.linked().length === 1 && b.linked().length === 1);
+  assert.equal(a.send("entry-2", { ...LARGE, items: new Uint8Array(2_000_000) }), false);
+  assert.equal(a.send("entry-2", LARGE), true);
+  assert.equal(log.count("error_contained"), 1);
+  assert.equal(a.linked().length, 1);
+});
