Do not dial or pass on gateways that cannot exist

What operators saw: a name or address in a list of gateways that no gateway can have (a host name, no host at all, a port over 65,535, a name of 100,000 letters) was dialled every second for as long as the process ran, and told to all other gateways, which kept it in turn.

Cause: lists of gateways were believed as they came.

Change: a gateway is taken into account only if its name is an id, as that of every link is, and its address passes parseAddress() and has a port. The others are logged, up to 64 of them.

Evidence: the last test of packages/gateway/tests/peer_network_test.ts failed before and passes now.

--- a/packages/gateway/src/peers/peer_network.ts
+++ b/packages/gateway/src/peers/peer_network.ts
@@ -10,6 +10,7 @@
   hostId,
   processId,
   type Rng,
+  toWpError,
   type Undo,
 } from "@wisteriapick/core";
 import { GatewayCensus, OverloadedHosts } from "@wisteriapick/policy";
@@ -24,6 +25,7 @@
   LinkPool,
   listenLinks,
   type Message,
+  parseAddress,
 } from "@wisteriapick/wire";
 import type { DecisionLog } from "../observe/decision_log.ts";
 import { ErrorBoundary } from "../observe/error_boundary.ts";
@@ -64,6 +66,9 @@
 /** Time without a link after which a peer no longer counts as one that this gateway reaches. */
 const MEMBER_TTL_MS = 20_000;
 
+/** Largest number of gateways with an unusable name or address that are logged. */
+const MAX_UNUSABLE_LOGGED = 64;
+
 /** Protocol version from which on gateways exchange digests instead of whole lists. */
 const DIGESTS_SINCE_VERSION = 2;
 
@@ -91,6 +96,8 @@
   readonly #known = new Map<string, GatewayAddress>();
   readonly #handlers = new Map<string, PeerHandler<Message["kind"]>>();
   readonly #roomListeners = new Set<(peer: string) => void>();
+  /** Names of gateways that cannot exist, which were logged. */
+  readonly #unusable = new Set<string>();
   #upListeners: readonly ((peer: string) => void)[] = [];
   #downListeners: readonly ((peer: string) => void)[] = [];
   #listener: LinkListener | null = null;
@@ -270,7 +277,7 @@
   /** Adds or updates gateways that peers or the store know, and dials them. */
   addGateways(gateways: readonly GatewayAddress[]): void {
     for (const gateway of gateways) {
-      if (gateway.name === this.#options.name) continue;
+      if (gateway.name === this.#options.name || !this.#isUsable(gateway)) continue;
       this.#census.recordNamed(gateway.name, this.#options.clock.now());
       this.#membershipVersion++;
       const known = this.#known.get(gateway.name);
@@ -285,6 +292,22 @@
     }
   }
 
+  /** Whether another gateway can have a name and an address. */
+  #isUsable(gateway: GatewayAddress): boolean {
+    try {
+      hostId(gateway.name);
+      const { port } = parseAddress(formatAddress(gateway));
+      return port > 0;
+    } catch (e) {
+      // Peers repeat what they know in each list.
+      if (this.#unusable.size < MAX_UNUSABLE_LOGGED && !this.#unusable.has(gateway.name)) {
+        this.#unusable.add(gateway.name);
+        this.#options.log.state("gateway_unusable", { err: toWpError(e) });
+      }
+      return false;
+    }
+  }
+
   override send(peer: string, msg: Message): boolean {
     const link = this.#linkTo(peer);
     if (link === undefined) return false;
--- a/packages/gateway/tests/peer_network_test.ts
+++ b/packages/gateway/tests/peer_network_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test, type TestContext } from "node:test";
 import { type DataCentreId, Rng, SystemClock } from "@wisteriapick/core";
-import type { Address } from "@wisteriapick/wire";
+import type { Address, GatewayAddress } from "@wisteriapick/wire";
 import { createServer } from "node:net";
 import type { AddressInfo } from "node:net";
 import { GatewayMetrics } from "../src/observe/metrics.ts";
@@ -182,3 +182,40 @@
   assert.equal(log.count("error_contained"), 1);
   assert.equal(a.linked().length, 1);
 });
+
+const ODD_GATEWAYS = [
+  { name: "entry-7", host: "counter.example", port: 7 },
+  { name: "entry-7", host: "", port: 7 },
+  { name: "entry-7", host: "127.0.0.1\0", port: 7 },
+  { name: "entry-7", host: "127.0.0.1", port: 70_000 },
+  { name: "entry-7", host: "127.0.0.1", port: 0 },
+  { name: "x".repeat(100_000), host: "127.0.0.1", port: 7 },
+  { name: "entry\r\n7", host: "127.0.0.1", port: 7 },
+];
+
+// Guards against an address that no gateway can have, which is dialled for ever and told to all other gateways.
+test("what cannot be a gateway is not passed on, and the others in the list are", async (t) => {
+  const { a, b, log, start } = await linkNetworks(t);
+  const third = await freeAddress();
+  const c = makeNetwork("entry-3", third, []);
+  t.after(() => c.stop());
+  await c.start();
+  await start();
+  await until(() => a.linked().length === 1 && b.linked().length === 1);
+  const told: GatewayAddress[] = [];
+  b.registerHandler("gateways", (_peer, { gateways }) => void told.push(...gateways));
+  const complete = (gateway: { name: string; host: string; port: number }) => {
+    return { ...gateway, dataCentre: OSU, processorShare: null, linkMbps: null };
+  };
+  const listed = [...ODD_GATEWAYS, { name: "entry-3", ...third }].map(complete);
+  b.send("entry-1", { kind: "gateways", gateways: listed });
+  await until(() => a.isLinked("entry-3"));
+  b.send("entry-1", { kind: "gateways_request" });
+  // A list that was requested before may come first.
+  await until(() => told.some(({ name }) => name === "entry-3"));
+  assert.deepEqual(
+    new Set(told.map(({ name }) => name)),
+    new Set(["entry-1", "entry-2", "entry-3"]),
+  );
+  assert.ok(log.count("gateway_unusable") > 0);
+});
