Fail only the call whose connection cannot be opened

Entries ended with "TypeError: Invalid URL", and every request in progress got no answer. The HTTP client of a connection was made while a request was sent, outside of anything that expects an error, and its constructor raises for an address that no URL can have, such as an IPv6 address with a zone id. An error raised while a request was handed to the client had no handler either, and would have left later failures of the call unreported in their turn.

The client is made with the first request, and whatever is raised until the request is handed over fails that call, as not sent (`connect`) unless its first byte may have left.

--- a/packages/gateway/src/upstream/connection.ts
+++ b/packages/gateway/src/upstream/connection.ts
@@ -89,9 +89,9 @@
   override readonly name = "OverheadError";
 }
 
-/** A connection that carries one request at a time. */
+/** A connection that carries one request at a time. It is opened with the first one. */
 export class UpstreamConnection {
-  readonly #client: Client;
+  #client: Client | null = null;
   readonly #options: UpstreamConnectionOptions;
   #socket: Socket | null = null;
   #socketError = false;
@@ -103,15 +103,11 @@
 
   constructor(options: UpstreamConnectionOptions) {
     this.#options = options;
-    this.#client = this.#makeClient();
-    this.#client.on("disconnect", () => this.#drop());
-    this.#client.on("connectionError", () => this.#drop());
   }
 
   #makeClient(): Client {
     const { address, idleTimeoutMs } = this.#options;
-    const origin = `http://${formatAddress(address)}`;
-    const options: Client.Options = {
+    const client = new Client(`http://${formatAddress(address)}`, {
       connect: (_opts, callback) => this.#connect(callback),
       pipelining: 1,
       headersTimeout: 0,
@@ -120,12 +116,10 @@
       keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
       keepAliveMaxTimeout: MAX_IDLE_MS,
       maxHeaderSize: MAX_RESPONSE_HEADER_BYTES,
-    };
-    try {
-      return new Client(origin, options);
-    } catch (e) {
-      throw new Error(`cannot open a connection to ${origin}`, { cause: e });
-    }
+    });
+    client.on("disconnect", () => this.#drop());
+    client.on("connectionError", () => this.#drop());
+    return client;
   }
 
   get busy(): boolean {
@@ -136,7 +130,10 @@
     return this.#closed;
   }
 
-  /** Sends one request. The connection must be neither busy nor closed. */
+  /**
+   * Sends one request. The connection must be neither busy nor closed. Never raises: an error while the connection is
+   * opened fails the call.
+   */
   send(req: UpstreamRequest, sink: UpstreamSink): UpstreamCall {
     this.#busy = true;
     this.#bytesBefore = this.#socket?.bytesRead ?? 0;
@@ -148,6 +145,7 @@
     });
     const { method, target: path, headers, body } = req;
     call.whileDispatching(() => {
+      this.#client ??= this.#makeClient();
       this.#client.dispatch({ method: method as Dispatcher.HttpMethod, path, headers, body }, call);
     });
     return call;
@@ -157,7 +155,7 @@
   destroy(): void {
     if (this.#closed) return;
     this.#drop();
-    void this.#client.destroy(new AbortedError("connection closed"));
+    void this.#client?.destroy(new AbortedError("connection closed"));
   }
 
   #onExchangeEnded(reusable: boolean): void {
@@ -169,7 +167,7 @@
     if (this.#closed) return;
     this.#closed = true;
     this.#options.onClosed();
-    if (!this.#client.destroyed) void this.#client.destroy();
+    if (this.#client?.destroyed === false) void this.#client.destroy();
   }
 
   #connect(callback: buildConnector.Callback): void {
@@ -241,13 +239,20 @@
   }
 
   /**
-   * Runs `dispatch`, which may fail before it returns. The owner hears of that later, so that what it then sends is not
-   * sent in the call stack of this request.
+   * Runs `dispatch`, which may fail or raise before it returns. The owner hears of that later, so that what it then
+   * sends is not sent in the call stack of this request.
    */
   whileDispatching(dispatch: () => void): void {
     this.#isDispatching = true;
-    dispatch();
-    this.#isDispatching = false;
+    try {
+      dispatch();
+    } catch (e) {
+      // Not `onError`, as an error of this kind while a connection is opened says nothing about the request's form.
+      const type = this.#sent ? "connection_lost" : "connect";
+      this.#finish(() => this.#fail({ type, message: String(e) }), false);
+    } finally {
+      this.#isDispatching = false;
+    }
   }
 
   abort(): void {
