Leave hosts with invalid ids or addresses out of the host list

What operators saw: one host that is listed with an address that is none, such as a host name, ended each process that chose it as its source of the configuration; one with an invalid id hid all hosts.

Cause: PropagationNode subscribes in a timer, where parseAddress() raises an error that nothing catches. The host list was decoded as a whole.

Change: such a process is no member, and a host whose ids are invalid is left out of the list. Their types are checked for the whole list as before.

--- a/packages/clients/src/http_host_list.ts
+++ b/packages/clients/src/http_host_list.ts
@@ -19,6 +19,15 @@
 });
 const SnapshotSchema = z.object({ index: z.number(), hosts: z.array(RecordSchema) });
 
+/** The record as a list, which is empty if an id in it is invalid: one host must not hide the others. */
+function toRecords(r: z.output<typeof RecordSchema>): HostRecord[] {
+  try {
+    return [toRecord(r)];
+  } catch {
+    return [];
+  }
+}
+
 function toRecord(r: z.output<typeof RecordSchema>): HostRecord {
   return {
     host: hostId(r.host),
@@ -53,7 +62,7 @@
     if (!parsed.success) {
       raise({ type: "unreachable", message: "host list responded in an unknown format" });
     }
-    return { index: parsed.data.index, hosts: parsed.data.hosts.map(toRecord) };
+    return { index: parsed.data.index, hosts: parsed.data.hosts.flatMap(toRecords) };
   }
 
   /** Closes all connections immediately. */
--- a/packages/clients/tests/http_model_engine_test.ts
+++ b/packages/clients/tests/http_model_engine_test.ts
@@ -113,3 +113,18 @@
   await weights.close();
   await close();
 });
+
+// Guards against one host whose name is no id, which hid all hosts.
+test("a host with an invalid id in the host list is left out, and the others are read", async () => {
+  const makeRecord = (host: string) => {
+    return { host, dataCentre: "accra-osu", region: "accra", state: "live", entry: "127.0.0.1:7" };
+  };
+  const hosts = [makeRecord("tema\r\n01"), makeRecord("tema-02")];
+  const { origin, close } = await serve((_req, res) =>
+    res.end(JSON.stringify({ index: 1, hosts }))
+  );
+  const list = new HttpHostList(origin);
+  assert.deepEqual((await list.read()).hosts.map(({ host }) => host), ["tema-02"]);
+  await list.close();
+  await close();
+});
--- a/packages/control/src/membership.ts
+++ b/packages/control/src/membership.ts
@@ -5,6 +5,7 @@
  */
 import type { Clock, Undo } from "@wisteriapick/core";
 import type { HostRecord, HostSnapshot } from "@wisteriapick/clients";
+import { parseAddress } from "@wisteriapick/wire";
 import type { PropagationMember } from "./tree.ts";
 
 /** How long an unreachable process is left out, unless a link to it opens before. */
@@ -19,10 +20,10 @@
 export function membersOf(host: HostRecord): PropagationMember[] {
   const { dataCentre } = host;
   const members: PropagationMember[] = [];
-  if (host.entry) {
+  if (isAddress(host.entry)) {
     members.push({ key: memberKey(host.host, "entry"), dataCentre, address: host.entry });
   }
-  if (host.side) {
+  if (isAddress(host.side)) {
     members.push({ key: memberKey(host.host, "side"), dataCentre, address: host.side });
   }
   return members;
@@ -105,3 +106,14 @@
     for (const fn of this.#listeners) fn(next);
   }
 }
+
+/** Whether a link can be opened to what the host list names as an address. */
+function isAddress(text: string | undefined): text is string {
+  if (text === undefined) return false;
+  try {
+    return parseAddress(text).port > 0;
+  } catch {
+    // The host list is advisory, and what it names may be corrected at any time.
+    return false;
+  }
+}
--- a/packages/control/tests/control_process_test.ts
+++ b/packages/control/tests/control_process_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { SystemClock } from "@wisteriapick/core";
+import type { HostRecord } from "@wisteriapick/clients";
+import { hostId, SystemClock } from "@wisteriapick/core";
 import { type Change, type ConfigSource, hostListIntervalMs } from "../src/mod.ts";
 import { baseChanges, makeLog, MemoryStore, putAccount, TEMA, write } from "./fixtures.ts";
 import { FixedHostList, startControl } from "./link_fixtures.ts";
@@ -80,3 +81,23 @@
   await Promise.all(all.map((p) => reached(p.control.state, 2)));
   for (const p of all) await p.stop();
 });
+
+// Guards against a host that is listed with an address that is none, which ended each process that subscribed to it.
+test("processes follow the log beside hosts whose listed addresses are none", async () => {
+  const clock = new SystemClock();
+  const store = new MemoryStore(clock);
+  const hostList = new FixedHostList();
+  const all = [];
+  for (let i = 0; i < 8; i++) {
+    all.push(await startControl(`host-${i}`, "osu", { store, hostList, seed: i }));
+  }
+  const [sound] = hostList.hosts as [HostRecord];
+  for (let i = 0; i < 24; i++) {
+    hostList.hosts.push({ ...sound, host: hostId(`odd-${i}`), entry: `odd-${i}.example:7` });
+  }
+  for (const p of all) p.start();
+  const log = makeLog(store, clock);
+  await write(log, "a", [putAccount("a")]);
+  await Promise.all(all.map((p) => reached(p.control.state, 1)));
+  for (const p of all) await p.stop();
+});
