Take no more permits from an answer than were asked for

What callers saw: nothing yet. An answer of another gateway with a count beyond all reason would be recorded permit by permit, until memory ends.

Cause: the count of an answer was believed.

Change: at most as many permits are taken as one ask can contain.

--- a/packages/gateway/src/relay/endpoint_limits.ts
+++ b/packages/gateway/src/relay/endpoint_limits.ts
@@ -274,9 +274,10 @@
     this.#broadcast?.send({ ...msg, ageMs: 0 });
   }
 
-  #onAnswer(endpoint: EndpointId, count: number, retryInMs: number): void {
+  #onAnswer(endpoint: EndpointId, granted: number, retryInMs: number): void {
     const limit = this.#limits.get(endpoint);
     if (limit === undefined) return;
+    const count = Math.min(MAX_ASKED, granted);
     const now = this.#options.clock.now();
     limit.isAsking = false;
     limit.retryAtMs = now + retryInMs;
--- a/packages/gateway/tests/endpoint_limits_test.ts
+++ b/packages/gateway/tests/endpoint_limits_test.ts
@@ -12,6 +12,8 @@
 /** Time after the first naming of a limit from which on it holds, in milliseconds. */
 const CONTACT_MS = 3_000;
 const STEP_MS = 5;
+/** Largest number of permits in one ask. */
+const MAX_ASKED = 8;
 /** Time for which a caller waits for a permit, in milliseconds. */
 const WAIT_MS = 50;
 
@@ -275,3 +277,18 @@
     { seed: 21, numRuns: 60 },
   );
 });
+
+// Guards against an answer with so many permits that memory ends while they are recorded, or that the endpoint is overrun.
+test("no more permits are taken from an answer than can have been asked for", () => {
+  const { gateways, links, id, endpoint } = makeScene(3, 3);
+  const issuer = links.members.get("entry-0")!.coordinatorOf(`permits/${id}`);
+  const asker = gateways.find(({ name }) => name !== issuer)!;
+  asker.limits.recordResponse(endpoint.record, { sentAtMs: 0, requestsPerSecond: 3 });
+  links.stalled.add(issuer);
+  asker.limits.request(id, { rank: 0, waitMs: WAIT_MS });
+  const grant = { kind: "permit_grant", endpoint: id, count: 100_000, retryInMs: 0 } as const;
+  links.members.get(asker.name)!.receive(issuer, grant);
+  let taken = 0;
+  for (; asker.limits.mayTake(id); taken++) asker.limits.take(id);
+  assert.equal(taken, MAX_ASKED);
+});
