Close only the link in whose handling an error is raised

What callers saw: nothing yet. An error while a frame of one connection is handled, or in a listener that is told late that a link is closed, ended the process with all its links.

Change: an error in an event of a socket closes its connection, and the reason says what the error was. A late listener is called as the others are.

Evidence: of the two new tests of packages/wire/tests/link_test.ts, one failed before, and the uncaught error of the other one failed the file; both pass now.

--- a/packages/wire/src/frame_socket.ts
+++ b/packages/wire/src/frame_socket.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Socket } from "node:net";
-import type { LinkReason, WpError } from "@wisteriapick/core";
+import { type LinkReason, toWpError, type WpError } from "@wisteriapick/core";
 import { type Frame, FrameReader, LENGTH_BYTES, MAX_FRAME_BYTES } from "./frame.ts";
 
 /** Size of the buffers into which small frames are copied. */
@@ -51,8 +51,8 @@
     this.#socket = socket;
     this.events = events;
     socket.setNoDelay(true);
-    socket.on("data", (chunk: Buffer) => this.#receive(chunk));
-    socket.on("drain", () => this.#isOpen && this.events.onDrain());
+    socket.on("data", (chunk: Buffer) => this.#contain(() => this.#receive(chunk)));
+    socket.on("drain", () => this.#contain(() => this.#isOpen && this.events.onDrain()));
     socket.on("end", () => this.#onSocketEnd());
     socket.on("error", (e) => this.fail(linkError("closed", `socket error: ${e.message}`)));
     socket.on("close", () => this.#onSocketEnd());
@@ -120,6 +120,15 @@
     this.#socket.destroy();
   }
 
+  /** Handles an event of the socket. An error that is raised meanwhile closes this connection only. */
+  #contain(handle: () => void): void {
+    try {
+      handle();
+    } catch (e) {
+      this.fail(linkError("closed", `an event could not be handled: ${toWpError(e).message}`));
+    }
+  }
+
   #receive(chunk: Buffer): void {
     if (!this.#isOpen) return;
     this.events.onBytes?.();
--- a/packages/wire/src/socket_link.ts
+++ b/packages/wire/src/socket_link.ts
@@ -175,7 +175,7 @@
   override registerCloseListener(fn: (err: WpError) => void): Undo {
     const closed = this.#closed;
     if (closed !== null) {
-      queueMicrotask(() => fn(closed));
+      queueMicrotask(() => this.#callCloseListener(fn, closed));
       return () => {};
     }
     this.#closeListeners.add(fn);
--- a/packages/wire/tests/link_test.ts
+++ b/packages/wire/tests/link_test.ts
@@ -103,3 +103,34 @@
   assert.equal(link.open, true);
   assert.deepEqual(good.closes, []);
 });
+
+function raiseOdd(): never {
+  throw new Error("odd");
+}
+
+// Guards against an error in the handling of one connection that ends the process with all others.
+test("an error while a frame is handled closes its link only", async (t) => {
+  const traffic = { recordSent: () => {}, recordReceived: raiseOdd };
+  const listener = await listenLinks({ ...listenOptions({ acceptor: makeAcceptor() }), traffic });
+  const link = await connectLink(connectOptions(listener.address));
+  const other = await connectLink(connectOptions(listener.address));
+  t.after(async () => {
+    other.close();
+    await listener.close();
+  });
+  await until(() => listener.links.size === 2);
+  link.notify({ kind: "gateways_request" });
+  await closed(link);
+  assert.equal(other.open, true);
+  assert.equal(listener.links.size, 1);
+});
+
+test("an error in what is told late of a link that is closed ends nothing else", async (t) => {
+  const { link } = await makePair(t, makeAcceptor());
+  link.close();
+  await closed(link);
+  let isTold = false;
+  link.registerCloseListener(raiseOdd);
+  link.registerCloseListener(() => isTold = true);
+  await until(() => isTold);
+});
