Refuse settings with a retry window of nothing

What callers saw: after a SIGHUP with retry_window_ms 0, every call was refused with 503, as an error was raised with each of them.

Cause: the window divides the time, so that a window of 0 has no slots.

Change: a retry window has 1 ms at least. Settings with less are not put in force, and those before them stay.

Evidence: a test of platform/tests/odd_configs_test.ts with a real entry process got 503 in place of 200 before, and passes now.

--- a/packages/gateway/src/settings.ts
+++ b/packages/gateway/src/settings.ts
@@ -28,6 +28,8 @@
 const milliseconds = z.number().nonnegative();
 
 const DEFAULT_REVOKE_MS = 5_000;
+/** Shortest window of retry budgets, in milliseconds. */
+const MIN_RETRY_WINDOW_MS = 1;
 
 const schema = z.object({
   /** Name of this process; unique among gateways. */
@@ -60,7 +62,8 @@
   seeds: z.array(address).default([]),
   bounds: z.object({
     retry_ratio: z.number().nonnegative(),
-    retry_window_ms: milliseconds,
+    /** Budgets count in fractions of it, which must be times that the clock can tell apart. */
+    retry_window_ms: z.number().min(MIN_RETRY_WINDOW_MS),
     retry_extra: z.number().nonnegative(),
     cold_rate_factor: z.number().nonnegative(),
     cold_slack: z.number().nonnegative(),
