Remove stale registrations beside one that cannot be removed

What operators saw: a registration of a gateway under a name that no path can hold kept all stale registrations after it in the store.

Cause: the error of one removal ended the loop over all.

Change: an error is logged, and the next registration is looked at.

Evidence: the last test of packages/gateway/tests/registration_test.ts failed before and passes now.

--- a/packages/gateway/src/peers/registration.ts
+++ b/packages/gateway/src/peers/registration.ts
@@ -103,7 +103,14 @@
       formatAddress(own.address) === formatAddress(record.address);
     const mustWrite = !isCurrent && isEntryPoint() && !this.#stopped;
     if (mustWrite) await (this.#write = store.writeGateway(record));
-    for (const { name } of records) await this.#removeStale(name);
+    for (const { name } of records) {
+      try {
+        await this.#removeStale(name);
+      } catch (e) {
+        // One that cannot be removed must not keep the others from being removed.
+        this.#options.log.state("registration_failed", { err: toWpError(e) });
+      }
+    }
     return mustWrite;
   }
 
--- a/packages/gateway/tests/registration_test.ts
+++ b/packages/gateway/tests/registration_test.ts
@@ -72,3 +72,29 @@
   await settle();
   assert.equal((await store.list("gateways")).items.size, 0);
 });
+
+/** Time after which a registration without a gateway is removed, and a few reads more. */
+const STALE_MS = 900_000;
+
+/** A store that cannot remove one name. */
+class StubbornStore extends MemoryStore {
+  override removeGateway(name: string): Promise<void> {
+    if (name === "odd") return Promise.reject(new URIError("URI malformed"));
+    return super.removeGateway(name);
+  }
+}
+
+// Guards against a name that no path can hold, by which stale registrations were kept for ever.
+test("a registration that cannot be removed keeps none of the others from being removed", async () => {
+  const clock = new ManualClock();
+  const store = new StubbornStore(clock);
+  const record = { address: { host: "10.0.0.2", port: 8_748 }, dataCentre: OSU };
+  for (const name of ["odd", "stale"]) store.set("gateways", name, { ...record, name });
+  const { registration } = startGateway("entry-1", store, clock);
+  for (let ms = 0; ms < STALE_MS; ms += 10_000) {
+    clock.advance(10_000);
+    await settle();
+  }
+  registration.stop();
+  assert.deepEqual([...(await store.list("gateways")).items.keys()].sort(), ["entry-1", "odd"]);
+});
