Leave out hosts whose listed address is none

In the system of entries and sides, a host list with one process at an address that is none ended the processes that read it: the address was parsed when a subscription was opened or an offer sent, in the callback of a timer, where the error had no handler. Zone ids would have been a further case of that since `parseAddress` refuses them.

Addresses are checked once, when a list is read. Processes at addresses that can't be linked to are left out, and a line names each of them once until its address changes.

--- a/packages/control/src/control_process.ts
+++ b/packages/control/src/control_process.ts
@@ -5,6 +5,7 @@
  */
 import {
   type Clock,
+  type Logger,
   type ProcessId,
   type Revision,
   revision,
@@ -49,6 +50,8 @@
   "take_back_move",
   "settle_move",
 ]);
+/** Longest part of an invalid address in the log. */
+const MAX_QUOTED = 64;
 /** Entries in an offer, so that a watcher that lacks a few entries can apply it. */
 const OFFERED_ENTRIES = 16;
 
@@ -61,6 +64,7 @@
   readonly pool: LinkPool;
   readonly clock: Clock;
   readonly rng: Rng;
+  readonly log?: Logger;
 }
 
 /**
@@ -85,10 +89,13 @@
   readonly #options: ControlProcessOptions;
 
   constructor(options: ControlProcessOptions) {
-    const { self, process, store, pool, clock, rng } = options;
+    const { self, process, store, pool, clock, rng, log } = options;
     this.#options = options;
     this.state = new ConfigState(clock);
-    this.membership = new Membership(clock);
+    this.membership = new Membership(clock, {
+      onAddressInvalid: ({ key, address }) =>
+        log?.warn({ member: key, address: address.slice(0, MAX_QUOTED) }, "invalid host address"),
+    });
     this.links = new PropagationLinks(pool, this.membership);
     const dependencies = this.links;
     this.node = new PropagationNode({
--- a/packages/control/src/membership.ts
+++ b/packages/control/src/membership.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock, Undo } from "@wisteriapick/core";
 import type { HostRecord, HostSnapshot } from "@wisteriapick/clients";
-import { parseAddress } from "@wisteriapick/wire";
+import { parseRemoteAddress } from "@wisteriapick/wire";
 import type { PropagationMember } from "./tree.ts";
 
 /** How long an unreachable process is left out, unless a link to it opens before. */
@@ -18,29 +18,56 @@
 
 /** Processes of one host. A leaving host stays a member until it is gone, because it still relays. */
 export function membersOf(host: HostRecord): PropagationMember[] {
+  return listedOf(host).filter(hasAddress);
+}
+
+/** Processes that the host list names for one host, at whatever addresses. */
+function listedOf(host: HostRecord): PropagationMember[] {
   const { dataCentre } = host;
   const members: PropagationMember[] = [];
-  if (isAddress(host.entry)) {
+  if (host.entry) {
     members.push({ key: memberKey(host.host, "entry"), dataCentre, address: host.entry });
   }
-  if (isAddress(host.side)) {
+  if (host.side) {
     members.push({ key: memberKey(host.host, "side"), dataCentre, address: host.side });
   }
   return members;
 }
 
+/** Whether a link to a member can be opened, as far as its address tells. */
+function hasAddress({ address }: PropagationMember): boolean {
+  try {
+    parseRemoteAddress(address);
+    return true;
+  } catch {
+    return false;
+  }
+}
+
+/** Options of {@link Membership}. */
+export interface MembershipOptions {
+  /** Called with a listed process that is left out, when it is first listed or has another address. */
+  readonly onAddressInvalid?: (member: PropagationMember) => void;
+}
+
 /** The current members, with listeners for their changes. */
 export class Membership {
   readonly #clock: Clock;
+  readonly #onAddressInvalid: (member: PropagationMember) => void;
   readonly #suspects = new Map<string, number>();
   readonly #listeners = new Set<(members: readonly PropagationMember[]) => void>();
   readonly #snapshotListeners = new Set<(snapshot: HostSnapshot) => void>();
   #index = -1;
   #hosts: readonly HostRecord[] = [];
+  /** Processes of the hosts, those at invalid addresses left out. */
+  #listed: readonly PropagationMember[] = [];
+  /** Invalid addresses in the last list, by member. */
+  #invalid: ReadonlyMap<string, string> = new Map();
   #members: readonly PropagationMember[] = [];
 
-  constructor(clock: Clock) {
+  constructor(clock: Clock, { onAddressInvalid = () => {} }: MembershipOptions = {}) {
     this.#clock = clock;
+    this.#onAddressInvalid = onAddressInvalid;
   }
 
   /** Hosts as last listed. */
@@ -69,6 +96,7 @@
     if (snapshot.index <= this.#index) return;
     this.#index = snapshot.index;
     this.#hosts = snapshot.hosts;
+    this.#listMembers();
     this.#refresh();
     for (const fn of this.#snapshotListeners) fn(snapshot);
   }
@@ -94,9 +122,23 @@
     if (changed) this.#refresh();
   }
 
+  #listMembers(): void {
+    const listed = [];
+    const invalid = new Map<string, string>();
+    for (const member of this.#hosts.flatMap(listedOf)) {
+      if (hasAddress(member)) {
+        listed.push(member);
+        continue;
+      }
+      invalid.set(member.key, member.address);
+      if (this.#invalid.get(member.key) !== member.address) this.#onAddressInvalid(member);
+    }
+    this.#listed = listed;
+    this.#invalid = invalid;
+  }
+
   #refresh(): void {
-    const all = this.#hosts.flatMap(membersOf);
-    const next = all.filter((m) => !this.#suspects.has(m.key));
+    const next = this.#listed.filter((m) => !this.#suspects.has(m.key));
     const same = next.length === this.#members.length &&
       next.every((m, i) =>
         m.key === this.#members[i]!.key && m.address === this.#members[i]!.address
@@ -106,14 +148,3 @@
     for (const fn of this.#listeners) fn(next);
   }
 }
-
-/** Whether a link can be opened to what the host list names as an address. */
-function isAddress(text: string | undefined): text is string {
-  if (text === undefined) return false;
-  try {
-    return parseAddress(text).port > 0;
-  } catch {
-    // The host list is advisory, and what it names may be corrected at any time.
-    return false;
-  }
-}
--- a/packages/control/tests/control_process_test.ts
+++ b/packages/control/tests/control_process_test.ts
@@ -101,3 +101,28 @@
   await Promise.all(all.map((p) => reached(p.control.state, 1)));
   for (const p of all) await p.stop();
 });
+
+// Guards against a process that ends because of one host whose address is none (LOST, issue 44).
+test("a host at an address that is none is left out, and the others follow the log", async () => {
+  const clock = new SystemClock();
+  const store = new MemoryStore(clock);
+  const hostList = new FixedHostList();
+  const all = [];
+  for (let i = 0; i < 5; i++) {
+    all.push(await startControl(`host-${i}`, "osu", { store, hostList, seed: i }));
+  }
+  const [sound] = hostList.hosts;
+  const odd = ["[fe80::1%eth0]:7300", "host-5.example:7300", "0.0.0.0:7300", "", "127.0.0.1:0"];
+  for (const [i, entry] of odd.entries()) {
+    hostList.hosts.push({ ...sound!, host: hostId(`odd-${i}`), entry, side: entry });
+  }
+  for (const p of all) p.start();
+  await write(makeLog(store, clock), "a", [putAccount("a")]);
+  await Promise.all(all.map((p) => reached(p.control.state, 1)));
+  for (const p of all) {
+    const members = p.control.membership.members().map((m) => m.key);
+    assert.deepEqual(members.filter((key) => key.startsWith("odd-")), []);
+    assert.equal(members.length, 5);
+    await p.stop();
+  }
+});
--- a/packages/daemon/src/process_components.ts
+++ b/packages/daemon/src/process_components.ts
@@ -80,7 +80,7 @@
   close: () => Promise<void>,
 ): ProcessComponents {
   const { identity, clock, store, hostList } = options;
-  const { router, pool, linkAddress, rng } = wiring;
+  const { router, pool, linkAddress, rng, log } = wiring;
   const key = memberKeyOf(identity.host, identity.role);
   const control = new ControlProcess({
     self: { key, dataCentre: identity.dataCentre, address: linkAddress },
@@ -90,6 +90,7 @@
     pool,
     clock,
     rng: rng.fork("control"),
+    log,
   });
   return {
     ...wiring,
