Log the era of the store and from whom a gateway learned it

After a restore, logs could not tell whether a gateway held content of the earlier or of the later era: no line named an era. Two gauges show era and revision of each view. What orders views is unchanged.

The new test fails without the lines.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -49,7 +49,7 @@
 import { KeyLease, type KeyRevocation } from "./state/key_lease.ts";
 import type { StateStore } from "./state/state_store.ts";
 import { StoreFollower } from "./state/store_follower.ts";
-import { StoreView } from "./state/store_view.ts";
+import { FOLLOWED_KINDS, StoreView } from "./state/store_view.ts";
 import type { CallerDialect } from "./surface/caller_dialect.ts";
 import { bindAddress } from "./surface/bind_address.ts";
 import { ProxyServer } from "./surface/proxy_server.ts";
@@ -326,6 +326,9 @@
       log,
       (delayMs, nowMs) => this.#onLoopPoll(delayMs, nowMs),
     );
+    metrics.setViewPositions(() =>
+      FOLLOWED_KINDS.map((kind) => ({ kind, ...view.kinds[kind].position }))
+    );
     metrics.setBufferCounter(() => this.#bufferedBytes());
     this.#proxy = new ProxyServer({
       address: settings.listen.callers,
--- a/packages/gateway/src/observe/metrics.ts
+++ b/packages/gateway/src/observe/metrics.ts
@@ -5,11 +5,17 @@
  */
 import type { RefusalReason } from "@wisteriapick/core";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { StorePosition } from "../state/store_position.ts";
 import { readResidentBytes } from "./memory_monitor.ts";
 
 /** Outcome of a caller's request. */
 export type RequestOutcome = "answered" | "endpoint_failure" | "rejected" | "cut" | "caller_left";
 
+/** Where a gateway's view of one kind of object stands. */
+export interface ViewPosition extends StorePosition {
+  readonly kind: string;
+}
+
 /** Upper bounds of latency buckets: from the fastest plain call to the longest generation. */
 const LATENCY_BUCKETS_S = [0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 20, 40];
 /** Upper bounds of buckets for gaps between events. */
@@ -24,6 +30,7 @@
   readonly #repeats: Counter<"service" | "reason">;
   readonly #deniedRepeats: Counter<"service" | "reason">;
   #countGateways: () => number = () => 0;
+  #viewPositions: () => readonly ViewPosition[] = () => [];
   #bufferedBytes: () => Readonly<Record<string, number>> = () => ({});
   readonly #copies: Counter<"outcome">;
   readonly #storeCalls: Counter<"call" | "outcome">;
@@ -114,6 +121,20 @@
       "config_age_seconds",
       "Time since the configuration in force was last known to be the newest one",
     );
+    const viewGauge = (name: string, help: string, valueOf: (view: ViewPosition) => number) => {
+      const viewPositions = () => this.#viewPositions();
+      new Gauge({
+        name: `wisteriapick_${name}`,
+        help,
+        labelNames: ["kind"],
+        registers,
+        collect() {
+          for (const view of viewPositions()) this.set({ kind: view.kind }, valueOf(view));
+        },
+      });
+    };
+    viewGauge("store_view_era", "The store's era of the view of a kind", ({ era }) => era);
+    viewGauge("store_view_revision", "Store revision of the view of a kind", (v) => v.revision);
     const countGateways = () => this.#countGateways();
     new Gauge({
       name: "wisteriapick_retry_budget_gateways",
@@ -173,6 +194,11 @@
     this.#countGateways = count;
   }
 
+  /** Sets how the positions of the store views are found when the metrics are read. */
+  setViewPositions(viewPositions: () => readonly ViewPosition[]): void {
+    this.#viewPositions = viewPositions;
+  }
+
   /** Sets how buffered bytes are counted, by kind, when the metrics are read. */
   setBufferCounter(count: () => Readonly<Record<string, number>>): void {
     this.#bufferedBytes = count;
--- a/packages/gateway/src/peers/store_view_sync.ts
+++ b/packages/gateway/src/peers/store_view_sync.ts
@@ -14,7 +14,13 @@
 import type { StoreOutage } from "../state/fleet.ts";
 import type { ReadMoment, StoreFollower } from "../state/store_follower.ts";
 import type { KeyLease } from "../state/key_lease.ts";
-import { FOLLOWED_KINDS, type FollowedKind, type StoreView } from "../state/store_view.ts";
+import { UNNAMED_ERA } from "../state/store_position.ts";
+import {
+  FOLLOWED_KINDS,
+  type FollowedKind,
+  type StoreView,
+  type ViewUpdateReport,
+} from "../state/store_view.ts";
 import { ConfirmationExchange } from "./confirmation_exchange.ts";
 import type { LinkedPeer, PeerGroup } from "./peer_group.ts";
 import { childrenOf, MAX_SPREAD_HOPS, parentOf } from "./spread_tree.ts";
@@ -61,6 +67,9 @@
 /** A confirmation is passed on if it is newer than the last one by more than the time it may have spent on links. */
 const MIN_CONFIRMATION_STEP_MS = 100;
 
+/** Most names of objects in one line of the log. */
+const MAX_LOGGED_NAMES = 20;
+
 /** What is known of how current a view is. */
 interface Freshness {
   /** Name of the gateway that read it from the store. */
@@ -85,6 +94,8 @@
   readonly #stopPassing = new Map<FollowedKind, Undo>();
   readonly #undos: Undo[];
   #parentAskedAtMs = -Infinity;
+  /** The peer whose update was applied last. */
+  #updatingPeer: string | null = null;
   #uninformedSinceMs: number | null = null;
   #outageEndedAtMs = -Infinity;
 
@@ -117,6 +128,11 @@
           if (kind === "config") this.#confirmations.sendTo(peer);
         }
       }),
+      ...FOLLOWED_KINDS.map((kind) =>
+        view.kinds[kind].registerListener((change) => {
+          if (change.isRestored) this.#logRestored(kind, change);
+        })
+      ),
       () => this.#sender.close(),
       () => this.#confirmations.close(),
     ];
@@ -153,6 +169,16 @@
     for (const undo of [...this.#undos, ...this.#stopPassing.values()]) undo();
   }
 
+  #logRestored(kind: FollowedKind, { source, removed }: ViewUpdateReport): void {
+    const { view, log } = this.#options;
+    log.state("store_restored", {
+      kind,
+      ...view.kinds[kind].position,
+      source: source === "peer" ? this.#updatingPeer : source,
+      removed: removed.slice(0, MAX_LOGGED_NAMES),
+    });
+  }
+
   #trackInformed(isInformed: boolean, now: number): void {
     const since = this.#uninformedSinceMs;
     if (isInformed === (since === null)) return;
@@ -238,7 +264,7 @@
 
   #onUpdate(peer: string, update: Omit<ViewUpdate, "kind">): void {
     const { view, network, log } = this.#options;
-    const { revision, from } = update;
+    const { era = UNNAMED_ERA, revision, from } = update;
     const kind = kindOf(update.view);
     if (kind === null) return;
     const current = view.kinds[kind];
@@ -247,8 +273,9 @@
     this.#puller.recordAnswer(peer, isNewer);
     // An older view does not confirm this one, and a peer without a view has nothing to say.
     if (revision < before || revision === 0) return;
+    this.#updatingPeer = peer;
     const isApplied = from <= before &&
-      applyEncodedChanges(current as never, revision, update, {
+      applyEncodedChanges(current as never, { era, revision }, update, {
         kind,
         onUnreadable: (name, err) => log.state("object_unreadable", { kind, peer, name, err }),
       });
@@ -257,7 +284,7 @@
       const known = from <= before ? 0 : before;
       const revisions = [{ view: kind, revision: known }];
       network.send(peer, { kind: "view_request", revisions });
-      log.state("view_requested", { peer, kind, from, revision, known: before });
+      log.state("view_requested", { peer, kind, from, era, revision, known: before });
       return;
     }
     if (this.#recordFreshness(kind, update) || isNewer) this.#passOn(kind);
--- a/packages/gateway/src/peers/view_changes.ts
+++ b/packages/gateway/src/peers/view_changes.ts
@@ -7,6 +7,7 @@
 import { applyConfigPatch, type ConfigPatch, diffConfig } from "../config/config_patch.ts";
 import { checkRecord } from "../config/record_checks.ts";
 import type { GatewayConfig } from "../config/types.ts";
+import type { StorePosition } from "../state/store_position.ts";
 import type {
   FollowedKind,
   KindView,
@@ -128,12 +129,12 @@
  */
 export function applyEncodedChanges(
   view: KindView<never>,
-  revision: number,
+  position: StorePosition,
   { isCompressed, changes: encoded }: Pick<EncodedChanges, "isCompressed" | "changes">,
   options: ReceivedItemsOptions<FollowedKind>,
 ): boolean {
   if (encoded.length === 0) {
-    view.apply({ revision, events: [] }, "peer");
+    view.apply({ ...position, events: [] }, "peer");
     return true;
   }
   const bytes = isCompressed
@@ -144,7 +145,7 @@
   const items = readReceivedItems(changes.items, options) as [string, ViewItem<never> | null][];
   if (changes.isFull) {
     const usable = items.filter((entry): entry is [string, ViewItem<never>] => entry[1] !== null);
-    view.replace({ revision, items: new Map(usable) }, "peer");
+    view.replace({ ...position, items: new Map(usable) }, "peer");
     return true;
   }
   const events: ViewEvent<never>[] = [
@@ -162,7 +163,7 @@
       item: { revision: patched.revision, value: value as never },
     });
   }
-  view.apply({ revision, events }, "peer");
+  view.apply({ ...position, events }, "peer");
   return true;
 }
 
--- a/packages/gateway/src/peers/view_sender.ts
+++ b/packages/gateway/src/peers/view_sender.ts
@@ -82,7 +82,7 @@
 
   #send(peer: string, kind: FollowedKind, from: number): void {
     const { network, view, originOf } = this.#options;
-    const { revision, known } = view.kinds[kind];
+    const { era, revision, known } = view.kinds[kind];
     const changes = known
       ? this.#encoder.encode(kind, from)
       : { from: 0, isCompressed: false, changes: new Uint8Array(0) };
@@ -92,6 +92,7 @@
       revision,
       ...originOf(kind),
       ...changes,
+      era,
     });
     if (isSent) this.#progressOf(peer).sent.set(kind, revision);
   }
--- a/packages/gateway/src/state/fleet.ts
+++ b/packages/gateway/src/state/fleet.ts
@@ -19,6 +19,7 @@
 import type { EndpointRecord, GatewayConfig } from "../config/types.ts";
 import type { DecisionLog } from "../observe/decision_log.ts";
 import { isOutdated } from "./registration_order.ts";
+import type { StorePosition } from "./store_position.ts";
 import { FOLLOWED_KINDS, type StoreView, type ViewSource } from "./store_view.ts";
 
 /**
@@ -273,7 +274,7 @@
   }
 
   #applyConfig(): void {
-    const { items, revision } = this.#options.view.kinds.config.snapshot;
+    const { items, era, revision } = this.#options.view.kinds.config.snapshot;
     const config = newestConfig([...items.values()].map((item) => item.value));
     if (config === null || config === this.#nextConfig) return;
     // A version older than the one in force is never applied, whatever its source.
@@ -281,26 +282,26 @@
     this.#nextConfig = config;
     // Decoding a large configuration has taken long enough for one turn.
     const indexedNow = config.routes.length <= ROUTES_PER_TURN ? config.routes : [];
-    this.#buildTable(new RouteTable(config, indexedNow), indexedNow.length, revision);
+    this.#buildTable(new RouteTable(config, indexedNow), indexedNow.length, { era, revision });
   }
 
-  /** Adds the routes from `position` on, some in each turn of the event loop, and puts the table in force. */
-  #buildTable(table: RouteTable, position: number, revision: number): void {
+  /** Adds the routes from `indexed` on, some in each turn of the event loop, and puts the table in force. */
+  #buildTable(table: RouteTable, indexed: number, position: StorePosition): void {
     const { config } = table;
     // A newer configuration has arrived meanwhile.
     if (config !== this.#nextConfig) return;
-    if (position < config.routes.length) {
-      const end = position + ROUTES_PER_TURN;
+    if (indexed < config.routes.length) {
+      const end = indexed + ROUTES_PER_TURN;
       return void this.#options.clock.setTimer(0, () => {
-        table.addRoutes(config.routes.slice(position, end));
-        this.#buildTable(table, end, revision);
+        table.addRoutes(config.routes.slice(indexed, end));
+        this.#buildTable(table, end, position);
       });
     }
     this.#routes = table;
     const { version, routes, accounts } = config;
     this.#options.log.state("config_in_force", {
       version,
-      revision,
+      ...position,
       routes: routes.length,
       accounts: accounts.length,
     });
@@ -308,9 +309,9 @@
   }
 
   #applyEvacuations(): void {
-    const { items, revision } = this.#options.view.kinds.evacuations.snapshot;
+    const { items, era, revision } = this.#options.view.kinds.evacuations.snapshot;
     this.#evacuated = new Set([...items.values()].map((item) => item.value.dataCentre));
-    this.#options.log.state("evacuations", { dataCentres: [...this.#evacuated], revision });
+    this.#options.log.state("evacuations", { dataCentres: [...this.#evacuated], era, revision });
   }
 
   #applyEndpoints(source: ViewSource): void {
--- a/packages/gateway/src/state/store_follower.ts
+++ b/packages/gateway/src/state/store_follower.ts
@@ -227,7 +227,7 @@
       busyFirstByteMs: maxWaitMs + BUSY_WATCH_SLACK_MS,
     };
     return this.#read(kind, "watch", deadline, async (options) => {
-      const revision = view.kinds[kind].revision;
+      const { era, revision } = view.kinds[kind];
       // A probe must return at once when the store is back, not when something changes.
       const isProbe = this.#down !== null || this.#options.isUrgent(kind) ||
         this.#toConfirm.has(kind);
@@ -235,10 +235,11 @@
       const result = await store.watch(kind, revision, { ...options, waitMs });
       this.#toConfirm.delete(kind);
       if (result.type === "history_gone") {
-        log.state("store_history_gone", { kind, revision });
+        log.state("store_history_gone", { kind, era, revision });
         return "history_gone";
       }
       const changes = result.changes as {
+        era: number;
         revision: number;
         events: readonly { name: string; item: never }[];
       };
--- a/packages/gateway/src/state/store_view.ts
+++ b/packages/gateway/src/state/store_view.ts
@@ -13,6 +13,7 @@
   GatewayRecord,
   MoveRecord,
 } from "../config/types.ts";
+import { NO_POSITION, type StorePosition } from "./store_position.ts";
 
 /** The type of the objects of each kind. */
 export interface ViewItems {
@@ -38,9 +39,8 @@
   readonly value: T;
 }
 
-/** All objects of a kind at one store revision. */
-export interface Snapshot<T> {
-  readonly revision: number;
+/** All objects of a kind at one position of the store. */
+export interface Snapshot<T> extends StorePosition {
   readonly items: ReadonlyMap<string, ViewItem<T>>;
 }
 
@@ -50,9 +50,8 @@
   readonly item: ViewItem<T> | null;
 }
 
-/** Changes of a kind up to a store revision. */
-export interface ViewChanges<T> {
-  readonly revision: number;
+/** Changes of a kind up to a position of the store. */
+export interface ViewChanges<T> extends StorePosition {
   readonly events: readonly ViewEvent<T>[];
 }
 
@@ -65,13 +64,22 @@
 /** Where a change came from. */
 export type ViewSource = "store" | "peer";
 
-/** Called after a view's content was updated, with the names that the update removed. */
-export type ViewListener = (change: { source: ViewSource; removed: readonly string[] }) => void;
+/** An update of a view's content. */
+export interface ViewUpdateReport {
+  readonly source: ViewSource;
+  /** Names that the update removed. */
+  readonly removed: readonly string[];
+  /** Whether the content is the first one of another era of the store. */
+  readonly isRestored: boolean;
+}
+
+/** Called after a view's content was updated. */
+export type ViewListener = (change: ViewUpdateReport) => void;
 
 /** Number of removals that are retained: more than a data centre loses between two watches. */
 const MAX_REMOVED = 1_024;
 
-const EMPTY: Snapshot<never> = { revision: 0, items: new Map() };
+const EMPTY: Snapshot<never> = { ...NO_POSITION, items: new Map() };
 
 /** Returns a new value of an object that shares what is equal with the old one. */
 export type ShareUnchanged<T> = (before: T, after: T) => T;
@@ -97,6 +105,17 @@
     return this.#known;
   }
 
+  /** The store's position of the snapshot. */
+  get position(): StorePosition {
+    const { era, revision } = this.#snapshot;
+    return { era, revision };
+  }
+
+  /** The store's era of the snapshot. */
+  get era(): number {
+    return this.#snapshot.era;
+  }
+
   /** The store revision of the snapshot. */
   get revision(): number {
     return this.#snapshot.revision;
@@ -117,15 +136,15 @@
     const removed = [...this.#snapshot.items.keys()].filter((name) => !snapshot.items.has(name));
     const items = new Map<string, ViewItem<T>>();
     for (const [name, item] of snapshot.items) items.set(name, this.#shared(name, item));
-    this.#commit({ revision: snapshot.revision, items }, source, removed);
+    this.#commit({ era: snapshot.era, revision: snapshot.revision, items }, source, removed);
     return true;
   }
 
   /** Applies changes to the snapshot and returns true, or ignores those up to an older revision. */
-  apply({ revision, events }: ViewChanges<T>, source: ViewSource): boolean {
+  apply({ era, revision, events }: ViewChanges<T>, source: ViewSource): boolean {
     if (!this.#known || revision < this.#snapshot.revision) return false;
     if (events.length === 0) {
-      this.#snapshot = { revision, items: this.#snapshot.items };
+      this.#snapshot = { era, revision, items: this.#snapshot.items };
       return true;
     }
     const items = new Map(this.#snapshot.items);
@@ -139,7 +158,7 @@
         items.set(name, source === "store" ? this.#shared(name, item) : item);
       }
     }
-    this.#commit({ revision, items }, source, removed);
+    this.#commit({ era, revision, items }, source, removed);
     return true;
   }
 
@@ -170,6 +189,7 @@
   }
 
   #commit(snapshot: Snapshot<T>, source: ViewSource, removed: readonly string[]): void {
+    const isRestored = this.#known && snapshot.era !== this.#snapshot.era;
     if (!this.#known) this.#removalsKnownFrom = snapshot.revision;
     this.#snapshot = snapshot;
     this.#known = true;
@@ -179,7 +199,7 @@
       const forgotten = this.#removed.splice(0, this.#removed.length - MAX_REMOVED);
       this.#removalsKnownFrom = forgotten.at(-1)!.revision;
     }
-    for (const listener of this.#listeners) listener({ source, removed });
+    for (const listener of this.#listeners) listener({ source, removed, isRestored });
   }
 }
 
--- a/packages/gateway/tests/fixtures.ts
+++ b/packages/gateway/tests/fixtures.ts
@@ -31,6 +31,7 @@
   type WatchResult,
   type WriteResult,
 } from "../src/state/state_store.ts";
+import { UNNAMED_ERA } from "../src/state/store_position.ts";
 import type { Snapshot, ViewItem, ViewItems, ViewKind } from "../src/state/store_view.ts";
 
 export const SCRIBE = serviceId("scribe");
@@ -113,12 +114,13 @@
   revision: number,
   values: Readonly<Record<string, T>>,
   changedAt: number = revision,
+  era = UNNAMED_ERA,
 ): Snapshot<T> {
   const items = new Map<string, ViewItem<T>>();
   for (const [name, value] of Object.entries(values)) {
     items.set(name, { revision: changedAt, value });
   }
-  return { revision, items };
+  return { era, revision, items };
 }
 
 /** A line that was logged. */
@@ -185,6 +187,13 @@
   readonly item: ViewItem<unknown> | null;
 }
 
+/** The content of a {@link MemoryStore} at one time. */
+export interface MemoryStoreCopy {
+  readonly kinds: ReadonlyMap<ViewKind, ReadonlyMap<string, ViewItem<unknown>>>;
+  readonly revision: number;
+  readonly history: readonly Change[];
+}
+
 /** A state store in memory, with watches on an injected clock. */
 export class MemoryStore extends StateStore {
   readonly #clock: Clock;
@@ -193,6 +202,7 @@
   #history: Change[] = [];
   #oldest = 0;
   #revision = 1;
+  #era = UNNAMED_ERA;
   availability: StoreAvailability = "serving";
   readonly calls = { list: 0, watch: 0, write: 0 };
   readonly statuses: MoveStatus[] = [];
@@ -216,6 +226,22 @@
     this.#wake();
   }
 
+  /** Remembers the present content for {@link restore}. */
+  copy(): MemoryStoreCopy {
+    const kinds = new Map([...this.#kinds].map(([kind, items]) => [kind, new Map(items)]));
+    return { kinds, revision: this.#revision, history: [...this.#history] };
+  }
+
+  /** Returns to a copy in a new era. Revisions that were given out since the copy are given out again. */
+  restore(copy: MemoryStoreCopy, era = this.#era + 1): void {
+    this.#kinds.clear();
+    for (const [kind, items] of copy.kinds) this.#kinds.set(kind, new Map(items));
+    this.#history = [...copy.history];
+    this.#revision = copy.revision;
+    this.#era = era;
+    this.#wake();
+  }
+
   setAvailability(availability: StoreAvailability): void {
     this.availability = availability;
     this.#wake();
@@ -231,7 +257,7 @@
     this.calls.list++;
     await this.#respond();
     const items = new Map(this.#itemsOf(kind)) as Map<string, ViewItem<ViewItems[K]>>;
-    return { revision: this.#revision, items };
+    return { era: this.#era, revision: this.#revision, items };
   }
 
   override async watch<K extends ViewKind>(
@@ -244,11 +270,11 @@
     const until = this.#clock.now() + waitMs;
     for (;;) {
       if (this.availability !== "serving") await this.#respond(signal);
-      if (revision < this.#oldest) return { type: "history_gone" };
+      if (revision < this.#oldest || revision > this.#revision) return { type: "history_gone" };
       const changes = this.#history.filter((c) => c.kind === kind && c.revision > revision);
       if (changes.length > 0 || this.#clock.now() >= until) {
         const events = changes.map(({ name, item }) => ({ name, item: item as never }));
-        return { type: "changes", changes: { revision: this.#revision, events } };
+        return { type: "changes", changes: { era: this.#era, revision: this.#revision, events } };
       }
       await this.#untilChange(until - this.#clock.now(), signal);
     }
--- a/packages/gateway/tests/store_view_sync_test.ts
+++ b/packages/gateway/tests/store_view_sync_test.ts
@@ -447,3 +447,22 @@
     assert.ok(network.sent.every(({ kind }) => kind !== "config_confirmed"));
   }
 });
+
+// Guards against a restored store that no log line of a gateway names.
+test("each gateway logs the era of its views and from whom it learned it", async () => {
+  const { clock, gateways } = await makeGateways(2);
+  await advance(clock, gateways, 5_000);
+  const reader = readerOf(gateways);
+  for (const { store } of gateways) {
+    store.restore(store.copy());
+    store.set("config", "main", makeConfig({ version: 2 }));
+  }
+  await advance(clock, gateways, 3_000);
+  for (const { name, log } of gateways) {
+    const line = log.events.find(({ event, fields }) =>
+      event === "store_restored" && fields.kind === "config"
+    );
+    assert.equal(line?.fields.era, 1, name);
+    assert.equal(line?.fields.source, name === reader.name ? "store" : reader.name, name);
+  }
+});
--- a/packages/gateway/tests/store_view_test.ts
+++ b/packages/gateway/tests/store_view_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { UNNAMED_ERA } from "../src/state/store_position.ts";
 import { KindView } from "../src/state/store_view.ts";
 import { makeSnapshot } from "./fixtures.ts";
 
@@ -20,17 +21,21 @@
 test("changes older than the view are ignored", () => {
   const view = makeView();
   view.apply(
-    { revision: 12, events: [{ name: "a", item: { revision: 12, value: "2" } }] },
+    { era: UNNAMED_ERA, revision: 12, events: [{ name: "a", item: { revision: 12, value: "2" } }] },
     "store",
   );
-  const late = { revision: 11, events: [{ name: "a", item: { revision: 11, value: "late" } }] };
+  const late = {
+    era: UNNAMED_ERA,
+    revision: 11,
+    events: [{ name: "a", item: { revision: 11, value: "late" } }],
+  };
   assert.equal(view.apply(late, "peer"), false);
   assert.equal(view.snapshot.items.get("a")?.value, "2");
 });
 
 test("changes without events advance the view's revision and leave its content", () => {
   const view = makeView();
-  view.apply({ revision: 15, events: [] }, "store");
+  view.apply({ era: UNNAMED_ERA, revision: 15, events: [] }, "store");
   assert.equal(view.revision, 15);
   assert.equal(view.changedAt, 10);
 });
@@ -38,11 +43,11 @@
 // Guards against removals that are not sent to peers, and against removing objects that exist again.
 test("removed names are retained until they exist again", () => {
   const view = makeView();
-  view.apply({ revision: 11, events: [{ name: "a", item: null }] }, "store");
+  view.apply({ era: UNNAMED_ERA, revision: 11, events: [{ name: "a", item: null }] }, "store");
   assert.deepEqual(view.changesSince(10)?.removed, ["a"]);
   assert.deepEqual(view.changesSince(11)?.removed, []);
   view.apply(
-    { revision: 12, events: [{ name: "a", item: { revision: 12, value: "3" } }] },
+    { era: UNNAMED_ERA, revision: 12, events: [{ name: "a", item: { revision: 12, value: "3" } }] },
     "store",
   );
   assert.deepEqual(view.changesSince(10)?.removed, []);
--- a/packages/wire/src/message_codec.ts
+++ b/packages/wire/src/message_codec.ts
@@ -338,6 +338,7 @@
     ageMs: nullable(real),
     isCompressed: flag,
     changes: bytes,
+    era: optional(count),
   }),
   view_request: record<Body<"view_request">>({
     revisions: list(record<ViewRevision>({ view: text, revision: count })),
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -482,6 +482,8 @@
   readonly isCompressed: boolean;
   /** The changes, encoded by the gateway package; empty if there are none. */
   readonly changes: Uint8Array;
+  /** The store's era of the revisions; absent if the store names none. Since protocol version 5. */
+  readonly era?: number;
 }
 
 /** Requests a {@link ViewUpdate} for each given view. Since protocol version 2. */
