Order views by the store's era before their revision

After a restore from a copy, gateways refused each list of the restored store, as its revision is lower than theirs, and its watches got 410: the configuration and the endpoints in force were the lost ones until new revisions passed the old ones, and then what had been written between was missing, or hidden behind a revision that was given out again. Gateways that leave reading to a peer noticed nothing.

Cause: revisions alone ordered what gateways know. state/store_position.ts has the one rule, era first, and views, lists, watches, peers' updates, requests and patches, and confirmations of the key lease use it. Objects of two eras are never compared. Peers name the era since protocol version 5; while the store names one, views are exchanged among gateways of that version.

Twelve tests are new.

--- a/packages/gateway/src/peers/confirmation_exchange.ts
+++ b/packages/gateway/src/peers/confirmation_exchange.ts
@@ -10,6 +10,7 @@
  */
 import type { SuspendAwareClock, Undo } from "@wisteriapick/core";
 import type { ConfigConfirmed } from "@wisteriapick/wire";
+import { isBefore, UNNAMED_ERA } from "../state/store_position.ts";
 import type { KeyLease } from "../state/key_lease.ts";
 import type { StoreView } from "../state/store_view.ts";
 import { type ClockReading, PeerClocks } from "./peer_clocks.ts";
@@ -95,7 +96,7 @@
       kind: "config_confirmed",
       origin: this.#origin,
       hops: this.#hops,
-      revision: view.kinds.config.revision,
+      ...view.kinds.config.position,
       ageMs: ms - confirmedAtMs,
       clockMs: ms,
       clockEpoch: elapsed.epoch,
@@ -136,14 +137,16 @@
     const confirmation = this.#waiting.get(peer);
     if (confirmation === undefined) return;
     const { lease, view } = this.#options;
-    const { origin, hops, revision, ageMs, clockMs, clockEpoch } = confirmation;
+    const { origin, hops, era = UNNAMED_ERA, revision, ageMs, clockMs, clockEpoch } = confirmation;
     const reading = { ms: clockMs, epoch: clockEpoch };
     const own = this.#clock();
     if (this.#clocks.needsMeasurement(peer, reading, own)) this.#askClock(peer, own.ms);
     const sentAtMs = this.#clocks.sentAtMs(peer, reading, own);
-    const { known, revision: ownRevision } = view.kinds.config;
-    if (sentAtMs === null || !known || ownRevision < revision) return;
+    const { known, position } = view.kinds.config;
+    if (sentAtMs === null || !known || isBefore(position, { era, revision })) return;
     this.#waiting.delete(peer);
+    // What was confirmed of an earlier era says nothing about the store's present content.
+    if (era !== position.era) return;
     lease.confirm(sentAtMs - ageMs, peer);
     if (lease.confirmedAtMs <= this.#passedOnAtMs + MIN_STEP_MS) return;
     this.#origin = origin;
--- a/packages/gateway/src/peers/store_view_sync.ts
+++ b/packages/gateway/src/peers/store_view_sync.ts
@@ -14,7 +14,7 @@
 import type { StoreOutage } from "../state/fleet.ts";
 import type { ReadMoment, StoreFollower } from "../state/store_follower.ts";
 import type { KeyLease } from "../state/key_lease.ts";
-import { UNNAMED_ERA } from "../state/store_position.ts";
+import { isBefore, NO_POSITION, UNNAMED_ERA } from "../state/store_position.ts";
 import {
   FOLLOWED_KINDS,
   type FollowedKind,
@@ -24,6 +24,7 @@
 import { ConfirmationExchange } from "./confirmation_exchange.ts";
 import type { LinkedPeer, PeerGroup } from "./peer_group.ts";
 import { childrenOf, MAX_SPREAD_HOPS, parentOf } from "./spread_tree.ts";
+import type { ReceivedItemsOptions } from "./received_items.ts";
 import { applyEncodedChanges } from "./view_changes.ts";
 import { ViewPuller } from "./view_puller.ts";
 import { ViewSender } from "./view_sender.ts";
@@ -64,6 +65,8 @@
 const PARENT_REQUEST_INTERVAL_MS = 400;
 /** Protocol version from which on gateways exchange views as updates along a tree. */
 const UPDATES_SINCE_VERSION = 2;
+/** Protocol version from which on gateways name the store's era, without which a restored store has no order. */
+const ERAS_SINCE_VERSION = 5;
 /** A confirmation is passed on if it is newer than the last one by more than the time it may have spent on links. */
 const MIN_CONFIRMATION_STEP_MS = 100;
 
@@ -107,8 +110,7 @@
       network,
       clock,
       sources: () => this.#sources(),
-      revisions: () =>
-        FOLLOWED_KINDS.map((kind) => ({ view: kind, revision: view.kinds[kind].revision })),
+      revisions: () => FOLLOWED_KINDS.map((kind) => ({ view: kind, ...view.kinds[kind].position })),
     });
     this.#confirmations = new ConfirmationExchange({
       view,
@@ -121,10 +123,10 @@
       follower.registerListener((kind, moment) => this.#onRead(kind, moment)),
       network.registerHandler("view_update", (peer, update) => this.#onUpdate(peer, update)),
       network.registerHandler("view_request", (peer, { revisions }) => {
-        for (const { view: name, revision } of revisions) {
+        for (const { view: name, revision, era = UNNAMED_ERA } of revisions) {
           const kind = kindOf(name);
           if (kind === null) continue;
-          this.#sender.answer(peer, kind, revision);
+          this.#sender.answer(peer, kind, { era, revision });
           if (kind === "config") this.#confirmations.sendTo(peer);
         }
       }),
@@ -216,16 +218,18 @@
     const { network, view } = this.#options;
     const revisions = FOLLOWED_KINDS
       .filter((kind) => view.kinds[kind].known)
-      .map((kind) => ({ view: kind, revision: view.kinds[kind].revision }));
+      .map((kind) => ({ view: kind, ...view.kinds[kind].position }));
     network.send(parent, { kind: "view_request", revisions });
   }
 
   /** The gateways of this region that exchange updates; the first one reads the store. */
   #order(): readonly string[] {
-    const { network, dataCentre, regionOf } = this.#options;
+    const { network, dataCentre, regionOf, view } = this.#options;
     const region = regionOf(dataCentre);
+    const isEraNamed = view.kinds.config.era !== UNNAMED_ERA;
+    const sinceVersion = isEraNamed ? ERAS_SINCE_VERSION : UPDATES_SINCE_VERSION;
     const among = (peer: LinkedPeer) =>
-      regionOf(peer.dataCentre) === region && peer.protocolVersion >= UPDATES_SINCE_VERSION;
+      regionOf(peer.dataCentre) === region && peer.protocolVersion >= sinceVersion;
     return network.orderOf(`store/${region}`, among);
   }
 
@@ -268,29 +272,40 @@
     const kind = kindOf(update.view);
     if (kind === null) return;
     const current = view.kinds[kind];
-    const before = current.known ? current.revision : 0;
-    const isNewer = revision > before;
+    const position = { era, revision };
+    const before = current.known ? current.position : NO_POSITION;
+    const isNewer = isBefore(before, position);
     this.#puller.recordAnswer(peer, isNewer);
     // An older view does not confirm this one, and a peer without a view has nothing to say.
-    if (revision < before || revision === 0) return;
+    if (isBefore(position, before) || revision === 0) return;
+    const isSameEra = era === before.era;
     this.#updatingPeer = peer;
-    const isApplied = from <= before &&
-      applyEncodedChanges(current as never, { era, revision }, update, {
-        kind,
-        onUnreadable: (name, err) => log.state("object_unreadable", { kind, peer, name, err }),
-      });
+    const hasBase = from === 0 || (isSameEra && from <= before.revision);
+    const isApplied = hasBase &&
+      applyEncodedChanges(current as never, position, update, this.#receivedItems(kind, peer));
     if (!isApplied) {
       // Without the base of a patch, only the whole content helps.
-      const known = from <= before ? 0 : before;
-      const revisions = [{ view: kind, revision: known }];
-      network.send(peer, { kind: "view_request", revisions });
-      log.state("view_requested", { peer, kind, from, era, revision, known: before });
+      const known = hasBase || !isSameEra ? 0 : before.revision;
+      network.send(peer, {
+        kind: "view_request",
+        revisions: [{ view: kind, era, revision: known }],
+      });
+      log.state("view_requested", { peer, kind, from, ...position, known: before });
       return;
     }
     if (this.#recordFreshness(kind, update) || isNewer) this.#passOn(kind);
     if (kind === "config") this.#confirmations.onViewChanged();
   }
 
+  /** How the objects in a peer's update are read. */
+  #receivedItems<K extends FollowedKind>(kind: K, peer: string): ReceivedItemsOptions<K> {
+    const { log } = this.#options;
+    return {
+      kind,
+      onUnreadable: (name, err) => log.state("object_unreadable", { kind, peer, name, err }),
+    };
+  }
+
   /** Records who has confirmed a view and when. Returns whether the confirmation is newer than the last one. */
   #recordFreshness(
     kind: FollowedKind,
--- a/packages/gateway/src/peers/view_changes.ts
+++ b/packages/gateway/src/peers/view_changes.ts
@@ -7,7 +7,7 @@
 import { applyConfigPatch, type ConfigPatch, diffConfig } from "../config/config_patch.ts";
 import { checkRecord } from "../config/record_checks.ts";
 import type { GatewayConfig } from "../config/types.ts";
-import type { StorePosition } from "../state/store_position.ts";
+import { type StorePosition, UNNAMED_ERA } from "../state/store_position.ts";
 import type {
   FollowedKind,
   KindView,
@@ -46,7 +46,7 @@
 
 /** Encoded changes as they are sent. */
 export interface EncodedChanges {
-  /** Revision of the view to which they apply; 0 if they apply to any. */
+  /** Revision of the view of the same era to which they apply; 0 if they apply to any. */
   readonly from: number;
   readonly isCompressed: boolean;
   /** Empty if there are none. */
@@ -58,29 +58,35 @@
 /** Encodes the changes of a gateway's view. */
 export class ViewChangesEncoder {
   readonly #view: StoreView;
+  /** Past values in the era of the view. */
   readonly #pastConfigs = new Map<string, ViewItem<GatewayConfig>[]>();
+  #pastEra = UNNAMED_ERA;
   /** The most recently encoded changes of each kind, as several gateways need the same. */
-  readonly #cached = new Map<FollowedKind, EncodedChanges & { readonly revision: number }>();
+  readonly #cached = new Map<FollowedKind, EncodedChanges & StorePosition>();
 
   constructor(view: StoreView) {
     this.#view = view;
     view.kinds.config.registerListener(() => this.#rememberConfigs());
   }
 
-  /** Encodes what has changed since `from`, or the whole content if the changes since then are not known. */
-  encode(kind: FollowedKind, from: number): EncodedChanges {
-    const { revision, changedAt } = this.#view.kinds[kind];
+  /** Encodes what has changed since a position, or the whole content if the changes since then are not known. */
+  encode(kind: FollowedKind, since: StorePosition): EncodedChanges {
+    const { position, changedAt } = this.#view.kinds[kind];
+    const { era, revision } = position;
+    // Revisions of an earlier era say nothing about this view's content.
+    const from = since.era === era ? since.revision : 0;
     if (from > 0 && changedAt <= from) return { from, isCompressed: false, changes: NO_CHANGES };
     const cached = this.#cached.get(kind);
-    if (cached?.from === from && cached.revision === revision) return cached;
-    const encoded = compress(this.#changesSince(kind, from));
-    this.#cached.set(kind, { ...encoded, revision });
+    if (cached?.from === from && cached.revision === revision && cached.era === era) return cached;
+    const encoded = compress(this.#changesSince(kind, { era, revision: from }));
+    this.#cached.set(kind, { ...encoded, era, revision });
     return encoded;
   }
 
-  #changesSince(kind: FollowedKind, from: number): Changes & { readonly from: number } {
+  #changesSince(kind: FollowedKind, base: StorePosition): Changes & { readonly from: number } {
     const current = this.#view.kinds[kind] as KindView<unknown>;
-    const since = from > 0 ? current.changesSince(from) : null;
+    const from = base.revision;
+    const since = from > 0 ? current.changesSince(base) : null;
     if (since === null) {
       return {
         from: 0,
@@ -113,6 +119,9 @@
   }
 
   #rememberConfigs(): void {
+    const { era } = this.#view.kinds.config;
+    if (era !== this.#pastEra) this.#pastConfigs.clear();
+    this.#pastEra = era;
     for (const [name, item] of this.#view.kinds.config.snapshot.items) {
       const past = this.#pastConfigs.get(name) ?? [];
       if (past.at(-1)?.revision === item.revision) continue;
--- a/packages/gateway/src/peers/view_sender.ts
+++ b/packages/gateway/src/peers/view_sender.ts
@@ -6,6 +6,7 @@
  */
 import type { Undo } from "@wisteriapick/core";
 import { FOLLOWED_KINDS, type FollowedKind, type StoreView } from "../state/store_view.ts";
+import type { StorePosition } from "../state/store_position.ts";
 import type { PeerGroup } from "./peer_group.ts";
 import { ViewChangesEncoder } from "./view_changes.ts";
 
@@ -28,8 +29,8 @@
 
 /** What a peer has been sent over its present link. */
 interface PeerProgress {
-  /** Revision of each kind that the peer was sent. */
-  readonly sent: Map<FollowedKind, number>;
+  /** Position of each kind that the peer was sent. */
+  readonly sent: Map<FollowedKind, StorePosition>;
   /** Kinds that wait for room on the link. */
   readonly waiting: Set<FollowedKind>;
 }
@@ -53,18 +54,18 @@
 
   /**
    * Sends a peer what it has not been sent yet, or that nothing has changed. A peer that was sent nothing so far learns
-   * the revision, and requests what it lacks.
+   * the position, and requests what it lacks.
    */
   offer(peer: string, kind: FollowedKind): void {
     const { network, view } = this.#options;
     const { sent, waiting } = this.#progressOf(peer);
     if (network.isCongested(peer)) return void waiting.add(kind);
     waiting.delete(kind);
-    this.#send(peer, kind, sent.get(kind) ?? view.kinds[kind].revision);
+    this.#send(peer, kind, sent.get(kind) ?? view.kinds[kind].position);
   }
 
-  /** Answers a peer's request: what it lacks at `from`, or the whole content if that is 0. */
-  answer(peer: string, kind: FollowedKind, from: number): void {
+  /** Answers a peer's request: what it lacks at `from`, or the whole content if that is of another era or revision 0. */
+  answer(peer: string, kind: FollowedKind, from: StorePosition): void {
     const { sent, waiting } = this.#progressOf(peer);
     sent.set(kind, from);
     if (this.#options.network.isCongested(peer)) waiting.add(kind);
@@ -80,21 +81,21 @@
     for (const kind of FOLLOWED_KINDS) if (waiting.includes(kind)) this.offer(peer, kind);
   }
 
-  #send(peer: string, kind: FollowedKind, from: number): void {
+  #send(peer: string, kind: FollowedKind, from: StorePosition): void {
     const { network, view, originOf } = this.#options;
-    const { era, revision, known } = view.kinds[kind];
+    const { position, known } = view.kinds[kind];
     const changes = known
       ? this.#encoder.encode(kind, from)
       : { from: 0, isCompressed: false, changes: new Uint8Array(0) };
     const isSent = network.send(peer, {
       kind: "view_update",
       view: kind,
-      revision,
+      revision: position.revision,
       ...originOf(kind),
       ...changes,
-      era,
+      era: position.era,
     });
-    if (isSent) this.#progressOf(peer).sent.set(kind, revision);
+    if (isSent) this.#progressOf(peer).sent.set(kind, position);
   }
 
   #progressOf(peer: string): PeerProgress {
--- a/packages/gateway/src/state/store_follower.ts
+++ b/packages/gateway/src/state/store_follower.ts
@@ -10,6 +10,7 @@
 import type { DecisionLog } from "../observe/decision_log.ts";
 import { ResponseDeadline } from "./response_deadline.ts";
 import type { ReadOptions, StateStore } from "./state_store.ts";
+import { isBefore } from "./store_position.ts";
 import { FOLLOWED_KINDS, type FollowedKind, type Snapshot, type StoreView } from "./store_view.ts";
 
 /** Options of {@link StoreFollower}. */
@@ -209,10 +210,14 @@
     const { store, view } = this.#options;
     const deadline = { firstByteMs: LIST_FIRST_BYTE_MS, busyFirstByteMs: LIST_FIRST_BYTE_MS };
     return this.#read(kind, "list", deadline, async (options) => {
-      const before = newestRevision(view.kinds[kind]);
+      const current = view.kinds[kind];
+      const before = { era: current.era, revision: newestRevision(current) };
       const snapshot = await store.list(kind, options);
-      view.kinds[kind].replace(snapshot as never, "store");
-      return newestRevision(view.kinds[kind]) > before ? "changed" : "unchanged";
+      current.replace(snapshot as never, "store");
+      // A list of an earlier era was delayed, or comes from a copy, and confirms nothing.
+      if (snapshot.era !== current.era) return "history_gone";
+      const after = { era: current.era, revision: newestRevision(current) };
+      return isBefore(before, after) ? "changed" : "unchanged";
     });
   }
 
@@ -234,8 +239,11 @@
       const waitMs = isProbe ? PROBE_WAIT_MS : maxWaitMs;
       const result = await store.watch(kind, revision, { ...options, waitMs });
       this.#toConfirm.delete(kind);
-      if (result.type === "history_gone") {
-        log.state("store_history_gone", { kind, era, revision });
+      // Changes of another era do not follow from this view, which may be of another one by now, too.
+      const isOtherEra = result.type === "changes" &&
+        (result.changes.era !== era || view.kinds[kind].era !== era);
+      if (result.type === "history_gone" || isOtherEra) {
+        log.state("store_history_gone", { kind, era, revision, isOtherEra });
         return "history_gone";
       }
       const changes = result.changes as {
--- a/packages/gateway/src/state/store_view.ts
+++ b/packages/gateway/src/state/store_view.ts
@@ -1,6 +1,6 @@
 /**
- * A gateway's copy of the platform's store: one consistent snapshot of each kind with its store revision. A view's
- * revision never goes back, whether changes come from the store or from another gateway.
+ * A gateway's copy of the platform's store: one consistent snapshot of each kind with its position. A view's position
+ * never goes back, whether changes come from the store or from another gateway.
  *
  * @module
  */
@@ -13,7 +13,7 @@
   GatewayRecord,
   MoveRecord,
 } from "../config/types.ts";
-import { NO_POSITION, type StorePosition } from "./store_position.ts";
+import { isBefore, NO_POSITION, type StorePosition } from "./store_position.ts";
 
 /** The type of the objects of each kind. */
 export interface ViewItems {
@@ -33,7 +33,7 @@
 /** One of {@link FOLLOWED_KINDS}. */
 export type FollowedKind = typeof FOLLOWED_KINDS[number];
 
-/** An object with the store revision of its last change. */
+/** An object with the store revision of its last change, in the era of its view. */
 export interface ViewItem<T> {
   readonly revision: number;
   readonly value: T;
@@ -132,22 +132,24 @@
 
   /** Replaces the snapshot unless the new one is older. Returns whether it was replaced. */
   replace(snapshot: Snapshot<T>, source: ViewSource): boolean {
-    if (this.#known && snapshot.revision < this.#snapshot.revision) return false;
+    if (this.#known && isBefore(snapshot, this.#snapshot)) return false;
+    const isSameEra = snapshot.era === this.#snapshot.era;
     const removed = [...this.#snapshot.items.keys()].filter((name) => !snapshot.items.has(name));
     const items = new Map<string, ViewItem<T>>();
-    for (const [name, item] of snapshot.items) items.set(name, this.#shared(name, item));
+    for (const [name, item] of snapshot.items) items.set(name, this.#shared(name, item, isSameEra));
     this.#commit({ era: snapshot.era, revision: snapshot.revision, items }, source, removed);
     return true;
   }
 
-  /** Applies changes to the snapshot and returns true, or ignores those up to an older revision. */
+  /** Applies changes to the snapshot and returns true, or ignores those of another era and up to an older revision. */
   apply({ era, revision, events }: ViewChanges<T>, source: ViewSource): boolean {
-    if (!this.#known || revision < this.#snapshot.revision) return false;
+    const current = this.#snapshot;
+    if (!this.#known || era !== current.era || revision < current.revision) return false;
     if (events.length === 0) {
-      this.#snapshot = { era, revision, items: this.#snapshot.items };
+      this.#snapshot = { era, revision, items: current.items };
       return true;
     }
-    const items = new Map(this.#snapshot.items);
+    const items = new Map(current.items);
     const removed: string[] = [];
     for (const { name, item } of events) {
       const old = items.get(name);
@@ -155,17 +157,18 @@
         if (items.delete(name)) removed.push(name);
       } else if (old === undefined || old.revision < item.revision) {
         // A peer's patch shares what is equal already.
-        items.set(name, source === "store" ? this.#shared(name, item) : item);
+        items.set(name, source === "store" ? this.#shared(name, item, true) : item);
       }
     }
     this.#commit({ era, revision, items }, source, removed);
     return true;
   }
 
-  /** What differs from the view's content at an earlier revision; `null` if that is not known any more. */
-  changesSince(revision: number): ContentChanges<T> | null {
-    if (revision < this.#removalsKnownFrom) return null;
-    const { items } = this.#snapshot;
+  /** What differs from the view's content at an earlier position; `null` if that is not known any more. */
+  changesSince({ era, revision }: StorePosition): ContentChanges<T> | null {
+    const current = this.#snapshot;
+    if (era !== current.era || revision < this.#removalsKnownFrom) return null;
+    const { items } = current;
     return {
       items: [...items].filter(([, item]) => item.revision > revision),
       removed: this.#removed
@@ -181,20 +184,26 @@
     };
   }
 
-  #shared(name: string, item: ViewItem<T>): ViewItem<T> {
+  #shared(name: string, item: ViewItem<T>, isSameEra: boolean): ViewItem<T> {
     const old = this.#snapshot.items.get(name);
     if (old === undefined || old.value === item.value) return item;
-    if (old.revision === item.revision) return old;
+    if (isSameEra && old.revision === item.revision) return old;
     return { revision: item.revision, value: this.#shareUnchanged(old.value, item.value) };
   }
 
   #commit(snapshot: Snapshot<T>, source: ViewSource, removed: readonly string[]): void {
     const isRestored = this.#known && snapshot.era !== this.#snapshot.era;
-    if (!this.#known) this.#removalsKnownFrom = snapshot.revision;
+    if (!this.#known || isRestored) {
+      this.#removalsKnownFrom = snapshot.revision;
+      this.#removed = [];
+    }
     this.#snapshot = snapshot;
     this.#known = true;
     this.#changedAt = snapshot.revision;
-    for (const name of removed) this.#removed.push({ name, revision: snapshot.revision });
+    // A view of another era is sent whole to gateways that have an earlier one.
+    if (!isRestored) {
+      for (const name of removed) this.#removed.push({ name, revision: snapshot.revision });
+    }
     if (this.#removed.length > MAX_REMOVED) {
       const forgotten = this.#removed.splice(0, this.#removed.length - MAX_REMOVED);
       this.#removalsKnownFrom = forgotten.at(-1)!.revision;
--- a/packages/gateway/tests/store_follower_test.ts
+++ b/packages/gateway/tests/store_follower_test.ts
@@ -104,3 +104,53 @@
   assert.equal(versionOf(view), 5);
   follower.stop();
 });
+
+/** A follower of a store that names its era, with a copy taken before version 2 and the last endpoint. */
+async function makeRestorable() {
+  const made = await makeFollower();
+  const { clock, store, view } = made;
+  store.restore(store.copy(), 1);
+  await advance(clock, 2_000);
+  const copy = store.copy();
+  store.set("config", "main", makeConfig({ version: 2 }));
+  for (const id of ["a", "b", "c"]) store.set("endpoints", id, makeEndpoint(id));
+  await advance(clock, 2_000);
+  assert.equal(view.kinds.endpoints.snapshot.items.size, 3);
+  return { ...made, copy };
+}
+
+// Guards against a view that stays as it was until the restored store's revisions pass the earlier ones.
+test("what a restored store holds, and what is written to it then, reaches the view", async () => {
+  const { clock, store, view, follower, copy } = await makeRestorable();
+  store.restore(copy);
+  await advance(clock, 2_500);
+  assert.equal(view.kinds.endpoints.snapshot.items.size, 0);
+  store.set("endpoints", "d", makeEndpoint("d"));
+  await advance(clock, 100);
+  assert.deepEqual([...view.kinds.endpoints.snapshot.items.keys()], ["d"]);
+  assert.deepEqual(view.kinds.endpoints.position, { era: 2, revision: store.revision });
+  follower.stop();
+});
+
+// Guards against a store that is called without pause after it was restored.
+test("a restored store gets a list of each kind and the usual watches", async () => {
+  const { clock, store, follower, copy } = await makeRestorable();
+  const before = { ...store.calls };
+  store.restore(copy);
+  await advance(clock, 5_000);
+  assert.ok(store.calls.list - before.list <= 4, `${store.calls.list - before.list} lists`);
+  // Two kinds are watched for 900 ms at a time and two for 2,200 ms.
+  assert.ok(store.calls.watch - before.watch <= 20, `${store.calls.watch - before.watch} watches`);
+  follower.stop();
+});
+
+// Guards against changes that are missed when a watch counts from a revision of the earlier era.
+test("a watch that a restored store answers from an earlier era's revision is followed by a list", async () => {
+  const { clock, store, view, follower, copy } = await makeRestorable();
+  store.restore(copy);
+  // The restored store gives out the revisions of the watches in progress again before it is read.
+  for (let i = 0; i < 10; i++) store.set("endpoints", `n-${i}`, makeEndpoint(`n-${i}`));
+  await advance(clock, 2_500);
+  assert.equal(view.kinds.endpoints.snapshot.items.size, 10);
+  follower.stop();
+});
--- a/packages/gateway/tests/store_view_sync_test.ts
+++ b/packages/gateway/tests/store_view_sync_test.ts
@@ -466,3 +466,87 @@
     assert.equal(line?.fields.source, name === reader.name ? "store" : reader.name, name);
   }
 });
+
+/** Restores the store of each gateway to a copy without what `write` does, in a new era. */
+async function restoreAll(clock: ManualClock, gateways: readonly Gateway[], write: () => void) {
+  const copies = new Map(gateways.map(({ store }) => [store, store.copy()]));
+  write();
+  await advance(clock, gateways, 1_500);
+  for (const [store, copy] of copies) store.restore(copy);
+}
+
+// Guards against gateways that leave reading to a peer and never learn that the store was restored.
+test("every gateway has the content of a restored store, and one goes on reading for all", async () => {
+  const { clock, gateways } = await makeGateways(4);
+  await advance(clock, gateways, 5_000);
+  await restoreAll(clock, gateways, () => {
+    for (const { store } of gateways) store.set("endpoints", "lost", makeEndpoint("lost"));
+  });
+  await advance(clock, gateways, 2_000);
+  for (const { store } of gateways) store.set("endpoints", "new", makeEndpoint("new"));
+  await advance(clock, gateways, 1_500);
+  for (const { name, view } of gateways) {
+    assert.deepEqual([...view.kinds.endpoints.snapshot.items.keys()], ["new"], name);
+    assert.equal(view.kinds.endpoints.era, 1, name);
+  }
+  const before = new Map(gateways.map((g) => [g, callsOf(g)]));
+  await advance(clock, gateways, 5_000);
+  const readers = gateways.filter((g) => callsOf(g) > before.get(g)!);
+  assert.deepEqual(readers, [readerOf(gateways)]);
+});
+
+// Guards against a gateway that is cut off from the store and keeps to the earlier era.
+test("a gateway without the store learns the content of a restored store from its peers", async () => {
+  const { clock, gateways } = await makeGateways(3);
+  await advance(clock, gateways, 5_000);
+  const cut = gateways.find((g) => g !== readerOf(gateways))!;
+  cut.store.setAvailability("refusing");
+  await restoreAll(clock, gateways, () => {
+    for (const { store } of gateways) store.set("endpoints", "lost", makeEndpoint("lost"));
+  });
+  await advance(clock, gateways, 2_500);
+  assert.equal(cut.view.kinds.endpoints.era, 1);
+  assert.equal(cut.view.kinds.endpoints.snapshot.items.size, 0);
+});
+
+// Guards against a peer of the earlier era whose greater revision confirms, or replaces, what the restored store holds.
+test("updates of an earlier era neither change nor confirm a view", async () => {
+  const { clock, receiver, peer } = await makeReceiver();
+  receiver.store.setAvailability("serving");
+  receiver.store.restore(receiver.store.copy(), 2);
+  await advance(clock, [receiver], 2_000);
+  const { position } = receiver.view.kinds.config;
+  assert.equal(position.era, 2);
+  receiver.store.setAvailability("refusing");
+  for (const kind of Object.keys(receiver.view.kinds) as FollowedKind[]) {
+    peer.send("entry-1", {
+      kind: "view_update",
+      view: kind,
+      origin: "entry-2",
+      hops: 0,
+      from: 0,
+      revision: position.revision + 100,
+      ageMs: 0,
+      isCompressed: false,
+      changes: Buffer.from('{"isFull":true,"items":[],"patches":[],"removed":[]}'),
+      era: 1,
+    });
+  }
+  await advance(clock, [receiver], 3_000);
+  assert.deepEqual(receiver.view.kinds.config.position, position);
+  assert.equal(receiver.viewSync.isInformed, false);
+});
+
+// Guards against a lease on keys that a confirmation of the earlier era prolongs.
+test("a confirmation of an earlier era does not confirm the configuration", async () => {
+  const { clock, gateways } = await makeGateways(2, { revokeMs: 5_000 });
+  await advance(clock, gateways, 5_000);
+  const reader = readerOf(gateways);
+  const other = gateways.find((g) => g !== reader)!;
+  // The other gateway knows of the later era, and its only peer does not.
+  other.view.kinds.config.replace(makeSnapshot(1, { main: makeConfig() }, 1, 1), "peer");
+  other.store.setAvailability("silent");
+  const { confirmedAtMs } = other.keys;
+  await advance(clock, gateways, 3_000);
+  assert.equal(other.keys.confirmedAtMs, confirmedAtMs);
+});
--- a/packages/gateway/tests/store_view_test.ts
+++ b/packages/gateway/tests/store_view_test.ts
@@ -44,13 +44,13 @@
 test("removed names are retained until they exist again", () => {
   const view = makeView();
   view.apply({ era: UNNAMED_ERA, revision: 11, events: [{ name: "a", item: null }] }, "store");
-  assert.deepEqual(view.changesSince(10)?.removed, ["a"]);
-  assert.deepEqual(view.changesSince(11)?.removed, []);
+  assert.deepEqual(view.changesSince({ era: UNNAMED_ERA, revision: 10 })?.removed, ["a"]);
+  assert.deepEqual(view.changesSince({ era: UNNAMED_ERA, revision: 11 })?.removed, []);
   view.apply(
     { era: UNNAMED_ERA, revision: 12, events: [{ name: "a", item: { revision: 12, value: "3" } }] },
     "store",
   );
-  assert.deepEqual(view.changesSince(10)?.removed, []);
+  assert.deepEqual(view.changesSince({ era: UNNAMED_ERA, revision: 10 })?.removed, []);
 });
 
 test("listeners receive the names that a snapshot removed", () => {
@@ -62,3 +62,56 @@
   view.replace(makeSnapshot(30, {}), "store");
   assert.deepEqual(removals, [["a"]]);
 });
+
+/** A view in the first era, and what the store holds after it was restored from a copy at an earlier revision. */
+function makeRestored() {
+  const view = new KindView<string>();
+  view.replace(makeSnapshot(10, { a: "new", b: "lost" }, 10, 1), "store");
+  return { view, restored: makeSnapshot(7, { a: "old" }, 7, 2) };
+}
+
+// Guards against a gateway that refuses what a restored store holds until its revisions pass the earlier ones.
+test("a snapshot of a later era replaces the view whatever its revision", () => {
+  const { view, restored } = makeRestored();
+  const reports: boolean[] = [];
+  view.registerListener(({ isRestored }) => reports.push(isRestored));
+  assert.equal(view.replace(restored, "store"), true);
+  assert.deepEqual([...view.snapshot.items.keys()], ["a"]);
+  assert.equal(view.snapshot.items.get("a")?.value, "old");
+  view.replace(makeSnapshot(8, { a: "again" }, 8, 2), "store");
+  assert.deepEqual(reports, [true, false]);
+});
+
+// Guards against a delayed response of the earlier era that undoes what the restored store holds.
+test("content of an earlier era changes nothing", () => {
+  const { view, restored } = makeRestored();
+  view.replace(restored, "store");
+  assert.equal(view.replace(makeSnapshot(900, { b: "lost" }, 900, 1), "peer"), false);
+  const events = [{ name: "b", item: { revision: 901, value: "lost" } }];
+  assert.equal(view.apply({ era: 1, revision: 901, events }, "store"), false);
+  assert.deepEqual(view.position, { era: 2, revision: 7 });
+  assert.deepEqual([...view.snapshot.items.keys()], ["a"]);
+});
+
+// Guards against changes of a later era that are applied to content of an earlier one, so that what lies between is missed.
+test("changes of a later era are not applied to a view of an earlier one", () => {
+  const { view } = makeRestored();
+  const events = [{ name: "c", item: { revision: 11, value: "1" } }];
+  assert.equal(view.apply({ era: 2, revision: 11, events }, "store"), false);
+  assert.deepEqual(view.position, { era: 1, revision: 10 });
+});
+
+// Guards against a revision that is given out again and hides the content that it has now.
+test("an object with a revision that was given out again has its new value", () => {
+  const { view } = makeRestored();
+  view.replace(makeSnapshot(10, { a: "other" }, 10, 2), "store");
+  assert.equal(view.snapshot.items.get("a")?.value, "other");
+});
+
+// Guards against a patch for a gateway whose view is of an earlier era.
+test("what has changed since an earlier era is not known", () => {
+  const { view, restored } = makeRestored();
+  view.replace(restored, "store");
+  assert.equal(view.changesSince({ era: 1, revision: 8 }), null);
+  assert.notEqual(view.changesSince({ era: 2, revision: 7 }), null);
+});
--- a/packages/wire/src/message_codec.ts
+++ b/packages/wire/src/message_codec.ts
@@ -301,7 +301,7 @@
   copy_grant: record<Body<"copy_grant">>({ key: count, target: endpoint }),
   copy_done: record<Body<"copy_done">>({ key: count }),
   view_pull: record<Body<"view_pull">>({
-    revisions: list(record<ViewRevision>({ view: text, revision: count })),
+    revisions: list(record<ViewRevision>({ view: text, revision: count, era: optional(count) })),
   }),
   view_state: record<Body<"view_state">>({ view: text, revision: count, items: bytes }),
   endpoint_leaving: record<Body<"endpoint_leaving">>({ endpoint }),
@@ -341,7 +341,7 @@
     era: optional(count),
   }),
   view_request: record<Body<"view_request">>({
-    revisions: list(record<ViewRevision>({ view: text, revision: count })),
+    revisions: list(record<ViewRevision>({ view: text, revision: count, era: optional(count) })),
   }),
   gateways_digest: record<Body<"gateways_digest">>({ digest: text }),
   gateways_request: record<Body<"gateways_request">>({}),
@@ -385,6 +385,7 @@
     ageMs: real,
     clockMs: real,
     clockEpoch: count,
+    era: optional(count),
   }),
   clock_question: record<Body<"clock_question">>({ askedAtMs: real }),
   clock_answer: record<Body<"clock_answer">>({
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -25,7 +25,7 @@
  * Oldest and newest protocol version that this build supports. A link closes on a kind of message that it does not
  * know, so kinds that a version adds are sent only on links of that version.
  */
-export const PROTOCOL_VERSIONS = { min: 1, max: 4 } as const;
+export const PROTOCOL_VERSIONS = { min: 1, max: 5 } as const;
 
 /** Role of a process. */
 export type Role = "entry" | "side" | "operator";
@@ -443,6 +443,8 @@
 export interface ViewRevision {
   readonly view: string;
   readonly revision: number;
+  /** The store's era of the revision; absent if the store names none. Since protocol version 5. */
+  readonly era?: number;
 }
 
 /** Protocol version 1 only; gateways of version 2 ignore it. */
@@ -603,6 +605,8 @@
   /** The sender's clock as it sends this, from which the receiver bounds how long this was on its way. */
   readonly clockMs: number;
   readonly clockEpoch: number;
+  /** The store's era of the revision; absent if the store names none. Since protocol version 5. */
+  readonly era?: number;
 }
 
 /** Asks for a {@link ClockAnswer}. Since protocol version 4. */
