Pause between lists of a store that has no history of what it lists

Cause: a dropped history was followed by a list at once, whatever came before. From the second time in a row on, a kind is listed after a pause of 100 ms, which doubles up to a second, until a watch succeeds.

--- a/packages/gateway/src/state/store_follower.ts
+++ b/packages/gateway/src/state/store_follower.ts
@@ -65,6 +65,12 @@
 /** Shortest and longest pause between two probes of an unreachable store. */
 const PROBE_MIN_MS = 150;
 const PROBE_MAX_MS = 500;
+/**
+ * Shortest and longest pause before a kind is listed once more, when the store had dropped the history right after a
+ * list. A restored store that keeps refusing must not be called as fast as it responds.
+ */
+const RELIST_MIN_MS = 100;
+const RELIST_MAX_MS = 1_000;
 /** Wait of a watch that only probes whether the store is reachable. */
 const PROBE_WAIT_MS = 1;
 
@@ -164,6 +170,8 @@
     let call: ReadCall = "list";
     let mustList = true;
     let isFirst = true;
+    /** Number of responses in a row after which the kind had to be listed. */
+    let relists = 0;
     const { clock, firstWatchDelayMs } = this.#options;
     while (!this.#stopped) {
       if (this.#suspended !== null && !mustList) {
@@ -175,10 +183,15 @@
       try {
         const result: ReadResult = await (call === "list" ? this.#list(kind) : this.#watch(kind));
         this.#succeeded();
+        const wasWatched = call === "watch" && result !== "history_gone";
         mustList = result === "history_gone";
+        relists = mustList ? relists + 1 : wasWatched ? 0 : relists;
         for (const listener of this.#listeners) {
           listener(kind, { askedAtMs, isComplete: !mustList });
         }
+        if (mustList && relists > 1) {
+          await clock.sleep(Math.min(RELIST_MAX_MS, RELIST_MIN_MS * 2 ** (relists - 2)));
+        }
         call = await this.#nextCall(kind, result);
         if (isFirst && firstWatchDelayMs > 0) {
           await clock.sleep(firstWatchDelayMs);
--- a/packages/gateway/tests/fixtures.ts
+++ b/packages/gateway/tests/fixtures.ts
@@ -204,6 +204,8 @@
   #revision = 1;
   #era = UNNAMED_ERA;
   availability: StoreAvailability = "serving";
+  /** Whether each watch finds its history dropped. */
+  dropsHistory = false;
   readonly calls = { list: 0, watch: 0, write: 0 };
   readonly statuses: MoveStatus[] = [];
 
@@ -270,7 +272,9 @@
     const until = this.#clock.now() + waitMs;
     for (;;) {
       if (this.availability !== "serving") await this.#respond(signal);
-      if (revision < this.#oldest || revision > this.#revision) return { type: "history_gone" };
+      if (this.dropsHistory || revision < this.#oldest || revision > this.#revision) {
+        return { type: "history_gone" };
+      }
       const changes = this.#history.filter((c) => c.kind === kind && c.revision > revision);
       if (changes.length > 0 || this.#clock.now() >= until) {
         const events = changes.map(({ name, item }) => ({ name, item: item as never }));
--- a/packages/gateway/tests/store_follower_test.ts
+++ b/packages/gateway/tests/store_follower_test.ts
@@ -154,3 +154,37 @@
   assert.equal(view.kinds.endpoints.snapshot.items.size, 10);
   follower.stop();
 });
+
+// Guards against a list of the earlier era that confirms a view of the later one.
+test("a list that is delayed past a restore is read again", async () => {
+  const { clock, store, view, log, follower, copy } = await makeRestorable();
+  // A peer has read the restored store already.
+  const { revision } = copy;
+  const value = makeConfig({ version: 3 });
+  const items = new Map([["main", { revision, value }]]);
+  view.kinds.config.replace({ era: 2, revision, items }, "peer");
+  await advance(clock, 1_500);
+  assert.equal(versionOf(view), 3);
+  assert.ok(log.count("store_history_gone") > 0);
+  store.restore(copy);
+  store.set("config", "main", makeConfig({ version: 4 }));
+  await advance(clock, 2_500);
+  assert.equal(versionOf(view), 4);
+  follower.stop();
+});
+
+// Guards against a store that is called without pause while it has no history of what it lists.
+test("a store that never has the history of its lists gets few calls, and what it lists reaches the view", async () => {
+  const { clock, store, view, follower } = await makeFollower();
+  store.dropsHistory = true;
+  await advance(clock, 5_000);
+  const before = store.calls.list + store.calls.watch;
+  await advance(clock, 10_000);
+  const calls = store.calls.list + store.calls.watch - before;
+  // A list and a watch of each kind a second.
+  assert.ok(calls <= 4 * 2 * 11, `${calls} calls in 10 s`);
+  store.set("config", "main", makeConfig({ version: 2 }));
+  await advance(clock, 1_200);
+  assert.equal(versionOf(view), 2);
+  follower.stop();
+});
