Never let a restored store take a configuration back, here or at other gateways

After a restore, gateways that started, and views passed on among gateways, had the configuration of the copy: a removed key was accepted, an added route answered 404, until the operator had written the lost versions again.

Cause: a configuration was ordered by the revision at which it was read; only the routes in force compared versions. Now a view never replaces a configuration by an earlier version, whatever era and revision it comes with. Updates and confirmations among gateways name the version; a gateway with an earlier one asks for the whole configuration, also a peer whose view is of an earlier era. Patches name the version that they apply to, as two gateways may have different ones at one position.

Five new tests.

--- a/packages/gateway/src/peers/confirmation_exchange.ts
+++ b/packages/gateway/src/peers/confirmation_exchange.ts
@@ -97,6 +97,7 @@
       origin: this.#origin,
       hops: this.#hops,
       ...view.kinds.config.position,
+      version: view.configVersion ?? undefined,
       ageMs: ms - confirmedAtMs,
       clockMs: ms,
       clockEpoch: elapsed.epoch,
@@ -137,13 +138,16 @@
     const confirmation = this.#waiting.get(peer);
     if (confirmation === undefined) return;
     const { lease, view } = this.#options;
-    const { origin, hops, era = UNNAMED_ERA, revision, ageMs, clockMs, clockEpoch } = confirmation;
+    const { origin, hops, era = UNNAMED_ERA, revision, version = -Infinity } = confirmation;
+    const { ageMs, clockMs, clockEpoch } = confirmation;
     const reading = { ms: clockMs, epoch: clockEpoch };
     const own = this.#clock();
     if (this.#clocks.needsMeasurement(peer, reading, own)) this.#askClock(peer, own.ms);
     const sentAtMs = this.#clocks.sentAtMs(peer, reading, own);
     const { known, position } = view.kinds.config;
     if (sentAtMs === null || !known || isBefore(position, { era, revision })) return;
+    // Where the store was restored, a peer may know a later version than the store has at this position.
+    if ((view.configVersion ?? -Infinity) < version) return;
     this.#waiting.delete(peer);
     // What was confirmed of an earlier era says nothing about the store's present content.
     if (era !== position.era) return;
--- a/packages/gateway/src/peers/store_view_sync.ts
+++ b/packages/gateway/src/peers/store_view_sync.ts
@@ -25,7 +25,7 @@
 import type { LinkedPeer, PeerGroup } from "./peer_group.ts";
 import { childrenOf, MAX_SPREAD_HOPS, parentOf } from "./spread_tree.ts";
 import type { ReceivedItemsOptions } from "./received_items.ts";
-import { applyEncodedChanges } from "./view_changes.ts";
+import { adoptEncodedConfigs, applyEncodedChanges } from "./view_changes.ts";
 import { ViewPuller } from "./view_puller.ts";
 import { ViewSender } from "./view_sender.ts";
 
@@ -63,6 +63,8 @@
 const OWN_READ_MS = 1_000;
 /** Shortest time between two requests for what the parent in the tree has read, in milliseconds. */
 const PARENT_REQUEST_INTERVAL_MS = 400;
+/** Shortest time between two requests for a later version of the configuration, in milliseconds. */
+const VERSION_REQUEST_INTERVAL_MS = 400;
 /** Protocol version from which on gateways exchange views as updates along a tree. */
 const UPDATES_SINCE_VERSION = 2;
 /** Protocol version from which on gateways name the store's era, without which a restored store has no order. */
@@ -97,6 +99,7 @@
   readonly #stopPassing = new Map<FollowedKind, Undo>();
   readonly #undos: Undo[];
   #parentAskedAtMs = -Infinity;
+  #versionAskedAtMs = -Infinity;
   /** The peer whose update was applied last. */
   #updatingPeer: string | null = null;
   #uninformedSinceMs: number | null = null;
@@ -133,6 +136,7 @@
       ...FOLLOWED_KINDS.map((kind) =>
         view.kinds[kind].registerListener((change) => {
           if (change.isRestored) this.#logRestored(kind, change);
+          if (change.retained.length > 0) this.#logRetained(kind, change);
         })
       ),
       () => this.#sender.close(),
@@ -181,6 +185,17 @@
     });
   }
 
+  /** The store, or a peer, has an earlier version of the configuration than the one in force. */
+  #logRetained(kind: FollowedKind, { source, retained }: ViewUpdateReport): void {
+    const { view, log } = this.#options;
+    log.state("config_older_than_in_force", {
+      ...view.kinds[kind].position,
+      version: view.configVersion,
+      source: source === "peer" ? this.#updatingPeer : source,
+      names: retained.slice(0, MAX_LOGGED_NAMES),
+    });
+  }
+
   #trackInformed(isInformed: boolean, now: number): void {
     const since = this.#uninformedSinceMs;
     if (isInformed === (since === null)) return;
@@ -277,9 +292,13 @@
     const isNewer = isBefore(before, position);
     this.#puller.recordAnswer(peer, isNewer);
     // An older view does not confirm this one, and a peer without a view has nothing to say.
-    if (isBefore(position, before) || revision === 0) return;
+    if (isBefore(position, before) || revision === 0) {
+      if (kind === "config") this.#adoptConfig(peer, update);
+      return;
+    }
     const isSameEra = era === before.era;
     this.#updatingPeer = peer;
+    const versionBefore = view.configVersion;
     const hasBase = from === 0 || (isSameEra && from <= before.revision);
     const isApplied = hasBase &&
       applyEncodedChanges(current as never, position, update, this.#receivedItems(kind, peer));
@@ -293,8 +312,40 @@
       log.state("view_requested", { peer, kind, from, ...position, known: before });
       return;
     }
-    if (this.#recordFreshness(kind, update) || isNewer) this.#passOn(kind);
-    if (kind === "config") this.#confirmations.onViewChanged();
+    const isConfigLater = view.configVersion !== versionBefore;
+    if (this.#recordFreshness(kind, update) || isNewer || isConfigLater) this.#passOn(kind);
+    if (kind !== "config") return;
+    this.#requestLaterConfig(peer, update);
+    this.#confirmations.onViewChanged();
+  }
+
+  /** Takes a later version of the configuration from a peer whose view is of an earlier position. */
+  #adoptConfig(peer: string, update: Omit<ViewUpdate, "kind">): void {
+    const { view } = this.#options;
+    const known = view.configVersion;
+    if (update.from === 0) {
+      adoptEncodedConfigs(view.kinds.config, update, this.#receivedItems("config", peer));
+    }
+    if (view.configVersion !== known) this.#passOn("config");
+    else this.#requestLaterConfig(peer, update);
+  }
+
+  /**
+   * Asks a peer for its whole configuration if its version is later than the one here. A gateway that has read the
+   * restored store alone lacks what the store lost, at the same position as those that knew it before.
+   */
+  #requestLaterConfig(
+    peer: string,
+    { version, era = UNNAMED_ERA }: Omit<ViewUpdate, "kind">,
+  ): void {
+    const { view, network, log, clock } = this.#options;
+    const known = view.configVersion;
+    if (version === undefined || known === null || version <= known) return;
+    const now = clock.now();
+    if (now - this.#versionAskedAtMs < VERSION_REQUEST_INTERVAL_MS) return;
+    this.#versionAskedAtMs = now;
+    network.send(peer, { kind: "view_request", revisions: [{ view: "config", era, revision: 0 }] });
+    log.state("config_requested", { peer, version, known });
   }
 
   /** How the objects in a peer's update are read. */
--- a/packages/gateway/src/peers/view_changes.ts
+++ b/packages/gateway/src/peers/view_changes.ts
@@ -30,8 +30,9 @@
 
 interface PatchedConfig {
   readonly name: string;
-  /** Revision of the object to which the patch applies. */
+  /** Revision of the object to which the patch applies, and the version of that object. */
   readonly base: number;
+  readonly baseVersion: number;
   readonly revision: number;
   readonly patch: ConfigPatch;
 }
@@ -57,14 +58,14 @@
 
 /** Encodes the changes of a gateway's view. */
 export class ViewChangesEncoder {
-  readonly #view: StoreView;
+  readonly #view: Pick<StoreView, "kinds">;
   /** Past values in the era of the view. */
   readonly #pastConfigs = new Map<string, ViewItem<GatewayConfig>[]>();
   #pastEra = UNNAMED_ERA;
   /** The most recently encoded changes of each kind, as several gateways need the same. */
   readonly #cached = new Map<FollowedKind, EncodedChanges & StorePosition>();
 
-  constructor(view: StoreView) {
+  constructor(view: Pick<StoreView, "kinds">) {
     this.#view = view;
     view.kinds.config.registerListener(() => this.#rememberConfigs());
   }
@@ -115,7 +116,9 @@
     const base = this.#pastConfigs.get(name)?.findLast(({ revision }) => revision <= from);
     if (base === undefined) return null;
     const patch = diffConfig(base.value, item.value);
-    return patch === null ? null : { name, base: base.revision, revision: item.revision, patch };
+    if (patch === null) return null;
+    const { revision, value: { version: baseVersion } } = base;
+    return { name, base: revision, baseVersion, revision: item.revision, patch };
   }
 
   #rememberConfigs(): void {
@@ -146,11 +149,7 @@
     view.apply({ ...position, events: [] }, "peer");
     return true;
   }
-  const bytes = isCompressed
-    ? inflateRawSync(encoded, { maxOutputLength: MAX_DECODED_BYTES })
-    : encoded;
-  // JSON is parsed by native code, which is fast in a process whose own code is not compiled yet.
-  const changes = JSON.parse(Buffer.from(bytes).toString("utf8")) as Changes;
+  const changes = decodeChanges({ isCompressed, changes: encoded });
   const items = readReceivedItems(changes.items, options) as [string, ViewItem<never> | null][];
   if (changes.isFull) {
     const usable = items.filter((entry): entry is [string, ViewItem<never>] => entry[1] !== null);
@@ -165,8 +164,10 @@
     const current = view.snapshot.items.get(patched.name) as Item | undefined;
     if (current !== undefined && current.revision >= patched.revision) continue;
     if (current?.revision !== patched.base) return false;
-    const patchedConfig = applyConfigPatch(current.value as GatewayConfig, patched.patch);
-    const value = checkRecord("config", patchedConfig);
+    const config = current.value as GatewayConfig;
+    // A gateway that knows a later version than the restored store has another value at the same revision.
+    if (config.version !== (patched.baseVersion ?? config.version)) return false;
+    const value = checkRecord("config", applyConfigPatch(config, patched.patch));
     events.push({
       name: patched.name,
       item: { revision: patched.revision, value: value as never },
@@ -176,6 +177,34 @@
   return true;
 }
 
+/**
+ * Takes the later versions among the whole content that a peer has encoded, although the peer's view is of an earlier
+ * position than this one. Throws, and leaves the view as it is, if the content cannot be read.
+ */
+export function adoptEncodedConfigs(
+  view: KindView<GatewayConfig>,
+  update: Pick<EncodedChanges, "isCompressed" | "changes">,
+  options: ReceivedItemsOptions<"config">,
+): void {
+  if (update.changes.length === 0) return;
+  const { isFull, items } = decodeChanges(update);
+  if (!isFull) return;
+  const usable = readReceivedItems(items, options).flatMap(([name, item]) =>
+    item === null ? [] : [[name, item] as const]
+  );
+  view.adopt(usable, "peer");
+}
+
+function decodeChanges(
+  { isCompressed, changes }: Pick<EncodedChanges, "isCompressed" | "changes">,
+): Changes {
+  const bytes = isCompressed
+    ? inflateRawSync(changes, { maxOutputLength: MAX_DECODED_BYTES })
+    : changes;
+  // JSON is parsed by native code, which is fast in a process whose own code is not compiled yet.
+  return JSON.parse(Buffer.from(bytes).toString("utf8")) as Changes;
+}
+
 function compress({ from, ...changes }: Changes & { readonly from: number }): EncodedChanges {
   const bytes = Buffer.from(JSON.stringify(changes));
   if (bytes.length < MIN_COMPRESSED_BYTES) return { from, isCompressed: false, changes: bytes };
--- a/packages/gateway/src/peers/view_sender.ts
+++ b/packages/gateway/src/peers/view_sender.ts
@@ -94,6 +94,7 @@
       ...originOf(kind),
       ...changes,
       era: position.era,
+      version: kind === "config" ? view.configVersion ?? undefined : undefined,
     });
     if (isSent) this.#progressOf(peer).sent.set(kind, position);
   }
--- a/packages/gateway/src/state/fleet.ts
+++ b/packages/gateway/src/state/fleet.ts
@@ -15,6 +15,7 @@
   World,
 } from "@wisteriapick/core";
 import { formatAddress } from "@wisteriapick/wire";
+import { isEarlierVersion, newestConfig } from "../config/config_version.ts";
 import { RouteTable } from "../config/route_table.ts";
 import type { EndpointRecord, GatewayConfig } from "../config/types.ts";
 import type { DecisionLog } from "../observe/decision_log.ts";
@@ -278,7 +279,7 @@
     const config = newestConfig([...items.values()].map((item) => item.value));
     if (config === null || config === this.#nextConfig) return;
     // A version older than the one in force is never applied, whatever its source.
-    if (this.#nextConfig !== null && config.version < this.#nextConfig.version) return;
+    if (this.#nextConfig !== null && isEarlierVersion(config, this.#nextConfig)) return;
     this.#nextConfig = config;
     // Decoding a large configuration has taken long enough for one turn.
     const indexedNow = config.routes.length <= ROUTES_PER_TURN ? config.routes : [];
@@ -423,13 +424,6 @@
   }
 }
 
-function newestConfig(configs: readonly GatewayConfig[]): GatewayConfig | null {
-  return configs.reduce<GatewayConfig | null>(
-    (newest, config) => newest === null || config.version > newest.version ? config : newest,
-    null,
-  );
-}
-
 function sameAddress(a: EndpointRecord, b: EndpointRecord): boolean {
   return a.address.host === b.address.host && a.address.port === b.address.port;
 }
--- a/packages/gateway/src/state/store_view.ts
+++ b/packages/gateway/src/state/store_view.ts
@@ -5,6 +5,7 @@
  * @module
  */
 import type { Undo } from "@wisteriapick/core";
+import { isEarlierVersion, newestConfig } from "../config/config_version.ts";
 import { shareUnchanged } from "../config/config_patch.ts";
 import type {
   EndpointRecord,
@@ -69,6 +70,8 @@
   readonly source: ViewSource;
   /** Names that the update removed. */
   readonly removed: readonly string[];
+  /** Names of which a value of a later version was known and is retained. */
+  readonly retained: readonly string[];
   /** Whether the content is the first one of another era of the store. */
   readonly isRestored: boolean;
 }
@@ -81,12 +84,21 @@
 
 const EMPTY: Snapshot<never> = { ...NO_POSITION, items: new Map() };
 
-/** Returns a new value of an object that shares what is equal with the old one. */
-export type ShareUnchanged<T> = (before: T, after: T) => T;
+/** Options of {@link KindView}. */
+export interface KindViewOptions<T> {
+  /** Returns a new value of an object that shares what is equal with the old one. */
+  readonly shareUnchanged?: (before: T, after: T) => T;
+  /**
+   * Whether the value `a` is of an earlier version than `b`. A value of an earlier version never replaces a later one,
+   * and a later one is retained if a restored store does not have the object.
+   */
+  readonly isEarlier?: (a: T, b: T) => boolean;
+}
 
 /** The snapshot of one kind. */
 export class KindView<T> {
-  readonly #shareUnchanged: ShareUnchanged<T>;
+  readonly #options: Required<KindViewOptions<T>>;
+  readonly #hasVersions: boolean;
   #snapshot: Snapshot<T> = EMPTY;
   #known = false;
   #changedAt = 0;
@@ -96,8 +108,12 @@
   #removed: { readonly name: string; readonly revision: number }[] = [];
   #listeners: readonly ViewListener[] = [];
 
-  constructor(shareUnchanged: ShareUnchanged<T> = (_before, after) => after) {
-    this.#shareUnchanged = shareUnchanged;
+  constructor(options: KindViewOptions<T> = {}) {
+    this.#hasVersions = options.isEarlier !== undefined;
+    this.#options = {
+      shareUnchanged: options.shareUnchanged ?? ((_before, after) => after),
+      isEarlier: options.isEarlier ?? (() => false),
+    };
   }
 
   /** Whether any snapshot has been read. */
@@ -134,10 +150,23 @@
   replace(snapshot: Snapshot<T>, source: ViewSource): boolean {
     if (this.#known && isBefore(snapshot, this.#snapshot)) return false;
     const isSameEra = snapshot.era === this.#snapshot.era;
-    const removed = [...this.#snapshot.items.keys()].filter((name) => !snapshot.items.has(name));
     const items = new Map<string, ViewItem<T>>();
-    for (const [name, item] of snapshot.items) items.set(name, this.#shared(name, item, isSameEra));
-    this.#commit({ era: snapshot.era, revision: snapshot.revision, items }, source, removed);
+    const retained: string[] = [];
+    for (const [name, item] of snapshot.items) {
+      items.set(name, this.#merged(name, item, isSameEra, retained));
+    }
+    if (this.#hasVersions && this.#known && !isSameEra) {
+      for (const [name, { value }] of this.#snapshot.items) {
+        if (items.has(name)) continue;
+        items.set(name, { revision: snapshot.revision, value });
+        retained.push(name);
+      }
+    }
+    const removed = [...this.#snapshot.items.keys()].filter((name) => !items.has(name));
+    this.#commit({ era: snapshot.era, revision: snapshot.revision, items }, source, {
+      removed,
+      retained,
+    });
     return true;
   }
 
@@ -151,19 +180,33 @@
     }
     const items = new Map(current.items);
     const removed: string[] = [];
+    const retained: string[] = [];
     for (const { name, item } of events) {
       const old = items.get(name);
       if (item === null) {
         if (items.delete(name)) removed.push(name);
       } else if (old === undefined || old.revision < item.revision) {
-        // A peer's patch shares what is equal already.
-        items.set(name, source === "store" ? this.#shared(name, item, true) : item);
+        items.set(name, this.#merged(name, item, true, retained));
       }
     }
-    this.#commit({ era, revision, items }, source, removed);
+    this.#commit({ era, revision, items }, source, { removed, retained });
     return true;
   }
 
+  /** Takes those values that are of a later version than the view's, whatever position they were read at. */
+  adopt(items: Iterable<readonly [string, ViewItem<T>]>, source: ViewSource): void {
+    const { era, revision } = this.#snapshot;
+    const later = new Map(this.#snapshot.items);
+    let hasLater = false;
+    for (const [name, { value }] of items) {
+      const old = later.get(name);
+      if (old === undefined || !this.#options.isEarlier(old.value, value)) continue;
+      hasLater = true;
+      later.set(name, { revision: old.revision, value });
+    }
+    if (hasLater) this.#commit({ era, revision, items: later }, source, {});
+  }
+
   /** What differs from the view's content at an earlier position; `null` if that is not known any more. */
   changesSince({ era, revision }: StorePosition): ContentChanges<T> | null {
     const current = this.#snapshot;
@@ -184,14 +227,25 @@
     };
   }
 
-  #shared(name: string, item: ViewItem<T>, isSameEra: boolean): ViewItem<T> {
+  /** An object as it is known after it was read or received. Adds its name to `retained` if a later version was known. */
+  #merged(name: string, item: ViewItem<T>, isSameEra: boolean, retained: string[]): ViewItem<T> {
     const old = this.#snapshot.items.get(name);
     if (old === undefined || old.value === item.value) return item;
-    if (isSameEra && old.revision === item.revision) return old;
-    return { revision: item.revision, value: this.#shareUnchanged(old.value, item.value) };
+    const { isEarlier, shareUnchanged } = this.#options;
+    if (isEarlier(item.value, old.value)) {
+      retained.push(name);
+      return { revision: item.revision, value: old.value };
+    }
+    const isLater = isEarlier(old.value, item.value);
+    if (isSameEra && old.revision === item.revision && !isLater) return old;
+    return { revision: item.revision, value: shareUnchanged(old.value, item.value) };
   }
 
-  #commit(snapshot: Snapshot<T>, source: ViewSource, removed: readonly string[]): void {
+  #commit(
+    snapshot: Snapshot<T>,
+    source: ViewSource,
+    { removed = [], retained = [] }: Partial<Pick<ViewUpdateReport, "removed" | "retained">>,
+  ): void {
     const isRestored = this.#known && snapshot.era !== this.#snapshot.era;
     if (!this.#known || isRestored) {
       this.#removalsKnownFrom = snapshot.revision;
@@ -208,14 +262,20 @@
       const forgotten = this.#removed.splice(0, this.#removed.length - MAX_REMOVED);
       this.#removalsKnownFrom = forgotten.at(-1)!.revision;
     }
-    for (const listener of this.#listeners) listener({ source, removed, isRestored });
+    for (const listener of this.#listeners) listener({ source, removed, retained, isRestored });
   }
 }
 
 /** The views of all followed kinds. */
 export class StoreView {
+  /** The greatest version among the configurations in the view; `null` if there is none. */
+  get configVersion(): number | null {
+    const { items } = this.kinds.config.snapshot;
+    return newestConfig([...items.values()].map(({ value }) => value))?.version ?? null;
+  }
+
   readonly kinds: { readonly [K in FollowedKind]: KindView<ViewItems[K]> } = {
-    config: new KindView(shareUnchanged),
+    config: new KindView({ shareUnchanged, isEarlier: isEarlierVersion }),
     endpoints: new KindView(),
     evacuations: new KindView(),
     moves: new KindView(),
--- a/packages/gateway/tests/store_view_sync_test.ts
+++ b/packages/gateway/tests/store_view_sync_test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import { type DataCentreId, ManualClock, Rng } from "@wisteriapick/core";
 import { StoreViewSync } from "../src/peers/store_view_sync.ts";
+import { applyEncodedChanges, ViewChangesEncoder } from "../src/peers/view_changes.ts";
 import { StoreFollower } from "../src/state/store_follower.ts";
 import { type FollowedKind, StoreView } from "../src/state/store_view.ts";
 import {
@@ -9,6 +10,7 @@
   makeConfig,
   makeEndpoint,
   makeKeyLease,
+  makeRoutes,
   makeSnapshot,
   MemoryLog,
   MemoryStore,
@@ -550,3 +552,79 @@
   await advance(clock, gateways, 3_000);
   assert.equal(other.keys.confirmedAtMs, confirmedAtMs);
 });
+
+/** Gateways whose store has lost version 2 of the configuration, and one that starts then. */
+async function makeLostVersion() {
+  const { clock, links, gateways } = await makeGateways(3);
+  await advance(clock, gateways, 5_000);
+  await restoreAll(clock, gateways, () => write(gateways, 2));
+  const store = new MemoryStore(clock);
+  store.restore(gateways[0]!.store.copy(), 1);
+  const late = makeGateway("entry-late", { clock, links, store, revokeMs: null });
+  const all = [...gateways, late];
+  await advance(clock, all, 2_500);
+  return { clock, links, all, late };
+}
+
+// Guards against an older configuration that comes into force when the store is restored, at gateways that start then too.
+test("gateways keep the configuration that a restored store lost, and one that starts gets it from them", async () => {
+  const { clock, all, late } = await makeLostVersion();
+  assert.deepEqual(all.map(versionOf), [2, 2, 2, 2]);
+  assert.equal(late.view.kinds.config.era, 1);
+  write(all, 3);
+  await advance(clock, all, 1_500);
+  assert.deepEqual(all.map(versionOf), [3, 3, 3, 3]);
+  const config = all[0]!.view.kinds.config.snapshot.items.get("main")?.value;
+  for (const { name, view } of all) {
+    assert.deepEqual(view.kinds.config.snapshot.items.get("main")?.value, config, name);
+  }
+});
+
+const RECEIVED = { kind: "config", onUnreadable: () => {} } as const;
+
+// Guards against a patch that is applied to another version than the one that it was made from.
+test("a patch for the configuration that a restored store lost is not applied to the restored one", () => {
+  const config = (version: number) => makeConfig({ version, routes: makeRoutes(version) });
+  const restored = makeSnapshot(4, { main: config(5) }, 4, 2);
+  const knowing = new StoreView().kinds;
+  knowing.config.replace(makeSnapshot(10, { main: config(7) }, 10, 1), "store");
+  const encoder = new ViewChangesEncoder({ kinds: knowing });
+  knowing.config.replace(restored, "store");
+  const item = { revision: 5, value: config(8) };
+  const changes = { era: 2, revision: 5, events: [{ name: "main", item }] };
+  knowing.config.apply(changes, "store");
+  const encoded = encoder.encode("config", restored);
+  const late = new StoreView().kinds.config;
+  late.replace(restored, "store");
+  assert.equal(applyEncodedChanges(late as never, changes, encoded, RECEIVED), false);
+  const other = new StoreView().kinds.config;
+  other.replace(makeSnapshot(10, { main: config(7) }, 10, 1), "store");
+  other.replace(restored, "store");
+  assert.equal(applyEncodedChanges(other as never, changes, encoded, RECEIVED), true);
+  assert.deepEqual(other.snapshot.items.get("main")?.value, config(8));
+});
+
+// Guards against a gateway of the earlier era whose later configuration is not used.
+test("a later configuration is taken from a peer whose view is of an earlier era", async () => {
+  const { clock, gateways } = await makeGateways(2);
+  const [ahead, behind] = gateways as [Gateway, Gateway];
+  await advance(clock, gateways, 5_000);
+  // One gateway reads the restored store, and the other, cut off from it, has what the store lost.
+  for (const { store } of gateways) store.setAvailability("refusing");
+  const main = (revision: number, version: number) => ({
+    main: { revision, value: makeConfig({ version }) },
+  });
+  ahead.view.kinds.config.replace(
+    { era: 1, revision: 1, items: new Map(Object.entries(main(1, 1))) },
+    "store",
+  );
+  const revision = behind.view.kinds.config.revision + 1;
+  behind.view.kinds.config.apply({
+    era: 0,
+    revision,
+    events: [{ name: "main", item: main(revision, 2).main }],
+  }, "store");
+  await advance(clock, gateways, 4_000);
+  assert.deepEqual(gateways.map(versionOf), [2, 2]);
+  assert.deepEqual(gateways.map(({ view }) => view.kinds.config.era), [1, 1]);
+});
--- a/packages/gateway/tests/store_view_test.ts
+++ b/packages/gateway/tests/store_view_test.ts
@@ -115,3 +115,40 @@
   assert.equal(view.changesSince({ era: 1, revision: 8 }), null);
   assert.notEqual(view.changesSince({ era: 2, revision: 7 }), null);
 });
+
+function makeVersions() {
+  return new KindView<{ readonly version: number; readonly text: string }>({
+    isEarlier: (a, b) => a.version < b.version,
+  });
+}
+
+// Guards against a configuration that goes back while a restored store shows an older one.
+test("a value of an earlier version does not replace a later one, until the store has that version again", () => {
+  const view = makeVersions();
+  const versionOf = () => view.snapshot.items.get("main")?.value.version;
+  view.replace(makeSnapshot(10, { main: { version: 7, text: "lost" } }, 10, 1), "store");
+  view.replace(makeSnapshot(4, { main: { version: 5, text: "old" } }, 4, 2), "store");
+  assert.equal(versionOf(), 7);
+  const apply = (revision: number, version: number) =>
+    view.apply({
+      era: 2,
+      revision,
+      events: [{ name: "main", item: { revision, value: { version, text: "again" } } }],
+    }, "store");
+  apply(5, 6);
+  assert.equal(versionOf(), 7);
+  apply(6, 7);
+  assert.equal(view.snapshot.items.get("main")?.value.text, "again");
+  apply(7, 9);
+  assert.equal(versionOf(), 9);
+});
+
+// Guards against a configuration that is gone while a restored store has none.
+test("a value with a version is retained if the restored store lacks it, and removed if the store removes it", () => {
+  const view = makeVersions();
+  view.replace(makeSnapshot(10, { main: { version: 7, text: "lost" } }, 10, 1), "store");
+  view.replace(makeSnapshot(4, {}, 4, 2), "store");
+  assert.equal(view.snapshot.items.size, 1);
+  view.apply({ era: 2, revision: 6, events: [{ name: "main", item: null }] }, "store");
+  assert.equal(view.snapshot.items.size, 0);
+});
--- a/packages/wire/src/message_codec.ts
+++ b/packages/wire/src/message_codec.ts
@@ -339,6 +339,7 @@
     isCompressed: flag,
     changes: bytes,
     era: optional(count),
+    version: optional(real),
   }),
   view_request: record<Body<"view_request">>({
     revisions: list(record<ViewRevision>({ view: text, revision: count, era: optional(count) })),
@@ -386,6 +387,7 @@
     clockMs: real,
     clockEpoch: count,
     era: optional(count),
+    version: optional(real),
   }),
   clock_question: record<Body<"clock_question">>({ askedAtMs: real }),
   clock_answer: record<Body<"clock_answer">>({
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -486,6 +486,8 @@
   readonly changes: Uint8Array;
   /** The store's era of the revisions; absent if the store names none. Since protocol version 5. */
   readonly era?: number;
+  /** The greatest version of a configuration that the sender has, in updates of that kind. Since protocol version 5. */
+  readonly version?: number;
 }
 
 /** Requests a {@link ViewUpdate} for each given view. Since protocol version 2. */
@@ -607,6 +609,8 @@
   readonly clockEpoch: number;
   /** The store's era of the revision; absent if the store names none. Since protocol version 5. */
   readonly era?: number;
+  /** The version of the configuration that is confirmed. Since protocol version 5. */
+  readonly version?: number;
 }
 
 /** Asks for a {@link ClockAnswer}. Since protocol version 4. */
