Do not take an endpoint back that had left when a restored store shows it again

After a restore from a copy, requests reached endpoints that had left: the copy has their registrations from before they drained, or from before theirs were removed. An endpoint that had registered in the lost seconds was dropped at once, as the store had not been away for long enough to count as an outage.

Cause: a registration was in force as soon as the store showed it, unless its sequence was lower; after 4 s also then. A revision that was given out again hid its new content.

Now a process that has said that it drains stays out until it ends; a registration that was known before it was removed does not bring its endpoint back by itself; a restore counts as the end of an outage for registrations that it lacks; rows know the era of their registration; and the cold time of a registration that is read again does not begin anew.

--- a/packages/gateway/src/state/fleet.ts
+++ b/packages/gateway/src/state/fleet.ts
@@ -19,7 +19,7 @@
 import { RouteTable } from "../config/route_table.ts";
 import type { EndpointRecord, GatewayConfig } from "../config/types.ts";
 import type { DecisionLog } from "../observe/decision_log.ts";
-import { isOutdated } from "./registration_order.ts";
+import { isOutdated, isSameWrite } from "./registration_order.ts";
 import type { StorePosition } from "./store_position.ts";
 import { FOLLOWED_KINDS, type StoreView, type ViewSource } from "./store_view.ts";
 
@@ -37,10 +37,14 @@
   readonly phaseSinceMs: number;
   /** When the endpoint's cold start ends, by the monotonic clock. */
   readonly coldUntilMs: number;
-  /** Store revision of the registration's last change. */
+  /** Store revision of the registration's last change, and the store's era in which it was read. */
   readonly revision: number;
+  readonly era: number;
   readonly isRegistered: boolean;
-  /** Whether the endpoint itself has announced that it leaves, which its registration may not contain yet. */
+  /**
+   * Whether the endpoint itself has announced that it leaves. Its registration may not contain that yet, or may be an
+   * earlier one from a copy of the store.
+   */
   readonly hasOwnNotice: boolean;
 }
 
@@ -86,9 +90,8 @@
 }
 
 /** A registration that was written before the one in force. */
-interface OutdatedRegistration {
+interface OutdatedRegistration extends StorePosition {
   readonly record: EndpointRecord;
-  readonly revision: number;
   readonly sinceMs: number;
 }
 
@@ -98,7 +101,9 @@
  * about a second later; the start time of one whose time of day was set back is earlier than that of its predecessor.
  */
 const OUTDATED_MS = 4_000;
-/** Registrations that expired during an outage of the store are back about two seconds after it ends. */
+/** The same after a restore: the registration of an endpoint that is gone expires after some 4 s without a write. */
+const RESTORED_OUTDATED_MS = 5_000;
+/** Registrations that expired during an outage, or that a restore lost, are back about two seconds after it. */
 const LAPSE_GRACE_MS = 2_300;
 /** Routes that are indexed at once; more would delay the events of streams on a host with a small share of a core. */
 const ROUTES_PER_TURN = 256;
@@ -120,6 +125,8 @@
   readonly #outdated = new Map<EndpointId, OutdatedRegistration>();
   #listeners: readonly ((change: EndpointChange) => void)[] = [];
   #configListeners: readonly (() => void)[] = [];
+  /** When the registrations of a restored store were first read, by the monotonic clock. */
+  #restoredAtMs = -Infinity;
 
   constructor(options: FleetOptions) {
     this.#options = options;
@@ -127,7 +134,10 @@
     this.#endpoints = this.#world.registerTable<EndpointId, EndpointRow>("endpoints").table;
     const { config, endpoints, evacuations } = options.view.kinds;
     config.registerListener(() => this.#applyConfig());
-    endpoints.registerListener(({ source }) => this.#applyEndpoints(source));
+    endpoints.registerListener(({ source, isRestored }) => {
+      if (isRestored) this.#restoredAtMs = options.clock.now();
+      this.#applyEndpoints(source);
+    });
     evacuations.registerListener(() => this.#applyEvacuations());
   }
 
@@ -249,7 +259,7 @@
   /** Ends the grace period of lapsed registrations and drops endpoints that are gone. Called each tick. */
   tick(): void {
     const now = this.#now();
-    const { isDown, endedAtMs } = this.#options.outage();
+    const { isDown, endedAtMs } = this.#outage();
     for (const [id, row] of [...this.#endpoints.entries()]) {
       if (row.phase === "lapsed" && !isDown && now >= endedAtMs + LAPSE_GRACE_MS) {
         const leaving: EndpointRow = { ...row, phase: "leaving", phaseSinceMs: now };
@@ -264,6 +274,12 @@
     this.#acceptOutdated(now);
   }
 
+  /** The outage of the store that registrations may not have outlived; a restore ends one. */
+  #outage(): StoreOutage {
+    const { isDown, endedAtMs } = this.#options.outage();
+    return { isDown, endedAtMs: Math.max(endedAtMs, this.#restoredAtMs) };
+  }
+
   #now(): number {
     return this.#options.clock.now();
   }
@@ -316,37 +332,47 @@
   }
 
   #applyEndpoints(source: ViewSource): void {
-    const { items, revision } = this.#options.view.kinds.endpoints.snapshot;
+    const { items, era, revision } = this.#options.view.kinds.endpoints.snapshot;
     const now = this.#now();
     for (const { value: record, revision: changedAt } of items.values()) {
       const before = this.#endpoints.get(record.id);
-      if (before !== undefined && before.revision === changedAt && before.isRegistered) continue;
-      if (before !== undefined && isOutdated(record, before.record)) {
-        this.#ignoreOutdated({ record, revision: changedAt, sinceMs: now }, before);
+      const isSame = before?.revision === changedAt && before.era === era;
+      if (isSame && before.isRegistered) continue;
+      if (before !== undefined && isEarlierWrite(record, before, era)) {
+        this.#ignoreOutdated({ record, era, revision: changedAt, sinceMs: now }, before);
         continue;
       }
       this.#outdated.delete(record.id);
-      this.#register(record, changedAt, { source, revision });
+      this.#register(record, { era, revision: changedAt }, { source, era, revision });
     }
     for (const id of [...this.#outdated.keys()]) if (!items.has(id)) this.#outdated.delete(id);
     for (const [id, row] of [...this.#endpoints.entries()]) {
       if (items.has(id) || !row.isRegistered) continue;
-      this.#set(id, this.#unregistered(row, now), { source, revision });
+      this.#set(id, this.#unregistered(row, now), { source, era, revision });
     }
   }
 
-  #register(record: EndpointRecord, revision: number, cause: Record<string, unknown>): void {
+  #register(
+    record: EndpointRecord,
+    position: StorePosition,
+    cause: Record<string, unknown>,
+  ): void {
     const before = this.#endpoints.get(record.id);
     const isSameProcess = before?.record.startedAtUnixMs === record.startedAtUnixMs;
-    const hasOwnNotice = before !== undefined && isSameProcess && before.hasOwnNotice;
+    const hasDrained = before?.record.isDraining === true && record.startedAtUnixMs !== null;
+    const hasOwnNotice = before !== undefined && isSameProcess &&
+      (before.hasOwnNotice || hasDrained);
+    // The remaining cold time of a registration that a restored store shows again is as of its first reading.
+    const isReadAgain = before !== undefined && before.era !== position.era &&
+      isSameWrite(record, before.record);
     const phase = record.isDraining || hasOwnNotice ? "leaving" : "ready";
     const now = this.#now();
     this.#set(record.id, {
       record,
       phase,
       phaseSinceMs: before?.phase === phase ? before.phaseSinceMs : now,
-      coldUntilMs: now + record.coldMs,
-      revision,
+      coldUntilMs: isReadAgain ? before.coldUntilMs : now + record.coldMs,
+      ...position,
       isRegistered: true,
       hasOwnNotice,
     }, cause);
@@ -354,11 +380,13 @@
 
   /** Leaves an endpoint as it is, although the store holds a registration that the endpoint wrote earlier. */
   #ignoreOutdated(outdated: OutdatedRegistration, { record: known, phase }: EndpointRow): void {
-    const { record, revision } = outdated;
-    if (this.#outdated.get(record.id)?.revision === revision) return;
+    const { record, era, revision } = outdated;
+    const ignored = this.#outdated.get(record.id);
+    if (ignored?.revision === revision && ignored.era === era) return;
     this.#outdated.set(record.id, outdated);
     this.#options.log.state("registration_outdated", {
       endpoint: record.id,
+      era,
       revision,
       phase,
       sequence: record.sequence,
@@ -370,18 +398,20 @@
 
   /** Accepts outdated registrations that their endpoints have not replaced while the store could be reached. */
   #acceptOutdated(now: number): void {
-    const { isDown, endedAtMs } = this.#options.outage();
+    const { isDown, endedAtMs } = this.#outage();
     if (isDown) return;
-    for (const [id, { record, revision, sinceMs }] of [...this.#outdated]) {
-      if (now < Math.max(sinceMs, endedAtMs) + OUTDATED_MS) continue;
+    for (const [id, { record, era, revision, sinceMs }] of [...this.#outdated]) {
+      const untilMs = Math.max(sinceMs, endedAtMs) + OUTDATED_MS;
+      if (now < Math.max(untilMs, this.#restoredAtMs + RESTORED_OUTDATED_MS)) continue;
       this.#outdated.delete(id);
-      this.#register(record, revision, { reason: "an outdated registration was not replaced" });
+      const reason = "an outdated registration was not replaced";
+      this.#register(record, { era, revision }, { reason });
     }
   }
 
   /** The row of an endpoint whose registration is gone. During or after an outage it may only have expired. */
   #unregistered(row: EndpointRow, now: number): EndpointRow {
-    const { isDown, endedAtMs } = this.#options.outage();
+    const { isDown, endedAtMs } = this.#outage();
     const mayHaveLapsed = isDown || now < endedAtMs + LAPSE_GRACE_MS;
     if (row.phase === "leaving") return { ...row, isRegistered: false };
     const phase = mayHaveLapsed ? "lapsed" : "leaving";
@@ -424,6 +454,13 @@
   }
 }
 
+/** Whether a registration was written before what is known of its endpoint, or before its registration was removed. */
+function isEarlierWrite(registration: EndpointRecord, known: EndpointRow, era: number): boolean {
+  if (isOutdated(registration, known.record)) return true;
+  const wasRemoved = !known.isRegistered && known.phase === "leaving" && known.era !== era;
+  return wasRemoved && isSameWrite(registration, known.record);
+}
+
 function sameAddress(a: EndpointRecord, b: EndpointRecord): boolean {
   return a.address.host === b.address.host && a.address.port === b.address.port;
 }
--- a/packages/gateway/src/state/registration_order.ts
+++ b/packages/gateway/src/state/registration_order.ts
@@ -11,6 +11,13 @@
 /** What orders the registrations of an endpoint. */
 export type RegistrationStamp = Pick<EndpointRecord, "startedAtUnixMs" | "sequence">;
 
+/** Whether a registration is the same write as one that is known already, as a restored store shows it again. */
+export function isSameWrite(registration: RegistrationStamp, known: RegistrationStamp): boolean {
+  const { startedAtUnixMs, sequence } = registration;
+  if (startedAtUnixMs === null || startedAtUnixMs !== known.startedAtUnixMs) return false;
+  return sequence !== null && sequence === known.sequence;
+}
+
 /**
  * Whether a registration was written before one that is known already: by an earlier process, or earlier by the same.
  *
--- a/packages/gateway/tests/endpoint_limits_test.ts
+++ b/packages/gateway/tests/endpoint_limits_test.ts
@@ -213,6 +213,7 @@
     coldUntilMs: 0,
     revision: 2,
     isRegistered: true,
+    era: 0,
     hasOwnNotice: false,
   };
   change({ id, before: null, after, restarted: true });
--- a/packages/gateway/tests/fleet_test.ts
+++ b/packages/gateway/tests/fleet_test.ts
@@ -296,3 +296,101 @@
   view.kinds.endpoints.replace(makeSnapshot(2, { a }), "store");
   assert.deepEqual(usable(fleet), ["a"]);
 });
+
+/** An endpoint's registration, and what a store shows that was restored from a copy with an earlier one. */
+function makeRestoredFleet(known: Partial<EndpointRecord>, copied: Partial<EndpointRecord> | null) {
+  const made = makeFleet();
+  const { endpoints } = made.view.kinds;
+  const record = (overrides: Partial<EndpointRecord>) =>
+    makeEndpoint("a", { startedAtUnixMs: 1_700_000_000_000, ...overrides });
+  endpoints.replace(makeSnapshot(10, { a: record(known) }, 10, 1), "store");
+  made.clock.advance(10_000);
+  const restore = () => {
+    const values: Record<string, EndpointRecord> = {};
+    if (copied !== null) values.a = record(copied);
+    endpoints.replace(makeSnapshot(4, values, 4, 2), "store");
+  };
+  return { ...made, endpoints, record, restore };
+}
+
+// Guards against an endpoint that gets requests again when a restored store shows its registration from before it drained.
+test("an endpoint that drains stays out, whatever earlier registration a restored store shows", () => {
+  const { clock, fleet, endpoints, record, restore } = makeRestoredFleet(
+    { isDraining: true, sequence: 20 },
+    { sequence: 3 },
+  );
+  restore();
+  assert.deepEqual(usable(fleet), []);
+  clock.advance(6_000);
+  fleet.tick();
+  assert.deepEqual(usable(fleet), []);
+  endpoints.apply({
+    era: 2,
+    revision: 9,
+    events: [{ name: "a", item: { revision: 9, value: record({ sequence: 30 }) } }],
+  }, "store");
+  assert.deepEqual(usable(fleet), []);
+  const restarted = record({ sequence: 1, startedAtUnixMs: 1_700_000_060_000 });
+  endpoints.apply({
+    era: 2,
+    revision: 10,
+    events: [{ name: "a", item: { revision: 10, value: restarted } }],
+  }, "store");
+  assert.deepEqual(usable(fleet), ["a"]);
+});
+
+// Guards against an endpoint that left without notice and gets requests again when a restored store still has it.
+test("an endpoint whose registration was removed stays out until it writes again, or for five seconds", () => {
+  for (const writes of [true, false]) {
+    const { clock, fleet, endpoints, record, restore } = makeRestoredFleet(
+      { sequence: 3 },
+      { sequence: 3 },
+    );
+    endpoints.apply({ era: 1, revision: 11, events: [{ name: "a", item: null }] }, "store");
+    clock.advance(1_000);
+    restore();
+    assert.deepEqual(usable(fleet), []);
+    clock.advance(4_000);
+    fleet.tick();
+    assert.deepEqual(usable(fleet), []);
+    if (writes) {
+      const value = record({ sequence: 9 });
+      const events = [{ name: "a", item: { revision: 9, value } }];
+      endpoints.apply({ era: 2, revision: 9, events }, "store");
+    } else {
+      clock.advance(1_100);
+      fleet.tick();
+    }
+    assert.deepEqual(usable(fleet), ["a"]);
+  }
+});
+
+// Guards against endpoints that are lost at a restore, although the store was hardly away.
+test("an endpoint that a restored store lacks is used until two seconds after the restore", () => {
+  const { clock, fleet, restore } = makeRestoredFleet({ sequence: 3 }, null);
+  restore();
+  fleet.tick();
+  assert.deepEqual(usable(fleet), ["a"]);
+  clock.advance(2_400);
+  fleet.tick();
+  assert.deepEqual(usable(fleet), []);
+});
+
+// Guards against a registration that is taken for known, as its revision was given out again.
+test("a registration at a revision that was given out again is read", () => {
+  const { fleet, endpoints, record } = makeRestoredFleet({ sequence: 3 }, null);
+  const draining = record({ sequence: 9, isDraining: true });
+  endpoints.replace(makeSnapshot(10, { a: draining }, 10, 2), "store");
+  assert.deepEqual(usable(fleet), []);
+});
+
+// Guards against a cold start that begins anew when a restored store shows the registration again.
+test("a registration that a restored store shows again does not prolong the cold start", () => {
+  const { clock, fleet, restore } = makeRestoredFleet(
+    { sequence: 3, coldMs: 12_000 },
+    { sequence: 3, coldMs: 12_000 },
+  );
+  restore();
+  const [row] = fleet.ofService(SCRIBE);
+  assert.equal(row!.coldUntilMs - clock.now(), 2_000);
+});
--- a/packages/gateway/tests/version_moves_test.ts
+++ b/packages/gateway/tests/version_moves_test.ts
@@ -21,6 +21,7 @@
     coldUntilMs: 0,
     revision: 1,
     isRegistered: true,
+    era: 0,
     hasOwnNotice: false,
   };
 }
