Keep a data centre evacuated while a restored store does not have the order

After a restore from a copy, requests went to a data centre whose evacuation had been ordered in the lost seconds, until the operator had written the order again.

Cause: the orders in force were those that the store showed. state/retained_objects.ts decides apart from I/O what stays in force after a restore: orders that the restored store lacks, or in place of which it shows another one, until a change of them is written in the new era, or 5 s after the restore. The fleet uses it for evacuations; one that had been taken back and is in the copy is in force until it is taken back again, which costs capacity only.

--- a/packages/gateway/src/state/fleet.ts
+++ b/packages/gateway/src/state/fleet.ts
@@ -17,9 +17,10 @@
 import { formatAddress } from "@wisteriapick/wire";
 import { isEarlierVersion, newestConfig } from "../config/config_version.ts";
 import { RouteTable } from "../config/route_table.ts";
-import type { EndpointRecord, GatewayConfig } from "../config/types.ts";
+import type { EndpointRecord, EvacuationRecord, GatewayConfig } from "../config/types.ts";
 import type { DecisionLog } from "../observe/decision_log.ts";
 import { isOutdated, isSameWrite } from "./registration_order.ts";
+import { type RetainedEnd, RetainedObjects } from "./retained_objects.ts";
 import type { StorePosition } from "./store_position.ts";
 import { FOLLOWED_KINDS, type StoreView, type ViewSource } from "./store_view.ts";
 
@@ -120,6 +121,8 @@
   /** The configuration in force, or the one whose table is being built. */
   #nextConfig: GatewayConfig | null = null;
   #evacuated: ReadonlySet<DataCentreId> = new Set();
+  /** Orders to evacuate, those that a restored store has lost included. */
+  readonly #evacuations: RetainedObjects<EvacuationRecord>;
   /** Ends of the pauses that endpoints have requested. */
   readonly #pausedUntilMs = new Map<EndpointId, number>();
   readonly #outdated = new Map<EndpointId, OutdatedRegistration>();
@@ -138,7 +141,11 @@
       if (isRestored) this.#restoredAtMs = options.clock.now();
       this.#applyEndpoints(source);
     });
-    evacuations.registerListener(() => this.#applyEvacuations());
+    this.#evacuations = new RetainedObjects({ view: evacuations });
+    evacuations.registerListener(({ isRestored }) => {
+      this.#logRetainedEnds(this.#evacuations.update(isRestored, options.clock.now()));
+      this.#applyEvacuations();
+    });
   }
 
   /** Whether every kind of object that affects routing has been read at least once. */
@@ -272,6 +279,10 @@
       }
     }
     this.#acceptOutdated(now);
+    const ended = this.#evacuations.expire(now);
+    if (ended.size === 0) return;
+    this.#logRetainedEnds(ended);
+    this.#applyEvacuations();
   }
 
   /** The outage of the store that registrations may not have outlived; a restore ends one. */
@@ -326,9 +337,20 @@
   }
 
   #applyEvacuations(): void {
-    const { items, era, revision } = this.#options.view.kinds.evacuations.snapshot;
-    this.#evacuated = new Set([...items.values()].map((item) => item.value.dataCentre));
-    this.#options.log.state("evacuations", { dataCentres: [...this.#evacuated], era, revision });
+    const { position } = this.#options.view.kinds.evacuations;
+    const orders = [...this.#evacuations.inForce.values()];
+    this.#evacuated = new Set(orders.map((item) => item.value.dataCentre));
+    this.#options.log.state("evacuations", {
+      dataCentres: [...this.#evacuated],
+      ...position,
+      retained: this.#evacuations.names,
+    });
+  }
+
+  #logRetainedEnds(ended: ReadonlyMap<string, RetainedEnd>): void {
+    for (const [name, reason] of ended) {
+      this.#options.log.state("retained_order_ended", { kind: "evacuations", name, reason });
+    }
   }
 
   #applyEndpoints(source: ViewSource): void {
--- a/packages/gateway/tests/fleet_test.ts
+++ b/packages/gateway/tests/fleet_test.ts
@@ -394,3 +394,28 @@
   const [row] = fleet.ofService(SCRIBE);
   assert.equal(row!.coldUntilMs - clock.now(), 2_000);
 });
+
+// Guards against requests to an evacuated data centre while a restored store does not have the order.
+test("a data centre stays evacuated when a restored store lacks the order, until it is taken back or five seconds on", () => {
+  for (const isWrittenAgain of [true, false]) {
+    const { clock, view, fleet } = makeFleet();
+    const { evacuations } = view.kinds;
+    const order = { dataCentre: TEMA };
+    evacuations.replace(makeSnapshot(10, { [TEMA]: order }, 10, 1), "store");
+    evacuations.replace(makeSnapshot(4, {}, 4, 2), "store");
+    clock.advance(4_900);
+    fleet.tick();
+    assert.deepEqual([...fleet.evacuated], [TEMA]);
+    if (isWrittenAgain) {
+      const item = { revision: 8, value: order };
+      evacuations.apply({ era: 2, revision: 8, events: [{ name: TEMA, item }] }, "store");
+      clock.advance(60_000);
+      fleet.tick();
+      assert.deepEqual([...fleet.evacuated], [TEMA]);
+      evacuations.apply({ era: 2, revision: 9, events: [{ name: TEMA, item: null }] }, "store");
+    }
+    clock.advance(100);
+    fleet.tick();
+    assert.deepEqual([...fleet.evacuated], []);
+  }
+});
