Keep a version move in force while a restored store does not have its order

After a restore from a copy, the order of a move that had been written in the lost seconds was gone: all versions got their full share at once, a bad one too, and the move began anew with a deadline of its own when the order was written again. An earlier order that the copy has was carried out again.

Cause: the orders in force were those that the store showed. Moves use what stays in force after a restore, as evacuations do; nothing is written to an order that the store does not show. The move goes on with its start and its evidence.

--- a/packages/gateway/src/moves/version_moves.ts
+++ b/packages/gateway/src/moves/version_moves.ts
@@ -26,6 +26,7 @@
 import type { DecisionLog } from "../observe/decision_log.ts";
 import type { PeerGroup } from "../peers/peer_group.ts";
 import type { EndpointRow } from "../state/fleet.ts";
+import { type RetainedEnd, RetainedObjects } from "../state/retained_objects.ts";
 import type { StateStore } from "../state/state_store.ts";
 import type { StoreView, ViewItem } from "../state/store_view.ts";
 
@@ -72,6 +73,8 @@
 interface OpenMove {
   record: MoveRecord;
   revision: number;
+  /** Whether a restored store does not show the order, so that nothing can be written to it. */
+  isRetained: boolean;
   readonly startedAtMs: number;
   readonly evidence: MoveEvidence;
   readonly totals: Totals;
@@ -87,13 +90,22 @@
   readonly #open = new Map<ServiceId, OpenMove>();
   readonly #unsentCounts = new Map<string, VersionCounts & { readonly service: ServiceId }>();
   readonly #undos: Undo[];
+  /** Orders in force, those that a restored store has lost included. */
+  readonly #orders: RetainedObjects<MoveRecord>;
   #seq = 0;
   #lastStepMs = -Infinity;
 
   constructor(options: VersionMovesOptions) {
     this.#options = options;
+    const { moves } = options.view.kinds;
+    this.#orders = new RetainedObjects({
+      view: moves,
+      isSameOrder: (a, b) => a.target === b.target,
+    });
     this.#undos = [
-      options.view.kinds.moves.registerListener(() => this.#refresh()),
+      moves.registerListener(({ isRestored }) => {
+        this.#refresh(this.#orders.update(isRestored, options.clock.now()));
+      }),
       options.network.registerHandler("version_counts", (_peer, { counts }) => {
         for (const { service, ...rest } of counts) this.#addCounts(service, rest);
       }),
@@ -154,6 +166,8 @@
   /** Sends new counts to peers, and advances each move. Called each tick. */
   tick(): void {
     const now = this.#options.clock.now();
+    const ended = this.#orders.expire(now);
+    if (ended.size > 0) this.#refresh(ended);
     if (this.#open.size === 0 || now - this.#lastStepMs < STEP_INTERVAL_MS) return;
     this.#lastStepMs = now;
     if (this.#unsentCounts.size > 0) {
@@ -194,7 +208,9 @@
     move.share = share;
     move.end = end;
     const wanted = end ?? "running";
-    if (move.record.state !== wanted) void this.#writeStatus(service, move, wanted, now);
+    if (move.record.state !== wanted && !move.isRetained) {
+      void this.#writeStatus(service, move, wanted, now);
+    }
   }
 
   async #writeStatus(
@@ -230,27 +246,38 @@
     move.totals.bad += counts.failures + counts.slowFirstTokens;
   }
 
-  #refresh(): void {
-    const { items } = this.#options.view.kinds.moves.snapshot;
+  #refresh(ended: ReadonlyMap<string, RetainedEnd>): void {
+    for (const [name, reason] of ended) {
+      this.#options.log.state("retained_order_ended", { kind: "moves", name, reason });
+    }
+    const retained = new Set(this.#orders.names);
     const seen = new Set<ServiceId>();
-    for (const item of items.values()) {
+    for (const [name, item] of this.#orders.inForce) {
       seen.add(item.value.service);
-      this.#applyOrder(item);
+      this.#applyOrder(item, retained.has(name));
     }
     for (const service of this.#open.keys()) if (!seen.has(service)) this.#open.delete(service);
   }
 
-  #applyOrder({ value: record, revision }: ViewItem<MoveRecord>): void {
+  #applyOrder({ value: record, revision }: ViewItem<MoveRecord>, isRetained: boolean): void {
     const known = this.#open.get(record.service);
     if (known !== undefined && known.record.target === record.target) {
       known.record = record;
       known.revision = revision;
+      if (isRetained && !known.isRetained) {
+        this.#options.log.state("order_retained", {
+          service: record.service,
+          target: record.target,
+        });
+      }
+      known.isRetained = isRetained;
       return;
     }
     this.#options.log.state("move_ordered", { ...record, revision });
     this.#open.set(record.service, {
       record,
       revision,
+      isRetained,
       startedAtMs: this.#options.clock.now(),
       evidence: new MoveEvidence({ from: OLD, to: NEW }),
       totals: { requests: 0, exposed: 0, bad: 0 },
--- a/packages/gateway/tests/version_moves_test.ts
+++ b/packages/gateway/tests/version_moves_test.ts
@@ -41,7 +41,7 @@
     const network = links.join(name);
     const moves = new VersionMoves({ view, store, network, clock, log, limits: () => LIMITS });
     follower.start();
-    return { moves, follower };
+    return { moves, follower, log };
   });
   await settle();
   return { clock, store, rng, gateways };
@@ -185,3 +185,58 @@
   await settle();
   assert.deepEqual(retired(), [false, true]);
 });
+
+// Guards against an unlimited share of a new version while a restored store does not have the order.
+test("a move goes on while a restored store lacks its order, and keeps its deadline when it is written again", async () => {
+  const cluster = await makeCluster(1);
+  const { store } = cluster;
+  store.restore(store.copy(), 1);
+  await simulateTraffic(cluster, 2_500, 0.02);
+  const copy = store.copy();
+  store.set("moves", "scribe", makeMove());
+  await simulateTraffic(cluster, 1_000, 0.02);
+  store.restore(copy);
+  const lost = await simulateTraffic(cluster, 3_000, 0.02);
+  assert.ok((lost.get(V1) ?? 0) > (lost.get(V2) ?? 0), "the new version's share was not limited");
+  assert.deepEqual(statesOf(cluster), ["running"]);
+  store.set("moves", "scribe", makeMove());
+  await simulateTraffic(cluster, 7_900, 0.02);
+  assert.deepEqual(statesOf(cluster), ["running", "running", "completed"]);
+});
+
+// Guards against a move that is never given up when its order is not written again.
+test("a move whose order is not written again after a restore ends after five seconds", async () => {
+  const cluster = await makeCluster(1);
+  const { store } = cluster;
+  store.restore(store.copy(), 1);
+  await simulateTraffic(cluster, 2_500, 0.02);
+  const copy = store.copy();
+  store.set("moves", "scribe", makeMove());
+  await simulateTraffic(cluster, 1_000, 0.02);
+  store.restore(copy);
+  await simulateTraffic(cluster, 8_000, 0.02);
+  assert.equal(cluster.gateways[0]!.moves.allowedEndpoints(SCRIBE, ROWS, "r1").length, 3);
+});
+
+// Guards against an earlier order that a restored store shows and that starts anew.
+test("an earlier order that a restored store shows does not replace the one in force", async () => {
+  const cluster = await makeCluster(1);
+  const { store } = cluster;
+  const v3 = versionId("v3");
+  store.restore(store.copy(), 1);
+  store.set("moves", "scribe", makeMove({ state: "rolled_back" }));
+  await simulateTraffic(cluster, 2_500, 0.02);
+  const copy = store.copy();
+  store.set("moves", "scribe", makeMove({ target: v3 }));
+  await simulateTraffic(cluster, 1_000, 0.02);
+  store.restore(copy);
+  await simulateTraffic(cluster, 2_500, 0.02);
+  store.set("moves", "scribe", makeMove({ target: v3 }));
+  await simulateTraffic(cluster, 500, 0.02);
+  assert.deepEqual(store.statuses.map(({ target, state }) => `${target} ${state}`), [
+    "v3 running",
+    "v3 running",
+  ]);
+  const ordered = cluster.gateways[0]!.log.events.filter(({ event }) => event === "move_ordered");
+  assert.deepEqual(ordered.map(({ fields }) => fields.target), [V2, v3]);
+});
