Write the end of a version move again when a restored store has lost it

After a restore from a copy, a move that had been completed was running again in the store. A gateway that had seen its end in the store only, or that started then, decided it anew by what it had counted, and could write rolled_back after completed had been acknowledged, which stops the servers of the other version.

Cause: the state of a move was the one that the store showed. An end that the store has shown in an earlier era stays, decides where requests go, and is written again. The gateway that writes is told of it by those that saw it (a message of protocol version 5).

--- a/packages/gateway/src/moves/version_moves.ts
+++ b/packages/gateway/src/moves/version_moves.ts
@@ -22,6 +22,7 @@
   nextMoveStep,
   type VersionCounts,
 } from "@wisteriapick/policy";
+import type { MoveEnded } from "@wisteriapick/wire";
 import type { MoveRecord, MoveState } from "../config/types.ts";
 import type { DecisionLog } from "../observe/decision_log.ts";
 import type { PeerGroup } from "../peers/peer_group.ts";
@@ -61,6 +62,10 @@
 const NON_INFERIORITY_BETA = 0.1;
 /** Interval at which counts are sent to peers and the evidence is evaluated, in milliseconds. */
 const STEP_INTERVAL_MS = 100;
+/** Interval at which the gateway that writes is told of an end that the store has lost, in milliseconds. */
+const TELL_END_INTERVAL_MS = 300;
+/** Protocol version from which on gateways tell each other of ends that the store has lost. */
+const MOVE_ENDS_SINCE_VERSION = 5;
 /** Delay between two attempts to write a status, in milliseconds. */
 const WRITE_RETRY_DELAY_MS = 300;
 
@@ -71,7 +76,12 @@
 }
 
 interface OpenMove {
+  /** The order, with the end that it has reached, which a restored store may not show. */
   record: MoveRecord;
+  /** The state that the store shows. */
+  shownState: MoveState | null;
+  /** The store's era in which it showed the end that was reached; `null` if it has not, or another gateway said so. */
+  endEra: number | null;
   revision: number;
   /** Whether a restored store does not show the order, so that nothing can be written to it. */
   isRetained: boolean;
@@ -81,6 +91,7 @@
   share: number;
   end: MoveState | null;
   lastWriteMs: number;
+  lastToldMs: number;
   isWriting: boolean;
 }
 
@@ -106,6 +117,7 @@
       moves.registerListener(({ isRestored }) => {
         this.#refresh(this.#orders.update(isRestored, options.clock.now()));
       }),
+      options.network.registerHandler("move_ended", (peer, end) => this.#learnEnd(peer, end)),
       options.network.registerHandler("version_counts", (_peer, { counts }) => {
         for (const { service, ...rest } of counts) this.#addCounts(service, rest);
       }),
@@ -183,7 +195,7 @@
   }
 
   #advance(service: ServiceId, move: OpenMove, now: number): void {
-    if (isSettled(move.record)) return;
+    if (isSettled(move.record)) return this.#writeEndAgain(service, move, now);
     move.evidence.closeBatch();
     const step = nextMoveStep({
       elapsedMs: now - move.startedAtMs,
@@ -213,6 +225,28 @@
     }
   }
 
+  /** Writes the end of a move again when the store was restored to a state before it. */
+  #writeEndAgain(service: ServiceId, move: OpenMove, now: number): void {
+    const { target, state } = move.record;
+    if (!isEnd(state) || move.shownState === state || move.isRetained) return;
+    void this.#writeStatus(service, move, state, now);
+    if (now - move.lastToldMs < TELL_END_INTERVAL_MS) return;
+    move.lastToldMs = now;
+    // The gateway that writes may have started after the restore, and may decide otherwise by what it has counted.
+    const { network } = this.#options;
+    const writer = network.linked().find(({ name }) => name === network.coordinatorOf(service));
+    if (writer === undefined || writer.protocolVersion < MOVE_ENDS_SINCE_VERSION) return;
+    network.send(writer.name, { kind: "move_ended", service, target, state });
+  }
+
+  /** Takes over the end of a move from a gateway that saw it in the store before the store was restored. */
+  #learnEnd(peer: string, { service, target, state }: Omit<MoveEnded, "kind">): void {
+    const move = this.#open.get(service);
+    if (move === undefined || move.record.target !== target || isSettled(move.record)) return;
+    this.#options.log.state("move_end_learned", { peer, service, target, state });
+    move.record = { ...move.record, state };
+  }
+
   async #writeStatus(
     service: ServiceId,
     move: OpenMove,
@@ -262,7 +296,16 @@
   #applyOrder({ value: record, revision }: ViewItem<MoveRecord>, isRetained: boolean): void {
     const known = this.#open.get(record.service);
     if (known !== undefined && known.record.target === record.target) {
-      known.record = record;
+      const { era } = this.#options.view.kinds.moves;
+      const { state: reached } = known.record;
+      const isLost = isSettled(known.record) && !isSettled(record) && era !== known.endEra;
+      if (isLost && known.shownState === reached) {
+        const { service, target } = record;
+        this.#options.log.state("move_end_lost", { service, target, reached, state: record.state });
+      }
+      known.record = isLost ? { ...record, state: reached } : record;
+      known.shownState = record.state;
+      if (isSettled(record)) known.endEra = era;
       known.revision = revision;
       if (isRetained && !known.isRetained) {
         this.#options.log.state("order_retained", {
@@ -276,6 +319,8 @@
     this.#options.log.state("move_ordered", { ...record, revision });
     this.#open.set(record.service, {
       record,
+      shownState: record.state,
+      endEra: isSettled(record) ? this.#options.view.kinds.moves.era : null,
       revision,
       isRetained,
       startedAtMs: this.#options.clock.now(),
@@ -284,6 +329,7 @@
       share: 0,
       end: null,
       lastWriteMs: -Infinity,
+      lastToldMs: -Infinity,
       isWriting: false,
     });
   }
@@ -294,6 +340,10 @@
 const NEW = "new" as VersionId;
 
 function isSettled({ state }: MoveRecord): boolean {
+  return isEnd(state);
+}
+
+function isEnd(state: MoveState | null): state is MoveEnded["state"] {
   return state === "completed" || state === "rolled_back";
 }
 
--- a/packages/gateway/tests/version_moves_test.ts
+++ b/packages/gateway/tests/version_moves_test.ts
@@ -34,17 +34,18 @@
   const links = new MemoryLinks();
   const store = new MemoryStore(clock);
   const rng = new Rng(seed * 104_729);
-  const gateways = ["entry-1", "entry-2"].map((name) => {
+  const start = (name: string) => {
     const view = new StoreView();
     const log = new MemoryLog();
     const follower = new StoreFollower({ store, view, clock, rng: new Rng(1), log });
     const network = links.join(name);
     const moves = new VersionMoves({ view, store, network, clock, log, limits: () => LIMITS });
     follower.start();
-    return { moves, follower, log };
-  });
+    return { moves, follower, log, network };
+  };
+  const gateways = ["entry-1", "entry-2"].map(start);
   await settle();
-  return { clock, store, rng, gateways };
+  return { clock, store, rng, gateways, start };
 }
 
 type Cluster = Awaited<ReturnType<typeof makeCluster>>;
@@ -240,3 +241,69 @@
   const ordered = cluster.gateways[0]!.log.events.filter(({ event }) => event === "move_ordered");
   assert.deepEqual(ordered.map(({ fields }) => fields.target), [V2, v3]);
 });
+
+/** Name of a gateway that writes for the others once it joins them. */
+function writerAmong(...others: readonly string[]): string {
+  for (let i = others.length + 1;; i++) {
+    const links = new MemoryLinks();
+    for (const name of others) links.join(name);
+    const name = `entry-${i}`;
+    if (links.join(name).coordinatorOf(SCRIBE) === name) return name;
+  }
+}
+
+/** A move to a good version that has completed, and a copy of the store from before that. */
+async function makeCompleted() {
+  const cluster = await makeCluster(1);
+  const { store } = cluster;
+  store.restore(store.copy(), 1);
+  store.set("moves", "scribe", makeMove());
+  await simulateTraffic(cluster, 3_000, 0.02);
+  const copy = store.copy();
+  await simulateTraffic(cluster, 8_900, 0.02);
+  assert.deepEqual(statesOf(cluster), ["running", "completed"]);
+  return { cluster, store, copy };
+}
+
+// Guards against a completed move that a restored store shows as running and that is then rolled back.
+test("the end of a move that a restored store has lost is written again, and never its opposite", async () => {
+  const { cluster, store, copy } = await makeCompleted();
+  // The gateway that writes has seen the end in the store only.
+  cluster.gateways.push(cluster.start(writerAmong("entry-1", "entry-2")));
+  await simulateTraffic(cluster, 200, 0.02);
+  store.restore(copy);
+  const after = await simulateTraffic(cluster, 6_000, 0.9);
+  assert.equal(after.get(V1), undefined);
+  assert.deepEqual(statesOf(cluster), ["running", "completed", "completed"]);
+});
+
+// Guards against a move that begins anew when the order was lost with its end.
+test("the end of a move is written again once its lost order is", async () => {
+  const cluster = await makeCluster(1);
+  const { store } = cluster;
+  store.restore(store.copy(), 1);
+  await simulateTraffic(cluster, 2_500, 0.02);
+  const copy = store.copy();
+  store.set("moves", "scribe", makeMove());
+  await simulateTraffic(cluster, 11_900, 0.02);
+  store.restore(copy);
+  await simulateTraffic(cluster, 3_000, 0.9);
+  store.set("moves", "scribe", makeMove());
+  const after = await simulateTraffic(cluster, 1_000, 0.9);
+  assert.equal(after.get(V1), undefined);
+  assert.deepEqual(statesOf(cluster), ["running", "completed", "completed"]);
+});
+
+// Guards against the opposite of an end, written by a gateway that has not seen it before the store was restored.
+test("a gateway that starts after a restore and writes for the others writes the end that they saw", async () => {
+  const { cluster, store, copy } = await makeCompleted();
+  store.setAvailability("refusing");
+  store.restore(copy);
+  cluster.gateways.push(cluster.start(writerAmong("entry-1", "entry-2")));
+  store.setAvailability("serving");
+  await simulateTraffic(cluster, 6_000, 0.9);
+  assert.deepEqual(statesOf(cluster).filter((state) => state !== "running"), [
+    "completed",
+    "completed",
+  ]);
+});
--- a/packages/wire/src/message_codec.ts
+++ b/packages/wire/src/message_codec.ts
@@ -395,6 +395,11 @@
     clockMs: real,
     clockEpoch: count,
   }),
+  move_ended: record<Body<"move_ended">>({
+    service,
+    target: version,
+    state: oneOf(["completed", "rolled_back"]),
+  }),
 };
 
 const KINDS = Object.keys(BODIES) as Message["kind"][];
--- a/packages/wire/src/messages.ts
+++ b/packages/wire/src/messages.ts
@@ -629,6 +629,14 @@
   readonly clockEpoch: number;
 }
 
+/** The end of a version move, which the store showed before it was restored. Since protocol version 5. */
+export interface MoveEnded {
+  readonly kind: "move_ended";
+  readonly service: ServiceId;
+  readonly target: VersionId;
+  readonly state: "completed" | "rolled_back";
+}
+
 /** Messages that may open a stream. */
 export type Opening = Run | Resume | Call | ConfigPull | AccountReports;
 
@@ -679,4 +687,5 @@
   | PermitGrant
   | ConfigConfirmed
   | ClockQuestion
-  | ClockAnswer;
+  | ClockAnswer
+  | MoveEnded;
--- a/packages/wire/tests/samples.ts
+++ b/packages/wire/tests/samples.ts
@@ -198,4 +198,10 @@
   },
   { kind: "clock_question", askedAtMs: 77.25 },
   { kind: "clock_answer", askedAtMs: 77.25, clockMs: 99, clockEpoch: 3 },
+  {
+    kind: "move_ended",
+    service: serviceId("scribe"),
+    target: versionId("v2"),
+    state: "completed",
+  },
 ];
