Register gateways again that a restored store has lost

After a restore from a copy, registrations of gateways that had been written in the lost seconds were gone until the next read, up to two minutes later, in which a gateway that started without a living seed found nobody.

Cause: a gateway reads the registrations once a minute only. It reads them, at their present state, one to two seconds after it learns of a later era, if it is one that others should find. The new test does not compile on the code before, which has no such call.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -231,6 +231,9 @@
       isEntryPoint: () => this.#network.isAmongFirst("registration", ENTRY_POINTS),
       isLinked: (name) => this.#network.isLinked(name),
     });
+    view.kinds.config.registerListener(({ isRestored }) => {
+      if (isRestored) this.#registration.onStoreRestored();
+    });
     const limits = new EndpointLimits({
       clock,
       log,
--- a/packages/gateway/src/peers/registration.ts
+++ b/packages/gateway/src/peers/registration.ts
@@ -36,6 +36,8 @@
  * which may also have been some seconds old.
  */
 const READ_AFTER_WRITE_DELAY_MS = 3_000;
+/** Shortest delay of the read after the store was restored, when those that have lost their registrations write them. */
+const READ_AFTER_RESTORE_DELAY_MS = 1_000;
 /** Time without a link after which a gateway's registration is removed as stale. */
 const STALE_AFTER_MS = 600_000;
 
@@ -45,6 +47,8 @@
   readonly #missingSinceMs = new Map<string, number>();
   #stopTimer: Undo = () => {};
   #stopped = false;
+  /** Whether the next read must not be some seconds old. */
+  #mustReadCurrent = false;
   /** Write of this gateway's registration that is in progress, or the last one. */
   #write: Promise<void> = Promise.resolve();
 
@@ -56,6 +60,14 @@
     this.#schedule(FIRST_READ_DELAY_MS);
   }
 
+  /** Reads the registrations soon, and writes this gateway's again if the restored store has lost it. */
+  onStoreRestored(): void {
+    if (this.#stopped || !this.#options.isEntryPoint()) return;
+    this.#mustReadCurrent = true;
+    this.#stopTimer();
+    this.#schedule(READ_AFTER_RESTORE_DELAY_MS);
+  }
+
   /** Stops and removes this gateway's registration. Failures are logged, not raised. */
   async remove(): Promise<void> {
     this.stop();
@@ -93,7 +105,8 @@
   /** Reads the registrations and writes this gateway's where it is missing. Returns whether it was written. */
   async #refresh(): Promise<boolean> {
     const { store, record, onFound, isEntryPoint } = this.#options;
-    const { items } = await store.list("gateways", { isStaleAllowed: true });
+    const { items } = await store.list("gateways", { isStaleAllowed: !this.#mustReadCurrent });
+    this.#mustReadCurrent = false;
     const records = [...items.values()].map((item) => item.value);
     onFound(records.map(({ name, address, dataCentre }) => {
       return { name, ...address, dataCentre, processorShare: null, linkMbps: null };
--- a/packages/gateway/tests/registration_test.ts
+++ b/packages/gateway/tests/registration_test.ts
@@ -3,6 +3,8 @@
 import { ManualClock, Rng } from "@wisteriapick/core";
 import type { GatewayRecord } from "../src/config/types.ts";
 import { Registration } from "../src/peers/registration.ts";
+import type { ReadOptions } from "../src/state/state_store.ts";
+import type { ViewKind } from "../src/state/store_view.ts";
 import { MemoryLog, MemoryStore, OSU, settle } from "./fixtures.ts";
 
 const START_MS = 10_000;
@@ -98,3 +100,37 @@
   registration.stop();
   assert.deepEqual([...(await store.list("gateways")).items.keys()].sort(), ["entry-1", "odd"]);
 });
+
+/** Remembers which lists may be some seconds old. */
+class RecordingStore extends MemoryStore {
+  readonly staleAllowed: boolean[] = [];
+
+  override list<K extends ViewKind>(kind: K, options: ReadOptions = {}) {
+    this.staleAllowed.push(options.isStaleAllowed ?? false);
+    return super.list(kind);
+  }
+}
+
+// Guards against gateways that are not found for a minute, as a restored store has lost their registrations.
+test("a registration that a restored store has lost is written again within three seconds", async () => {
+  const clock = new ManualClock();
+  const store = new RecordingStore(clock);
+  const copy = store.copy();
+  const { registration } = startGateway("entry-1", store, clock);
+  const advance = async (ms: number) => {
+    for (let elapsedMs = 0; elapsedMs < ms; elapsedMs += STEP_MS) {
+      clock.advance(STEP_MS);
+      await settle();
+    }
+  };
+  await advance(START_MS);
+  store.restore(copy);
+  store.staleAllowed.length = 0;
+  registration.onStoreRestored();
+  await advance(3_000);
+  const { items } = await store.list("gateways");
+  assert.deepEqual([...items.keys()], ["entry-1"]);
+  // A read that may be some seconds old would still show the lost registration.
+  assert.equal(store.staleAllowed[0], false);
+  registration.stop();
+});
