Do not end a lost order while the store is away

An evacuation or a move that a restored store lacks would have ended 5 s after the restore, also while the store was away once more, so that nobody could write it again.

Cause: the time ran from the restore. It runs from the end of an outage if that is later. The new test does not compile on the code before; with a time that runs on, it fails at its first check.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -249,6 +249,7 @@
       clock,
       log,
       limits: () => ({ share: settings.bounds.expose_share, extra: settings.bounds.expose_extra }),
+      outage: () => this.#viewSync.outage,
     });
     const ctx: RelayContext = {
       clock,
--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -17,6 +17,7 @@
 export * from "./state/response_deadline.ts";
 export * from "./state/state_store.ts";
 export * from "./state/store_follower.ts";
+export * from "./state/store_outage.ts";
 export * from "./state/store_position.ts";
 export * from "./state/store_view.ts";
 export * from "./surface/caller_dialect.ts";
--- a/packages/gateway/src/moves/version_moves.ts
+++ b/packages/gateway/src/moves/version_moves.ts
@@ -29,6 +29,7 @@
 import type { EndpointRow } from "../state/fleet.ts";
 import { type RetainedEnd, RetainedObjects } from "../state/retained_objects.ts";
 import type { StateStore } from "../state/state_store.ts";
+import { NO_OUTAGE, type StoreOutage } from "../state/store_outage.ts";
 import type { StorePosition } from "../state/store_position.ts";
 import type { StoreView, ViewItem } from "../state/store_view.ts";
 
@@ -51,6 +52,8 @@
   readonly clock: Clock;
   readonly log: DecisionLog;
   readonly limits: () => ExposureLimits;
+  /** The present or the last outage of the store; none by default. */
+  readonly outage?: () => StoreOutage;
 }
 
 /** Probability that a good version is ever shown to be worse. */
@@ -180,7 +183,8 @@
   /** Sends new counts to peers, and advances each move. Called each tick. */
   tick(): void {
     const now = this.#options.clock.now();
-    const ended = this.#orders.expire(now);
+    const { outage = () => NO_OUTAGE } = this.#options;
+    const ended = this.#orders.expire(now, outage());
     if (ended.size > 0) this.#refresh(ended);
     if (this.#open.size === 0 || now - this.#lastStepMs < STEP_INTERVAL_MS) return;
     this.#lastStepMs = now;
--- a/packages/gateway/src/peers/store_view_sync.ts
+++ b/packages/gateway/src/peers/store_view_sync.ts
@@ -11,7 +11,7 @@
 import type { Clock, DataCentreId, RegionId, SuspendAwareClock, Undo } from "@wisteriapick/core";
 import type { ViewUpdate } from "@wisteriapick/wire";
 import type { DecisionLog } from "../observe/decision_log.ts";
-import type { StoreOutage } from "../state/fleet.ts";
+import type { StoreOutage } from "../state/store_outage.ts";
 import type { ReadMoment, StoreFollower } from "../state/store_follower.ts";
 import type { KeyLease } from "../state/key_lease.ts";
 import { isBefore, NO_POSITION, UNNAMED_ERA } from "../state/store_position.ts";
--- a/packages/gateway/src/state/fleet.ts
+++ b/packages/gateway/src/state/fleet.ts
@@ -21,6 +21,7 @@
 import type { DecisionLog } from "../observe/decision_log.ts";
 import { isOutdated, isSameWrite } from "./registration_order.ts";
 import { type RetainedEnd, RetainedObjects } from "./retained_objects.ts";
+import type { StoreOutage } from "./store_outage.ts";
 import type { StorePosition } from "./store_position.ts";
 import { FOLLOWED_KINDS, type StoreView, type ViewSource } from "./store_view.ts";
 
@@ -71,14 +72,6 @@
   readonly restarted: boolean;
 }
 
-/** Outage of the store, which decides how a missing registration is interpreted. */
-export interface StoreOutage {
-  /** Whether the content of the store is unknown now. */
-  readonly isDown: boolean;
-  /** When the last outage ended, by the monotonic clock; `-Infinity` if there was none. */
-  readonly endedAtMs: number;
-}
-
 /** Options of {@link Fleet}. */
 export interface FleetOptions {
   readonly view: StoreView;
@@ -279,7 +272,7 @@
       }
     }
     this.#acceptOutdated(now);
-    const ended = this.#evacuations.expire(now);
+    const ended = this.#evacuations.expire(now, { isDown, endedAtMs });
     if (ended.size === 0) return;
     this.#logRetainedEnds(ended);
     this.#applyEvacuations();
--- a/packages/gateway/src/state/retained_objects.ts
+++ b/packages/gateway/src/state/retained_objects.ts
@@ -7,6 +7,7 @@
  *
  * @module
  */
+import type { StoreOutage } from "./store_outage.ts";
 import type { KindView, ViewItem } from "./store_view.ts";
 
 type Items<T> = ReadonlyMap<string, ViewItem<T>>;
@@ -42,7 +43,7 @@
   readonly #options: Required<RetainedObjectsOptions<T>>;
   readonly #held = new Map<string, ViewItem<T>>();
   #items: Items<T>;
-  #untilMs = -Infinity;
+  #restoredAtMs = -Infinity;
 
   constructor(options: RetainedObjectsOptions<T>) {
     this.#options = { isSameOrder: () => true, retainMs: RETAIN_ORDERS_MS, ...options };
@@ -66,7 +67,7 @@
     this.#items = items;
     const ended = new Map<string, RetainedEnd>();
     if (isRestored) {
-      this.#untilMs = nowMs + this.#options.retainMs;
+      this.#restoredAtMs = nowMs;
       this.#retainLost(before, ended);
       return ended;
     }
@@ -79,10 +80,11 @@
     return ended;
   }
 
-  /** Ends what was not written again in time, by name. */
-  expire(nowMs: number): ReadonlyMap<string, RetainedEnd> {
+  /** Ends what was not written again in time, by name. The time does not run while the store is away. */
+  expire(nowMs: number, { isDown, endedAtMs }: StoreOutage): ReadonlyMap<string, RetainedEnd> {
     const ended = new Map<string, RetainedEnd>();
-    if (this.#held.size === 0 || nowMs < this.#untilMs) return ended;
+    const untilMs = Math.max(this.#restoredAtMs, endedAtMs) + this.#options.retainMs;
+    if (this.#held.size === 0 || isDown || nowMs < untilMs) return ended;
     for (const name of this.names) ended.set(name, "not_written_again");
     this.#held.clear();
     return ended;
--- a/packages/gateway/tests/fleet_test.ts
+++ b/packages/gateway/tests/fleet_test.ts
@@ -2,7 +2,8 @@
 import { test } from "node:test";
 import { endpointId, ManualClock } from "@wisteriapick/core";
 import type { EndpointRecord } from "../src/config/types.ts";
-import { Fleet, type StoreOutage } from "../src/state/fleet.ts";
+import { Fleet } from "../src/state/fleet.ts";
+import { NO_OUTAGE, type StoreOutage } from "../src/state/store_outage.ts";
 import { StoreView } from "../src/state/store_view.ts";
 import {
   ACCRA,
@@ -16,13 +17,11 @@
   TEMA,
 } from "./fixtures.ts";
 
-const NO_OUTAGE: StoreOutage = { isDown: false, endedAtMs: -Infinity };
-
 function makeFleet() {
   const clock = new ManualClock();
   const view = new StoreView();
   const log = new MemoryLog();
-  const state = { outage: NO_OUTAGE };
+  const state: { outage: StoreOutage } = { outage: NO_OUTAGE };
   const fleet = new Fleet({
     view,
     clock,
--- a/packages/gateway/tests/retained_objects_test.ts
+++ b/packages/gateway/tests/retained_objects_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { RETAIN_ORDERS_MS, RetainedObjects } from "../src/state/retained_objects.ts";
+import { NO_OUTAGE, type StoreOutage } from "../src/state/store_outage.ts";
 import { KindView } from "../src/state/store_view.ts";
 import { makeSnapshot } from "./fixtures.ts";
 
@@ -20,9 +21,9 @@
     const item = value === null ? null : { revision, value };
     view.apply({ era: view.era, revision, events: [{ name, item }] }, "store");
   };
-  const expire = (now: number) => {
+  const expire = (now: number, outage: StoreOutage = NO_OUTAGE) => {
     state.now = now;
-    for (const [name, end] of retained.expire(now)) ends.push(`${name} ${end}`);
+    for (const [name, end] of retained.expire(now, outage)) ends.push(`${name} ${end}`);
   };
   const values = () =>
     Object.fromEntries([...retained.inForce].map(([name, { value }]) => [name, value]));
@@ -73,3 +74,15 @@
   expire(3_000 + RETAIN_ORDERS_MS);
   assert.deepEqual(values(), {});
 });
+
+// Guards against an order that ends although its owner could not write it again.
+test("the time of a lost order does not run while the store is away", () => {
+  const { restore, expire, values } = makeOrders();
+  restore(2, { a: "a1" });
+  expire(20_000, { isDown: true, endedAtMs: -Infinity });
+  assert.deepEqual(values(), { a: "a1", b: "b1" });
+  expire(24_000, { isDown: false, endedAtMs: 20_000 });
+  assert.deepEqual(values(), { a: "a1", b: "b1" });
+  expire(25_000, { isDown: false, endedAtMs: 20_000 });
+  assert.deepEqual(values(), { a: "a1" });
+});
