--- a/packages/gateway/src/relay/plain_call.ts
+++ b/packages/gateway/src/relay/plain_call.ts
@@ -277,6 +277,7 @@
       inFlight: endpoint.inFlight,
       latencyMs: Math.round(endpoint.latencyMs),
       remainingMs: Math.round(remainingMs),
+      era: row.era,
       revision: row.revision,
     });
     const attempt = new Attempt(this.#ctx, this.#req, endpoint, {
--- a/packages/gateway/src/relay/stream_run.ts
+++ b/packages/gateway/src/relay/stream_run.ts
@@ -309,6 +309,7 @@
       promptTokens: this.promptTokens,
       afterEvent: this.#reader.lastId,
       remainingMs: Math.round(remainingMs),
+      era: row.era,
       revision: row.revision,
       sharedSegments: this.sharedSegments,
     });
