Do not send a cached configuration from before a later version was learned

Cause: encoded changes are cached by position, and a version that is learned from a peer changes the content only. The cache of the configuration ends with each change, and the value that patches are made from is the newest one at its revision. The reviewer's two tests fail on the code before.

--- a/packages/gateway/src/peers/view_changes.ts
+++ b/packages/gateway/src/peers/view_changes.ts
@@ -125,10 +125,12 @@
     const { era } = this.#view.kinds.config;
     if (era !== this.#pastEra) this.#pastConfigs.clear();
     this.#pastEra = era;
+    // A later version that a peer knew changes the content, and not the position.
+    this.#cached.delete("config");
     for (const [name, item] of this.#view.kinds.config.snapshot.items) {
       const past = this.#pastConfigs.get(name) ?? [];
-      if (past.at(-1)?.revision === item.revision) continue;
-      this.#pastConfigs.set(name, [...past, item].slice(-MAX_PAST_CONFIGS));
+      const earlier = past.filter(({ revision }) => revision !== item.revision);
+      this.#pastConfigs.set(name, [...earlier, item].slice(-MAX_PAST_CONFIGS));
     }
   }
 }
--- a/packages/gateway/tests/store_view_sync_test.ts
+++ b/packages/gateway/tests/store_view_sync_test.ts
@@ -628,3 +628,53 @@
   assert.deepEqual(gateways.map(versionOf), [2, 2]);
   assert.deepEqual(gateways.map(({ view }) => view.kinds.config.era), [1, 1]);
 });
+
+// Guards against a cached encoding of what the view contained before it took a later version at the same position.
+test("a gateway that took a later configuration passes it on, whatever it encoded at that position before", () => {
+  const late = new StoreView().kinds;
+  const encoder = new ViewChangesEncoder({ kinds: late });
+  const whole = { era: 2, revision: 0 };
+  late.config.replace(makeSnapshot(4, { main: makeConfig({ version: 5 }) }, 4, 2), "store");
+  encoder.encode("config", whole);
+  late.config.adopt([["main", { revision: 10, value: makeConfig({ version: 7 }) }]], "peer");
+  const receiver = new StoreView().kinds.config;
+  const encoded = encoder.encode("config", whole);
+  applyEncodedChanges(receiver as never, late.config.position, encoded, RECEIVED);
+  assert.equal(receiver.snapshot.items.get("main")?.value.version, 7);
+});
+
+/** Name of a gateway that reads for the others once it joins them. */
+function firstInOrder(gateways: readonly Gateway[]): string {
+  for (let i = 0;; i++) {
+    const links = new MemoryLinks();
+    const name = `entry-late-${i}`;
+    for (const member of [...gateways.map((g) => g.name), name]) links.join(member);
+    const [first] = links.members.get(name)!.orderOf(`store/${ACCRA}`, () => true);
+    if (first === name) return name;
+  }
+}
+
+// Guards against an older configuration at the later ones of several gateways that are restarted at a restore.
+test("gateways that start one after the other at a restore all get the configuration that it lost", async () => {
+  const { clock, links, gateways } = await makeGateways(3);
+  await advance(clock, gateways, 5_000);
+  const copy = gateways[0]!.store.copy();
+  write(gateways, 2);
+  await advance(clock, gateways, 1_500);
+  const all = [...gateways];
+  for (const { store } of all) store.setAvailability("refusing");
+  await advance(clock, all, 2_000);
+  for (const { store } of all) store.restore(copy, 1);
+  const start = (name: string) => {
+    const store = new MemoryStore(clock);
+    store.restore(copy, 1);
+    all.push(makeGateway(name, { clock, links, store, revokeMs: null }));
+  };
+  start(firstInOrder(gateways));
+  for (const { store } of all) store.setAvailability("serving");
+  await advance(clock, all, 5_000);
+  assert.deepEqual(all.map(versionOf), all.map(() => 2), "first");
+  start("entry-last");
+  await advance(clock, all, 5_000);
+  assert.deepEqual(all.map(versionOf), all.map(() => 2), "last");
+});
