Do not confirm a view by a response that does not follow from it

Found by review, by reading: a 410, or a list of an earlier era, was passed on to other gateways as a read of this moment, so they left reading to a gateway that had read nothing for up to 1.2 s longer. Only complete reads count. The new test shows updates with an age of 0 on the code before.

--- a/packages/gateway/src/peers/store_view_sync.ts
+++ b/packages/gateway/src/peers/store_view_sync.ts
@@ -281,7 +281,8 @@
 
   #onRead(kind: FollowedKind, { askedAtMs, isComplete }: ReadMoment): void {
     const { clock, network } = this.#options;
-    if (kind === "config" && isComplete) this.#confirmations.recordRead(askedAtMs);
+    if (!isComplete) return;
+    if (kind === "config") this.#confirmations.recordRead(askedAtMs);
     this.#freshness.set(kind, { origin: network.name, hops: 0, readAtMs: clock.now() });
     // Encoding a large change takes as long as decoding it, so streams get a turn in between.
     this.#stopPassing.get(kind)?.();
--- a/packages/gateway/tests/store_view_sync_test.ts
+++ b/packages/gateway/tests/store_view_sync_test.ts
@@ -719,3 +719,18 @@
   assert.deepEqual(all.map(({ view }) => view.kinds.config.era), [1, 1, 1, 1]);
   assert.deepEqual(all.map(versionOf), [2, 2, 2, 2]);
 });
+
+// Guards against a view that counts as confirmed when the store has answered with content of an earlier era.
+test("a list of an earlier era confirms no view at other gateways", async () => {
+  const { clock, gateways } = await makeGateways(2);
+  await advance(clock, gateways, 3_000);
+  const reader = readerOf(gateways);
+  for (const { view } of gateways) {
+    view.kinds.config.replace(makeSnapshot(1, { main: makeConfig() }, 1, 1), "peer");
+  }
+  const ages = () =>
+    reader.network.sent.filter((msg) => msg.kind === "view_update" && msg.view === "config")
+      .flatMap((msg) => msg.kind === "view_update" && msg.era === 1 ? [msg.ageMs ?? Infinity] : []);
+  await advance(clock, gateways, 5_000);
+  assert.ok(ages().every((ageMs) => ageMs >= 100), `confirmed: ${ages().join(", ")}`);
+});
