Believe the store when it contradicts a position that a gateway named

A peer that named a revision which the store has never given out kept a gateway from taking any change of that kind: the store's own lists counted as older, and its watches got 410.

Cause: a view's position was believed whoever named it. The store's responses are linearizable, so a list that was asked for when the view had its position, and is before it in the same era, shows that the store never had it; it replaces the view, and view_position_unknown_to_store says so.

Of two new unit tests the first never ends on the code before, the second guards a delayed list and passes there.

--- a/packages/gateway/src/state/store_follower.ts
+++ b/packages/gateway/src/state/store_follower.ts
@@ -220,13 +220,18 @@
 
   /** Reads all objects of a kind. */
   #list<K extends FollowedKind>(kind: K): Promise<ReadResult> {
-    const { store, view } = this.#options;
+    const { store, view, log } = this.#options;
     const deadline = { firstByteMs: LIST_FIRST_BYTE_MS, busyFirstByteMs: LIST_FIRST_BYTE_MS };
     return this.#read(kind, "list", deadline, async (options) => {
       const current = view.kinds[kind];
       const before = { era: current.era, revision: newestRevision(current) };
+      const { position } = current;
       const snapshot = await store.list(kind, options);
-      current.replace(snapshot as never, "store");
+      // The store's responses are linearizable, so in one era it cannot be before what it had said when it was asked. A
+      // gateway has named a position that the store never had.
+      const isContradicted = snapshot.era === position.era && isBefore(snapshot, position);
+      if (isContradicted) log.state("view_position_unknown_to_store", { kind, ...position });
+      current.replace(snapshot as never, "store", isContradicted ? position : undefined);
       // A list of an earlier era was delayed, or comes from a copy, and confirms nothing.
       if (snapshot.era !== current.era) return "history_gone";
       const after = { era: current.era, revision: newestRevision(current) };
--- a/packages/gateway/src/state/store_view.ts
+++ b/packages/gateway/src/state/store_view.ts
@@ -146,9 +146,19 @@
     return this.#snapshot;
   }
 
-  /** Replaces the snapshot unless the new one is older. Returns whether it was replaced. */
-  replace(snapshot: Snapshot<T>, source: ViewSource): boolean {
-    if (this.#known && isBefore(snapshot, this.#snapshot)) return false;
+  /**
+   * Replaces the snapshot unless the new one is older. Returns whether it was replaced.
+   *
+   * @param contradicted A position that the store has not given out, as what it then read was before that. A view at it
+   * is replaced by the older snapshot.
+   */
+  replace(
+    snapshot: Snapshot<T>,
+    source: ViewSource,
+    contradicted: StorePosition = NO_POSITION,
+  ): boolean {
+    const isContradicted = !isBefore(contradicted, this.#snapshot);
+    if (this.#known && isBefore(snapshot, this.#snapshot) && !isContradicted) return false;
     const isSameEra = snapshot.era === this.#snapshot.era;
     const items = new Map<string, ViewItem<T>>();
     const retained: string[] = [];
--- a/packages/gateway/tests/store_follower_test.ts
+++ b/packages/gateway/tests/store_follower_test.ts
@@ -3,7 +3,14 @@
 import { ManualClock, Rng } from "@wisteriapick/core";
 import { StoreFollower } from "../src/state/store_follower.ts";
 import { StoreView } from "../src/state/store_view.ts";
-import { makeConfig, makeEndpoint, MemoryLog, MemoryStore, settle } from "./fixtures.ts";
+import {
+  makeConfig,
+  makeEndpoint,
+  makeSnapshot,
+  MemoryLog,
+  MemoryStore,
+  settle,
+} from "./fixtures.ts";
 
 async function makeFollower() {
   const clock = new ManualClock();
@@ -188,3 +195,40 @@
   assert.equal(versionOf(view), 2);
   follower.stop();
 });
+
+// Guards against a revision that a gateway named, the store never gave out, and that hides all later changes.
+test("a view at a position that the store never had is replaced by what the store holds", async () => {
+  const { clock, store, view, log, follower } = await makeFollower();
+  const { endpoints } = view.kinds;
+  endpoints.replace({ era: 0, revision: 2 ** 40, items: new Map() }, "peer");
+  store.set("endpoints", "a", makeEndpoint("a"));
+  await advance(clock, 2_000);
+  assert.deepEqual([...endpoints.snapshot.items.keys()], ["a"]);
+  assert.equal(endpoints.revision, store.revision);
+  assert.equal(log.count("view_position_unknown_to_store"), 1);
+  follower.stop();
+});
+
+// Guards against a list that was delayed and replaces what a peer has read since.
+test("a list that was asked for before a peer's update does not replace it", async () => {
+  const { clock, store, view, log, follower } = await makeFollower();
+  const { endpoints } = view.kinds;
+  const list = store.list.bind(store);
+  let hasAnswered = false;
+  store.list = async (kind) => {
+    const snapshot = await list(kind);
+    await clock.sleep(500);
+    hasAnswered ||= kind === "endpoints";
+    return snapshot;
+  };
+  store.set("endpoints", "a", makeEndpoint("a"));
+  store.dropHistory();
+  await advance(clock, 100);
+  // The list has been asked for and is on its way.
+  store.set("endpoints", "b", makeEndpoint("b"));
+  endpoints.replace(makeSnapshot(store.revision, { b: makeEndpoint("b") }), "peer");
+  while (!hasAnswered) await advance(clock, 50);
+  assert.deepEqual([...endpoints.snapshot.items.keys()], ["b"]);
+  assert.equal(log.count("view_position_unknown_to_store"), 0);
+  follower.stop();
+});
