Bound the timeouts of callers' connections to what Node.js takes

What callers saw: with header_timeout_ms of 49.7 days and a little more, each head that came in pieces was answered 408 within a quarter of a second.

Cause: Node.js counts these timeouts with 32 bits.

Change: a longer timeout is cut to 24.8 days.

Evidence: the last test of packages/gateway/tests/proxy_server_test.ts failed before and passes now.

--- a/packages/gateway/src/surface/proxy_server.ts
+++ b/packages/gateway/src/surface/proxy_server.ts
@@ -62,6 +62,8 @@
 
 /** Largest header section that the parser accepts. The configured limit is checked after parsing. */
 const MAX_PARSED_HEADER_BYTES = 131_072;
+/** Longest timeout that Node.js takes as it is: it adds a second to it, and counts with 31 bits. */
+const MAX_TIMEOUT_MS = 2 ** 31 - 1_001;
 /** Interval at which the server checks for connections that are too slow. */
 const SLOW_CONNECTION_CHECK_INTERVAL_MS = 250;
 /** Longest time for which a request waits for the first configuration. A store responds in a few milliseconds. */
@@ -133,11 +135,8 @@
     const { budget, clock, log, errors = new ErrorBoundary({ clock, log }) } = options;
     this.#errors = errors;
     this.#bodyQueue = new BodyQueue({ budget, clock, maxWaitMs: MAX_ROOM_WAIT_MS });
-    const limits = options.handler.limits();
     const serverOptions: ServerOptions = {
       maxHeaderSize: MAX_PARSED_HEADER_BYTES,
-      headersTimeout: limits.headerTimeoutMs,
-      keepAliveTimeout: limits.idleTimeoutMs,
       requestTimeout: 0,
       connectionsCheckingInterval: SLOW_CONNECTION_CHECK_INTERVAL_MS,
       noDelay: true,
@@ -145,6 +144,7 @@
       requireHostHeader: false,
     };
     this.#server = createServer(serverOptions, (req, res) => this.#onRequest(req, res));
+    this.applyLimits(options.handler.limits());
     const contain = (socket: Socket, work: () => void) =>
       errors.run("connection", work, () => socket.destroy());
     this.#server.on("connection", (socket) => contain(socket, () => this.#onConnection(socket)));
@@ -179,8 +179,8 @@
 
   /** Applies the limits of a new configuration. */
   applyLimits({ headerTimeoutMs, idleTimeoutMs }: CallerLimits): void {
-    this.#server.headersTimeout = headerTimeoutMs;
-    this.#server.keepAliveTimeout = idleTimeoutMs;
+    this.#server.headersTimeout = Math.min(MAX_TIMEOUT_MS, headerTimeoutMs);
+    this.#server.keepAliveTimeout = Math.min(MAX_TIMEOUT_MS, idleTimeoutMs);
   }
 
   /** Number of requests in progress. */
--- a/packages/gateway/tests/proxy_server_test.ts
+++ b/packages/gateway/tests/proxy_server_test.ts
@@ -143,3 +143,23 @@
   assert.equal(server.busyConnectionCount, 0, "it had a response 1.1 s before");
   assert.equal(server.connectionCount, 1);
 });
+
+/** Several times the interval at which Node.js looks for heads that are late, in milliseconds. */
+const LATE_HEAD_MS = 700;
+
+// Guards against a timeout of months by which each head that comes in pieces is late.
+test("a head that comes in pieces is read whatever timeout a configuration names", async (t) => {
+  const { socket, event, server } = await startServer(t);
+  server.applyLimits({
+    maxHeaderBytes: 8_192,
+    maxBodyBytes: 65_536,
+    headerTimeoutMs: 2 ** 32 + 1,
+    idleTimeoutMs: 2 ** 32 + 1,
+  });
+  const handled = event("handled").then(() => "handled");
+  const closed = once(socket, "close").then(() => "closed");
+  socket.write(HEAD.slice(0, 9));
+  await new Promise((resolve) => setTimeout(resolve, LATE_HEAD_MS));
+  socket.write(`${HEAD.slice(9)}abc`);
+  assert.equal(await Promise.race([handled, closed]), "handled");
+});
