Check addresses of peers' records and of gateways as those of registrations

Records of endpoints in views of peers, and gateways that peers and the store name, passed the check of what an address is, and not of one that can be connected to: 0.0.0.0 in a peer's view made an entry call itself. Both use parseRemoteAddress() now.

--- a/packages/gateway/src/config/record_checks.ts
+++ b/packages/gateway/src/config/record_checks.ts
@@ -14,7 +14,7 @@
   serviceId,
   versionId,
 } from "@wisteriapick/core";
-import { formatAddress, parseAddress } from "@wisteriapick/wire";
+import { formatAddress, parseRemoteAddress } from "@wisteriapick/wire";
 import type { FollowedKind, ViewItems } from "../state/store_view.ts";
 
 /** Raises an error with the path of the field if a value cannot be used. */
@@ -94,7 +94,7 @@
 const address: Check = (value, path) => {
   const { host, port } = (value ?? {}) as Record<string, unknown>;
   if (typeof host !== "string" || typeof port !== "number") fail(path, "an address");
-  parseAddress(formatAddress({ host, port }));
+  parseRemoteAddress(formatAddress({ host, port }));
 };
 
 const regions = listOf(id(regionId));
--- a/packages/gateway/src/peers/peer_network.ts
+++ b/packages/gateway/src/peers/peer_network.ts
@@ -25,7 +25,7 @@
   LinkPool,
   listenLinks,
   type Message,
-  parseAddress,
+  parseRemoteAddress,
 } from "@wisteriapick/wire";
 import type { DecisionLog } from "../observe/decision_log.ts";
 import { ErrorBoundary } from "../observe/error_boundary.ts";
@@ -296,8 +296,8 @@
   #isUsable(gateway: GatewayAddress): boolean {
     try {
       hostId(gateway.name);
-      const { port } = parseAddress(formatAddress(gateway));
-      return port > 0;
+      parseRemoteAddress(formatAddress(gateway));
+      return true;
     } catch (e) {
       // Peers repeat what they know in each list.
       if (this.#unusable.size < MAX_UNUSABLE_LOGGED && !this.#unusable.has(gateway.name)) {
