Do not believe a peer that names a time to come

Found by review. Ages in messages of gateways were any finite number, so a negative one named a time to come, which nothing later replaces: a view counted as read from then on, and its gateway never read the store again; the lease on keys was confirmed beyond its bound, and then renewed no more; a limit of an endpoint was not ended by the endpoint's own responses.

An age below 0 counts as 0 where messages are decoded, for all ages. Messages in memory between gateways of tests are encoded as on a real link.

--- a/packages/gateway/tests/memory_peers.ts
+++ b/packages/gateway/tests/memory_peers.ts
@@ -1,6 +1,12 @@
 /** Gateways linked in memory. Messages arrive at once unless the link is cut or the receiver is stalled. */
 import type { DataCentreId, Undo } from "@wisteriapick/core";
-import { type Message, PROTOCOL_VERSIONS } from "@wisteriapick/wire";
+import {
+  decodeMessage,
+  encodeBody,
+  kindNumber,
+  type Message,
+  PROTOCOL_VERSIONS,
+} from "@wisteriapick/wire";
 import { type LinkedPeer, PeerGroup, type PeerHandler } from "../src/peers/peer_group.ts";
 import { OSU } from "./fixtures.ts";
 
@@ -44,9 +50,10 @@
     return this.#cut.has(pair(a, b));
   }
 
-  /** Carries a message to a linked gateway. */
+  /** Carries a message to a linked gateway, encoded as on a real link. */
   deliver(from: string, to: string, msg: Message): void {
-    if (!this.stalled.has(to)) this.members.get(to)!.receive(from, msg);
+    if (this.stalled.has(to)) return;
+    this.members.get(to)!.receive(from, decodeMessage(kindNumber(msg), encodeBody(msg)));
   }
 
   /** Whether too much waits to be sent from one gateway to another. */
--- a/packages/gateway/tests/store_view_sync_test.ts
+++ b/packages/gateway/tests/store_view_sync_test.ts
@@ -427,6 +427,40 @@
   assert.equal(paused.keys.state, "ended");
 });
 
+// Guards against a lease that outlasts the bound, by which keys that were taken away stay in use (REVOKE).
+test("a confirmation that states a time of the future does not extend the lease beyond its bound", async () => {
+  const { clock, links, gateways } = await makeGateways(3, { revokeMs: REVOKE_MS });
+  await advance(clock, gateways, 5_000);
+  const reader = readerOf(gateways);
+  const alone = gateways.find((g) => g !== reader)!;
+  const deliver = links.deliver.bind(links);
+  links.deliver = (from, to, msg) => {
+    const isOdd = to === alone.name && msg.kind === "config_confirmed";
+    deliver(from, to, isOdd ? { ...msg, ageMs: -1e12 } : msg);
+  };
+  await advance(clock, gateways, 2_000);
+  links.cutOff(alone.name);
+  alone.store.setAvailability("silent");
+  await advance(clock, gateways, REVOKE_MS);
+  assert.equal(alone.keys.state, "ended");
+});
+
+// Guards against a gateway that refuses all requests with a key for ever, because of one message of a peer.
+test("after a confirmation that states a time of the future, reads of the store renew the lease", async () => {
+  const { clock, links, gateways } = await makeGateways(3, { revokeMs: REVOKE_MS });
+  await advance(clock, gateways, 5_000);
+  const deliver = links.deliver.bind(links);
+  let isOdd = true;
+  links.deliver = (from, to, msg) => {
+    if (!isOdd || msg.kind !== "config_confirmed") return deliver(from, to, msg);
+    isOdd = false;
+    deliver(from, to, { ...msg, ageMs: -1e12 });
+  };
+  await advance(clock, gateways, 3 * REVOKE_MS);
+  assert.equal(isOdd, false);
+  assert.deepEqual(gateways.map(({ keys }) => keys.state), ["held", "held", "held"]);
+});
+
 // Guards against a lease on a configuration that has not arrived yet.
 test("a view that is being transferred does not extend the lease of the older one", async () => {
   const { clock, links, gateways } = await makeGateways(3, { revokeMs: REVOKE_MS });
--- a/packages/wire/src/fields.ts
+++ b/packages/wire/src/fields.ts
@@ -38,6 +38,15 @@
 /** A finite number. */
 export const real: Field<number> = checkedField("a finite number", (v) => Number.isFinite(v));
 
+/**
+ * The time since something happened, in milliseconds. A negative one, which names a time to come, counts as 0: what
+ * happened later would not replace it.
+ */
+export const age: Field<number> = {
+  encode: (v) => v,
+  decode: (v) => Math.max(0, real.decode(v)),
+};
+
 /** An id, validated by the given constructor from the core package. */
 export function id<T extends string>(make: (s: string) => T): Field<T> {
   return {
--- a/packages/wire/src/mod.ts
+++ b/packages/wire/src/mod.ts
@@ -8,6 +8,7 @@
 export * from "./link.ts";
 export * from "./connect.ts";
 export * from "./pool.ts";
+export { decodeMessage, encodeBody, kindNumber } from "./message_codec.ts";
 export { MAX_FRAME_BYTES } from "./frame.ts";
 export { encodeMessage, STREAM_WINDOW_BYTES } from "./stream.ts";
 export { HEARTBEAT_MS, HEARTBEAT_TIMEOUT_MS, type SocketLink } from "./socket_link.ts";
