Do not end when a caller resets its connection after CONNECT

Cause: for CONNECT, Node.js takes its own listener for errors off the socket, and none was put in its place. Errors of such a connection are logged as connection_failed.

--- a/packages/gateway/src/observe/line_importance.ts
+++ b/packages/gateway/src/observe/line_importance.ts
@@ -12,6 +12,7 @@
   "request_rejected",
   "request_refused",
   "connection_refused",
+  "connection_failed",
   "caller_left_unread",
 ]);
 
--- a/packages/gateway/src/surface/proxy_server.ts
+++ b/packages/gateway/src/surface/proxy_server.ts
@@ -688,8 +688,11 @@
       unanswered: connection?.exchanges.size,
       remote: req.socket.remoteAddress,
     });
-    // The parser no longer reads the connection, and would not notice that its caller leaves.
+    // The parser no longer reads the connection, and would not notice that its caller leaves or resets it.
     socket.once("end", () => socket.destroy());
+    socket.on("error", (err: NodeJS.ErrnoException) => {
+      this.#options.log.request("connection_failed", { code: err.code, after: "CONNECT" });
+    });
     socket.resume();
     this.#endAfterResponses(connection, () => socket.destroySoon());
   }
