Do not end when a connection cannot be accepted

Found by review: a server's only listener for errors was taken off once it listened, so a failure of accepting a connection, as without a free descriptor, was raised in a callback and ended the process.

--- a/packages/gateway/src/observe/error_boundary.ts
+++ b/packages/gateway/src/observe/error_boundary.ts
@@ -17,6 +17,7 @@
   | "call"
   | "stream"
   | "queued_stream"
+  | "accept"
   | "connection"
   | "plain_request"
   | "peer_link"
--- a/packages/gateway/src/surface/plain_server.ts
+++ b/packages/gateway/src/surface/plain_server.ts
@@ -23,6 +23,7 @@
 export class PlainServer {
   readonly #server: Server;
   readonly #address: Address;
+  readonly #errors: ErrorBoundary | undefined;
 
   /** `errors` is told of routes that fail, whose requests are responded to with status 500. */
   constructor(
@@ -31,6 +32,7 @@
     errors?: ErrorBoundary,
   ) {
     this.#address = address;
+    this.#errors = errors;
     this.#server = createServer(async (req, res) => {
       try {
         await respond(routes, req, res);
@@ -47,6 +49,7 @@
       this.#server.once("error", reject);
       this.#server.listen(this.#address, () => {
         this.#server.off("error", reject);
+        this.#server.on("error", (e) => this.#errors?.report("accept", e));
         resolve();
       });
     });
--- a/packages/gateway/src/surface/proxy_server.ts
+++ b/packages/gateway/src/surface/proxy_server.ts
@@ -172,6 +172,8 @@
       this.#server.once("error", reject);
       this.#server.listen({ host, port, backlog: 1_024 }, () => {
         this.#server.off("error", reject);
+        // Accepting a connection may fail, as without a free descriptor; the next one may be accepted.
+        this.#server.on("error", (e) => this.#errors.report("accept", e));
         resolve();
       });
     });
