--- a/packages/gateway/src/relay/engine_monitor.ts
+++ b/packages/gateway/src/relay/engine_monitor.ts
@@ -65,7 +65,7 @@
       if (now - (this.#requestedAtMs.get(endpoint) ?? -Infinity) < REPORT_INTERVAL_MS) continue;
       this.#requestedAtMs.set(endpoint, now);
       runInBackground(
-        ctx.log,
+        ctx,
         "engine_report",
         () => this.#requestReport(endpoint, isSilent),
       );
--- a/packages/gateway/src/relay/proactive_copies.ts
+++ b/packages/gateway/src/relay/proactive_copies.ts
@@ -116,8 +116,8 @@
   }
 
   #startUpdate(run: StreamRun, source: EndpointRow, held: HeldCopy | null): void {
-    const { log } = this.#options.ctx;
-    runInBackground(log, "proactive_copy", () => this.#updateCopy(run, source, held));
+    const { ctx } = this.#options;
+    runInBackground(ctx, "proactive_copy", () => this.#updateCopy(run, source, held));
   }
 
   /** The copy of a run, if it was made from the run's present engine and its target can resume the run. */
--- a/packages/gateway/src/relay/run_migrator.ts
+++ b/packages/gateway/src/relay/run_migrator.ts
@@ -95,7 +95,7 @@
       this.#resume(run, copy.row, copy.memory, reason);
       return true;
     }
-    runInBackground(this.#ctx.log, "resume_from_copy", async () => {
+    runInBackground(this.#ctx, "resume_from_copy", async () => {
       const isPermitted = await this.#acquirePermit(run, copy.row);
       if (run.phase === "ended") return;
       if (isPermitted) this.#resume(run, copy.row, copy.memory, reason);
@@ -145,7 +145,7 @@
   #startMigration(run: StreamRun, source: EndpointId): void {
     if (this.#migrating.has(run)) return;
     this.#migrating.add(run);
-    runInBackground(this.#ctx.log, "migration", async () => {
+    runInBackground(this.#ctx, "migration", async () => {
       try {
         await this.#migrate(run, source);
       } catch (e) {
