--- a/packages/control/tests/control_process_test.ts
+++ b/packages/control/tests/control_process_test.ts
@@ -102,8 +102,8 @@
   for (const p of all) await p.stop();
 });
 
-// Guards against a process that ends because of one host whose address is none (LOST, issue 44).
-test("a host at an address that is none is left out, and the others follow the log", async () => {
+// Guards against a process that ends because of one host whose address is invalid (LOST, issue 44).
+test("a host at an invalid address is left out, and the others follow the log", async () => {
   const clock = new SystemClock();
   const store = new MemoryStore(clock);
   const hostList = new FixedHostList();
