Try a connection before requests are sent again to an endpoint

A request was used to find out whether an endpoint that could not be connected to can be again, every two seconds at most.

--- a/packages/gateway/src/upstream/connection_pool.ts
+++ b/packages/gateway/src/upstream/connection_pool.ts
@@ -23,7 +23,7 @@
 }
 
 /** Covers one retransmission, within about half a second. Waiting longer costs more than trying another endpoint. */
-const CONNECT_TIMEOUT_MS = 400;
+export const CONNECT_TIMEOUT_MS = 400;
 /** Below the shortest idle time in common use (5 s), so that no request is sent while the endpoint closes. */
 const IDLE_TIMEOUT_MS = 4_000;
 
--- a/packages/gateway/src/upstream/endpoint.ts
+++ b/packages/gateway/src/upstream/endpoint.ts
@@ -4,13 +4,14 @@
  *
  * @module
  */
-import type { Clock, EndpointId, Undo } from "@wisteriapick/core";
+import { type Clock, type EndpointId, SystemClock, type Undo } from "@wisteriapick/core";
 import type { OutlierSubject } from "@wisteriapick/policy";
 import type { EndpointRecord } from "../config/types.ts";
 import type { DecisionLog } from "../observe/decision_log.ts";
 import type { EndpointRow, Fleet } from "../state/fleet.ts";
 import { ConnectFailureLog } from "./connect_failure_log.ts";
-import { ConnectionPool } from "./connection_pool.ts";
+import { ConnectProbe } from "./connect_probe.ts";
+import { CONNECT_TIMEOUT_MS, ConnectionPool } from "./connection_pool.ts";
 
 /** Weight of the newest response in the moving averages. */
 const SMOOTHING_FACTOR = 0.15;
@@ -25,6 +26,13 @@
 const REFUSED_MIN_PAUSE_MS = 100;
 const REFUSED_MAX_PAUSE_MS = 2_000;
 
+/** Options of {@link UpstreamEndpoint}. */
+export interface UpstreamEndpointOptions {
+  /** Logs the connections that cannot be opened; none are logged by default. */
+  readonly failures?: ConnectFailureLog | null;
+  readonly clock?: Clock;
+}
+
 /** One endpoint as this gateway uses it. */
 export class UpstreamEndpoint implements OutlierSubject {
   readonly id: EndpointId;
@@ -44,18 +52,25 @@
   #connectFailures = 0;
   #refusals = 0;
   readonly #failures: ConnectFailureLog | null;
+  readonly #clock: Clock;
+  #probe: ConnectProbe;
 
-  /** `failures` logs the connections that cannot be opened; none are logged by default. */
-  constructor(record: EndpointRecord, failures: ConnectFailureLog | null = null) {
+  constructor(
+    record: EndpointRecord,
+    { failures = null, clock = new SystemClock() }: UpstreamEndpointOptions = {},
+  ) {
     this.id = record.id;
     this.record = record;
     this.#failures = failures;
-    this.pool = this.#makePool();
+    this.#clock = clock;
+    this.#probe = this.#makeProbe();
+    this.pool = this.#makePool(this.#probe);
   }
 
   /** Whether this gateway's own recent calls allow new work here. */
   isHealthy(nowMs: number): boolean {
-    return nowMs >= this.ejectedUntilMs && nowMs >= this.#unreachableUntilMs;
+    return nowMs >= this.ejectedUntilMs && nowMs >= this.#unreachableUntilMs &&
+      !this.#probe.isFailing;
   }
 
   recordResponse(latencyMs: number): void {
@@ -64,6 +79,7 @@
       : this.latencyMs + SMOOTHING_FACTOR * (latencyMs - this.latencyMs);
     this.#connectFailures = 0;
     this.#refusals = 0;
+    this.#probe.recordReached();
     this.#recordOutcome(0);
   }
 
@@ -103,9 +119,10 @@
   /** Resets all state for another process with the same id. */
   restart(record: EndpointRecord): void {
     this.record = record;
-    this.pool.destroy();
+    this.close();
     this.#failures?.forget(this.id);
-    this.pool = this.#makePool();
+    this.#probe = this.#makeProbe();
+    this.pool = this.#makePool(this.#probe);
     this.latencyMs = 0;
     this.ejectedUntilMs = 0;
     this.ejections = 0;
@@ -115,14 +132,34 @@
     this.resetStatistics();
   }
 
-  #makePool(): ConnectionPool {
+  /** Closes idle connections now and the others when their call ends, as the endpoint gets no new work. */
+  retire(): void {
+    this.#probe.close();
+    this.pool.retire();
+  }
+
+  /** Closes every connection. */
+  close(): void {
+    this.#probe.close();
+    this.pool.destroy();
+  }
+
+  #makePool(probe: ConnectProbe): ConnectionPool {
     const { record } = this;
     return new ConnectionPool({
       address: record.address,
-      onConnectFailed: (message) => this.#failures?.record(record, message),
+      onConnectFailed: (message) => {
+        this.#failures?.record(record, message);
+        probe.recordFailure();
+      },
     });
   }
 
+  #makeProbe(): ConnectProbe {
+    const { address } = this.record;
+    return new ConnectProbe({ address, clock: this.#clock, timeoutMs: CONNECT_TIMEOUT_MS });
+  }
+
   #recordOutcome(failed: 0 | 1): void {
     this.attempts++;
     this.failureRate += SMOOTHING_FACTOR * (failed - this.failureRate);
@@ -133,6 +170,7 @@
 export class Upstreams {
   readonly #fleet: Fleet;
   readonly #endpoints = new Map<EndpointId, UpstreamEndpoint>();
+  readonly #clock: Clock;
   readonly #failures: ConnectFailureLog;
   readonly #undo: Undo;
 
@@ -141,6 +179,7 @@
     { clock, log }: { readonly clock: Clock; readonly log: DecisionLog },
   ) {
     this.#fleet = fleet;
+    this.#clock = clock;
     this.#failures = new ConnectFailureLog({ clock, log });
     this.#undo = fleet.registerEndpointListener(({ id, after, restarted }) =>
       this.#onChange(id, after, restarted)
@@ -151,7 +190,7 @@
   of(row: EndpointRow): UpstreamEndpoint {
     let endpoint = this.#endpoints.get(row.record.id);
     if (endpoint === undefined) {
-      endpoint = new UpstreamEndpoint(row.record, this.#failures);
+      endpoint = new UpstreamEndpoint(row.record, { failures: this.#failures, clock: this.#clock });
       this.#endpoints.set(row.record.id, endpoint);
     }
     return endpoint;
@@ -170,20 +209,20 @@
 
   close(): void {
     this.#undo();
-    for (const endpoint of this.#endpoints.values()) endpoint.pool.destroy();
+    for (const endpoint of this.#endpoints.values()) endpoint.close();
   }
 
   #onChange(id: EndpointId, after: EndpointRow | null, restarted: boolean): void {
     const endpoint = this.#endpoints.get(id);
     if (endpoint === undefined) return;
     if (after === null) {
-      endpoint.pool.destroy();
+      endpoint.close();
       this.#failures.forget(id);
       this.#endpoints.delete(id);
       return;
     }
     if (restarted) endpoint.restart(after.record);
     else endpoint.record = after.record;
-    if (after.phase === "leaving") endpoint.pool.retire();
+    if (after.phase === "leaving") endpoint.retire();
   }
 }
--- a/packages/gateway/tests/connect_failure_log_test.ts
+++ b/packages/gateway/tests/connect_failure_log_test.ts
@@ -30,7 +30,7 @@
   const { lines, failures } = makeLog();
   const endpoint = new UpstreamEndpoint(
     makeEndpoint("scribe-1", { address: server.address }),
-    failures,
+    { failures },
   );
   const { sink, ended } = makeSink();
   endpoint.pool.send(makeGet(), sink);
@@ -47,6 +47,7 @@
     [["endpoint_connect_failed", "scribe-1", "scribe", address, 1]],
   );
   assert.match(String(lines[0]!.message), /ECONNREFUSED/);
+  endpoint.close();
 });
 
 // Guards against a log that an endpoint fills that refuses every connection.
--- a/packages/gateway/tests/open_failure_test.ts
+++ b/packages/gateway/tests/open_failure_test.ts
@@ -93,7 +93,7 @@
   const log = createDecisionLog({ name: "entry", clock, sink });
   const endpoint = new UpstreamEndpoint(
     makeEndpoint("scribe-1", { address: ADDRESSES["a zone id"]! }),
-    new ConnectFailureLog({ clock, log }),
+    { failures: new ConnectFailureLog({ clock, log }), clock },
   );
   const result = await controlCall(endpoint, makeGet("/copy"), {
     clock: new SystemClock(),
@@ -104,4 +104,5 @@
   const line = JSON.parse(lines[0]!) as Record<string, unknown>;
   assert.deepEqual([line.endpoint, line.address], ["scribe-1", "[fe80::1%eth0]:7301"]);
   assert.match(String(line.message), /TypeError.*Invalid URL/);
+  endpoint.close();
 });
