Abort a request whose rejection fails

Callers whose request was rejected after its body had been read got no answer, and waited until they gave up, if the rejection raised an error (LOST). Relay.handle ended such a request by #reject, which fails in the same way. StreamRun.fail marked the run as rejected before responder.reject, so that nothing followed one that raised, and PlainCall ended with a second rejection.

The last resort of a request is now to abort its connection: a connection that is closed without a response promises nothing. HttpResponder aborts once, and closes the connection even if its listener raises. PlainCall answers its caller before it aborts its attempts, which may raise as well.

--- a/packages/gateway/src/relay/inbound.ts
+++ b/packages/gateway/src/relay/inbound.ts
@@ -93,7 +93,10 @@
   abstract write(chunk: Buffer): boolean;
   /** Ends a complete response. */
   abstract end(): void;
-  /** Aborts a response that has begun, so that it does not look complete. */
+  /**
+   * Aborts a response that has begun, so that it does not look complete, or a request that cannot be rejected: a
+   * connection that is closed without a response promises nothing. Further calls do nothing.
+   */
   abstract abort(): void;
   /** Responds in place of an endpoint. Only before `writeHead`. */
   abstract reject(rejection: Rejection): void;
@@ -102,3 +105,17 @@
   /** Calls `fn` each time the caller takes more bytes after `write` returned false. */
   abstract registerDrain(fn: () => void): Undo;
 }
+
+/**
+ * Rejects a request, or aborts it if that fails, so that its caller does not wait for ever.
+ *
+ * @throws what `reject` raised.
+ */
+export function rejectOrAbort(responder: Responder, rejection: Rejection): void {
+  try {
+    responder.reject(rejection);
+  } catch (e) {
+    responder.abort();
+    throw e;
+  }
+}
--- a/packages/gateway/src/relay/plain_call.ts
+++ b/packages/gateway/src/relay/plain_call.ts
@@ -15,7 +15,13 @@
 import { classifyResponseHead, type HeadVerdict } from "./response_check.ts";
 import { isWithinColdLimit } from "./cold_limit.ts";
 import type { RelayContext } from "./context.ts";
-import type { InboundRequest, Rejection, RequestStage, Responder } from "./inbound.ts";
+import {
+  type InboundRequest,
+  type Rejection,
+  rejectOrAbort,
+  type RequestStage,
+  type Responder,
+} from "./inbound.ts";
 import { isEndPlanned } from "./planned_end.ts";
 import { chooseService } from "./service_choice.ts";
 
@@ -118,12 +124,15 @@
       ? { reason: "internal", notRun: "unknown" }
       : { reason: "internal", notRun: true, retryAfterMs: RETRY_AFTER_ELSEWHERE_MS };
     try {
-      this.#abortAttempts();
       if (this.#hasResponseBegun) this.#responder.abort();
-      else this.#responder.reject(rejection);
+      else rejectOrAbort(this.#responder, rejection);
     } finally {
-      if (this.#hasResponseBegun) this.#finish("cut", null, "internal");
-      else this.#finish("rejected", null, "internal", rejection);
+      try {
+        this.#abortAttempts();
+      } finally {
+        if (this.#hasResponseBegun) this.#finish("cut", null, "internal");
+        else this.#finish("rejected", null, "internal", rejection);
+      }
     }
   }
 
--- a/packages/gateway/src/relay/relay.ts
+++ b/packages/gateway/src/relay/relay.ts
@@ -94,10 +94,20 @@
     this.#options.ctx.errors.run(
       "request",
       () => this.#handle(head, body, arrival, responder),
-      () => this.#reject(head, INTERNAL_ERROR, responder),
+      () => this.#rejectAfterError(head, responder),
     );
   }
 
+  /** Rejects a request after an unexpected error. What raised it may raise it again. */
+  #rejectAfterError(head: InboundHead, responder: Responder): void {
+    try {
+      this.#reject(head, INTERNAL_ERROR, responder);
+    } catch (e) {
+      responder.abort();
+      throw e;
+    }
+  }
+
   #handle(head: InboundHead, body: Buffer | null, arrival: Arrival, responder: Responder): void {
     // The configuration may have changed while the body was read.
     const access = this.#options.ctx.access.check(head);
--- a/packages/gateway/src/relay/stream_run.ts
+++ b/packages/gateway/src/relay/stream_run.ts
@@ -16,7 +16,13 @@
 import { RETRY_AFTER_ELSEWHERE_MS } from "./access_control.ts";
 import type { RelayContext } from "./context.ts";
 import { EventReader } from "./event_reader.ts";
-import type { InboundRequest, Rejection, RequestStage, Responder } from "./inbound.ts";
+import {
+  type InboundRequest,
+  type Rejection,
+  rejectOrAbort,
+  type RequestStage,
+  type Responder,
+} from "./inbound.ts";
 
 /** Time for one output token on a shared engine, in milliseconds. */
 const OUTPUT_TOKEN_MS = 10;
@@ -252,7 +258,7 @@
       : { reason: "internal", notRun: true, retryAfterMs: RETRY_AFTER_ELSEWHERE_MS };
     try {
       if (this.#hasSentHead) this.responder.abort();
-      else if (!this.#isRejected) this.responder.reject(rejection);
+      else if (!this.#isRejected) this.#reject(rejection);
     } finally {
       if (this.#hasSentHead) this.#finish("cut", "internal");
       else this.#finish("rejected", "internal", rejection);
@@ -391,12 +397,16 @@
       this.#finish("cut", rejection.reason);
       return;
     }
-    this.#isRejected = true;
-    this.responder.reject(rejection);
+    this.#reject(rejection);
     this.#ctx.metrics.countRejection(rejection.reason);
     this.#finish("rejected", rejection.reason, rejection);
   }
 
+  #reject(rejection: Rejection): void {
+    this.#isRejected = true;
+    rejectOrAbort(this.responder, rejection);
+  }
+
   #onSignedHead(
     segment: RunSegment,
     status: number,
--- a/packages/gateway/src/surface/http_responder.ts
+++ b/packages/gateway/src/surface/http_responder.ts
@@ -48,6 +48,7 @@
   readonly #options: HttpResponderOptions;
   /** Bytes that were written and that the connection has not taken yet. */
   #unreadBytes = 0;
+  #isAborted = false;
 
   constructor(res: ServerResponse, options: HttpResponderOptions) {
     super();
@@ -91,8 +92,13 @@
   }
 
   override abort(): void {
-    this.#options.onAbort?.();
-    this.#res.destroy();
+    if (this.#isAborted) return;
+    this.#isAborted = true;
+    try {
+      this.#options.onAbort?.();
+    } finally {
+      this.#res.destroy();
+    }
   }
 
   override reject(rejection: Rejection): void {
