Do not take an ask for a permit that failed for an open one

An endpoint with a limit got no more requests from a gateway, and its callers 503, once an ask for a permit had raised an error: EndpointLimits.request left isAsking set, so that it never asked again, and #isInRequest, so that those who waited were told of permits by a timer only.

Both are reset in any case. Found by reading; with the test, isAsking stayed true before.

--- a/packages/gateway/src/relay/endpoint_limits.ts
+++ b/packages/gateway/src/relay/endpoint_limits.ts
@@ -138,8 +138,14 @@
     const known = { requestsPerSecond, ageMs: now - namedAtMs };
     const ask = { count, rank, isUrgent, waitMs: Math.max(0, Math.round(waitMs)) };
     this.#isInRequest = true;
-    this.#exchange?.ask(endpoint, known, ask);
-    this.#isInRequest = false;
+    try {
+      this.#exchange?.ask(endpoint, known, ask);
+    } catch (e) {
+      limit.isAsking = false;
+      throw e;
+    } finally {
+      this.#isInRequest = false;
+    }
   }
 
   /** Whether one more ask is within the bound of this second. */
--- a/packages/gateway/tests/endpoint_limits_test.ts
+++ b/packages/gateway/tests/endpoint_limits_test.ts
@@ -293,3 +293,25 @@
   for (; asker.limits.mayTake(id); taken++) asker.limits.take(id);
   assert.equal(taken, MAX_ASKED);
 });
+
+// Guards against an endpoint for which no permit is ever asked again after an ask that failed.
+test("an ask that fails is not taken for an open one", () => {
+  const clock = new ManualClock();
+  const limits = new EndpointLimits({
+    clock,
+    log: new MemoryLog(),
+    metrics: new GatewayMetrics(),
+    gatewayCount: () => 1,
+    fleet: { registerEndpointListener: () => () => {} },
+  });
+  const network = new MemoryLinks().join("a");
+  network.coordinatorOf = () => {
+    throw new Error("odd");
+  };
+  limits.share(network);
+  limits.recordResponse(makeEndpoint("e-1"), { sentAtMs: 0, requestsPerSecond: 10 });
+  const id = "e-1" as EndpointId;
+  assert.throws(() => limits.request(id, { rank: 0, waitMs: WAIT_MS }), /odd/);
+  assert.equal(limits.isAsking(id), false);
+  assert.equal(limits.mayAsk(id), true);
+});
