Release what a run occupies although its end raises errors

A run whose end raised an error early occupied its engine for ever, and kept its process from being idle, although its caller had its end. StreamRun.#finish marked the run as ended before its undos, crashes.recordEnded and the abort of its segment, outside the try whose finally tells the owner. In EngineDispatcher.#onRunEnd an error before #events.onEnd left the copies of the run, and PlainCall.#finish had the same order.

runAll() takes each step, also after one that raises, and raises the first error in the end, which the boundary reports.

--- a/packages/gateway/src/relay/engine_dispatcher.ts
+++ b/packages/gateway/src/relay/engine_dispatcher.ts
@@ -17,6 +17,7 @@
   SHARED_PREFILL_TOKENS_PER_MS,
 } from "@wisteriapick/policy";
 import type { EndpointRecord, EngineConfig } from "../config/types.ts";
+import { runAll } from "../observe/run_all.ts";
 import { ANOTHER_AT_ADDRESS, type EndpointRow } from "../state/fleet.ts";
 import { isWithinColdLimit } from "./cold_limit.ts";
 import type { RelayContext } from "./context.ts";
@@ -444,17 +445,28 @@
 
   #onRunEnd(run: StreamRun): void {
     const now = this.#ctx.clock.now();
-    this.registry.remove(run);
     this.#services.delete(run);
     this.#runs.delete(run);
+    runAll([
+      () => this.registry.remove(run),
+      () => this.#removeFromQueue(run),
+      () => this.#recordLength(run),
+      () => this.#recordEngineOutcome(run),
+      () => this.#events.onEnd(run),
+      () => {
+        if (this.#queue.size > 0) this.#dispatchQueue(now);
+      },
+    ]);
+  }
+
+  #removeFromQueue(run: StreamRun): void {
     const queued = this.#queue.inOrder().find((w) => w.run === run);
     if (queued !== undefined) this.#queue.remove(queued);
-    this.#recordLength(run);
-    if (run.engineOutcome !== null && run.endpoint !== null) {
-      this.#recordVersionOutcome(run, run.endpoint.record, run.engineOutcome === "failed");
-    }
-    this.#events.onEnd(run);
-    if (this.#queue.size > 0) this.#dispatchQueue(now);
+  }
+
+  #recordEngineOutcome(run: StreamRun): void {
+    if (run.engineOutcome === null || run.endpoint === null) return;
+    this.#recordVersionOutcome(run, run.endpoint.record, run.engineOutcome === "failed");
   }
 
   /** Records the output length of a run; one that was cut off only shows a lower bound. */
--- a/packages/gateway/src/relay/plain_call.ts
+++ b/packages/gateway/src/relay/plain_call.ts
@@ -6,6 +6,8 @@
  */
 import { ByteBuffer, type EndpointId, type RefusalReason, type Undo } from "@wisteriapick/core";
 import { chooseCallEndpoint, OutlierEjection } from "@wisteriapick/policy";
+import type { RequestOutcome } from "../observe/metrics.ts";
+import { runAll } from "../observe/run_all.ts";
 import { ANOTHER_AT_ADDRESS, type EndpointRow } from "../state/fleet.ts";
 import type { UpstreamCall, UpstreamFailure } from "../upstream/connection.ts";
 import type { ResponseHead } from "../upstream/dialect.ts";
@@ -533,17 +535,28 @@
   }
 
   #finish(
-    outcome: "answered" | "endpoint_failure" | "rejected" | "cut" | "caller_left",
+    outcome: RequestOutcome,
     attempt: Attempt | null,
     detail?: string,
     rejection?: Rejection,
   ): void {
     this.#hasEnded = true;
-    this.#onEnd();
-    this.#stopSlowTimer();
-    this.#stopPermitWait();
-    this.#ctx.crashes.recordEnded(this.#req);
-    for (const undo of this.#undos) undo();
+    runAll([
+      this.#onEnd,
+      this.#stopSlowTimer,
+      this.#stopPermitWait,
+      () => this.#ctx.crashes.recordEnded(this.#req),
+      ...this.#undos,
+      () => this.#recordEnd(outcome, attempt, detail, rejection),
+    ]);
+  }
+
+  #recordEnd(
+    outcome: RequestOutcome,
+    attempt: Attempt | null,
+    detail: string | undefined,
+    rejection: Rejection | undefined,
+  ): void {
     const { clock, log, metrics } = this.#ctx;
     const ms = clock.now() - this.#req.arrivedAtMs;
     metrics.countRequest(this.#req.route.id, outcome, ms);
--- a/packages/gateway/src/relay/stream_run.ts
+++ b/packages/gateway/src/relay/stream_run.ts
@@ -11,6 +11,7 @@
 import type { UpstreamCall, UpstreamFailure } from "../upstream/connection.ts";
 import type { RunMemory } from "../upstream/dialect.ts";
 import type { UpstreamEndpoint } from "../upstream/endpoint.ts";
+import { runAll } from "../observe/run_all.ts";
 import { classifyResponseHead } from "./response_check.ts";
 import { recordNotices } from "./endpoint_notices.ts";
 import { RETRY_AFTER_ELSEWHERE_MS } from "./access_control.ts";
@@ -575,15 +576,14 @@
   ): void {
     if (this.#phase === "ended") return;
     this.#phase = "ended";
-    for (const undo of this.#undos) undo();
-    this.#ctx.crashes.recordEnded(this.req);
-    this.#segment?.abort();
-    try {
-      this.#recordEnd(outcome, detail, rejection);
-    } finally {
+    runAll([
+      ...this.#undos,
+      () => this.#ctx.crashes.recordEnded(this.req),
+      () => this.#segment?.abort(),
+      () => this.#recordEnd(outcome, detail, rejection),
       // The owner frees what the run occupies.
-      this.#events.onEnd(this);
-    }
+      () => this.#events.onEnd(this),
+    ]);
   }
 
   #recordEnd(
--- a/packages/gateway/tests/late_timer_test.ts
+++ b/packages/gateway/tests/late_timer_test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import type { OutlierEjection } from "@wisteriapick/policy";
 import { Clock, Rng, type Undo } from "@wisteriapick/core";
+import { ErrorBoundary } from "../src/observe/error_boundary.ts";
 import { LoopMonitor } from "../src/observe/loop_monitor.ts";
 import type { RelayContext } from "../src/relay/context.ts";
 import { type InboundRequest, type Rejection, Responder } from "../src/relay/inbound.ts";
@@ -212,3 +213,23 @@
   for (let i = 0; i < 4; i++) await nextIteration();
   assert.equal(responder.reason, "deadline_exceeded");
 });
+
+// Guards against a run that occupies its engine, and keeps the process from being idle, although its caller has its end.
+test("a run whose end cannot be recorded everywhere still reports its end to its owner", () => {
+  const { clock, ctx, req, responder } = makeRequest();
+  const errors = new ErrorBoundary({ clock, log: new MemoryLog() });
+  let ends = 0;
+  const events = { onLoss: () => {}, onEnd: () => ends++, onProgress: () => {} };
+  const crashes = {
+    ...ctx.crashes,
+    recordEnded: () => {
+      throw new Error("odd");
+    },
+  };
+  const odd = { ...ctx, errors, crashes } as unknown as RelayContext;
+  const run = new StreamRun({ ctx: odd, req, responder, tokensPerEvent: 1, events });
+  run.start();
+  run.giveUp();
+  assert.equal(responder.reason, "draining");
+  assert.equal(ends, 1);
+});
