Log the errors of each part of a unit

A part of a unit that failed all the time hid the errors of all others in the log: a check of the tick that raised took each of the unit's lines, one in a second, so that another fault was never seen. No caller saw it.

Lines are limited by unit and details, which name the part. No more than 200 parts have a line of their own; those beyond share the line of their unit, and parts without an error for a second are forgotten.

Another test has 5,000 parts.

--- a/packages/gateway/src/observe/error_boundary.ts
+++ b/packages/gateway/src/observe/error_boundary.ts
@@ -36,10 +36,15 @@
 /** Fields of a log line that say where an error was contained. */
 export type ErrorDetails = Readonly<Record<string, unknown>>;
 
-/** Shortest time between two lines about one unit, in milliseconds: an odd value may raise an error with every request. */
+/**
+ * Shortest time between two lines about one part of a unit, in milliseconds: an odd value may raise an error with every
+ * request.
+ */
 const LINE_INTERVAL_MS = 1_000;
+/** Largest number of parts, of all units together, that have lines of their own. */
+const MAX_PARTS = 200;
 
-/** Errors of one unit since its last line. */
+/** Errors of one part of a unit since its last line. */
 interface Unreported {
   lineAtMs: number;
   errors: number;
@@ -57,7 +62,8 @@
  */
 export class ErrorBoundary {
   readonly #options: ErrorBoundaryOptions;
-  readonly #unreported = new Map<ErrorUnit, Unreported>();
+  /** By unit and details, as a part that fails all the time must not hide another one. */
+  readonly #unreported = new Map<string, Unreported>();
 
   constructor(options: ErrorBoundaryOptions) {
     this.#options = options;
@@ -91,14 +97,16 @@
     return (...args) => this.run(unit, () => fn(...args), onError);
   }
 
-  /** Counts an error, and logs it unless the unit had a line within the last second. The next line has the number. */
+  /**
+   * Counts an error, and logs it unless the part of the unit that `details` name had a line within the last second. The
+   * next line has the number.
+   */
   report(unit: ErrorUnit, e: unknown, details: ErrorDetails = {}): void {
     const { log, clock, metrics } = this.#options;
     metrics?.countContainedError(unit);
-    const known = this.#unreported.get(unit) ?? { lineAtMs: -Infinity, errors: 0 };
-    this.#unreported.set(unit, known);
-    known.errors++;
     const now = clock.now();
+    const known = this.#unreportedOf(unit, details, now);
+    known.errors++;
     if (now - known.lineAtMs < LINE_INTERVAL_MS) return;
     const err = e instanceof Error ? e : new Error(String(e));
     log.state("error_contained", {
@@ -110,6 +118,25 @@
     known.lineAtMs = now;
     known.errors = 0;
   }
+
+  #unreportedOf(unit: ErrorUnit, details: ErrorDetails, now: number): Unreported {
+    const part = `${unit} ${JSON.stringify(details)}`;
+    const known = this.#unreported.get(part);
+    if (known !== undefined) return known;
+    if (this.#unreported.size >= MAX_PARTS) this.#forgetQuiet(now);
+    // Parts beyond the bound share the line of their unit.
+    const key = this.#unreported.size < MAX_PARTS ? part : unit;
+    const unreported = this.#unreported.get(key) ?? { lineAtMs: -Infinity, errors: 0 };
+    this.#unreported.set(key, unreported);
+    return unreported;
+  }
+
+  /** Forgets parts that may have a line at once. */
+  #forgetQuiet(now: number): void {
+    for (const [part, { lineAtMs }] of this.#unreported) {
+      if (now - lineAtMs >= LINE_INTERVAL_MS) this.#unreported.delete(part);
+    }
+  }
 }
 
 /** A clock of which an error in a callback ends that callback only. */
--- a/packages/gateway/tests/error_boundary_test.ts
+++ b/packages/gateway/tests/error_boundary_test.ts
@@ -60,3 +60,31 @@
   assert.equal(calls, 103);
   assert.equal(log.count("error_contained"), 1);
 });
+
+// Guards against a fault that is never seen, as another part of the same unit fails before it each time.
+test("another error of a unit that fails all the time is logged, too", () => {
+  const { errors, log, clock } = makeBoundary();
+  const raiseOther = () => {
+    throw new RangeError("other");
+  };
+  for (let i = 0; i < 100; i++) {
+    errors.run("tick", raiseOdd, undefined, { part: "fleet" });
+    errors.run("tick", raiseOther, undefined, { part: "moves" });
+    clock.advance(100);
+  }
+  const parts = log.events.map(({ fields }) => fields.part);
+  assert.ok(parts.includes("moves"));
+});
+
+// Guards against a log, and a memory, that grow with the names of those whose messages fail.
+test("parts of a unit beyond a bound share one line in a second", () => {
+  const { errors, log, clock } = makeBoundary();
+  for (let i = 0; i < 5_000; i++) {
+    errors.run("peer_message", raiseOdd, undefined, { peer: `p${i}` });
+  }
+  const lines = log.count("error_contained");
+  assert.ok(lines <= 201, `${lines} lines`);
+  clock.advance(1_000);
+  errors.run("peer_message", raiseOdd, undefined, { peer: "another" });
+  assert.equal(log.events.at(-1)!.fields.peer, "another");
+});
