--- a/packages/gateway/src/state/store_view.ts
+++ b/packages/gateway/src/state/store_view.ts
@@ -14,6 +14,7 @@
   GatewayRecord,
   MoveRecord,
 } from "../config/types.ts";
+import { runAll } from "../observe/run_all.ts";
 import { isBefore, NO_POSITION, type StorePosition } from "./store_position.ts";
 
 /** The type of the objects of each kind. */
@@ -237,19 +238,6 @@
     };
   }
 
-  /** Calls each listener, also after one that throws, whose error is thrown then. */
-  #tell(change: ViewUpdateReport): void {
-    const errors: unknown[] = [];
-    for (const listener of this.#listeners) {
-      try {
-        listener(change);
-      } catch (e) {
-        errors.push(e);
-      }
-    }
-    if (errors.length > 0) throw errors[0];
-  }
-
   /** An object as it is known after it was read or received. Adds its name to `retained` if a later version was known. */
   #merged(name: string, item: ViewItem<T>, isSameEra: boolean, retained: string[]): ViewItem<T> {
     const old = this.#snapshot.items.get(name);
@@ -285,7 +273,8 @@
       const forgotten = this.#removed.splice(0, this.#removed.length - MAX_REMOVED);
       this.#removalsKnownFrom = forgotten.at(-1)!.revision;
     }
-    this.#tell({ source, removed, retained, isRestored });
+    const change = { source, removed, retained, isRestored };
+    runAll(this.#listeners.map((listener) => () => listener(change)));
   }
 }
 
