Move the log of unusable objects to the gateway package

Lines about objects of the store that cannot be used have a bound, and those about objects that a peer sends have none. UnreadableObjects moves from the platform to the gateway, so that the views of peers can use the same copy, and takes the peer that has sent an object. Lines about the store stay as they are; nothing of the views of peers changes yet.

--- a/packages/gateway/src/mod.ts
+++ b/packages/gateway/src/mod.ts
@@ -11,6 +11,7 @@
 export * from "./observe/descriptor_sink.ts";
 export * from "./observe/memory_monitor.ts";
 export * from "./observe/metrics.ts";
+export * from "./observe/unreadable_objects.ts";
 export * from "./relay/inbound.ts";
 export * from "./relay/relay.ts";
 export * from "./state/fleet.ts";
--- a/platform/src/unreadable_objects.ts
+++ b/packages/gateway/src/observe/unreadable_objects.ts
@@ -1,11 +1,11 @@
 /**
- * Logs which objects of the store are left out, and why.
+ * Logs which objects of the store, or of a view that another gateway has sent, are left out, and why.
  *
  * @module
  */
 import { toWpError } from "@wisteriapick/core";
-import type { DecisionLog, ViewKind } from "@wisteriapick/gateway";
-import type { JsonObject } from "./json_fields.ts";
+import type { ViewKind } from "../state/store_view.ts";
+import type { DecisionLog } from "./decision_log.ts";
 
 /** Largest number of objects whose last line is remembered. */
 const MAX_REMEMBERED = 1_000;
@@ -17,7 +17,10 @@
   readonly kind: ViewKind;
   /** `null` if the object has none. */
   readonly name: string | null;
-  readonly raw: unknown;
+  /** The object as it came from the store. */
+  readonly raw?: unknown;
+  /** The gateway that has sent the object; none if it was read from the store. */
+  readonly peer?: string;
   readonly err: unknown;
 }
 
@@ -31,7 +34,7 @@
     this.#log = log;
   }
 
-  record({ kind, name, raw, err }: UnreadableObject): void {
+  record({ kind, name, raw, peer, err }: UnreadableObject): void {
     const failure = toWpError(err);
     const key = `${kind}/${name}`;
     if (this.#reasons.get(key) === failure.message) return;
@@ -42,6 +45,7 @@
     }
     this.#log.state("object_unreadable", {
       kind,
+      peer,
       name: name?.slice(0, MAX_NAME) ?? null,
       revision: revisionOf(raw),
       err: failure,
@@ -56,7 +60,9 @@
 
 /** The revision of the object's last change; `null` if it names none. */
 function revisionOf(raw: unknown): number | null {
-  const revision = ((raw as JsonObject | null)?.metadata as JsonObject | null | undefined)
-    ?.revision;
+  const { metadata } = (raw ?? {}) as {
+    readonly metadata?: { readonly revision?: unknown } | null;
+  };
+  const revision = metadata?.revision;
   return typeof revision === "number" ? revision : null;
 }
