End a unit of work although its error cannot be reported

A request whose error could not be counted or logged, or had no text, was not ended, so that its caller got no answer, and the error of the report left the boundary. ErrorBoundary.report ran unguarded, and before the end of the unit.

The unit is ended in any case. An error of the counter is logged beside the first one, and a value without a text by its type. An error of the log still leaves the boundary, as nobody would see it otherwise.

Found by reading. Both tests failed before: the error left run(), and the unit was ended 0 times in place of 1.

--- a/packages/gateway/src/observe/error_boundary.ts
+++ b/packages/gateway/src/observe/error_boundary.ts
@@ -79,15 +79,22 @@
     try {
       work();
     } catch (e) {
-      this.report(unit, e, details);
       try {
-        onError();
-      } catch (e) {
-        this.report(unit, e, { ...details, isEnding: true });
+        this.report(unit, e, details);
+      } finally {
+        this.#end(unit, onError, details);
       }
     }
   }
 
+  #end(unit: ErrorUnit, onError: () => void, details: ErrorDetails): void {
+    try {
+      onError();
+    } catch (e) {
+      this.report(unit, e, { ...details, isEnding: true });
+    }
+  }
+
   /** Returns a function that calls `fn` within a boundary. */
   wrap<A extends unknown[]>(
     unit: ErrorUnit,
@@ -102,13 +109,21 @@
    * next line has the number.
    */
   report(unit: ErrorUnit, e: unknown, details: ErrorDetails = {}): void {
-    const { log, clock, metrics } = this.#options;
-    metrics?.countContainedError(unit);
+    try {
+      this.#options.metrics?.countContainedError(unit);
+    } catch (err) {
+      this.#log(unit, err, { ...details, isCounting: true });
+    }
+    this.#log(unit, e, details);
+  }
+
+  #log(unit: ErrorUnit, e: unknown, details: ErrorDetails): void {
+    const { log, clock } = this.#options;
     const now = clock.now();
     const known = this.#unreportedOf(unit, details, now);
     known.errors++;
     if (now - known.lineAtMs < LINE_INTERVAL_MS) return;
-    const err = e instanceof Error ? e : new Error(String(e));
+    const err = e instanceof Error ? e : new Error(textOf(e));
     log.state("error_contained", {
       unit,
       errors: known.errors,
@@ -139,6 +154,15 @@
   }
 }
 
+/** The text of a value that was raised and is no error; one of an object without a prototype has none. */
+function textOf(e: unknown): string {
+  try {
+    return String(e);
+  } catch {
+    return `a value of type ${typeof e}`;
+  }
+}
+
 /** A clock of which an error in a callback ends that callback only. */
 export class ContainedClock extends Clock {
   readonly #clock: Clock;
--- a/packages/gateway/tests/error_boundary_test.ts
+++ b/packages/gateway/tests/error_boundary_test.ts
@@ -88,3 +88,26 @@
   errors.run("peer_message", raiseOdd, undefined, { peer: "another" });
   assert.equal(log.events.at(-1)!.fields.peer, "another");
 });
+
+// Guards against a request that is not ended, as what was raised in it cannot be counted or has no text (LOST).
+test("an error that cannot be counted, or has no text, is logged and ends its unit", () => {
+  const { clock, log } = makeBoundary();
+  const metrics = { countContainedError: raiseOdd };
+  const errors = new ErrorBoundary({ clock, log, metrics });
+  let ended = 0;
+  errors.run("call", () => {
+    throw Object.create(null);
+  }, () => ended++);
+  assert.equal(ended, 1);
+  assert.deepEqual(log.events.map(({ fields }) => fields.isCounting), [true, undefined]);
+});
+
+// Guards against a request that is not ended, as the sink of the log fails, which ends the process (LOST).
+test("a unit is ended although its error cannot be logged", () => {
+  const { clock, log } = makeBoundary();
+  log.state = raiseOdd;
+  const errors = new ErrorBoundary({ clock, log });
+  let ended = 0;
+  assert.throws(() => errors.run("call", raiseOdd, () => ended++), /odd/);
+  assert.equal(ended, 1);
+});
