Take a permit for a run only when it has been encoded

A generation that could not be encoded for its engine used up a permit of a limited endpoint, which another request could have had, and counted as sent in the crash evidence: StreamRun.#send took both first. The order is now that of PlainCall.

Found by reading; the test counted 1 permit in place of 0 before.

--- a/packages/gateway/src/relay/stream_run.ts
+++ b/packages/gateway/src/relay/stream_run.ts
@@ -280,10 +280,7 @@
       const { retryAfterMs, trait } = admission;
       return this.fail({ reason: "quarantined", notRun: this.#notRun, retryAfterMs, trait });
     }
-    crashes.recordSent(this.req);
-    this.#ctx.limits.take(row.record.id);
     const now = clock.now();
-    this.#segment?.abort();
     const remainingMs = this.req.dueAtMs - now;
     const request = dialect.encode(this.req, {
       endpoint: row.record,
@@ -291,6 +288,10 @@
       enginePriority,
       resumeFrom,
     });
+    // What cannot be encoded uses up no permit.
+    crashes.recordSent(this.req);
+    this.#ctx.limits.take(row.record.id);
+    this.#segment?.abort();
     const segment = new RunSegment(this.#ctx, this.req.requestId, upstreams.of(row), {
       contain: (work) => this.#contain(work),
       onSignedHead: (seg, status, headers, isSuccess) =>
--- a/packages/gateway/tests/late_timer_test.ts
+++ b/packages/gateway/tests/late_timer_test.ts
@@ -233,3 +233,24 @@
   assert.equal(responder.reason, "draining");
   assert.equal(ends, 1);
 });
+
+// Guards against a permit that no request uses, while others wait for one.
+test("a run that cannot be encoded takes no permit", () => {
+  const { clock, ctx, req, responder } = makeRequest();
+  const errors = new ErrorBoundary({ clock, log: new MemoryLog() });
+  let permits = 0;
+  const limits = { ...ctx.limits, take: () => permits++ };
+  const dialect = {
+    encode: () => {
+      throw new Error("odd");
+    },
+  };
+  const odd = { ...ctx, errors, limits, dialect } as unknown as RelayContext;
+  const events = { onLoss: () => {}, onEnd: () => {}, onProgress: () => {} };
+  const run = new StreamRun({ ctx: odd, req, responder, tokensPerEvent: 1, events });
+  run.start();
+  const [row] = ctx.fleet.usable(SCRIBE, []);
+  run.send({ row: row!, resumeFrom: null, enginePriority: 1, reason: "first" });
+  assert.equal(responder.reason, "internal");
+  assert.equal(permits, 0);
+});
