Add each gateway of a list within a boundary of its own

A gateway in a list of a peer, or of the store, whose entry raised an error kept those behind it from being known and linked each time that the list came. PeerNetwork.addGateways handled the list in one unit.

Each entry is contained by itself. Found by reading; the test raised "Cannot read properties of null" before, and the gateway behind that entry was not added.

--- a/packages/gateway/src/peers/peer_network.ts
+++ b/packages/gateway/src/peers/peer_network.ts
@@ -276,22 +276,27 @@
 
   /** Adds or updates gateways that peers or the store know, and dials them. */
   addGateways(gateways: readonly GatewayAddress[]): void {
+    const details = { part: "gateways" };
     for (const gateway of gateways) {
-      if (gateway.name === this.#options.name || !this.#isUsable(gateway)) continue;
-      this.#census.recordNamed(gateway.name, this.#options.clock.now());
-      this.#membershipVersion++;
-      const known = this.#known.get(gateway.name);
-      this.#known.set(gateway.name, {
-        ...gateway,
-        processorShare: gateway.processorShare ?? known?.processorShare ?? null,
-        linkMbps: gateway.linkMbps ?? known?.linkMbps ?? null,
-      });
-      const peer = this.#peers.get(gateway.name);
-      if (peer !== undefined) peer.address = formatAddress(gateway);
-      this.#dial(gateway);
+      this.#errors.run("peer_link", () => this.#addGateway(gateway), undefined, details);
     }
   }
 
+  #addGateway(gateway: GatewayAddress): void {
+    if (gateway.name === this.#options.name || !this.#isUsable(gateway)) return;
+    this.#census.recordNamed(gateway.name, this.#options.clock.now());
+    this.#membershipVersion++;
+    const known = this.#known.get(gateway.name);
+    this.#known.set(gateway.name, {
+      ...gateway,
+      processorShare: gateway.processorShare ?? known?.processorShare ?? null,
+      linkMbps: gateway.linkMbps ?? known?.linkMbps ?? null,
+    });
+    const peer = this.#peers.get(gateway.name);
+    if (peer !== undefined) peer.address = formatAddress(gateway);
+    this.#dial(gateway);
+  }
+
   /** Whether another gateway can have a name and an address. */
   #isUsable(gateway: GatewayAddress): boolean {
     try {
--- a/packages/gateway/tests/peer_network_test.ts
+++ b/packages/gateway/tests/peer_network_test.ts
@@ -218,3 +218,27 @@
   assert.deepEqual(lists.at(-1), ["entry-1", "entry-2", "entry-3"]);
   assert.ok(log.count("gateway_unusable") > 0);
 });
+
+// Guards against gateways that are never linked, as one before them in each list raises an error.
+test("a gateway in a list that raises an error keeps none of the others from being added", async (t) => {
+  const log = new MemoryLog();
+  const a = makeNetwork("entry-1", await freeAddress(), [], log);
+  const address = await freeAddress();
+  const b = makeNetwork("entry-2", address, []);
+  t.after(async () => {
+    await a.stop();
+    await b.stop();
+  });
+  await a.start();
+  await b.start();
+  const sound = {
+    name: "entry-2",
+    ...address,
+    dataCentre: OSU,
+    processorShare: null,
+    linkMbps: null,
+  };
+  a.addGateways([null as unknown as typeof sound, sound]);
+  await until(() => a.isLinked("entry-2") || b.isLinked("entry-1"));
+  assert.equal(log.count("error_contained"), 1);
+});
