Log an unusable object of a peer once until the reason changes

Found by review: object_unreadable had no limit for objects of peers, 50 lines for 50 updates. They are logged as those of the store are.

--- a/packages/gateway/src/peers/store_view_sync.ts
+++ b/packages/gateway/src/peers/store_view_sync.ts
@@ -8,9 +8,17 @@
  *
  * @module
  */
-import type { Clock, DataCentreId, RegionId, SuspendAwareClock, Undo } from "@wisteriapick/core";
+import type {
+  Clock,
+  DataCentreId,
+  RegionId,
+  SuspendAwareClock,
+  Undo,
+  WpError,
+} from "@wisteriapick/core";
 import type { ViewUpdate } from "@wisteriapick/wire";
 import type { DecisionLog } from "../observe/decision_log.ts";
+import { UnreadableObjects } from "../observe/unreadable_objects.ts";
 import type { StoreOutage } from "../state/store_outage.ts";
 import type { ReadMoment, StoreFollower } from "../state/store_follower.ts";
 import type { KeyLease } from "../state/key_lease.ts";
@@ -91,6 +99,7 @@
   readonly #sender: ViewSender;
   readonly #puller: ViewPuller;
   readonly #confirmations: ConfirmationExchange;
+  readonly #unreadable: UnreadableObjects;
   /** The most recent read of each kind, by this gateway or by a peer. */
   readonly #freshness = new Map<FollowedKind, Freshness>();
   /** When peers last read each kind. */
@@ -109,7 +118,8 @@
 
   constructor(options: StoreViewSyncOptions) {
     this.#options = options;
-    const { follower, network, view, clock } = options;
+    const { follower, network, view, clock, log } = options;
+    this.#unreadable = new UnreadableObjects(log);
     this.#sender = new ViewSender({ view, network, originOf: (kind) => this.#originOf(kind) });
     this.#puller = new ViewPuller({
       network,
@@ -379,11 +389,9 @@
 
   /** How the objects in a peer's update are read. */
   #receivedItems<K extends FollowedKind>(kind: K, peer: string): ReceivedItemsOptions<K> {
-    const { log } = this.#options;
-    return {
-      kind,
-      onUnreadable: (name, err) => log.state("object_unreadable", { kind, peer, name, err }),
-    };
+    const onUnreadable = (name: string, err: WpError) =>
+      this.#unreadable.record({ kind, name, peer, err });
+    return { kind, onUnreadable };
   }
 
   /** Records who has confirmed a view and when. Returns whether the confirmation is newer than the last one. */
