--- a/packages/gateway/tests/registration_test.ts
+++ b/packages/gateway/tests/registration_test.ts
@@ -10,6 +10,14 @@
 const START_MS = 10_000;
 const STEP_MS = 100;
 
+/** Advances the clock in small steps, so that promises settle between timers. */
+async function advanceBy(clock: ManualClock, ms: number): Promise<void> {
+  for (let elapsedMs = 0; elapsedMs < ms; elapsedMs += STEP_MS) {
+    clock.advance(STEP_MS);
+    await settle();
+  }
+}
+
 /** A gateway without seeds, which finds others by the store only. */
 function startGateway(name: string, store: MemoryStore, clock: ManualClock) {
   const found = new Set<string>();
@@ -117,12 +125,7 @@
   const store = new RecordingStore(clock);
   const copy = store.copy();
   const { registration } = startGateway("entry-1", store, clock);
-  const advance = async (ms: number) => {
-    for (let elapsedMs = 0; elapsedMs < ms; elapsedMs += STEP_MS) {
-      clock.advance(STEP_MS);
-      await settle();
-    }
-  };
+  const advance = (ms: number) => advanceBy(clock, ms);
   await advance(START_MS);
   store.restore(copy);
   store.staleAllowed.length = 0;
@@ -158,12 +161,7 @@
   const store = new SlowListStore(clock);
   const copy = store.copy();
   const { registration } = startGateway("entry-1", store, clock);
-  const advance = async (ms: number) => {
-    for (let elapsedMs = 0; elapsedMs < ms; elapsedMs += STEP_MS) {
-      clock.advance(STEP_MS);
-      await settle();
-    }
-  };
+  const advance = (ms: number) => advanceBy(clock, ms);
   await advance(START_MS);
   store.listDelayMs = 800;
   const before = store.staleAllowed.length;
@@ -200,12 +198,7 @@
   const store = new MemoryStore(clock);
   const copy = store.copy();
   const { registration } = startGateway("entry-1", store, clock);
-  const advance = async (ms: number) => {
-    for (let elapsedMs = 0; elapsedMs < ms; elapsedMs += STEP_MS) {
-      clock.advance(STEP_MS);
-      await settle();
-    }
-  };
+  const advance = (ms: number) => advanceBy(clock, ms);
   await advance(START_MS);
   store.restore(copy);
   registration.onStoreRestored();
--- a/packages/gateway/tests/version_moves_test.ts
+++ b/packages/gateway/tests/version_moves_test.ts
@@ -187,14 +187,20 @@
   assert.deepEqual(retired(), [false, true]);
 });
 
-// Guards against an unlimited share of a new version while a restored store does not have the order.
-test("a move goes on while a restored store lacks its order, and keeps its deadline when it is written again", async () => {
+/** A move that has just been ordered, and a copy of the store from before the order. */
+async function makeOrdered() {
   const cluster = await makeCluster(1);
   const { store } = cluster;
   store.restore(store.copy(), 1);
   await simulateTraffic(cluster, 2_500, 0.02);
   const copy = store.copy();
   store.set("moves", "scribe", makeMove());
+  return { cluster, store, copy };
+}
+
+// Guards against an unlimited share of a new version while a restored store does not have the order.
+test("a move goes on while a restored store lacks its order, and keeps its deadline when it is written again", async () => {
+  const { cluster, store, copy } = await makeOrdered();
   await simulateTraffic(cluster, 1_000, 0.02);
   store.restore(copy);
   const lost = await simulateTraffic(cluster, 3_000, 0.02);
@@ -207,12 +213,7 @@
 
 // Guards against a move that is never given up when its order is not written again.
 test("a move whose order is not written again after a restore ends after five seconds", async () => {
-  const cluster = await makeCluster(1);
-  const { store } = cluster;
-  store.restore(store.copy(), 1);
-  await simulateTraffic(cluster, 2_500, 0.02);
-  const copy = store.copy();
-  store.set("moves", "scribe", makeMove());
+  const { cluster, store, copy } = await makeOrdered();
   await simulateTraffic(cluster, 1_000, 0.02);
   store.restore(copy);
   await simulateTraffic(cluster, 8_000, 0.02);
@@ -279,12 +280,7 @@
 
 // Guards against a move that begins anew when the order was lost with its end.
 test("the end of a move is written again once its lost order is", async () => {
-  const cluster = await makeCluster(1);
-  const { store } = cluster;
-  store.restore(store.copy(), 1);
-  await simulateTraffic(cluster, 2_500, 0.02);
-  const copy = store.copy();
-  store.set("moves", "scribe", makeMove());
+  const { cluster, store, copy } = await makeOrdered();
   await simulateTraffic(cluster, 11_900, 0.02);
   store.restore(copy);
   await simulateTraffic(cluster, 3_000, 0.9);
@@ -310,12 +306,7 @@
 
 // Guards against a retained order whose end counts as shown by the restored store, so that its opposite is written.
 test("the end of a move whose order was lost too is never followed by its opposite", async () => {
-  const cluster = await makeCluster(1);
-  const { store } = cluster;
-  store.restore(store.copy(), 1);
-  await simulateTraffic(cluster, 2_500, 0.02);
-  const copy = store.copy();
-  store.set("moves", "scribe", makeMove());
+  const { cluster, store, copy } = await makeOrdered();
   await simulateTraffic(cluster, 11_900, 0.02);
   assert.deepEqual(statesOf(cluster), ["running", "completed"]);
   // The gateway that writes has seen the end in the store only.
