--- a/packages/gateway/tests/record_checks_test.ts
+++ b/packages/gateway/tests/record_checks_test.ts
@@ -88,3 +88,10 @@
   const { sequence: _, startedAtUnixMs: __, ...older } = makeEndpoint("scribe-1");
   assert.equal(failureOf("endpoints", older), null);
 });
+
+// Guards against requests that go to this host itself, as a peer believes an address that the store's adapter refuses.
+for (const address of [{ host: "0.0.0.0", port: 80 }, { host: "10.0.0.1", port: 0 }]) {
+  test(`an endpoint at ${JSON.stringify(address)}, from a peer, is refused`, () => {
+    assert.notEqual(failureOf("endpoints", { ...SOUND.endpoints, address }), null);
+  });
+}
