--- /dev/null
+++ b/packages/cli/tests/uncontrolled_callers_test.ts
@@ -0,0 +1,211 @@
+/** Runs apart from other test files (scripts/test.mjs), as it checks the memory of a loaded process. */
+import assert from "node:assert/strict";
+import { type ChildProcess, spawn } from "node:child_process";
+import { once } from "node:events";
+import { afterEach, beforeEach, test } from "node:test";
+import { fileURLToPath } from "node:url";
+import {
+  Crowd,
+  DescriptorWatch,
+  MemoryWatch,
+  requestsAhead,
+  unendedBody,
+} from "@wisteriapick/standins";
+
+const BIN = fileURLToPath(new URL("../../bin/wisteriapick.js", import.meta.url));
+/** Memory of a side's host, in MiB; the process is killed over it. It runs the whole system. */
+const MEMORY_MB = 282;
+const HEAP_MB = 180;
+/** Descriptors that the process may have open. */
+const MAX_DESCRIPTORS = 600;
+const TIMEOUT_MS = 100_000;
+const CALLERS = 150;
+/** Connections of a crowd that are more than the descriptors. */
+const MANY_CALLERS = 900;
+const REQUESTS_AHEAD = 10_000;
+const COMPLETIONS_AHEAD = 400;
+/** Time after which the test goes on although the crowd still gets rid of bytes. */
+const MAX_SETTLE_MS = 10_000;
+const KEY = "local-museum-shop";
+const FIELDS = `Host: local.example\r\nAuthorization: Bearer ${KEY}\r\n`;
+
+let child: ChildProcess;
+let exit: string | null;
+let output = "";
+let address: { readonly host: string; readonly port: number };
+let memory: MemoryWatch;
+let descriptors: DescriptorWatch;
+let crowd: Crowd;
+
+beforeEach(async () => {
+  exit = null;
+  output = "";
+  const limits = [`--memory-mb=${MEMORY_MB}`, `--max-descriptors=${MAX_DESCRIPTORS}`];
+  const args = [`--max-old-space-size=${HEAP_MB}`, BIN, "local", "--port", "0", ...limits];
+  child = spawn(process.execPath, args, { stdio: ["ignore", "pipe", "pipe"] });
+  child.once("exit", (code, signal) => exit = `code ${code}, signal ${signal}`);
+  child.stdout!.on("data", (bytes) => output += bytes);
+  child.stderr!.on("data", (bytes) => output += bytes);
+  const watched = { pid: () => child.pid, kill: () => child.kill("SIGKILL") };
+  memory = new MemoryWatch(watched, ({ residentMb }) => residentMb > MEMORY_MB);
+  descriptors = new DescriptorWatch(watched);
+  for (;;) {
+    const url = /^entry: (\S+)\n/.exec(output)?.[1];
+    if (url !== undefined) {
+      address = { host: new URL(url).hostname, port: Number(new URL(url).port) };
+      break;
+    }
+    assert.equal(exit, null, output);
+    await new Promise((resolve) => setTimeout(resolve, 10));
+  }
+  await untilAnswered();
+});
+
+afterEach(async () => {
+  crowd.close();
+  memory.stop();
+  descriptors.stop();
+  if (exit !== null) return;
+  child.kill("SIGKILL");
+  await once(child, "exit");
+});
+
+/** Asks for one short completion, on a connection of its own; returns whether it succeeds. */
+async function isAnswered(): Promise<boolean> {
+  try {
+    const res = await fetch(`http://${address.host}:${address.port}/v1/chat/completions`, {
+      method: "POST",
+      headers: {
+        authorization: "Bearer local-elmina-shop",
+        "content-type": "application/json",
+        connection: "close",
+      },
+      body: JSON.stringify({
+        model: "scribe",
+        messages: [{ role: "user", content: "Describe a postcard [tokens=4]" }],
+      }),
+    });
+    await res.text();
+    return res.status === 200;
+  } catch {
+    return false;
+  }
+}
+
+/** Asks for completions one after the other until one succeeds. The test's timeout is the only one. */
+async function untilAnswered(): Promise<void> {
+  while (!(await isAnswered())) {
+    assertAlive();
+    await new Promise((resolve) => setTimeout(resolve, 100));
+  }
+}
+
+function assertAlive(): void {
+  const peaks = JSON.stringify({ ...memory.peak, descriptors: descriptors.peak });
+  assert.equal(memory.hasKilled, false, `over ${MEMORY_MB} MiB: ${peaks}`);
+  assert.equal(exit, null, `${peaks} ${output}`);
+  assert.ok(descriptors.peak <= MAX_DESCRIPTORS, `over ${MAX_DESCRIPTORS} descriptors: ${peaks}`);
+}
+
+/** Checks that the system serves others beside a crowd and after it, within the memory and descriptors of its host. */
+async function assertOutlives(
+  { callers, bytesOf, isReading = false }: {
+    readonly callers: number;
+    readonly bytesOf: (i: number) => Buffer;
+    readonly isReading?: boolean;
+  },
+): Promise<void> {
+  crowd = new Crowd(address, { isReading });
+  for (let i = 0; i < callers; i++) crowd.add(bytesOf(i));
+  const startedAtMs = performance.now();
+  let before = -1;
+  while (
+    (!crowd.isConnected || crowd.sentBytes !== before) &&
+    performance.now() - startedAtMs < MAX_SETTLE_MS
+  ) {
+    before = crowd.sentBytes;
+    await new Promise((resolve) => setTimeout(resolve, 500));
+    assertAlive();
+  }
+  await untilAnswered();
+  assertAlive();
+  crowd.close();
+  await untilAnswered();
+  assertAlive();
+}
+
+const SHORT_REQUESTS: Readonly<Record<string, readonly [path: string, fields: string]>> = {
+  "lists of models": ["/v1/models", FIELDS],
+  "the health": ["/healthz", "Host: local.example\r\n"],
+  "metrics": ["/metrics", "Host: local.example\r\n"],
+  "completions with unknown keys": [
+    "/v1/chat/completions",
+    "Host: local.example\r\nAuthorization: Bearer unknown\r\n",
+  ],
+};
+
+for (const [what, [path, fields]] of Object.entries(SHORT_REQUESTS)) {
+  const bytes = requestsAhead({
+    requestLine: `GET ${path}`,
+    fieldsOf: () => fields,
+    count: REQUESTS_AHEAD,
+  });
+
+  // Guards against requests that one connection has in progress without end, and against responses that fill the memory.
+  test(`the local system outlives requests for ${what} whose responses are not read`, {
+    timeout: TIMEOUT_MS,
+  }, async () => {
+    await assertOutlives({ callers: CALLERS, bytesOf: () => bytes });
+  });
+}
+
+// Guards against generations that one connection has in progress without end.
+for (const isStreamed of [true, false]) {
+  test(`the local system outlives completions with stream ${isStreamed} that are sent ahead`, {
+    timeout: TIMEOUT_MS,
+  }, async () => {
+    const content = `${"a description ".repeat(200)}[tokens=2000]`;
+    const body = JSON.stringify({
+      model: "scribe",
+      stream: isStreamed,
+      max_tokens: 2_000,
+      messages: [{ role: "user", content }],
+    });
+    const bytes = requestsAhead({
+      requestLine: "POST /v1/chat/completions",
+      fieldsOf: () => `${FIELDS}Content-Length: ${body.length}\r\n`,
+      count: COMPLETIONS_AHEAD,
+      body,
+    });
+    await assertOutlives({ callers: CALLERS, bytesOf: () => bytes });
+  });
+}
+
+const BODIES: Readonly<Record<string, readonly [path: string, fields: string, bytes: number]>> = {
+  completions: ["/v1/chat/completions", FIELDS, 500_000],
+  "calls with a key": ["/services/counter/orders", `${FIELDS}Idempotency-Key: k-`, 900_000],
+};
+
+for (const [what, [path, fields, bytes]] of Object.entries(BODIES)) {
+  for (const chunkBytes of [16_384, 1]) {
+    // Guards against bodies that keep all memory, as each of them is within its own limit.
+    test(`the local system outlives bodies of ${what} in chunks of ${chunkBytes} bytes that stop`, {
+      timeout: TIMEOUT_MS,
+    }, async () => {
+      const size = chunkBytes === 1 ? bytes / 8 : bytes;
+      const bytesOf = (i: number) => {
+        const own = fields.endsWith("k-") ? `${fields}${i}\r\n` : fields;
+        return unendedBody({ path, fields: own, bytes: size, chunkBytes });
+      };
+      await assertOutlives({ callers: chunkBytes === 1 ? CALLERS : 3 * CALLERS, bytesOf });
+    });
+  }
+}
+
+// Guards against connections without a request that take all descriptors.
+test("the local system outlives heads that stop before their end", {
+  timeout: TIMEOUT_MS,
+}, async () => {
+  const head = Buffer.from(`GET /v1/models HTTP/1.1\r\n${FIELDS}X-Long: ${"x".repeat(12_000)}`);
+  await assertOutlives({ callers: MANY_CALLERS, bytesOf: () => head });
+});
--- a/packages/standins/src/mod.ts
+++ b/packages/standins/src/mod.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * from "./crowd.ts";
 export * from "./engine_model.ts";
 export * from "./engine_server.ts";
 export * from "./engine_text.ts";
@@ -13,5 +14,6 @@
 export * from "./platform_servers.ts";
 export * from "./plain_service.ts";
 export type { PrefixSpec } from "./prefix_cache.ts";
+export * from "./process_watch.ts";
 export * from "./rate_limit.ts";
 export * from "./weight_store.ts";
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -37,7 +37,11 @@
 // A test file that never ends fails after this time; without a limit it would block the run for ever.
 const FILE_TIMEOUT_MS = 240_000;
 // Files that run after the others, one at a time, as they load the machine and check memory. They take longer.
-const APART = ["platform/dist/tests/uncontrolled_callers_test.js"];
+const APART = [
+  "packages/cli/dist/tests/uncontrolled_callers_test.js",
+  "platform/dist/tests/uncontrolled_callers_test.js",
+  "platform/dist/tests/uncontrolled_ports_test.js",
+];
 const APART_TIMEOUT_MS = 600_000;
 const args = ["--enable-source-maps", "--test"];
 const pathFilters = process.argv.slice(2);
