Move the gate of callers' connections into a package of its own

Only the gateway's port for callers had a gate, accounts and a choice of the connection to close; other listeners had none, as these parts knew the gateway's log and its boundary of errors. They take functions now. ConnectionTable has what the choice needs, and BoundedConnections guards any server of node:http.

--- a/packages/gateway/src/surface/body_reader.ts
+++ b/packages/gateway/src/surface/body_reader.ts
@@ -5,6 +5,7 @@
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { ByteBuffer, type Clock } from "@wisteriapick/core";
+import type { CallerLimitEvent } from "@wisteriapick/http";
 import {
   type BodyProgress,
   type MemoryBudget,
@@ -15,7 +16,6 @@
 import type { InboundHead } from "../relay/inbound.ts";
 import { BodyQueue } from "./body_queue.ts";
 import type { CallerConnections } from "./caller_connections.ts";
-import type { CallerLimitEvent } from "./connection_accounts.ts";
 import type { HttpResponder } from "./http_responder.ts";
 import type { Exchange } from "./unanswered.ts";
 
--- a/packages/gateway/src/surface/caller_connections.ts
+++ b/packages/gateway/src/surface/caller_connections.ts
@@ -6,15 +6,15 @@
 import type { Socket } from "node:net";
 import type { Clock } from "@wisteriapick/core";
 import {
-  chooseEviction,
-  type MemoryBudget,
-  openConnectionLimit,
-  StalledReaders,
-} from "@wisteriapick/policy";
+  type CallerLimitDetails,
+  type CallerLimitEvent,
+  ConnectionAccounts,
+  ConnectionTable,
+  type TrackedConnection,
+} from "@wisteriapick/http";
+import { type MemoryBudget, openConnectionLimit, StalledReaders } from "@wisteriapick/policy";
 import type { DecisionLog } from "../observe/decision_log.ts";
 import type { ErrorBoundary } from "../observe/error_boundary.ts";
-import { type CallerLimitEvent, ConnectionAccounts } from "./connection_accounts.ts";
-import type { RequestGate } from "./request_gate.ts";
 import type { Exchange } from "./unanswered.ts";
 
 /** Options of {@link CallerConnections}. */
@@ -31,19 +31,11 @@
 }
 
 /** State of one connection. */
-export interface CallerConnection {
+export interface CallerConnection extends TrackedConnection {
   /** Requests that are being read or answered. */
   readonly exchanges: Set<Exchange>;
-  /** Passes its bytes to the parser. */
-  readonly gate: RequestGate;
   /** The newest request, while its body is being read. */
   reading: Exchange | null;
-  /** Number of bytes that belong to requests whose heads have been read. */
-  requestBytes: number;
-  /** When it was opened, or last had a request in progress. */
-  usedAtMs: number;
-  /** When it was seen to have a part of a head after other requests, while there were too many; `null` if not. */
-  partSeenAtMs: number | null;
   /** Whether nothing more is taken from it: a request was refused, or the last response ends it. */
   isRefused: boolean;
   /** Ends it for bytes that cannot be served, once the requests before them are answered; `null` if there are none. */
@@ -75,40 +67,45 @@
  */
 export class CallerConnections {
   readonly #options: CallerConnectionsOptions;
-  readonly #open = new Map<Socket, CallerConnection>();
   readonly #accounts: ConnectionAccounts;
+  readonly #table: ConnectionTable<CallerConnection>;
   readonly #stalledReaders = new StalledReaders<UnreadConnection>(({ socket }) => socket);
-  readonly #maxOpen: number;
-  #accepted = 0;
   #isCrowded = false;
 
   constructor(options: CallerConnectionsOptions) {
     this.#options = options;
-    const { clock, errors, log, budget, maxDescriptors, onLimit } = options;
-    this.#maxOpen = openConnectionLimit(maxDescriptors);
+    const { clock, errors, budget, maxDescriptors } = options;
+    const onLimit = (event: CallerLimitEvent, details: CallerLimitDetails) =>
+      this.#recordLimit(event, details);
     this.#accounts = new ConnectionAccounts({
       clock,
-      errors,
-      log,
+      contain: (work) => errors.run("connection", work),
       bounds: { shares: budget.shares, maxDescriptors },
       onLimit,
     });
+    const maxOpen = openConnectionLimit(maxDescriptors);
+    this.#table = new ConnectionTable({
+      clock,
+      accounts: this.#accounts,
+      maxOpen: () => maxOpen,
+      onLimit,
+    });
   }
 
   /** Number of open connections. */
   get size(): number {
-    return this.#open.size;
+    return this.#table.size;
   }
 
   /** Number of connections that were accepted so far. */
   get accepted(): number {
-    return this.#accepted;
+    return this.#table.accepted;
   }
 
   /** Number of requests in progress. */
   get active(): number {
     let active = 0;
-    for (const { exchanges } of this.#open.values()) active += exchanges.size;
+    for (const [, { exchanges }] of this.#table.all()) active += exchanges.size;
     return active;
   }
 
@@ -116,7 +113,7 @@
   get busyCount(): number {
     const sinceMs = this.#options.clock.now() - BUSY_MS;
     let busy = 0;
-    for (const { exchanges, usedAtMs } of this.#open.values()) {
+    for (const [, { exchanges, usedAtMs }] of this.#table.all()) {
       if (exchanges.size > 0 || usedAtMs > sinceMs) busy++;
     }
     return busy;
@@ -124,30 +121,33 @@
 
   /** Whether there are so many that each closes with its next response. */
   get areMany(): boolean {
-    return this.#open.size > this.#options.maxKept;
+    return this.#table.size > this.#options.maxKept;
   }
 
   /** The state of a connection; `undefined` once it is closed or about to be. */
   of(socket: Socket): CallerConnection | undefined {
-    return this.#open.get(socket);
+    return this.#table.of(socket);
   }
 
   /** All open connections. */
   all(): IterableIterator<[Socket, CallerConnection]> {
-    return this.#open.entries();
+    return this.#table.all();
   }
 
   /** Takes a new connection, to which the HTTP server listens already. May close another one, or this one. */
   open(socket: Socket): void {
-    this.#accepted++;
     const exchanges = new Set<Exchange>();
-    const gate = this.#accounts.open(socket, {
+    const account = {
       unanswered: () => exchanges.size,
       endAfterResponses: () => {
-        this.endAfterResponses(this.#open.get(socket), () => socket.destroySoon());
+        this.endAfterResponses(this.#table.of(socket), () => socket.destroySoon());
       },
+    };
+    // Registered before that of the table, so that the connection can still be found.
+    socket.once("close", () => {
+      for (const exchange of [...exchanges]) exchange.closeUnsent();
     });
-    this.#open.set(socket, {
+    this.#table.open(socket, account, (gate) => ({
       exchanges,
       gate,
       reading: null,
@@ -156,14 +156,9 @@
       partSeenAtMs: null,
       isRefused: false,
       endsWith: null,
-    });
-    socket.once("close", () => {
-      for (const exchange of [...exchanges]) exchange.closeUnsent();
-      this.#open.delete(socket);
-      this.#reportCrowd();
-    });
+    }));
+    socket.once("close", () => this.#reportCrowd());
     this.#reportCrowd();
-    if (this.#open.size > this.#maxOpen) this.#evict(socket);
   }
 
   /**
@@ -197,10 +192,10 @@
 
   /** Closes connections whose callers do not read while there is no room for the responses to others. */
   closeStalledReaders(): void {
-    const { budget, clock, log, onLimit } = this.#options;
+    const { budget, clock } = this.#options;
     const room = { usedBytes: budget.responseBytes, shareBytes: budget.shares.responses };
     const connections = () =>
-      [...this.#open].map(([socket, { exchanges }]) => ({
+      [...this.#table.all()].map(([socket, { exchanges }]) => ({
         socket,
         exchanges,
         unreadBytes: unreadBytesOf(exchanges),
@@ -208,45 +203,21 @@
       }));
     const stalled = this.#stalledReaders.check(connections, room, clock.now());
     for (const { socket, exchanges, unreadBytes } of stalled) {
-      onLimit("unread_closed");
-      const remote = socket.remoteAddress;
-      log.request("connection_limited", { reason: "unread_closed", unreadBytes, remote });
+      this.#recordLimit("unread_closed", { unreadBytes, remote: socket.remoteAddress });
       for (const exchange of exchanges) exchange.recordClose("response_cut", "unread");
       socket.destroy();
     }
   }
 
-  /** Closes a connection without a request in progress, as there are too many; the newest one if there is none. */
-  #evict(newest: Socket): void {
-    const now = this.#options.clock.now();
-    const open = [...this.#open].map(([socket, connection]) => {
-      const hasHadRequest = connection.requestBytes > 0;
-      const hasPartOfHead = socket.bytesRead > connection.requestBytes;
-      if (hasHadRequest && hasPartOfHead) connection.partSeenAtMs ??= now;
-      return {
-        socket,
-        unanswered: connection.exchanges.size,
-        hasPartOfHead,
-        hasHadRequest,
-        usedAtMs: connection.partSeenAtMs ?? connection.usedAtMs,
-      };
-    });
-    const { socket } = chooseEviction(open, now) ?? { socket: newest };
-    this.#options.onLimit("evicted");
-    this.#options.log.request("connection_limited", {
-      reason: "evicted",
-      open: this.#open.size,
-      remote: socket.remoteAddress,
-    });
-    // The event of its end comes later, and more connections may be accepted before.
-    this.#open.delete(socket);
-    socket.destroy();
+  #recordLimit(event: CallerLimitEvent, details: CallerLimitDetails): void {
+    this.#options.onLimit(event);
+    this.#options.log.request("connection_limited", { reason: event, ...details });
   }
 
   /** Logs when connections begin to close with their responses, and when they are kept again. */
   #reportCrowd(): void {
     const { log, maxKept } = this.#options;
-    const open = this.#open.size;
+    const open = this.#table.size;
     if (!this.#isCrowded && open <= maxKept) return;
     if (this.#isCrowded && open > FEW_CONNECTIONS_FRACTION * maxKept) return;
     this.#isCrowded = !this.#isCrowded;
--- a/packages/gateway/src/surface/proxy_server.ts
+++ b/packages/gateway/src/surface/proxy_server.ts
@@ -12,6 +12,7 @@
 } from "node:http";
 import { Server as NetServer, type Socket } from "node:net";
 import type { Clock } from "@wisteriapick/core";
+import type { CallerLimitEvent } from "@wisteriapick/http";
 import type { Arrival, MemoryBudget } from "@wisteriapick/policy";
 import { type Address, formatAddress } from "@wisteriapick/wire";
 import type { CallerLimits } from "../config/types.ts";
@@ -22,7 +23,6 @@
 import type { CallerDialect } from "./caller_dialect.ts";
 import { BodyReader, type BodyRequest } from "./body_reader.ts";
 import { CallerConnections } from "./caller_connections.ts";
-import type { CallerLimitEvent } from "./connection_accounts.ts";
 import { ConnectionRefusals } from "./connection_refusals.ts";
 import { HttpResponder } from "./http_responder.ts";
 import { headerBytes, isForwardable, isUnambiguous } from "./request_grammar.ts";
--- a/packages/gateway/tests/crowded_connections_test.ts
+++ b/packages/gateway/tests/crowded_connections_test.ts
@@ -3,12 +3,11 @@
 import { type AddressInfo, connect, createServer, Socket } from "node:net";
 import { test, type TestContext } from "node:test";
 import { ManualClock } from "@wisteriapick/core";
+import { ConnectionAccounts } from "@wisteriapick/http";
 import { MemoryBudget } from "@wisteriapick/policy";
-import { ErrorBoundary } from "../src/observe/error_boundary.ts";
 import { LoopMonitor } from "../src/observe/loop_monitor.ts";
 import type { InboundHead } from "../src/relay/inbound.ts";
 import type { CallerDialect } from "../src/surface/caller_dialect.ts";
-import { ConnectionAccounts } from "../src/surface/connection_accounts.ts";
 import type { HttpResponder } from "../src/surface/http_responder.ts";
 import { ProxyServer } from "../src/surface/proxy_server.ts";
 import { MemoryLog } from "./fixtures.ts";
@@ -202,12 +201,9 @@
 
 // Guards against a caller within all limits that is closed for the bytes that wait on the connections of others.
 test("the connection with the most bytes that wait is closed when there is no room for them", () => {
-  const clock = new ManualClock();
-  const log = new MemoryLog();
   const accounts = new ConnectionAccounts({
-    clock,
-    log,
-    errors: new ErrorBoundary({ clock, log }),
+    clock: new ManualClock(),
+    contain: (work) => work(),
     bounds: {
       shares: { bodies: 8_000, responses: 8_000, garbage: 8_000 },
       maxDescriptors: null,
--- /dev/null
+++ b/packages/http/src/bounded_connections.ts
@@ -0,0 +1,153 @@
+/**
+ * Bounds what callers may hold of an HTTP server: connections, requests sent ahead, and responses that are not read.
+ *
+ * @module
+ */
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import type { Clock } from "@wisteriapick/core";
+import type { CallerBounds } from "@wisteriapick/policy";
+import { ConnectionAccounts, type OnCallerLimit } from "./connection_accounts.ts";
+import { ConnectionTable, type TrackedConnection } from "./connection_table.ts";
+import type { ContainWork } from "./turn_queue.ts";
+
+/** Options of {@link BoundedConnections}. */
+export interface BoundedConnectionsOptions {
+  readonly clock: Clock;
+  /** What the host has room for. */
+  readonly bounds: CallerBounds;
+  /** Number of connections that may be open. */
+  readonly maxConnections: number;
+  readonly contain: ContainWork;
+  readonly onLimit?: OnCallerLimit;
+}
+
+interface BoundedConnection extends TrackedConnection {
+  /** Ends of requests that have no whole response, by their responses. */
+  readonly exchanges: Map<ServerResponse, () => void>;
+  /** Whether the connection ends when its requests are answered. */
+  isEnding: boolean;
+}
+
+/**
+ * The connections of one HTTP server.
+ *
+ * @example
+ * ```ts
+ * const connections = new BoundedConnections({ clock, bounds, maxConnections: 32, contain });
+ * const server = createServer((req, res) => connections.begin(req, res) && respond(req, res));
+ * connections.guard(server);
+ * ```
+ */
+export class BoundedConnections {
+  readonly #accounts: ConnectionAccounts;
+  readonly #table: ConnectionTable<BoundedConnection>;
+  readonly #clock: Clock;
+  readonly #contain: ContainWork;
+
+  constructor(options: BoundedConnectionsOptions) {
+    const { bounds, clock, contain, maxConnections, onLimit = () => {} } = options;
+    this.#clock = clock;
+    this.#contain = contain;
+    this.#accounts = new ConnectionAccounts({ clock, contain, bounds, onLimit });
+    this.#table = new ConnectionTable({
+      clock,
+      accounts: this.#accounts,
+      maxOpen: () => maxConnections,
+      onLimit,
+    });
+  }
+
+  /** Number of open connections. */
+  get size(): number {
+    return this.#table.size;
+  }
+
+  /** Number of requests in progress. */
+  get requests(): number {
+    return this.#accounts.requests;
+  }
+
+  /** Guards each connection that a server accepts from now on. */
+  guard(server: Server): void {
+    // The TLS server of Node.js emits `connection` for a socket whose handshake has not begun.
+    const event = "setSecureContext" in server ? "secureConnection" : "connection";
+    server.on(event, (socket: Socket) => this.#contain(() => this.#open(socket)));
+  }
+
+  /**
+   * Records a request. Returns false if it must not be handled, as its connection is about to end. Its listener has to
+   * call this first.
+   */
+  begin(req: IncomingMessage, res: ServerResponse): boolean {
+    const connection = this.#table.of(req.socket);
+    if (connection === undefined || connection.isEnding) {
+      // Each further one would stay in memory until the connection closes.
+      connection?.gate.discard();
+      req.resume();
+      return false;
+    }
+    const { gate, exchanges } = connection;
+    gate.begin(req);
+    connection.requestBytes = req.socket.bytesRead;
+    req.once("end", () => connection.requestBytes = req.socket.bytesRead);
+    connection.partSeenAtMs = null;
+    const release = this.#accounts.takeRequest(headBytesOf(req));
+    const end = () => {
+      if (!exchanges.delete(res)) return;
+      release();
+      connection.usedAtMs = this.#clock.now();
+      gate.continue();
+      if (connection.isEnding && exchanges.size === 0) req.socket.destroySoon();
+    };
+    exchanges.set(res, end);
+    res.once("close", end);
+    return true;
+  }
+
+  /** Records a chunk of a request's body, which uses up a part of its connection's turn. */
+  recordChunk(req: IncomingMessage): void {
+    this.#table.of(req.socket)?.gate.recordChunk();
+  }
+
+  /** Reads nothing more from the connection of a request. It ends with the responses to what was read. */
+  endConnection(req: IncomingMessage): void {
+    const connection = this.#table.of(req.socket);
+    if (connection !== undefined) this.#end(req.socket, connection);
+  }
+
+  #open(socket: Socket): void {
+    const exchanges = new Map<ServerResponse, () => void>();
+    const account = {
+      unanswered: () => exchanges.size,
+      endAfterResponses: () => {
+        const connection = this.#table.of(socket);
+        if (connection === undefined) socket.destroySoon();
+        else this.#end(socket, connection);
+      },
+    };
+    this.#table.open(socket, account, (gate) => ({
+      gate,
+      exchanges,
+      requestBytes: 0,
+      usedAtMs: this.#clock.now(),
+      partSeenAtMs: null,
+      isEnding: false,
+    }));
+    // Node.js reports the end of a connection only to the response whose turn it is.
+    socket.once("close", () => {
+      for (const end of [...exchanges.values()]) end();
+    });
+  }
+
+  #end(socket: Socket, connection: BoundedConnection): void {
+    connection.isEnding = true;
+    connection.gate.discard();
+    if (connection.exchanges.size === 0) socket.destroySoon();
+  }
+}
+
+/** Approximate size of a request's head, in bytes. */
+function headBytesOf({ rawHeaders, url = "" }: IncomingMessage): number {
+  return rawHeaders.reduce((sum, { length }) => sum + length, url.length);
+}
--- a/packages/gateway/src/surface/connection_accounts.ts
+++ b/packages/http/src/connection_accounts.ts
@@ -13,10 +13,8 @@
   mustDropHeld,
   requestBytesOf,
 } from "@wisteriapick/policy";
-import type { DecisionLog } from "../observe/decision_log.ts";
-import type { ErrorBoundary } from "../observe/error_boundary.ts";
 import { RequestGate } from "./request_gate.ts";
-import { TurnQueue } from "./turn_queue.ts";
+import { type ContainWork, TurnQueue } from "./turn_queue.ts";
 
 /**
  * What happened to a caller that observes no limits: its connection was paused until responses are written and read;
@@ -31,14 +29,29 @@
   | "unread_closed"
   | "body_refused";
 
+/** What is known of a connection at a {@link CallerLimitEvent}, for logs. */
+export interface CallerLimitDetails {
+  readonly remote?: string;
+  /** Requests without a whole response. */
+  readonly unanswered?: number;
+  /** Bytes that wait on all connections. */
+  readonly heldBytes?: number;
+  /** Bytes of responses that the connection has not taken. */
+  readonly unreadBytes?: number;
+  /** Number of open connections. */
+  readonly open?: number;
+}
+
+/** Receives what happens to callers that observe no limits. */
+export type OnCallerLimit = (event: CallerLimitEvent, details: CallerLimitDetails) => void;
+
 /** Options of {@link ConnectionAccounts}. */
 export interface ConnectionAccountsOptions {
   readonly clock: Clock;
-  readonly errors: ErrorBoundary;
-  readonly log: DecisionLog;
+  readonly contain: ContainWork;
   /** What the host has room for. */
   readonly bounds: CallerBounds;
-  readonly onLimit: (event: CallerLimitEvent) => void;
+  readonly onLimit: OnCallerLimit;
 }
 
 /** What the accounts need to know of a connection. */
@@ -75,7 +88,7 @@
 
   constructor(options: ConnectionAccountsOptions) {
     this.#options = options;
-    this.#turns = new TurnQueue(options.clock, options.errors);
+    this.#turns = new TurnQueue(options.clock, options.contain);
   }
 
   get requests(): number {
@@ -92,13 +105,11 @@
 
   /** Opens the account of a connection, to which the HTTP server listens already. */
   open(socket: Socket, { unanswered, endAfterResponses }: AccountedConnection): RequestGate {
-    const { bounds, onLimit, log } = this.#options;
+    const { bounds, onLimit } = this.#options;
     const holding: HoldingConnection = {
       heldBytes: 0,
       drop: () => {
-        onLimit("held_dropped");
-        log.request("connection_limited", {
-          reason: "held_dropped",
+        onLimit("held_dropped", {
           unanswered: unanswered(),
           heldBytes: this.#heldBytes,
           remote: socket.remoteAddress,
@@ -121,9 +132,7 @@
         if (bytes > 0 && mustDropHeld(this, bounds)) chooseMostHeld(this.#holding)?.drop();
       },
       onPaused: () => {
-        onLimit("paused");
-        log.request("connection_limited", {
-          reason: "paused",
+        onLimit("paused", {
           unanswered: unanswered(),
           unreadBytes: socket.writableLength,
           remote: socket.remoteAddress,
--- /dev/null
+++ b/packages/http/src/mod.ts
@@ -0,0 +1,10 @@
+/**
+ * HTTP servers whose callers observe no limits: how much is read from each connection, and which of them stay open.
+ *
+ * @module
+ */
+export * from "./bounded_connections.ts";
+export * from "./connection_accounts.ts";
+export * from "./connection_table.ts";
+export * from "./request_gate.ts";
+export * from "./turn_queue.ts";
--- a/packages/gateway/src/surface/turn_queue.ts
+++ b/packages/http/src/turn_queue.ts
@@ -4,11 +4,13 @@
  * @module
  */
 import type { Clock } from "@wisteriapick/core";
-import type { ErrorBoundary } from "../observe/error_boundary.ts";
 
 /** Time for turns between two polls, in milliseconds, so that other connections are read in between. */
 const TURNS_MS = 4;
 
+/** Runs work of one connection. An error in it ends that work only. */
+export type ContainWork = (work: () => void) => void;
+
 /** Takes turns for a connection. */
 export interface TurnTaker {
   takeTurn(): void;
@@ -24,13 +26,13 @@
  */
 export class TurnQueue {
   readonly #clock: Clock;
-  readonly #errors: ErrorBoundary;
+  readonly #contain: ContainWork;
   readonly #waiting = new Set<TurnTaker>();
   #isScheduled = false;
 
-  constructor(clock: Clock, errors: ErrorBoundary) {
+  constructor(clock: Clock, contain: ContainWork) {
     this.#clock = clock;
-    this.#errors = errors;
+    this.#contain = contain;
   }
 
   /** Number of connections that wait. */
@@ -60,7 +62,7 @@
     for (const taker of this.#waiting) {
       // Those that enter again are behind the ones that waited.
       this.#waiting.delete(taker);
-      this.#errors.run("connection", () => taker.takeTurn());
+      this.#contain(() => taker.takeTurn());
       if (--left <= 0 || this.#clock.now() >= endsAtMs) break;
     }
     if (this.#waiting.size > 0) this.#schedule();
--- a/packages/gateway/tests/request_gate_test.ts
+++ b/packages/http/tests/request_gate_test.ts
@@ -4,10 +4,8 @@
 import { type AddressInfo, connect, type Socket } from "node:net";
 import { test, type TestContext } from "node:test";
 import { ManualClock, Rng } from "@wisteriapick/core";
-import { ErrorBoundary } from "../src/observe/error_boundary.ts";
-import { RequestGate } from "../src/surface/request_gate.ts";
-import { TurnQueue } from "../src/surface/turn_queue.ts";
-import { MemoryLog } from "./fixtures.ts";
+import { RequestGate } from "../src/request_gate.ts";
+import { TurnQueue } from "../src/turn_queue.ts";
 
 interface Handling {
   readonly maxUnanswered: number;
@@ -16,9 +14,7 @@
 
 /** Starts an HTTP server with a gate before each connection. Returns what the gates did. */
 async function startServer(t: TestContext, { maxUnanswered, respond }: Handling) {
-  const clock = new ManualClock();
-  const log = new MemoryLog();
-  const turns = new TurnQueue(clock, new ErrorBoundary({ clock, log }));
+  const turns = new TurnQueue(new ManualClock(), (work) => work());
   const gates = new Map<Socket, RequestGate>();
   const unanswered = new Map<Socket, number>();
   const seen = { most: 0, held: 0, mostHeld: 0, paused: 0, requests: 0 };
