Keep descriptors for connections to endpoints

Cause: callers' connections had three quarters of max_fds whatever endpoints had open, and the first request of each may open a connection to an endpoint. Change: the limit of callers' connections is what endpoints, peers, files and requests in progress leave. A request takes its descriptor when its head is read; connections without a request are closed for it, or it is refused (descriptor_pressure, not run). While none is left, connections that read nothing are closed as for memory, and the one that has sent the most ahead ends with its responses. Ordinary deployments have thousands of descriptors and don't meet it.

--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -23,6 +23,7 @@
   "queue_full",
   "cold_start",
   "memory_pressure",
+  "descriptor_pressure",
   "deadline_exceeded",
   "data_centre_out",
   "endpoint_leaving",
--- a/packages/delivery/src/problem.ts
+++ b/packages/delivery/src/problem.ts
@@ -20,6 +20,7 @@
   queue_full: 503,
   cold_start: 503,
   memory_pressure: 503,
+  descriptor_pressure: 503,
   deadline_exceeded: 504,
   data_centre_out: 503,
   endpoint_leaving: 503,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -384,6 +384,8 @@
       maxKept: keptConnectionLimit(settings.max_fds ?? null),
       onBytes: recordArrived,
       maxDescriptors: settings.max_fds,
+      otherDescriptors: (requests) =>
+        this.#upstreams.connectionCount(requests) + this.#network.linkCount,
       onCallerLimit: (event) => metrics.countCallerLimit(event),
     });
     this.#stop = new GracefulStop({
--- a/packages/gateway/src/peers/peer_network.ts
+++ b/packages/gateway/src/peers/peer_network.ts
@@ -352,6 +352,13 @@
     return this.#links().reduce((sum, link) => sum + link.queuedBytes, 0);
   }
 
+  /** Number of open links to other gateways. */
+  get linkCount(): number {
+    let count = 0;
+    for (const { links } of this.#peers.values()) count += links.size;
+    return count;
+  }
+
   override registerRoom(fn: (peer: string) => void): Undo {
     this.#roomListeners.add(fn);
     return () => void this.#roomListeners.delete(fn);
--- a/packages/gateway/src/surface/caller_connections.ts
+++ b/packages/gateway/src/surface/caller_connections.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Socket } from "node:net";
-import type { Clock } from "@wisteriapick/core";
+import type { Clock, Undo } from "@wisteriapick/core";
 import {
   type CallerLimitDetails,
   type CallerLimitEvent,
@@ -12,7 +12,12 @@
   ConnectionTable,
   type TrackedConnection,
 } from "@wisteriapick/http";
-import { type MemoryBudget, openConnectionLimit, StalledReaders } from "@wisteriapick/policy";
+import {
+  type MemoryBudget,
+  openConnectionLimit,
+  type ReadersRoom,
+  StalledReaders,
+} from "@wisteriapick/policy";
 import type { DecisionLog } from "../observe/decision_log.ts";
 import type { ErrorBoundary } from "../observe/error_boundary.ts";
 import type { Exchange } from "./unanswered.ts";
@@ -27,6 +32,11 @@
   readonly maxKept: number;
   /** Descriptors that the process may have open; `null` without a limit. */
   readonly maxDescriptors: number | null;
+  /**
+   * Descriptors that the process has open besides those of callers, where so many requests may each have a connection to
+   * an endpoint.
+   */
+  readonly otherDescriptors: (requests: number) => number;
   readonly onLimit: (event: CallerLimitEvent) => void;
 }
 
@@ -70,6 +80,13 @@
   readonly #accounts: ConnectionAccounts;
   readonly #table: ConnectionTable<CallerConnection>;
   readonly #stalledReaders = new StalledReaders<UnreadConnection>(({ socket }) => socket);
+  /** The same for descriptors, of which each request takes one besides its connection's own. */
+  readonly #stalledHolders = new StalledReaders<UnreadConnection>(
+    ({ socket }) => socket,
+    ({ exchanges }) => 1 + exchanges.size,
+  );
+  /** Requests that may have a connection to an endpoint each. */
+  #forwarded = 0;
   #isCrowded = false;
 
   constructor(options: CallerConnectionsOptions) {
@@ -83,11 +100,10 @@
       bounds: { shares: budget.shares, maxDescriptors },
       onLimit,
     });
-    const maxOpen = openConnectionLimit(maxDescriptors);
     this.#table = new ConnectionTable({
       clock,
       accounts: this.#accounts,
-      maxOpen: () => maxOpen,
+      maxOpen: () => this.#maxOpen(),
       onLimit,
     });
   }
@@ -147,6 +163,7 @@
     socket.once("close", () => {
       for (const exchange of [...exchanges]) exchange.closeUnsent();
     });
+    this.closeStalledReaders();
     this.#table.open(socket, account, (gate) => ({
       exchanges,
       gate,
@@ -190,10 +207,35 @@
     connection.endsWith = end;
   }
 
+  /**
+   * Takes a descriptor for a request's connection to an endpoint; connections without a request are closed for it.
+   * Returns how to give it back, and `null` if there is none.
+   */
+  takeDescriptor(): Undo | null {
+    this.#forwarded++;
+    if (this.#table.evictSurplus()) return () => void this.#forwarded--;
+    this.#forwarded--;
+    return null;
+  }
+
+  #maxOpen(): number {
+    const { maxDescriptors, otherDescriptors } = this.#options;
+    if (maxDescriptors === null) return Infinity;
+    return openConnectionLimit(maxDescriptors, otherDescriptors(this.#forwarded));
+  }
+
   /** Closes connections whose callers do not read while there is no room for the responses to others. */
   closeStalledReaders(): void {
-    const { budget, clock } = this.#options;
-    const room = { usedBytes: budget.responseBytes, shareBytes: budget.shares.responses };
+    const { budget } = this.#options;
+    this.#closeStalled(this.#stalledReaders, {
+      used: budget.responseBytes,
+      share: budget.shares.responses,
+    });
+    this.#closeStalled(this.#stalledHolders, { used: this.#table.size, share: this.#maxOpen() });
+  }
+
+  #closeStalled(readers: StalledReaders<UnreadConnection>, room: ReadersRoom): void {
+    const { clock } = this.#options;
     const connections = () =>
       [...this.#table.all()].map(([socket, { exchanges }]) => ({
         socket,
@@ -201,7 +243,7 @@
         unreadBytes: unreadBytesOf(exchanges),
         sentBytes: socket.bytesWritten - socket.writableLength,
       }));
-    const stalled = this.#stalledReaders.check(connections, room, clock.now());
+    const stalled = readers.check(connections, room, clock.now());
     for (const { socket, exchanges, unreadBytes } of stalled) {
       this.#recordLimit("unread_closed", { unreadBytes, remote: socket.remoteAddress });
       for (const exchange of exchanges) exchange.recordClose("response_cut", "unread");
--- a/packages/gateway/src/surface/proxy_server.ts
+++ b/packages/gateway/src/surface/proxy_server.ts
@@ -61,6 +61,11 @@
   readonly maxKept?: number;
   /** Descriptors that the process may have open; without a limit by default. */
   readonly maxDescriptors?: number;
+  /**
+   * Descriptors that the process has open besides those of callers, where so many requests may each have a connection to
+   * an endpoint; that number by default.
+   */
+  readonly otherDescriptors?: (requests: number) => number;
   /** Counts connections that were paused or closed, and bodies that were refused, as their callers observe no limits. */
   readonly onCallerLimit?: (event: CallerLimitEvent) => void;
   /** Called as bytes of bodies arrive, with their number. */
@@ -77,7 +82,7 @@
 const MAX_CONFIG_WAIT_MS = 700;
 /** Interval at which a waiting request checks for the first configuration. */
 const CONFIG_CHECK_INTERVAL_MS = 10;
-/** Retry delay given to callers while there is no memory for their request, in milliseconds. */
+/** Retry delay given to callers while there is no memory or descriptor for their request, in milliseconds. */
 const RETRY_AFTER_NO_ROOM_MS = 1_000;
 
 /** A request that is being read. */
@@ -110,6 +115,7 @@
       budget,
       maxKept: options.maxKept ?? Infinity,
       maxDescriptors: options.maxDescriptors ?? null,
+      otherDescriptors: options.otherDescriptors ?? ((requests) => requests),
       onLimit: (event) => options.onCallerLimit?.(event),
     });
     this.#bodies = new BodyReader({
@@ -122,7 +128,7 @@
       isUnread: (res) => this.#unread.has(res),
       contain: (req, res, work) => this.#contain(req, res, work),
       onTooLarge: (req, res) => this.#refuse(req, res, 413),
-      onNoRoom: (req, res, body) => this.#refuseForMemory(req, res, body),
+      onNoRoom: (req, res, body) => this.#refuseForRoom(req, res, body, "memory_pressure"),
     });
     const { loop } = options;
     this.#refusals = new ConnectionRefusals({ connections: this.#connections, loop, log });
@@ -390,8 +396,14 @@
     this.#connections.closeStalledReaders();
     if (!this.#options.budget.hasRoomForResponses) {
       this.#bodies.drop(req);
-      return this.#refuseForMemory(req, res, { head, responder });
+      return this.#refuseForRoom(req, res, { head, responder }, "memory_pressure");
+    }
+    const releaseDescriptor = this.#connections.takeDescriptor();
+    if (releaseDescriptor === null) {
+      this.#bodies.drop(req);
+      return this.#refuseForRoom(req, res, { head, responder }, "descriptor_pressure");
     }
+    res.once("close", releaseDescriptor);
     const options = { exchange, head, responder, maxBytes: maxBodyBytes };
     this.#bodies.read(req, res, options, (body) => {
       const { loop, log } = this.#options;
@@ -422,26 +434,27 @@
   }
 
   /**
-   * Refuses a request for which there is no memory now. The connection stays open, and the rest of the body is read and
+   * Refuses a request for which there is no memory or no descriptor now. The connection stays open, and the rest of the body is read and
    * dropped: closing a connection with unread bytes would reset it, and the caller might lose the response.
    */
-  #refuseForMemory(
+  #refuseForRoom(
     req: IncomingMessage,
     res: ServerResponse,
     { head, responder }: Pick<BodyRequest, "head" | "responder">,
+    reason: "memory_pressure" | "descriptor_pressure",
   ): void {
     if (!this.#unread.delete(res)) return;
     const { budget, log } = this.#options;
     log.request("request_rejected", {
       req: head.requestId,
-      reason: "memory_pressure",
+      reason,
       retryAfterMs: RETRY_AFTER_NO_ROOM_MS,
       length: req.headers["content-length"],
       bodyBytes: budget.bodyBytes,
       responseBytes: budget.responseBytes,
     });
     responder.reject({
-      reason: "memory_pressure",
+      reason,
       notRun: true,
       retryAfterMs: RETRY_AFTER_NO_ROOM_MS,
     });
--- a/packages/gateway/src/upstream/connection_pool.ts
+++ b/packages/gateway/src/upstream/connection_pool.ts
@@ -49,6 +49,11 @@
     return this.#all.size;
   }
 
+  /** Number of connections without a request. */
+  get idleCount(): number {
+    return this.#idle.length;
+  }
+
   /** Number of connections opened so far. */
   get opened(): number {
     return this.#opened;
--- a/packages/gateway/src/upstream/endpoint.ts
+++ b/packages/gateway/src/upstream/endpoint.ts
@@ -212,6 +212,17 @@
     return this.#endpoints.values();
   }
 
+  /** Number of connections to all endpoints, where so many requests may each have one in use. */
+  connectionCount(requests: number): number {
+    let open = 0;
+    let idle = 0;
+    for (const { pool } of this.#endpoints.values()) {
+      open += pool.size;
+      idle += pool.idleCount;
+    }
+    return idle + Math.max(requests, open - idle);
+  }
+
   close(): void {
     this.#undo();
     for (const endpoint of this.#endpoints.values()) endpoint.close();
--- a/packages/gateway/tests/crowded_connections_test.ts
+++ b/packages/gateway/tests/crowded_connections_test.ts
@@ -43,6 +43,8 @@
   const clock = new ManualClock();
   const log = new MemoryLog();
   let heads = 0;
+  /** Descriptors that are open for something else. */
+  const others = { count: 0 };
   const dialect = {
     readHead: ({ target }: { target: string }) => ({ requestId: "r-1", target }) as InboundHead,
   };
@@ -77,6 +79,7 @@
     loop: new LoopMonitor(clock, log),
     budget,
     maxDescriptors,
+    otherDescriptors: (requests) => requests + others.count,
   });
   await server.listen();
   const sockets: Socket[] = [];
@@ -93,7 +96,7 @@
     await until(() => server.accepted > accepted);
     return socket;
   };
-  return { clock, server, open, heads: () => heads };
+  return { clock, log, others, server, open, heads: () => heads };
 }
 
 async function until(condition: () => boolean): Promise<void> {
@@ -136,6 +139,26 @@
   assert.deepEqual(served, [true, true, true]);
 });
 
+// Guards against requests whose connections to endpoints take more descriptors than callers have left.
+test("a request for whose endpoint there is no descriptor is refused, and kept callers give up theirs", async (t) => {
+  const { log, others, server, open } = await startServer(t, { maxDescriptors: 16 });
+  const kept = [await open(), await open()];
+  for (const socket of kept) assert.ok(await request(socket));
+  const sockets = await Promise.all(Array.from({ length: 7 }, () => open()));
+  const bytes = "GET /held HTTP/1.1\r\nHost: a\r\n\r\n";
+  for (const socket of sockets) socket.write(bytes);
+  await until(() => server.active === 7 && server.connectionCount === 7);
+  assert.equal(log.count("request_rejected"), 0);
+  sockets[0]!.destroy();
+  await until(() => server.active === 6);
+  const last = await open();
+  others.count = 2;
+  last.write(bytes);
+  await until(() => log.count("request_rejected") === 1);
+  const rejected = log.events.find(({ event }) => event === "request_rejected");
+  assert.equal(rejected?.fields.reason, "descriptor_pressure");
+});
+
 // Guards against the change above that would let a crowd which sends no heads close kept connections.
 test("connections that send no head for a while are closed before kept ones", async (t) => {
   const { clock, open } = await startServer(t);
--- a/packages/http/src/connection_accounts.ts
+++ b/packages/http/src/connection_accounts.ts
@@ -129,7 +129,7 @@
         ),
       onHeld: (bytes) => {
         this.#recordHeld(holding, bytes);
-        if (bytes > 0 && mustDropHeld(this, bounds)) chooseMostHeld(this.#holding)?.drop();
+        if (bytes > 0 && mustDropHeld(this, bounds)) this.dropMostHeld();
       },
       onPaused: () => {
         onLimit("paused", {
@@ -142,6 +142,14 @@
     return gate;
   }
 
+  /**
+   * Drops the bytes of the connection on which the most wait, and closes it after its responses. These bytes were not
+   * parsed, so no request among them runs.
+   */
+  dropMostHeld(): void {
+    chooseMostHeld(this.#holding)?.drop();
+  }
+
   #recordHeld(holding: HoldingConnection, bytes: number): void {
     this.#heldBytes += bytes;
     holding.heldBytes += bytes;
--- a/packages/http/src/connection_table.ts
+++ b/packages/http/src/connection_table.ts
@@ -84,12 +84,15 @@
   }
 
   /**
-   * Closes connections without a request in progress until there are not too many. Closes `newest` if all others have
-   * one. Returns whether there are not too many now.
+   * Closes connections without a request in progress until there are not too many. If all have one, closes `newest`, and
+   * the one that has sent the most ahead ends with its responses, so that others find room later. Returns whether there
+   * are not too many now.
    */
   evictSurplus(newest?: Socket): boolean {
     while (this.#open.size > this.#options.maxOpen()) {
-      const evicted = this.#chooseEvicted() ?? newest;
+      const idle = this.#chooseEvicted();
+      if (idle === undefined) this.#options.accounts.dropMostHeld();
+      const evicted = idle ?? newest;
       if (evicted === undefined || !this.#open.has(evicted)) return false;
       this.#options.onLimit("evicted", { open: this.#open.size, remote: evicted.remoteAddress });
       // The event of its end comes later, and more connections may be accepted before.
--- a/packages/policy/src/connection_eviction.ts
+++ b/packages/policy/src/connection_eviction.ts
@@ -28,17 +28,29 @@
 
 /** Fraction of the process's descriptors for callers' connections; the rest is for endpoints, peers and files. */
 const OPEN_FRACTION = 0.75;
+/** Fraction of the descriptors for what is not counted, such as files and the connections to the store. */
+const RESERVED_FRACTION = 0.125;
+/** Most descriptors that are kept for it. */
+const MAX_RESERVED = 200;
 
 /**
  * Largest number of callers' connections of a process with so many descriptors.
  *
+ * @param otherDescriptors Descriptors that are open for endpoints, peers and operators, or promised to requests.
+ *
  * @example
  * ```ts
- * const maxOpen = openConnectionLimit(4_100);
+ * const maxOpen = openConnectionLimit(4_100, 250);
  * ```
  */
-export function openConnectionLimit(maxDescriptors: number | null): number {
-  return maxDescriptors === null ? Infinity : Math.floor(OPEN_FRACTION * maxDescriptors);
+export function openConnectionLimit(maxDescriptors: number | null, otherDescriptors = 0): number {
+  if (maxDescriptors === null) return Infinity;
+  const reserved = Math.min(MAX_RESERVED, RESERVED_FRACTION * maxDescriptors);
+  const open = Math.min(
+    OPEN_FRACTION * maxDescriptors,
+    maxDescriptors - reserved - otherDescriptors,
+  );
+  return Math.max(1, Math.floor(open));
 }
 
 /**
--- a/packages/policy/src/stalled_readers.ts
+++ b/packages/policy/src/stalled_readers.ts
@@ -29,6 +29,12 @@
 /** Fraction of the room for responses that is freed at once. */
 const FREED_FRACTION = 0.25;
 
+/** Room that connections share, in bytes or whatever `roomOf` of {@link StalledReaders} counts. */
+export interface ReadersRoom {
+  readonly used: number;
+  readonly share: number;
+}
+
 interface Sample {
   readonly sentBytes: number;
   readonly atMs: number;
@@ -39,18 +45,26 @@
  *
  * @example
  * ```ts
- * const room = { usedBytes: budget.responseBytes, shareBytes: budget.shares.responses };
+ * const room = { used: budget.responseBytes, share: budget.shares.responses };
  * for (const connection of readers.check(connections, room, nowMs)) connection.close();
  * ```
  */
 export class StalledReaders<C extends ReadingConnection> {
   readonly #keyOf: (connection: C) => object;
+  readonly #roomOf: (connection: C) => number;
   #samples = new Map<object, Sample>();
   #checkedAtMs = -Infinity;
 
-  /** `keyOf` identifies a connection from one check to the next one. */
-  constructor(keyOf: (connection: C) => object) {
+  /**
+   * `keyOf` identifies a connection from one check to the next one. `roomOf` returns how much of the room it takes: its
+   * unread bytes by default.
+   */
+  constructor(
+    keyOf: (connection: C) => object,
+    roomOf: (connection: C) => number = ({ unreadBytes }) => unreadBytes,
+  ) {
     this.#keyOf = keyOf;
+    this.#roomOf = roomOf;
   }
 
   /**
@@ -59,10 +73,10 @@
    */
   check(
     connections: () => Iterable<C>,
-    { usedBytes, shareBytes }: { readonly usedBytes: number; readonly shareBytes: number },
+    { used, share }: ReadersRoom,
     nowMs: number,
   ): C[] {
-    if (usedBytes < CHECK_FRACTION * shareBytes) return [];
+    if (used < CHECK_FRACTION * share) return [];
     if (nowMs - this.#checkedAtMs < CHECK_INTERVAL_MS) return [];
     this.#checkedAtMs = nowMs;
     const samples = new Map<object, Sample>();
@@ -79,13 +93,13 @@
       if (nowMs - sample.atMs >= UNREAD_MS) stalled.push({ connection, atMs: sample.atMs });
     }
     this.#samples = samples;
-    if (usedBytes < shareBytes) return [];
+    if (used < share) return [];
     stalled.sort((a, b) => a.atMs - b.atMs);
     let freed = 0;
     const closed: C[] = [];
     for (const { connection } of stalled) {
-      if (freed >= FREED_FRACTION * shareBytes) break;
-      freed += connection.unreadBytes;
+      if (freed >= FREED_FRACTION * share) break;
+      freed += this.#roomOf(connection);
       closed.push(connection);
     }
     return closed;
--- a/packages/policy/tests/stalled_readers_test.ts
+++ b/packages/policy/tests/stalled_readers_test.ts
@@ -15,7 +15,7 @@
     sentBytes: 50,
   }));
   const check = (usedBytes: number, nowMs: number) =>
-    readers.check(() => connections, { usedBytes, shareBytes: SHARE }, nowMs);
+    readers.check(() => connections, { used: usedBytes, share: SHARE }, nowMs);
   assert.deepEqual(check(SHARE, 0), [], "nothing is known of them yet");
   connections[0]!.sentBytes = 51;
   assert.deepEqual(check(SHARE, UNREAD_MS - 1), []);
@@ -35,7 +35,7 @@
   const slow = { id: {}, unreadBytes: 400_000, sentBytes: 0 };
   const closed = new Set<object>();
   for (let ms = 0; ms <= 2 * UNREAD_MS; ms += 1_000) {
-    const room = { usedBytes: 4_000_000, shareBytes: 4_000_000 };
+    const room = { used: 4_000_000, share: 4_000_000 };
     for (const connection of readers.check(() => [trickling, slow], room, ms)) {
       closed.add(connection);
     }
--- a/packages/policy/tests/uncontrolled_callers_test.ts
+++ b/packages/policy/tests/uncontrolled_callers_test.ts
@@ -115,3 +115,12 @@
   assert.equal(openConnectionLimit(400), 300);
   assert.equal(openConnectionLimit(null), Infinity);
 });
+
+// Guards against callers' connections and those to endpoints that take more descriptors together than there are.
+test("callers have the descriptors that endpoints and files leave", () => {
+  assert.equal(openConnectionLimit(400, 50), 300);
+  assert.equal(openConnectionLimit(400, 200), 150);
+  assert.equal(openConnectionLimit(4_100, 2_000), 1_900);
+  assert.equal(openConnectionLimit(400, 500), 1);
+  assert.equal(openConnectionLimit(null, 500), Infinity);
+});
