End the connection that has sent the most ahead, when all are in use

Callers saw: new connections that were closed for as long as each connection of a crowd had a request in progress, as the new one itself was found to be without a request, and the one that has sent the most ahead was told to end only when none was found. bounded_connections_test.js fails before (held_dropped is missing) and passes now. The bound of unanswered requests of a connection is an option, so that a test and servers of small responses can have a lower one.

--- a/packages/http/src/connection_table.ts
+++ b/packages/http/src/connection_table.ts
@@ -90,9 +90,8 @@
    */
   evictSurplus(newest?: Socket): boolean {
     while (this.#open.size > this.#options.maxOpen()) {
-      const idle = this.#chooseEvicted();
-      if (idle === undefined) this.#options.accounts.dropMostHeld();
-      const evicted = idle ?? newest;
+      const evicted = this.#chooseEvicted() ?? newest;
+      if (evicted === newest) this.#options.accounts.dropMostHeld();
       if (evicted === undefined || !this.#open.has(evicted)) return false;
       this.#options.onLimit("evicted", { open: this.#open.size, remote: evicted.remoteAddress });
       // The event of its end comes later, and more connections may be accepted before.
--- a/packages/policy/src/caller_accounts.ts
+++ b/packages/policy/src/caller_accounts.ts
@@ -49,6 +49,8 @@
 /** What a host has room for. */
 export interface CallerBounds {
   readonly shares: MemoryShares;
+  /** Requests of one connection that may be unanswered; {@link MAX_UNANSWERED} by default. */
+  readonly maxUnanswered?: number;
   /** Descriptors that the process may have open; `null` if there is no known limit. */
   readonly maxDescriptors: number | null;
 }
@@ -70,11 +72,11 @@
 export function mayReadRequest(
   { unanswered, hasUnreadResponses }: CallerAccount,
   { requests, requestBytes }: CallerTotals,
-  { shares, maxDescriptors }: CallerBounds,
+  { shares, maxDescriptors, maxUnanswered = MAX_UNANSWERED }: CallerBounds,
 ): boolean {
   if (hasUnreadResponses) return false;
   if (unanswered === 0) return true;
-  return unanswered < MAX_UNANSWERED &&
+  return unanswered < maxUnanswered &&
     requests < REQUESTS_DESCRIPTORS_FRACTION * (maxDescriptors ?? Infinity) &&
     requestBytes < REQUESTS_FRACTION * shares.responses;
 }
