Bound what callers hold of the ports of readiness and metrics

Operators saw: an entry that ended with SIGABRT (heap) 2 s after 150 connections had each sent 10,000 requests for metrics, and orders at the callers' port that waited for 13 to 27 s beside the same crowd at either port, so that a balancer takes the host for dead; 600 connections took 628 descriptors of 400. Cause: these servers began all requests of a read at once, kept all responses that are not read, and had no bound of connections; bodies were parsed to their end.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -385,7 +385,8 @@
       onBytes: recordArrived,
       maxDescriptors: settings.max_fds,
       otherDescriptors: (requests) =>
-        this.#upstreams.connectionCount(requests) + this.#network.linkCount,
+        this.#upstreams.connectionCount(requests) + this.#network.linkCount +
+        this.#operatorServers.connectionCount,
       onCallerLimit: (event) => metrics.countCallerLimit(event),
     });
     this.#stop = new GracefulStop({
@@ -413,6 +414,8 @@
         ? null
         : { address: metricsAddress, path: settings.metrics_path },
       registry: metrics,
+      clock,
+      budget: this.#budget,
       log,
       errors,
       isReady: () => this.isReady,
--- a/packages/gateway/src/surface/operator_servers.ts
+++ b/packages/gateway/src/surface/operator_servers.ts
@@ -3,12 +3,13 @@
  *
  * @module
  */
-import { toWpError } from "@wisteriapick/core";
+import { type Clock, toWpError } from "@wisteriapick/core";
+import type { MemoryBudget } from "@wisteriapick/policy";
 import type { Address } from "@wisteriapick/wire";
 import type { DecisionLog } from "../observe/decision_log.ts";
 import type { ErrorBoundary } from "../observe/error_boundary.ts";
 import type { GatewayMetrics } from "../observe/metrics.ts";
-import { PlainServer } from "./plain_server.ts";
+import { type PlainRoute, PlainServer } from "./plain_server.ts";
 
 /** An address and the path that is served there. */
 export interface ServedPath {
@@ -22,6 +23,8 @@
   /** `null` if no metrics are served. */
   readonly metrics: ServedPath | null;
   readonly registry: GatewayMetrics;
+  readonly clock: Clock;
+  readonly budget: MemoryBudget;
   readonly log: DecisionLog;
   readonly errors: ErrorBoundary;
   readonly isReady: () => boolean;
@@ -45,21 +48,23 @@
 
   constructor(options: OperatorServersOptions) {
     this.#options = options;
-    const { errors, isReady, metrics, readiness, registry } = options;
-    const readinessRoute = () => ({ status: isReady() ? 200 : 503 });
-    this.#readiness = new PlainServer(
-      readiness.address,
-      new Map([[readiness.path, readinessRoute]]),
-      errors,
-    );
-    const exposition = async () => ({
+    const { isReady, metrics, readiness, registry } = options;
+    this.#readiness = this.#makeServer(readiness, () => ({ status: isReady() ? 200 : 503 }));
+    this.#metrics = metrics === null ? null : this.#makeServer(metrics, async () => ({
       status: 200,
       contentType: registry.registry.contentType,
       body: await registry.text(),
-    });
-    this.#metrics = metrics === null
-      ? null
-      : new PlainServer(metrics.address, new Map([[metrics.path, exposition]]), errors);
+    }));
+  }
+
+  /** Number of open connections. */
+  get connectionCount(): number {
+    return this.#readiness.connectionCount + (this.#metrics?.connectionCount ?? 0);
+  }
+
+  #makeServer({ address, path }: ServedPath, route: PlainRoute): PlainServer {
+    const { budget, clock, errors } = this.#options;
+    return new PlainServer({ address, routes: new Map([[path, route]]), clock, budget, errors });
   }
 
   /** Rejects if the address cannot be bound. */
--- a/packages/gateway/tests/accept_error_test.ts
+++ b/packages/gateway/tests/accept_error_test.ts
@@ -3,6 +3,7 @@
 import { test, type TestContext } from "node:test";
 import { SystemClock } from "@wisteriapick/core";
 import { MemoryBudget } from "@wisteriapick/policy";
+import { ErrorBoundary } from "../src/observe/error_boundary.ts";
 import { LoopMonitor } from "../src/observe/loop_monitor.ts";
 import type { CallerDialect } from "../src/surface/caller_dialect.ts";
 import { PlainServer } from "../src/surface/plain_server.ts";
@@ -56,7 +57,14 @@
 
 test("errors of accepting connections for readiness and metrics are not raised", async (t) => {
   const servers = watchServers(t);
-  const server = new PlainServer(ADDRESS, new Map());
+  const clock = new SystemClock();
+  const server = new PlainServer({
+    address: ADDRESS,
+    routes: new Map(),
+    clock,
+    budget: new MemoryBudget({ memoryMb: null }),
+    errors: new ErrorBoundary({ clock, log: new MemoryLog() }),
+  });
   t.after(() => server.close());
   await server.listen();
   assertOutlivesErrors(servers);
