Render metrics once for all who ask at the same time

Operators saw: an entry that did little else while a crowd asked for metrics, as each response was rendered anew. Cause: the route rendered for each request. Change: a text that was rendered within the last 200 ms is sent again. operator_servers_test.js fails before (40 renderings for 40 requests at one time).

--- a/packages/gateway/src/surface/operator_servers.ts
+++ b/packages/gateway/src/surface/operator_servers.ts
@@ -32,6 +32,31 @@
   readonly bind: (what: string, listen: () => Promise<void>) => Promise<void>;
 }
 
+/** Time for which rendered metrics are sent to all who ask, in milliseconds. Rendering them takes several. */
+const RENDERED_MS = 200;
+
+/** A text that is rendered when it is asked for and was not rendered just before. */
+class RecentText {
+  readonly #clock: Clock;
+  readonly #render: () => Promise<string>;
+  #text: Promise<string> | null = null;
+  #renderedAtMs = -Infinity;
+
+  constructor(clock: Clock, render: () => Promise<string>) {
+    this.#clock = clock;
+    this.#render = render;
+  }
+
+  get(): Promise<string> {
+    const now = this.#clock.now();
+    if (this.#text === null || now - this.#renderedAtMs >= RENDERED_MS) {
+      this.#renderedAtMs = now;
+      this.#text = this.#render();
+    }
+    return this.#text;
+  }
+}
+
 /**
  * Serves readiness and metrics.
  *
@@ -50,10 +75,11 @@
     this.#options = options;
     const { isReady, metrics, readiness, registry } = options;
     this.#readiness = this.#makeServer(readiness, () => ({ status: isReady() ? 200 : 503 }));
+    const exposition = new RecentText(options.clock, () => registry.text());
     this.#metrics = metrics === null ? null : this.#makeServer(metrics, async () => ({
       status: 200,
       contentType: registry.registry.contentType,
-      body: await registry.text(),
+      body: await exposition.get(),
     }));
   }
 
