Close a link whose peer reads nothing before much waits on it

Operators would see: a process whose memory grows without end beside a peer that holds the key, sends pings and reads nothing. Cause: senders of state hold back from 64 KiB on, and responses to pings do not; the heartbeat sees the peer's bytes and stays quiet. Change: a link on which more than 8 MiB wait is closed (flow_control). What exceeds the bound is dropped until then, as closing at once would call listeners inside a message. link_bounds_test.js fails before (1.5 MB wait where 0.25 MB may) and passes now.

--- a/packages/wire/src/connect.ts
+++ b/packages/wire/src/connect.ts
@@ -30,7 +30,7 @@
 import { type Established, Handshake, type LinkEnd, type VersionRange } from "./handshake.ts";
 import type { Identity, LinkAcceptor, LinkTrafficObserver } from "./link.ts";
 import { PROTOCOL_VERSIONS } from "./messages.ts";
-import { SocketLink } from "./socket_link.ts";
+import { MAX_QUEUED_BYTES, SocketLink } from "./socket_link.ts";
 
 /** Time in which a connection must complete the handshake. */
 export const HANDSHAKE_TIMEOUT_MS = 2_000;
@@ -45,6 +45,8 @@
   readonly metrics?: Metrics;
   readonly log?: Logger;
   readonly traffic?: LinkTrafficObserver;
+  /** Bytes that may wait to be sent on a link before it is closed; {@link MAX_QUEUED_BYTES} by default. */
+  readonly maxQueuedBytes?: number;
   /** Protocol versions to offer; by default all that this build supports. */
   readonly versions?: VersionRange;
 }
@@ -158,6 +160,8 @@
   let stopTimer: Undo = () => {};
   let connected = end === "acceptor";
   socket.once(socket instanceof TLSSocket ? "secureConnect" : "connect", () => connected = true);
+  const { identity, clusterKey, maxQueuedBytes = MAX_QUEUED_BYTES, versions = PROTOCOL_VERSIONS } =
+    options;
   const frames = new FrameSocket(socket, {
     onFrame: (frame) => handshake.onFrame(frame),
     onDrain: () => {},
@@ -167,8 +171,7 @@
       recordClosed(options, err);
       events.onClose(err);
     },
-  });
-  const { identity, clusterKey, versions = PROTOCOL_VERSIONS } = options;
+  }, { maxQueuedBytes });
   const handshake = new Handshake(
     { end, identity, clusterKey, versions },
     frames,
--- a/packages/wire/src/frame_socket.ts
+++ b/packages/wire/src/frame_socket.ts
@@ -33,10 +33,17 @@
   return { type: "link", reason, message };
 }
 
+/** Options of {@link FrameSocket}. */
+export interface FrameSocketOptions {
+  /** Bytes that may wait to be sent before the connection is closed; without a limit by default. */
+  readonly maxQueuedBytes?: number;
+}
+
 /** Sends and receives frames on a connected socket. */
 export class FrameSocket {
   events: FrameSocketEvents;
   readonly #socket: Socket;
+  readonly #maxQueuedBytes: number;
   readonly #reader = new FrameReader();
   readonly #chunks: Buffer[] = [];
   #batch: Buffer = Buffer.allocUnsafe(0);
@@ -47,8 +54,13 @@
   #pendingFlush: NodeJS.Immediate | null = null;
   #isOpen = true;
 
-  constructor(socket: Socket, events: FrameSocketEvents) {
+  constructor(
+    socket: Socket,
+    events: FrameSocketEvents,
+    { maxQueuedBytes = Infinity }: FrameSocketOptions = {},
+  ) {
     this.#socket = socket;
+    this.#maxQueuedBytes = maxQueuedBytes;
     this.events = events;
     socket.setNoDelay(true);
     socket.on("data", (chunk: Buffer) => this.#contain(() => this.#receive(chunk)));
@@ -84,6 +96,9 @@
   /** Sends the payload of one frame at the end of this event-loop turn. */
   write(payload: Buffer): void {
     if (!this.#isOpen) return;
+    this.#pendingFlush ??= setImmediate(() => this.#flush());
+    // The connection is closed when it is flushed. Closing it here would call listeners while a message is handled.
+    if (this.queuedBytes > this.#maxQueuedBytes) return;
     const size = LENGTH_BYTES + payload.length;
     this.#batchedBytes += size;
     const isLarge = payload.length >= LARGE_FRAME_BYTES;
@@ -97,13 +112,14 @@
       payload.copy(this.#batch, this.#end);
       this.#end += payload.length;
     }
-    this.#pendingFlush ??= setImmediate(() => this.#flush());
   }
 
   /** Sends the batched frames, then closes the connection. */
   close(err: LinkError): void {
     if (!this.#isOpen) return;
     this.#flush();
+    // It may have been closed just now, as too much was waiting.
+    if (!this.#isOpen) return;
     this.#socket.destroySoon();
     this.#reportClosed(err);
   }
@@ -168,6 +184,9 @@
 
   #flush(): void {
     this.#pendingFlush = null;
+    if (this.#isOpen && this.queuedBytes > this.#maxQueuedBytes) {
+      return this.fail(linkError("flow_control", "the peer does not read"));
+    }
     this.#batchedBytes = 0;
     this.#seal();
     if (this.#chunks.length === 0) return;
--- a/packages/wire/src/mod.ts
+++ b/packages/wire/src/mod.ts
@@ -11,4 +11,9 @@
 export { decodeMessage, encodeBody, kindNumber } from "./message_codec.ts";
 export { MAX_FRAME_BYTES } from "./frame.ts";
 export { encodeMessage, STREAM_WINDOW_BYTES } from "./stream.ts";
-export { HEARTBEAT_MS, HEARTBEAT_TIMEOUT_MS, type SocketLink } from "./socket_link.ts";
+export {
+  HEARTBEAT_MS,
+  HEARTBEAT_TIMEOUT_MS,
+  MAX_QUEUED_BYTES,
+  type SocketLink,
+} from "./socket_link.ts";
--- a/packages/wire/src/socket_link.ts
+++ b/packages/wire/src/socket_link.ts
@@ -29,6 +29,11 @@
 export const HEARTBEAT_MS = 500;
 /** A link that has received nothing for longer than this is closed as dead. */
 export const HEARTBEAT_TIMEOUT_MS = 2_000;
+/**
+ * Bytes that may wait to be sent on a link before it is closed. Senders of state hold back far below it; a peer that is
+ * alive but reads nothing would have the rest fill the memory.
+ */
+export const MAX_QUEUED_BYTES = 8_388_608;
 const REQUEST_TIMEOUT_MS = 5_000;
 /** Open streams per link; a peer that opens more is considered faulty. */
 const MAX_STREAMS = 65_536;
