Bound connections whose handshake is not complete

Callers saw: connections that were not accepted beside 600 connections to the peers' port that send nothing, or a part of a frame: 628 descriptors of 400. Cause: each had 2 s for its handshake, and nothing bounded their number; a TLS handshake had 120 s, and was not counted at all. Change: 64 may be pending. Beyond it, the oldest one of the address with the most is closed (too_many), so that a crowd does not close the handshakes of others. TLS handshakes count from the first byte and have 2 s. The gateway's limit of callers' connections counts them.

--- a/packages/core/src/errors.ts
+++ b/packages/core/src/errors.ts
@@ -81,6 +81,7 @@
   | "handshake_timeout"
   | "heartbeat_timeout"
   | "flow_control"
+  | "too_many"
   | "connect_failed"
   | "closed";
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -385,7 +385,7 @@
       onBytes: recordArrived,
       maxDescriptors: settings.max_fds,
       otherDescriptors: (requests) =>
-        this.#upstreams.connectionCount(requests) + this.#network.linkCount +
+        this.#upstreams.connectionCount(requests) + this.#network.connectionCount +
         this.#operatorServers.connectionCount,
       onCallerLimit: (event) => metrics.countCallerLimit(event),
     });
--- a/packages/gateway/src/peers/peer_network.ts
+++ b/packages/gateway/src/peers/peer_network.ts
@@ -352,9 +352,9 @@
     return this.#links().reduce((sum, link) => sum + link.queuedBytes, 0);
   }
 
-  /** Number of open links to other gateways. */
-  get linkCount(): number {
-    let count = 0;
+  /** Number of open connections of other gateways, those whose handshake is not complete included. */
+  get connectionCount(): number {
+    let count = this.#listener?.pending ?? 0;
     for (const { links } of this.#peers.values()) count += links.size;
     return count;
   }
--- a/packages/wire/src/connect.ts
+++ b/packages/wire/src/connect.ts
@@ -30,11 +30,11 @@
 import { type Established, Handshake, type LinkEnd, type VersionRange } from "./handshake.ts";
 import type { Identity, LinkAcceptor, LinkTrafficObserver } from "./link.ts";
 import { PROTOCOL_VERSIONS } from "./messages.ts";
+import { MAX_PENDING_HANDSHAKES, PendingConnections } from "./pending_connections.ts";
 import { MAX_QUEUED_BYTES, SocketLink } from "./socket_link.ts";
 
 /** Time in which a connection must complete the handshake. */
 export const HANDSHAKE_TIMEOUT_MS = 2_000;
-
 /** Options common to {@link listenLinks} and {@link connectLink}. */
 export interface LinkOptions {
   readonly identity: Identity;
@@ -89,35 +89,40 @@
  */
 export async function listenLinks(options: ListenOptions): Promise<LinkListener> {
   const links = new Set<SocketLink>();
-  const handshakes = new Set<FrameSocket>();
+  const pending = new PendingConnections();
   const acceptSocket = (socket: Socket) => {
     const frames = startHandshake(socket, "acceptor", options, {
       onOpen: (link) => {
-        handshakes.delete(frames);
+        pending.complete(socket);
         links.add(link);
         link.registerCloseListener(() => links.delete(link));
       },
-      onClose: () => handshakes.delete(frames),
+      onClose: () => pending.complete(socket),
+    });
+    pending.setClose(socket, () => {
+      frames.fail(linkError("too_many", `more than ${MAX_PENDING_HANDSHAKES} handshakes`));
     });
-    handshakes.add(frames);
   };
   const server = options.tls === undefined
-    ? createServer(acceptSocket)
-    : createTlsServer(options.tls, acceptSocket);
+    ? createServer()
+    : createTlsServer({ handshakeTimeout: HANDSHAKE_TIMEOUT_MS, ...options.tls });
+  // A TLS server emits this event for a socket whose TLS handshake has not begun.
+  server.on("connection", (socket: Socket) => pending.add(socket));
+  server.on(options.tls === undefined ? "connection" : "secureConnection", acceptSocket);
   server.on("tlsClientError", (e) => recordClosed(options, linkError("connect_failed", e.message)));
   const address = await listen(server, options.address);
   const close = () =>
     new Promise<void>((resolve) => {
       server.close(() => resolve());
       for (const link of links) link.close();
-      for (const frames of handshakes) frames.close(linkError("closed", "listener closed"));
+      pending.closeAll();
     });
   return {
     address,
     links,
     close,
     get pending() {
-      return handshakes.size;
+      return pending.size;
     },
   };
 }
--- a/packages/wire/src/mod.ts
+++ b/packages/wire/src/mod.ts
@@ -7,6 +7,7 @@
 export * from "./messages.ts";
 export * from "./link.ts";
 export * from "./connect.ts";
+export * from "./pending_connections.ts";
 export * from "./pool.ts";
 export { decodeMessage, encodeBody, kindNumber } from "./message_codec.ts";
 export { MAX_FRAME_BYTES } from "./frame.ts";
--- a/packages/wire/tests/link_bounds_test.ts
+++ b/packages/wire/tests/link_bounds_test.ts
@@ -1,15 +1,57 @@
 import assert from "node:assert/strict";
 import { test, type TestContext } from "node:test";
-import { listenLinks, type ListenOptions } from "../src/mod.ts";
+import {
+  choosePendingToClose,
+  connectLink,
+  listenLinks,
+  type ListenOptions,
+  MAX_PENDING_HANDSHAKES,
+} from "../src/mod.ts";
 import { FRAME } from "../src/message_codec.ts";
-import { closed, listenOptions, until } from "./fixtures.ts";
-import { connectAuthenticated, frameBytes } from "./raw_peer.ts";
+import { closed, connectOptions, listenOptions, until } from "./fixtures.ts";
+import { connectAuthenticated, frameBytes, RawPeer } from "./raw_peer.ts";
 
-/** Starts a listener. */
+/** Connections of a crowd; more than any bound on their number. */
+const CROWD = 200;
+
+/** Starts a listener. Returns it with a function that opens raw connections and waits until they are accepted. */
 async function startListener(t: TestContext, parts: Partial<ListenOptions> = {}) {
   const listener = await listenLinks(listenOptions(parts));
-  t.after(() => listener.close());
-  return { listener };
+  const peers: RawPeer[] = [];
+  t.after(async () => {
+    for (const { socket } of peers) socket.destroy();
+    await listener.close();
+  });
+  const crowd = async (bytes: Uint8Array) => {
+    for (let i = 0; i < CROWD; i++) {
+      const peer = RawPeer.connect(listener.address);
+      peers.push(peer);
+      peer.send(bytes);
+    }
+    await until(() => peers.every(({ socket }) => !socket.connecting));
+    // One more turn of the loop accepts what the system has connected.
+    for (let i = 0; i < 10; i++) await new Promise((resolve) => setTimeout(resolve, 5));
+    return peers;
+  };
+  return { listener, crowd };
+}
+
+const PARTS: Readonly<Record<string, Uint8Array>> = {
+  "nothing": new Uint8Array(0),
+  "a part of a frame": Uint8Array.of(0, 0, 15, 255, 1, 2, 3),
+};
+
+for (const [what, bytes] of Object.entries(PARTS)) {
+  // Guards against connections without a handshake that take the descriptors which links need.
+  test(`a listener keeps few connections that send ${what}, and still accepts links`, async (t) => {
+    const { listener, crowd } = await startListener(t);
+    const peers = await crowd(bytes);
+    assert.ok(listener.pending <= MAX_PENDING_HANDSHAKES, `${listener.pending} are pending`);
+    await until(() => peers.filter(({ closed }) => !closed).length <= MAX_PENDING_HANDSHAKES);
+    const link = await connectLink(connectOptions(listener.address));
+    assert.ok(link.open);
+    link.close();
+  });
 }
 
 /** Bytes that may wait on a link of the test. */
@@ -37,3 +79,33 @@
     message: "the peer does not read",
   });
 });
+
+// Guards against a crowd from one address that closes the handshakes of all others.
+test("the oldest handshake of the address with the most is closed", () => {
+  const pending = ["crowd", "crowd", "peer", "crowd", "other", "other"]
+    .map((remote, i) => ({ remote, i }));
+  assert.equal(choosePendingToClose(pending)?.i, 0);
+  assert.equal(choosePendingToClose(pending.slice(2))?.i, 4);
+  assert.equal(choosePendingToClose([]), null);
+});
+
+// Guards against TLS handshakes that stop short and take the descriptors which links need.
+test("a listener with TLS keeps few connections that send nothing", async (t) => {
+  const psk = Buffer.alloc(32, 3);
+  const ciphers = "PSK-AES128-GCM-SHA256";
+  const tls = { ciphers, maxVersion: "TLSv1.2", pskCallback: () => psk } as const;
+  const { listener, crowd } = await startListener(t, { tls });
+  const peers = await crowd(Uint8Array.of(22, 3, 1));
+  assert.ok(listener.pending <= MAX_PENDING_HANDSHAKES, `${listener.pending} are pending`);
+  await until(() => peers.filter(({ closed }) => !closed).length <= MAX_PENDING_HANDSHAKES);
+  const link = await connectLink(connectOptions(listener.address, {
+    tls: {
+      ciphers,
+      maxVersion: "TLSv1.2",
+      checkServerIdentity: () => undefined,
+      pskCallback: () => ({ psk, identity: "peer" }),
+    },
+  }));
+  assert.ok(link.open);
+  link.close();
+});
