Bound the links of one process

A process that holds the key could open links without end, each with its own buffers and heartbeat. Beyond eight links of one process, its oldest one is closed: two ends that connect at once have two. The test did not end before (40 links open) and passes now.

--- a/packages/wire/src/connect.ts
+++ b/packages/wire/src/connect.ts
@@ -35,6 +35,9 @@
 
 /** Time in which a connection must complete the handshake. */
 export const HANDSHAKE_TIMEOUT_MS = 2_000;
+/** Open links of one process. Beyond it, its oldest one is closed: two ends that connect at once have two. */
+export const MAX_LINKS_PER_PROCESS = 8;
+
 /** Options common to {@link listenLinks} and {@link connectLink}. */
 export interface LinkOptions {
   readonly identity: Identity;
@@ -88,14 +91,13 @@
  * ```
  */
 export async function listenLinks(options: ListenOptions): Promise<LinkListener> {
-  const links = new Set<SocketLink>();
+  const links = new LinkSet();
   const pending = new PendingConnections();
   const acceptSocket = (socket: Socket) => {
     const frames = startHandshake(socket, "acceptor", options, {
       onOpen: (link) => {
         pending.complete(socket);
         links.add(link);
-        link.registerCloseListener(() => links.delete(link));
       },
       onClose: () => pending.complete(socket),
     });
@@ -114,12 +116,12 @@
   const close = () =>
     new Promise<void>((resolve) => {
       server.close(() => resolve());
-      for (const link of links) link.close();
+      for (const link of links.all) link.close();
       pending.closeAll();
     });
   return {
     address,
-    links,
+    links: links.all,
     close,
     get pending() {
       return pending.size;
@@ -127,6 +129,19 @@
   };
 }
 
+/** Open links of a listener, few of each process. */
+class LinkSet {
+  readonly all = new Set<SocketLink>();
+
+  add(link: SocketLink): void {
+    this.all.add(link);
+    link.registerCloseListener(() => this.all.delete(link));
+    const ofProcess = [...this.all].filter(({ peer }) => peer.process === link.peer.process);
+    const surplus = ofProcess.length - MAX_LINKS_PER_PROCESS;
+    for (const oldest of ofProcess.slice(0, Math.max(0, surplus))) oldest.close();
+  }
+}
+
 /**
  * Opens a link.
  *
--- a/packages/wire/tests/link_bounds_test.ts
+++ b/packages/wire/tests/link_bounds_test.ts
@@ -1,10 +1,13 @@
 import assert from "node:assert/strict";
 import { test, type TestContext } from "node:test";
+import { ManualClock } from "@wisteriapick/core";
 import {
   choosePendingToClose,
   connectLink,
+  type Link,
   listenLinks,
   type ListenOptions,
+  MAX_LINKS_PER_PROCESS,
   MAX_PENDING_HANDSHAKES,
 } from "../src/mod.ts";
 import { FRAME } from "../src/message_codec.ts";
@@ -80,6 +83,22 @@
   });
 });
 
+// Guards against links of one process that take the descriptors and memory of all others.
+test("a process has few links at a time, and its newest one stays open", async (t) => {
+  const { listener } = await startListener(t);
+  const clock = new ManualClock();
+  const links: Link[] = [];
+  t.after(() => {
+    for (const link of links) link.close();
+  });
+  for (let i = 0; i < 5 * MAX_LINKS_PER_PROCESS; i++) {
+    links.push(await connectLink(connectOptions(listener.address, { clock })));
+  }
+  await until(() => links.filter(({ open }) => open).length <= MAX_LINKS_PER_PROCESS);
+  assert.equal(listener.links.size, MAX_LINKS_PER_PROCESS);
+  assert.ok(links.at(-1)!.open);
+});
+
 // Guards against a crowd from one address that closes the handshakes of all others.
 test("the oldest handshake of the address with the most is closed", () => {
   const pending = ["crowd", "crowd", "peer", "crowd", "other", "other"]
