Bound connections and requests in progress at the daemon's entry

Callers saw: an entry that ended with SIGABRT (heap) 3 s after 150 connections had each sent 10,000 requests for metrics or 400 completions ahead; lists of models and the health that were answered only after the crowd's 1.5 million requests (14 to 36 s); 900 connections took 1,028 descriptors of 600. A TLS handshake that stops had 120 s. Cause: all requests of a read were begun at once, all responses that are not read were kept, and nothing bounded connections. Change: the gate, accounts and choice of the connection to close of the package http, in front of all routes; settings and flags say what the host has. TLS handshakes are bounded as those of links. Metrics are rendered five times a second at most.

--- a/packages/check/src/context.ts
+++ b/packages/check/src/context.ts
@@ -104,7 +104,15 @@
       wrapLink: tamper && ((link) => new TamperedLink(link, tamper)),
     });
     const log = createLogger(identity.role, { level: "silent" });
-    const wiring = { router, pool, linkAddress, rng, log, metrics: createMetrics() };
+    const wiring = {
+      router,
+      pool,
+      linkAddress,
+      rng,
+      log,
+      metrics: createMetrics(),
+      linkCount: () => 0,
+    };
     const stopListening = network.listen(linkAddress, identity, router);
     const components = assembleComponents(options, wiring, async () => {
       stopListening();
--- a/packages/cli/src/local_command.ts
+++ b/packages/cli/src/local_command.ts
@@ -10,6 +10,16 @@
 
 const MAX_PORT = 65_535;
 
+/** Parses a limit of the host; `undefined` if it is not given. */
+function parseLimit(name: string, value: string | undefined): number | undefined {
+  if (value === undefined) return undefined;
+  const limit = Number(value);
+  if (!Number.isInteger(limit) || limit <= 0) {
+    raiseUsageError(`--${name}: expected a positive whole number`);
+  }
+  return limit;
+}
+
 export const localCommand = defineCommand({
   meta: {
     name: "local",
@@ -23,6 +33,8 @@
     },
     ask: { type: "string", description: "Send one prompt, print the response and exit" },
     seed: { type: "string", description: "Seed of the stand-ins", default: "1" },
+    "memory-mb": { type: "string", description: "Memory of the host in MiB; no limit by default" },
+    "max-descriptors": { type: "string", description: "Descriptors that may be open" },
   },
   run: ({ args }) =>
     runProcess(async () => {
@@ -31,7 +43,9 @@
         raiseUsageError("--port: expected a port number");
       }
       if (!Number.isInteger(seed)) raiseUsageError("--seed: expected a whole number");
-      const system = await startLocal({ port, seed });
+      const memoryMb = parseLimit("memory-mb", args["memory-mb"]);
+      const maxDescriptors = parseLimit("max-descriptors", args["max-descriptors"]);
+      const system = await startLocal({ port, seed, memoryMb, maxDescriptors });
       try {
         if (args.ask !== undefined) return await printCompletion(system.url, system.key, args.ask);
         process.stdout.write(`entry: ${system.url}\n${system.curl}\n`);
--- a/packages/core/src/metrics.ts
+++ b/packages/core/src/metrics.ts
@@ -12,9 +12,12 @@
   readonly refusals: Counter<"reason">;
   readonly retries: Counter<"reason">;
   readonly linksClosed: Counter<"reason">;
+  readonly callerLimits: Counter<"reason">;
   countRefusal(reason: RefusalReason): void;
   countRetry(reason: RefusalReason): void;
   countLinkClosed(reason: LinkReason): void;
+  /** Counts a connection that was paused or closed, or a body that was refused, as its caller observes no limits. */
+  countCallerLimit(reason: string): void;
 }
 
 /**
@@ -34,6 +37,10 @@
   const refusals = counter("wisteriapick_refusals_total", "Refused or failed requests by reason");
   const retries = counter("wisteriapick_retries_total", "Retried attempts by reason");
   const linksClosed = counter("wisteriapick_links_closed_total", "Closed links by reason");
+  const callerLimits = counter(
+    "wisteriapick_caller_limits_total",
+    "Connections and bodies of callers that observe no limits, by what was done",
+  );
   for (const reason of REFUSAL_REASONS) {
     refusals.inc({ reason }, 0);
     retries.inc({ reason }, 0);
@@ -43,9 +50,11 @@
     refusals,
     retries,
     linksClosed,
+    callerLimits,
     countRefusal: (reason) => refusals.inc({ reason }),
     countRetry: (reason) => retries.inc({ reason }),
     countLinkClosed: (reason) => linksClosed.inc({ reason }),
+    countCallerLimit: (reason) => callerLimits.inc({ reason }),
   };
 }
 
--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -17,13 +17,21 @@
   Rng,
   type ServiceId,
   toRefusal,
+  toWpError,
   type Undo,
   type VersionId,
 } from "@wisteriapick/core";
 import { type Account, type ConfigView, excludedDataCentres } from "@wisteriapick/control";
 import { encodeModelList, ResumeSigner } from "@wisteriapick/delivery";
-import { LengthEstimator, Quarantine, RetryPolicy } from "@wisteriapick/policy";
-import type { EndpointLoad, LoadReport } from "@wisteriapick/wire";
+import { BoundedConnections, RecentText } from "@wisteriapick/http";
+import {
+  LengthEstimator,
+  openConnectionLimit,
+  Quarantine,
+  RetryPolicy,
+  sharesOf,
+} from "@wisteriapick/policy";
+import { type EndpointLoad, type LoadReport, MAX_PENDING_HANDSHAKES } from "@wisteriapick/wire";
 import findMyWay, { type HTTPMethod } from "find-my-way";
 import { AccountLimiter } from "./account_limiter.ts";
 import { CallRelay } from "./call_relay.ts";
@@ -32,7 +40,7 @@
 import { PlainCalls } from "./entry_calls.ts";
 import { Completions } from "./entry_completions.ts";
 import type { EntryContext, RequestRow } from "./entry_context.ts";
-import type { EntryOptions } from "./entry_options.ts";
+import type { EntryHost, EntryOptions } from "./entry_options.ts";
 import { GenerationRelay, RELAY_LIMITS } from "./entry_relay.ts";
 import { sendProblem } from "./entry_sinks.ts";
 import { ConfiguredVersionChooser } from "./entry_versions.ts";
@@ -59,6 +67,7 @@
 /** Time for load balancers to notice the failing health check before new work is refused. */
 const ANNOUNCE_MS = 3_000;
 const DRAIN_POLL_MS = 20;
+const NO_LIMITS: EntryHost = { memoryMb: null, maxDescriptors: null };
 const ANY_METHOD: HTTPMethod[] = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"];
 
 function randomId(prefix: string): string {
@@ -80,6 +89,7 @@
   readonly #o: EntryOptions;
   readonly #router = findMyWay({ ignoreTrailingSlash: true });
   readonly #server: Server;
+  readonly #connections: BoundedConnections;
   readonly #endpointVersions = new Map<EndpointId, VersionId>();
   readonly #undos: Undo[] = [];
   readonly #quarantine: Quarantine;
@@ -98,7 +108,11 @@
     this.#accounts = options.accounts ??
       new AccountLimiter({ self: identity.process, clock: world.clock, config });
     const { tls } = options.listen;
-    this.#server = makeHttpServer((req, res) => void this.#handle(req, res), tls);
+    this.#connections = this.#makeConnections();
+    this.#server = makeHttpServer((req, res) => {
+      if (this.#connections.begin(req, res)) void this.#handle(req, res);
+    }, tls);
+    this.#connections.guard(this.#server);
     this.#registerRoutes(this.#makeContext());
   }
 
@@ -187,6 +201,29 @@
     this.#server.closeAllConnections();
   }
 
+  #makeConnections(): BoundedConnections {
+    const { entryHost = NO_LIMITS, listen, log, otherDescriptors = () => 0, world } = this.#o;
+    const handshakes = listen.tls === undefined ? 0 : MAX_PENDING_HANDSHAKES;
+    const { maxDescriptors, memoryMb } = entryHost;
+    return new BoundedConnections({
+      clock: world.clock,
+      // Descriptors bound connections alone, as requests reach endpoints over links that are open.
+      bounds: { shares: sharesOf(memoryMb), maxDescriptors: null },
+      maxConnections: () => openConnectionLimit(maxDescriptors, otherDescriptors() + handshakes),
+      contain: (work) => {
+        try {
+          work();
+        } catch (e) {
+          log.error({ err: toWpError(e) }, "connection failed");
+        }
+      },
+      onLimit: (event, details) => {
+        this.metrics.countCallerLimit(event);
+        log.debug({ event, ...details }, "connection limited");
+      },
+    });
+  }
+
   #makeContext(): EntryContext {
     const { config, world, log, versions = new ConfiguredVersionChooser(), makeId = randomId } =
       this.#o;
@@ -209,11 +246,12 @@
   #registerRoutes(ctx: EntryContext): void {
     const completions = this.#makeCompletions(ctx);
     const calls = this.#makeCalls(ctx);
+    const { registry } = this.metrics;
+    const exposition = new RecentText(ctx.world.clock, () => registry.metrics());
     this.#registerRoute("GET", "/healthz", (_req, res) => this.#sendHealth(res));
     this.#registerRoute("GET", "/metrics", async (_req, res) => {
-      const { registry } = this.metrics;
       res.writeHead(200, { "content-type": registry.contentType });
-      res.end(await registry.metrics());
+      res.end(await exposition.get());
     });
     this.#registerRoute("GET", "/v1/models", (req, res) => this.#sendModels(req, res));
     for (const [path, format] of [["chat/completions", "chat"], ["completions", "text"]] as const) {
--- a/packages/daemon/src/entry_options.ts
+++ b/packages/daemon/src/entry_options.ts
@@ -17,6 +17,14 @@
 import type { LinkRouter } from "./link_router.ts";
 import type { LinkSource } from "./link_source.ts";
 
+/** What the host of an entry has. */
+export interface EntryHost {
+  /** Memory over which the host ends the process, in MiB; `null` if there is no known limit. */
+  readonly memoryMb: number | null;
+  /** Descriptors that the process may have open; `null` if there is no known limit. */
+  readonly maxDescriptors: number | null;
+}
+
 /** Options of an {@link Entry}. */
 export interface EntryOptions {
   readonly identity: Identity;
@@ -29,6 +37,10 @@
   readonly placement: Placement;
   readonly world: World;
   readonly log: Logger;
+  /** Bounds what callers may hold; one without known limits by default. */
+  readonly entryHost?: EntryHost;
+  /** Descriptors that the process has open besides those of callers; none by default. */
+  readonly otherDescriptors?: () => number;
   /** Stores idempotency keys; without it, calls with a key are refused. */
   readonly store?: ObjectStore;
   readonly idempotency?: Partial<Omit<IdempotencyOptions, "store" | "clock">>;
--- a/packages/daemon/src/entry_process.ts
+++ b/packages/daemon/src/entry_process.ts
@@ -19,7 +19,7 @@
 import { ClaimSweep } from "./claim_sweep.ts";
 import { EndpointDirectory } from "./endpoint_directory.ts";
 import { Entry } from "./entry.ts";
-import type { EntryOptions } from "./entry_options.ts";
+import type { EntryHost, EntryOptions } from "./entry_options.ts";
 import { MoveVersionChooser } from "./entry_versions.ts";
 import { FleetView } from "./fleet_view.ts";
 import type { HttpListenOptions } from "./http_server.ts";
@@ -33,6 +33,8 @@
 export interface EntryProcessOptions extends ProcessOptions {
   /** Where callers' HTTP connections are accepted. */
   readonly listen: HttpListenOptions;
+  /** What the host has; no known limits by default. */
+  readonly entryHost?: EntryHost;
   /** Overrides options of the entry. */
   readonly entry?: Partial<EntryOptions>;
 }
@@ -67,7 +69,7 @@
   #httpAddress = "";
 
   private constructor(options: EntryProcessOptions, components: ProcessComponents) {
-    const { identity, clock, store, clusterKey, listen } = options;
+    const { identity, clock, store, clusterKey, entryHost, listen } = options;
     const { control, router, links, rng, log, metrics } = components;
     this.#o = options;
     this.#components = components;
@@ -92,6 +94,8 @@
       identity,
       clusterKey,
       listen,
+      entryHost,
+      otherDescriptors: () => components.linkCount(),
       config: control.state,
       directory: this.#directory,
       links,
--- a/packages/daemon/src/http_server.ts
+++ b/packages/daemon/src/http_server.ts
@@ -12,8 +12,9 @@
   type ServerResponse,
 } from "node:http";
 import { createServer as createTlsServer } from "node:https";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { refuse } from "@wisteriapick/core";
+import { PendingConnections } from "@wisteriapick/wire";
 
 /** Address of a server. TLS is used where key and certificate files are given. */
 export interface HttpListenOptions {
@@ -22,12 +23,20 @@
   readonly tls?: { readonly key: string; readonly cert: string };
 }
 
+/** Time for a TLS handshake. Those of callers far away take half a second. */
+const TLS_HANDSHAKE_TIMEOUT_MS = 5_000;
+
 /** Creates a server; the TLS files are read once. */
 export function makeHttpServer(listener: RequestListener, tls: HttpListenOptions["tls"]): Server {
   if (tls === undefined) return createServer(listener);
   const key = readFileSync(tls.key);
   const cert = readFileSync(tls.cert);
-  return createTlsServer({ key, cert }, listener) as unknown as Server;
+  const options = { key, cert, handshakeTimeout: TLS_HANDSHAKE_TIMEOUT_MS };
+  const server = createTlsServer(options, listener);
+  const pending = new PendingConnections();
+  server.on("connection", (socket: Socket) => pending.add(socket));
+  server.on("secureConnection", (socket: Socket) => pending.complete(socket));
+  return server as unknown as Server;
 }
 
 /** Listens and resolves with the bound `ip:port`. */
--- a/packages/daemon/src/local.ts
+++ b/packages/daemon/src/local.ts
@@ -20,6 +20,10 @@
   /** Port of the entry; another port is used when it is in use. */
   readonly port?: number;
   readonly seed?: number;
+  /** Memory over which the host ends the process, in MiB; no limit by default. */
+  readonly memoryMb?: number;
+  /** Descriptors that the process may have open; those of an entry by default. */
+  readonly maxDescriptors?: number;
   readonly log?: Logger;
   readonly clock?: Clock;
 }
@@ -44,6 +48,8 @@
 const ANY_PORT = `${LOOPBACK}:0`;
 /** Interval at which the start checks whether every process is ready. */
 const READY_POLL_MS = 10;
+/** Fraction of the descriptors for the entry; the rest is for the sides and the stand-ins. */
+const ENTRY_DESCRIPTORS_FRACTION = 0.5;
 
 type Closer = () => void | Promise<void>;
 
@@ -58,11 +64,17 @@
   readonly clock: Clock;
   readonly log: Logger;
   readonly seed: number;
+  readonly #memoryMb: number | undefined;
+  readonly #maxDescriptors: number | undefined;
   readonly #closers: Closer[] = [];
 
-  constructor({ clock = new SystemClock(), seed = 1, log }: LocalOptions) {
+  constructor(
+    { clock = new SystemClock(), seed = 1, memoryMb, maxDescriptors, log }: LocalOptions,
+  ) {
     this.clock = clock;
     this.seed = seed;
+    this.#memoryMb = memoryMb;
+    this.#maxDescriptors = maxDescriptors;
     this.log = log ?? createLogger("local", { level: "error" });
   }
 
@@ -126,6 +138,10 @@
       kind: "entry",
       ...this.#processSettings(standins, { host: hostId("host-entry-01"), dataCentre }, 0),
       listen: `${LOOPBACK}:${port}`,
+      memoryMb: this.#memoryMb,
+      maxDescriptors: this.#maxDescriptors === undefined
+        ? undefined
+        : Math.ceil(ENTRY_DESCRIPTORS_FRACTION * this.#maxDescriptors),
     });
     const { options, closeClients } = makeEntryOptions(cfg, this);
     this.defer(closeClients);
--- a/packages/daemon/src/process_components.ts
+++ b/packages/daemon/src/process_components.ts
@@ -51,6 +51,8 @@
   readonly rng: Rng;
   readonly log: Logger;
   readonly metrics: Metrics;
+  /** Number of connections of links, those that are being opened included. */
+  linkCount(): number;
   /** Starts following the configuration; the result stops it. */
   start(): Undo;
   close(): Promise<void>;
@@ -67,7 +69,9 @@
   const listener = await listenLinks({ ...shared, address: parseAddress(options.linkAddress) });
   const pool = new LinkPool({ ...shared, rng: rng.fork("pool") });
   const linkAddress = formatAddress(listener.address);
-  return assembleComponents(options, { router, pool, linkAddress, rng, log, metrics }, async () => {
+  const linkCount = () => pool.size + listener.links.size + listener.pending;
+  const wiring = { router, pool, linkAddress, rng, log, metrics, linkCount };
+  return assembleComponents(options, wiring, async () => {
     pool.close();
     await listener.close();
   });
@@ -76,7 +80,10 @@
 /** Creates the shared components on existing links. */
 export function assembleComponents(
   options: ProcessOptions,
-  wiring: Pick<ProcessComponents, "router" | "pool" | "linkAddress" | "rng" | "log" | "metrics">,
+  wiring: Pick<
+    ProcessComponents,
+    "router" | "pool" | "linkAddress" | "rng" | "log" | "metrics" | "linkCount"
+  >,
   close: () => Promise<void>,
 ): ProcessComponents {
   const { identity, clock, store, hostList } = options;
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -28,6 +28,9 @@
 const origin = z.string().regex(/^https?:\/\/[^\s/]+$/, "expected http://ip:port");
 const milliseconds = z.number().int().nonnegative();
 
+/** Descriptors that an entry may have open unless its settings say so. */
+const DEFAULT_MAX_DESCRIPTORS = 4_096;
+
 const processShape = {
   host: idField(hostId, "a host id"),
   dataCentre: idField(dataCentreId, "a data centre id"),
@@ -52,6 +55,10 @@
   tls: z.object({ key: z.string().min(1), cert: z.string().min(1) }).strict().optional(),
   /** At a planned stop, the time between failing the health check and closing the listener. */
   announceMs: milliseconds.default(3_000),
+  /** Memory over which the host ends the process, in MiB; without it, buffers have their largest bounds. */
+  memoryMb: z.number().positive().optional(),
+  /** Descriptors that the process may have open. Callers' connections have what links and files leave. */
+  maxDescriptors: z.number().int().positive().default(DEFAULT_MAX_DESCRIPTORS),
 }).strict();
 
 /** Settings of a side, which serves either a model engine (`engine`) or a plain service (`plain`). */
--- a/packages/daemon/src/start.ts
+++ b/packages/daemon/src/start.ts
@@ -71,7 +71,8 @@
 ): BuiltOptions<EntryProcessOptions> {
   const { options, closeClients } = makeProcessOptions(cfg, deps);
   const listen = { ...parseAddress(cfg.listen), tls: cfg.tls };
-  return { options: { ...options, listen }, closeClients };
+  const entryHost = { memoryMb: cfg.memoryMb ?? null, maxDescriptors: cfg.maxDescriptors };
+  return { options: { ...options, listen, entryHost }, closeClients };
 }
 
 /** Builds the options of a side from its settings. */
--- a/packages/gateway/src/surface/operator_servers.ts
+++ b/packages/gateway/src/surface/operator_servers.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { type Clock, toWpError } from "@wisteriapick/core";
+import { RecentText } from "@wisteriapick/http";
 import type { MemoryBudget } from "@wisteriapick/policy";
 import type { Address } from "@wisteriapick/wire";
 import type { DecisionLog } from "../observe/decision_log.ts";
@@ -32,31 +33,6 @@
   readonly bind: (what: string, listen: () => Promise<void>) => Promise<void>;
 }
 
-/** Time for which rendered metrics are sent to all who ask, in milliseconds. Rendering them takes several. */
-const RENDERED_MS = 200;
-
-/** A text that is rendered when it is asked for and was not rendered just before. */
-class RecentText {
-  readonly #clock: Clock;
-  readonly #render: () => Promise<string>;
-  #text: Promise<string> | null = null;
-  #renderedAtMs = -Infinity;
-
-  constructor(clock: Clock, render: () => Promise<string>) {
-    this.#clock = clock;
-    this.#render = render;
-  }
-
-  get(): Promise<string> {
-    const now = this.#clock.now();
-    if (this.#text === null || now - this.#renderedAtMs >= RENDERED_MS) {
-      this.#renderedAtMs = now;
-      this.#text = this.#render();
-    }
-    return this.#text;
-  }
-}
-
 /**
  * Serves readiness and metrics.
  *
--- a/packages/gateway/src/surface/plain_server.ts
+++ b/packages/gateway/src/surface/plain_server.ts
@@ -52,7 +52,7 @@
       clock,
       contain: (work) => errors.run("connection", work),
       bounds: { shares: budget.shares, maxDescriptors: null, maxUnanswered: 1 },
-      maxConnections: MAX_PLAIN_CONNECTIONS,
+      maxConnections: () => MAX_PLAIN_CONNECTIONS,
     });
     this.#server = createServer((req, res) => {
       if (this.#connections.begin(req, res)) void this.#respond(req, res);
--- a/packages/http/src/bounded_connections.ts
+++ b/packages/http/src/bounded_connections.ts
@@ -16,8 +16,8 @@
   readonly clock: Clock;
   /** What the host has room for. */
   readonly bounds: CallerBounds;
-  /** Number of connections that may be open. */
-  readonly maxConnections: number;
+  /** Number of connections that may be open now. */
+  readonly maxConnections: () => number;
   readonly contain: ContainWork;
   readonly onLimit?: OnCallerLimit;
 }
@@ -34,7 +34,7 @@
  *
  * @example
  * ```ts
- * const connections = new BoundedConnections({ clock, bounds, maxConnections: 32, contain });
+ * const connections = new BoundedConnections({ clock, bounds, maxConnections: () => 32, contain });
  * const server = createServer((req, res) => connections.begin(req, res) && respond(req, res));
  * connections.guard(server);
  * ```
@@ -53,7 +53,7 @@
     this.#table = new ConnectionTable({
       clock,
       accounts: this.#accounts,
-      maxOpen: () => maxConnections,
+      maxOpen: maxConnections,
       onLimit,
     });
   }
@@ -98,7 +98,7 @@
       release();
       connection.usedAtMs = this.#clock.now();
       gate.continue();
-      if (connection.isEnding && exchanges.size === 0) req.socket.destroySoon();
+      if (connection.isEnding && exchanges.size === 0) closeSoon(req.socket);
     };
     exchanges.set(res, end);
     res.once("close", end);
@@ -122,7 +122,7 @@
       unanswered: () => exchanges.size,
       endAfterResponses: () => {
         const connection = this.#table.of(socket);
-        if (connection === undefined) socket.destroySoon();
+        if (connection === undefined) closeSoon(socket);
         else this.#end(socket, connection);
       },
     };
@@ -143,10 +143,16 @@
   #end(socket: Socket, connection: BoundedConnection): void {
     connection.isEnding = true;
     connection.gate.discard();
-    if (connection.exchanges.size === 0) socket.destroySoon();
+    if (connection.exchanges.size === 0) closeSoon(socket);
   }
 }
 
+/** Closes a connection once what was written is sent. One that is no socket has no such method. */
+function closeSoon(socket: Partial<Pick<Socket, "destroySoon">> & Pick<Socket, "destroy">): void {
+  if (socket.destroySoon === undefined) socket.destroy();
+  else socket.destroySoon();
+}
+
 /** Approximate size of a request's head, in bytes. */
 function headBytesOf({ rawHeaders, url = "" }: IncomingMessage): number {
   return rawHeaders.reduce((sum, { length }) => sum + length, url.length);
--- a/packages/http/src/mod.ts
+++ b/packages/http/src/mod.ts
@@ -6,5 +6,6 @@
 export * from "./bounded_connections.ts";
 export * from "./connection_accounts.ts";
 export * from "./connection_table.ts";
+export * from "./recent_text.ts";
 export * from "./request_gate.ts";
 export * from "./turn_queue.ts";
--- a/packages/http/tests/bounded_connections_test.ts
+++ b/packages/http/tests/bounded_connections_test.ts
@@ -29,7 +29,7 @@
   const connections = new BoundedConnections({
     clock,
     bounds: BOUNDS,
-    maxConnections,
+    maxConnections: () => maxConnections,
     contain: (work) => work(),
     onLimit: (event) => events.push(event),
   });
--- a/packages/wire/src/pool.ts
+++ b/packages/wire/src/pool.ts
@@ -71,6 +71,11 @@
     };
   }
 
+  /** Number of addresses to which a link is open or being opened. */
+  get size(): number {
+    return this.#pooledLinks.size;
+  }
+
   /** The link to `address` if it is open at present, otherwise `null`. */
   get(address: Address): Link | null {
     return this.#pooledLinks.get(keyOf(address))?.link ?? null;
