Bound the bodies that the daemon's entry keeps whole

Callers saw: an entry that its host ended (283 to 287 MiB of 282) beside 150 bodies in chunks of one byte, or 450 of 0.5 to 0.9 MB, that stop before their end. Cause: each body was within its own limit and nothing bounded them together; a chunk of one byte was kept as a buffer of its own. Change: BodyRoom reads them into one block each, within a share of the memory. Stalled bodies are refused when others need their room (503, memory_pressure, not run), and what follows a refused body is dropped unparsed.

--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -23,9 +23,10 @@
 } from "@wisteriapick/core";
 import { type Account, type ConfigView, excludedDataCentres } from "@wisteriapick/control";
 import { encodeModelList, ResumeSigner } from "@wisteriapick/delivery";
-import { BoundedConnections, RecentText } from "@wisteriapick/http";
+import { BodyRoom, BoundedConnections, RecentText } from "@wisteriapick/http";
 import {
   LengthEstimator,
+  MemoryBudget,
   openConnectionLimit,
   Quarantine,
   RetryPolicy,
@@ -90,6 +91,7 @@
   readonly #router = findMyWay({ ignoreTrailingSlash: true });
   readonly #server: Server;
   readonly #connections: BoundedConnections;
+  readonly #bodies: BodyRoom;
   readonly #endpointVersions = new Map<EndpointId, VersionId>();
   readonly #undos: Undo[] = [];
   readonly #quarantine: Quarantine;
@@ -109,6 +111,12 @@
       new AccountLimiter({ self: identity.process, clock: world.clock, config });
     const { tls } = options.listen;
     this.#connections = this.#makeConnections();
+    this.#bodies = new BodyRoom({
+      budget: new MemoryBudget({ memoryMb: options.entryHost?.memoryMb ?? null }),
+      clock: world.clock,
+      connections: this.#connections,
+      onRefused: () => this.metrics.countCallerLimit("body_refused"),
+    });
     this.#server = makeHttpServer((req, res) => {
       if (this.#connections.begin(req, res)) void this.#handle(req, res);
     }, tls);
@@ -235,6 +243,7 @@
       metrics: this.metrics,
       versions,
       accounts: this.#accounts,
+      bodies: this.#bodies,
       requests: table,
       makeId,
       versionOf: (endpoint) => this.#versionOf(endpoint),
@@ -363,7 +372,11 @@
     this.metrics.countRefusal(refusal.type);
     if (refusal.type === "internal") this.#o.log.error({ err: e }, "request handler failed");
     if (res.headersSent) return void res.destroy();
-    if (!req.complete) res.setHeader("connection", "close");
+    if (!req.complete) {
+      res.setHeader("connection", "close");
+      // The rest of the body would be parsed, and what follows it.
+      this.#connections.endConnection(req);
+    }
     sendProblem(res, refusal);
   }
 
--- a/packages/daemon/src/entry_calls.ts
+++ b/packages/daemon/src/entry_calls.ts
@@ -24,7 +24,7 @@
   parseRawHeaders,
   toHeaderRecord,
 } from "./http_headers.ts";
-import { readBody, waitForDrainOrClose } from "./http_server.ts";
+import { waitForDrainOrClose } from "./http_server.ts";
 import {
   type Claim,
   claimKey,
@@ -98,7 +98,8 @@
     if (claims === null || key.length === 0 || key.length > MAX_KEY_LENGTH) {
       return this.#refuseKey(claims === null);
     }
-    const body = await readBody(call.req, MAX_KEYED_BODY_BYTES);
+    const { req, res: response } = call;
+    const body = await this.#ctx.bodies.read(req, response, { maxBytes: MAX_KEYED_BODY_BYTES });
     const digest = contentDigest(call.req.method!, call.path, body);
     const res = await claims.claim(claimKey(call.account.id, key), digest);
     if (res.type === "replay") return sendReplay(call.res, res.response);
--- a/packages/daemon/src/entry_completions.ts
+++ b/packages/daemon/src/entry_completions.ts
@@ -20,7 +20,6 @@
 import { followGeneration, type FollowResult } from "./entry_follower.ts";
 import type { GenerationRelay, RelayLimits, RelayOutcome, RelayRequest } from "./entry_relay.ts";
 import { BufferedResponseSink, StreamingResponseSink } from "./entry_sinks.ts";
-import { readBody } from "./http_server.ts";
 import type { LinkSource } from "./link_source.ts";
 import { summarisePrompt } from "./prompt_summary.ts";
 
@@ -115,7 +114,7 @@
   ): Promise<{ relayReq: RelayRequest; account: Account }> {
     const view = this.#ctx.config.current();
     const account = authenticate(view, req.headers.authorization);
-    const body = await readBody(req, this.#o.maxBodyBytes);
+    const body = await this.#ctx.bodies.read(req, res, { maxBytes: this.#o.maxBodyBytes });
     const completion = parseCompletionRequest(format, body.toString("utf8"));
     const service = authorizeService(view, account, completion.model, "model");
     const id = requestId(this.#ctx.makeId("r"));
--- a/packages/daemon/src/entry_context.ts
+++ b/packages/daemon/src/entry_context.ts
@@ -16,6 +16,7 @@
   type World,
 } from "@wisteriapick/core";
 import type { Account, ConfigSource, ConfigView, Service } from "@wisteriapick/control";
+import type { BodyRoom } from "@wisteriapick/http";
 import type { AccountLimiter } from "./account_limiter.ts";
 import type { VersionChooser } from "./entry_versions.ts";
 
@@ -34,6 +35,8 @@
   readonly metrics: Metrics;
   readonly versions: VersionChooser;
   readonly accounts: AccountLimiter;
+  /** Reads bodies that are kept whole. */
+  readonly bodies: BodyRoom;
   readonly requests: Table<RequestId, RequestRow>;
   readonly makeId: (prefix: string) => string;
   /** The version that an endpoint is known to run. */
--- a/packages/daemon/src/http_server.ts
+++ b/packages/daemon/src/http_server.ts
@@ -4,16 +4,9 @@
  * @module
  */
 import { readFileSync } from "node:fs";
-import {
-  createServer,
-  type IncomingMessage,
-  type RequestListener,
-  type Server,
-  type ServerResponse,
-} from "node:http";
+import { createServer, type RequestListener, type Server, type ServerResponse } from "node:http";
 import { createServer as createTlsServer } from "node:https";
 import type { AddressInfo, Socket } from "node:net";
-import { refuse } from "@wisteriapick/core";
 import { PendingConnections } from "@wisteriapick/wire";
 
 /** Address of a server. TLS is used where key and certificate files are given. */
@@ -49,21 +42,6 @@
   return family === "IPv6" ? `[${address}]:${port}` : `${address}:${port}`;
 }
 
-/** Reads a request body of at most `maxBytes`. Refuses a larger one with `request_too_large`. */
-export async function readBody(req: IncomingMessage, maxBytes: number): Promise<Buffer> {
-  const chunks: Buffer[] = [];
-  let size = 0;
-  for await (const chunk of req as AsyncIterable<Buffer>) {
-    size += chunk.length;
-    if (size > maxBytes) {
-      const message = `the request body is larger than ${maxBytes} bytes`;
-      refuse({ type: "request_too_large", message, notRun: true });
-    }
-    chunks.push(chunk);
-  }
-  return Buffer.concat(chunks);
-}
-
 /** Responds with JSON; a string is sent as it is. */
 export function sendJson(res: ServerResponse, status: number, body: unknown): void {
   res.writeHead(status, { "content-type": "application/json" });
--- a/packages/http/src/mod.ts
+++ b/packages/http/src/mod.ts
@@ -3,6 +3,7 @@
  *
  * @module
  */
+export * from "./body_room.ts";
 export * from "./bounded_connections.ts";
 export * from "./connection_accounts.ts";
 export * from "./connection_table.ts";
