Leave fewer requests of a connection unanswered at the daemon's entry

Each generation holds its prompt, its relay and its tokens, which the estimate of a request's memory does not count.

--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -68,6 +68,8 @@
 /** Time for load balancers to notice the failing health check before new work is refused. */
 const ANNOUNCE_MS = 3_000;
 const DRAIN_POLL_MS = 20;
+/** Requests of one connection that may be unanswered. Each generation holds more than a request that is relayed as it is. */
+const MAX_UNANSWERED = 8;
 const NO_LIMITS: EntryHost = { memoryMb: null, maxDescriptors: null };
 const ANY_METHOD: HTTPMethod[] = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"];
 
@@ -216,7 +218,11 @@
     return new BoundedConnections({
       clock: world.clock,
       // Descriptors bound connections alone, as requests reach endpoints over links that are open.
-      bounds: { shares: sharesOf(memoryMb), maxDescriptors: null },
+      bounds: {
+        shares: sharesOf(memoryMb),
+        maxDescriptors: null,
+        maxUnanswered: MAX_UNANSWERED,
+      },
       maxConnections: () => openConnectionLimit(maxDescriptors, otherDescriptors() + handshakes),
       contain: (work) => {
         try {
