Resume a response outside of the parsing of another one

Callers saw: a stream that ends with an error where requests were sent ahead on its connection: Node.js reports that a response may be written on when the one behind it writes, within the parsing of that one's bytes, and undici's parser asserts that it is not running. Change: a response is resumed in a microtask, after the parser has returned, and not once it has ended. connection_test.js does not end before, as the response is never resumed, and passes now.

--- a/packages/gateway/src/upstream/connection.ts
+++ b/packages/gateway/src/upstream/connection.ts
@@ -285,7 +285,10 @@
   }
 
   resume(): void {
-    this.#resume?.();
+    // A response may be resumed while another one is being parsed, which the parser does not allow.
+    queueMicrotask(() => {
+      if (!this.#hasEnded) this.#resume?.();
+    });
   }
 
   onConnect(abort: (err?: Error) => void): void {
--- a/packages/gateway/tests/connection_test.ts
+++ b/packages/gateway/tests/connection_test.ts
@@ -112,3 +112,40 @@
   const { status, body, failure } = await ended;
   assert.deepEqual([status, body, failure], [200, "ok", null]);
 });
+
+// Guards against an error in a stream whose caller reads again while a part of another one's response is being handled,
+// as where the responses to requests on one connection wait for each other.
+test("a response is resumed while another one is being parsed", async () => {
+  const server = await startRawServer((socket, request) => {
+    socket.write("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nfirst");
+    if (request.startsWith("GET /paused")) setTimeout(() => socket.write("later"), 20);
+    else socket.write("later");
+  });
+  const pool = new ConnectionPool({ address: server.address });
+  const [paused, other] = [makeSink(), makeSink()];
+  let raised: unknown = null;
+  const call = pool.send(makeGet("/paused"), {
+    ...paused.sink,
+    onData: (chunk) => {
+      paused.sink.onData(chunk);
+      if (chunk.toString() !== "first") return true;
+      pool.send(makeGet("/other"), {
+        ...other.sink,
+        onData: (part) => {
+          try {
+            call.resume();
+          } catch (e) {
+            raised ??= e;
+          }
+          return other.sink.onData(part);
+        },
+      });
+      return false;
+    },
+  });
+  const [first, second] = await Promise.all([paused.ended, other.ended]);
+  assert.equal(raised, null);
+  assert.deepEqual([first.body, second.body], ["firstlater", "firstlater"]);
+  pool.destroy();
+  await server.close();
+});
