Take the descriptor for an endpoint once a request was read whole

Cause: each body being read held a descriptor for an endpoint, which halved the connections, and a connection whose body is stalled counted as in use.

--- a/packages/gateway/src/surface/body_reader.ts
+++ b/packages/gateway/src/surface/body_reader.ts
@@ -235,6 +235,11 @@
     req.on("error", discard);
   }
 
+  /** Refuses the request whose body has been stalled for the longest time, if there is one. */
+  refuseLongestStalled(): void {
+    this.#refuseStalled(1);
+  }
+
   /** Refuses requests whose bodies are stalled, so that others have room for so many bytes. */
   #refuseStalled(bytes: number): void {
     this.#stalled.makeRoom(bytes, this.#options.clock.now());
--- a/packages/gateway/src/surface/caller_connections.ts
+++ b/packages/gateway/src/surface/caller_connections.ts
@@ -38,6 +38,8 @@
    */
   readonly otherDescriptors: (requests: number) => number;
   readonly onLimit: (event: CallerLimitEvent) => void;
+  /** Called when a connection is closed as all others have a request in progress. */
+  readonly onFull: () => void;
 }
 
 /** State of one connection. */
@@ -104,6 +106,7 @@
       clock,
       accounts: this.#accounts,
       maxOpen: () => this.#maxOpen(),
+      onFull: () => options.onFull(),
       onLimit,
     });
   }
--- a/packages/gateway/src/surface/proxy_server.ts
+++ b/packages/gateway/src/surface/proxy_server.ts
@@ -116,6 +116,7 @@
       maxKept: options.maxKept ?? Infinity,
       maxDescriptors: options.maxDescriptors ?? null,
       otherDescriptors: options.otherDescriptors ?? ((requests) => requests),
+      onFull: () => this.#bodies.refuseLongestStalled(),
       onLimit: (event) => options.onCallerLimit?.(event),
     });
     this.#bodies = new BodyReader({
@@ -398,31 +399,32 @@
       this.#bodies.drop(req);
       return this.#refuseForRoom(req, res, { head, responder }, "memory_pressure");
     }
-    const releaseDescriptor = this.#connections.takeDescriptor();
-    if (releaseDescriptor === null) {
-      this.#bodies.drop(req);
-      return this.#refuseForRoom(req, res, { head, responder }, "descriptor_pressure");
-    }
-    res.once("close", releaseDescriptor);
     const options = { exchange, head, responder, maxBytes: maxBodyBytes };
+    const pass = (body: Buffer | null) => {
+      const releaseDescriptor = this.#connections.takeDescriptor();
+      if (releaseDescriptor === null) {
+        return this.#refuseForRoom(req, res, { head, responder }, "descriptor_pressure");
+      }
+      res.once("close", releaseDescriptor);
+      this.#unread.delete(res);
+      exchange.stage = "with_relay";
+      handler.handle(head, body, arrival, responder);
+    };
     this.#bodies.read(req, res, options, (body) => {
       const { loop, log } = this.#options;
       if (this.#isHolding) return;
       if (!loop.mayHaveLeft) {
         // It may have been refused while its body was read.
-        if (!this.#unread.delete(res)) return;
-        exchange.stage = "with_relay";
-        return handler.handle(head, body, arrival, responder);
+        if (this.#unread.has(res)) pass(body);
+        return;
       }
       exchange.stage = "deferred_by_stall";
       const stallMs = loop.stallMs();
       loop.afterNextPoll(() =>
         this.#contain(req, res, () => {
-          if (this.#isHolding || !this.#unread.delete(res)) return;
-          if (!hasDisconnected(req, res)) {
-            exchange.stage = "with_relay";
-            return handler.handle(head, body, arrival, responder);
-          }
+          if (this.#isHolding || !this.#unread.has(res)) return;
+          if (!hasDisconnected(req, res)) return pass(body);
+          this.#unread.delete(res);
           log.request("caller_left_unread", {
             req: head.requestId,
             stallMs: Math.round(stallMs),
--- a/packages/gateway/tests/crowded_connections_test.ts
+++ b/packages/gateway/tests/crowded_connections_test.ts
@@ -159,6 +159,27 @@
   assert.equal(rejected?.fields.reason, "descriptor_pressure");
 });
 
+// Guards against bodies that stop before their end and keep all connections, and with each a descriptor for an endpoint.
+test("stalled bodies take no descriptors for endpoints, and give up their connections for new callers", async (t) => {
+  const { clock, server, open } = await startServer(t, { maxDescriptors: 16 });
+  const head = "POST /body HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const stalled: Socket[] = [];
+  for (let i = 0; i < 12; i++) {
+    const socket = await open();
+    socket.resume();
+    socket.write(`${head}1\r\nx\r\n`);
+    await until(() => server.active === i + 1);
+    stalled.push(socket);
+  }
+  assert.equal(server.connectionCount, 12);
+  clock.advance(3_000);
+  const early = await open();
+  early.resume();
+  await once(early, "close");
+  await until(() => server.active < 12);
+  assert.ok(await request(await open()), "the new caller got no response");
+});
+
 // Guards against the change above that would let a crowd which sends no heads close kept connections.
 test("connections that send no head for a while are closed before kept ones", async (t) => {
   const { clock, open } = await startServer(t);
--- a/packages/http/src/connection_table.ts
+++ b/packages/http/src/connection_table.ts
@@ -34,6 +34,8 @@
   /** Number of connections that may be open now. */
   readonly maxOpen: () => number;
   readonly onLimit: OnCallerLimit;
+  /** Called when a connection is closed as all others have a request in progress, so that one of those ends. */
+  readonly onFull?: () => void;
 }
 
 /**
@@ -91,7 +93,10 @@
   evictSurplus(newest?: Socket): boolean {
     while (this.#open.size > this.#options.maxOpen()) {
       const evicted = this.#chooseEvicted() ?? newest;
-      if (evicted === newest) this.#options.accounts.dropMostHeld();
+      if (evicted === newest) {
+        this.#options.accounts.dropMostHeld();
+        this.#options.onFull?.();
+      }
       if (evicted === undefined || !this.#open.has(evicted)) return false;
       this.#options.onLimit("evicted", { open: this.#open.size, remote: evicted.remoteAddress });
       // The event of its end comes later, and more connections may be accepted before.
