Close connections that read nothing while no more may be open

Callers would see: a daemon's entry, or a port of readiness or metrics, that accepts nobody for as long as callers ask for responses larger than the system's buffers and read none of them, as connections with a request in progress are not closed for new ones.

--- a/packages/http/src/bounded_connections.ts
+++ b/packages/http/src/bounded_connections.ts
@@ -6,7 +6,7 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import type { Clock } from "@wisteriapick/core";
-import type { CallerBounds } from "@wisteriapick/policy";
+import { type CallerBounds, StalledReaders } from "@wisteriapick/policy";
 import { ConnectionAccounts, type OnCallerLimit } from "./connection_accounts.ts";
 import { ConnectionTable, type TrackedConnection } from "./connection_table.ts";
 import type { ContainWork } from "./turn_queue.ts";
@@ -29,6 +29,13 @@
   isEnding: boolean;
 }
 
+/** What a connection has not taken of its responses. */
+interface UnreadConnection {
+  readonly socket: Socket;
+  readonly unreadBytes: number;
+  readonly sentBytes: number;
+}
+
 /**
  * The connections of one HTTP server.
  *
@@ -42,13 +49,13 @@
 export class BoundedConnections {
   readonly #accounts: ConnectionAccounts;
   readonly #table: ConnectionTable<BoundedConnection>;
-  readonly #clock: Clock;
-  readonly #contain: ContainWork;
+  readonly #options: BoundedConnectionsOptions;
+  /** Each connection takes one of those that may be open. */
+  readonly #stalledReaders = new StalledReaders<UnreadConnection>(({ socket }) => socket, () => 1);
 
   constructor(options: BoundedConnectionsOptions) {
     const { bounds, clock, contain, maxConnections, onLimit = () => {} } = options;
-    this.#clock = clock;
-    this.#contain = contain;
+    this.#options = options;
     this.#accounts = new ConnectionAccounts({ clock, contain, bounds, onLimit });
     this.#table = new ConnectionTable({
       clock,
@@ -72,7 +79,7 @@
   guard(server: Server): void {
     // The TLS server of Node.js emits `connection` for a socket whose handshake has not begun.
     const event = "setSecureContext" in server ? "secureConnection" : "connection";
-    server.on(event, (socket: Socket) => this.#contain(() => this.#open(socket)));
+    server.on(event, (socket: Socket) => this.#options.contain(() => this.#open(socket)));
   }
 
   /**
@@ -96,7 +103,7 @@
     const end = () => {
       if (!exchanges.delete(res)) return;
       release();
-      connection.usedAtMs = this.#clock.now();
+      connection.usedAtMs = this.#options.clock.now();
       gate.continue();
       if (connection.isEnding && exchanges.size === 0) closeSoon(req.socket);
     };
@@ -116,7 +123,25 @@
     if (connection !== undefined) this.#end(req.socket, connection);
   }
 
+  /** Closes connections whose callers do not read their responses, while no more connections may be open. */
+  #closeStalledReaders(): void {
+    const { clock, maxConnections, onLimit } = this.#options;
+    const connections = () =>
+      [...this.#table.all()].map(([socket]) => ({
+        socket,
+        unreadBytes: socket.writableLength,
+        sentBytes: socket.bytesWritten - socket.writableLength,
+      }));
+    const room = { used: this.#table.size, share: maxConnections() };
+    const stalled = this.#stalledReaders.check(connections, room, clock.now());
+    for (const { socket, unreadBytes } of stalled) {
+      onLimit?.("unread_closed", { unreadBytes, remote: socket.remoteAddress });
+      socket.destroy();
+    }
+  }
+
   #open(socket: Socket): void {
+    this.#closeStalledReaders();
     const exchanges = new Map<ServerResponse, () => void>();
     const account = {
       unanswered: () => exchanges.size,
@@ -130,7 +155,7 @@
       gate,
       exchanges,
       requestBytes: 0,
-      usedAtMs: this.#clock.now(),
+      usedAtMs: this.#options.clock.now(),
       partSeenAtMs: null,
       isEnding: false,
     }));
--- a/packages/http/tests/bounded_connections_test.ts
+++ b/packages/http/tests/bounded_connections_test.ts
@@ -142,3 +142,23 @@
   assert.match(text, /done$/);
   assert.equal(begun.length, 1);
 });
+
+// Guards against callers that ask for large responses, read none of them and keep all connections.
+test("connections that read nothing are closed while no more may be open", async (t) => {
+  const { clock, connections, events, open } = await startServer(t, {
+    maxConnections: 3,
+    respond: (req, res) => void res.end(req.url === "/large" ? Buffer.alloc(50_000_000) : "small"),
+  });
+  for (let i = 0; i < 3; i++) (await open()).write("GET /large HTTP/1.1\r\nHost: a\r\n\r\n");
+  await until(() => connections.requests === 3);
+  let text = "";
+  for (let i = 0; i < 20 && text === ""; i++) {
+    const socket = await open();
+    socket.on("data", (chunk) => text += chunk);
+    socket.write(GET);
+    await Promise.race([once(socket, "data"), once(socket, "close")]);
+    clock.advance(1_000);
+  }
+  assert.match(text, /small$/);
+  assert.ok(events.includes("unread_closed"));
+});
