--- a/packages/cli/tests/uncontrolled_callers_test.ts
+++ b/packages/cli/tests/uncontrolled_callers_test.ts
@@ -116,7 +116,7 @@
   },
 ): Promise<void> {
   crowd = new Crowd(address, { isReading });
-  for (let i = 0; i < callers; i++) crowd.add(bytesOf(i));
+  for (let i = 0; i < callers; i++) crowd.add(() => bytesOf(i));
   const startedAtMs = performance.now();
   let before = -1;
   while (
--- a/packages/standins/src/crowd.ts
+++ b/packages/standins/src/crowd.ts
@@ -24,7 +24,7 @@
  * @example
  * ```ts
  * const crowd = new Crowd({ host: "127.0.0.1", port });
- * for (let i = 0; i < 150; i++) crowd.add(bytes);
+ * for (let i = 0; i < 150; i++) crowd.add(() => bytes);
  * crowd.close();
  * ```
  */
@@ -44,14 +44,18 @@
     this.#options = options;
   }
 
-  /** Adds a connection that writes `bytes` as fast as they are taken, and then stays open. */
-  add(bytes: Buffer): void {
+  /**
+   * Adds a connection that writes bytes as fast as they are taken, and then stays open. Each connection that is opened
+   * anew calls `makeBytes` again, as a request that is sent again has an id of its own.
+   */
+  add(makeBytes: () => Buffer): void {
+    const bytes = makeBytes();
     const socket = connect(this.#address.port, this.#address.host);
     this.#sockets.add(socket);
     socket.on("error", () => {});
     if (this.#options.isReading) socket.resume();
     else socket.pause();
-    if (this.#options.reopens) socket.once("close", () => this.#reopen(socket, bytes));
+    if (this.#options.reopens) socket.once("close", () => this.#reopen(socket, makeBytes));
     let written = 0;
     const next = () => {
       while (written < bytes.length && !socket.destroyed) {
@@ -63,11 +67,11 @@
     next();
   }
 
-  #reopen(socket: Socket, bytes: Buffer): void {
+  #reopen(socket: Socket, makeBytes: () => Buffer): void {
     if (this.#isClosed) return;
     this.#sentBefore += socket.bytesWritten;
     this.#sockets.delete(socket);
-    setTimeout(() => this.#isClosed || this.add(bytes), REOPEN_MS);
+    setTimeout(() => this.#isClosed || this.add(makeBytes), REOPEN_MS);
   }
 
   /** Whether all connections have been opened or have failed to. */
