Close responses that wait for their turn when their connection ends

Callers would see: fewer places for others, as generations that a caller had sent ahead at the daemon's entry ran on after it had left: Node.js reports the end of a connection only to the response whose turn it is. The gateway closed the others already; both use the same function now. bounded_connections_test.js fails before (one of two responses closed).

--- a/packages/gateway/src/surface/unanswered.ts
+++ b/packages/gateway/src/surface/unanswered.ts
@@ -5,6 +5,7 @@
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Clock } from "@wisteriapick/core";
+import { closeUnsent } from "@wisteriapick/http";
 import type { DecisionLog } from "../observe/decision_log.ts";
 
 /**
@@ -66,14 +67,9 @@
     return this.#options.requestId();
   }
 
-  /**
-   * Closes a response whose turn on the connection has not come when the connection ends. Node.js reports the end only to
-   * the response whose turn it is.
-   */
+  /** Closes the response if its turn on the connection has not come when the connection ends. */
   closeUnsent(): void {
-    if (this.#res.socket !== null) return;
-    this.#res.destroy();
-    this.#res.emit("close");
+    closeUnsent(this.#res);
   }
 
   /** Records why the gateway closes the connection. The first reason stays. */
--- a/packages/http/src/bounded_connections.ts
+++ b/packages/http/src/bounded_connections.ts
@@ -23,8 +23,8 @@
 }
 
 interface BoundedConnection extends TrackedConnection {
-  /** Ends of requests that have no whole response, by their responses. */
-  readonly exchanges: Map<ServerResponse, () => void>;
+  /** Responses of requests that were read, and that are not closed yet. */
+  readonly exchanges: Set<ServerResponse>;
   /** Whether the connection ends when its requests are answered. */
   isEnding: boolean;
 }
@@ -100,15 +100,14 @@
     req.once("end", () => connection.requestBytes = req.socket.bytesRead);
     connection.partSeenAtMs = null;
     const release = this.#accounts.takeRequest(headBytesOf(req));
-    const end = () => {
-      if (!exchanges.delete(res)) return;
+    exchanges.add(res);
+    res.once("close", () => {
+      exchanges.delete(res);
       release();
       connection.usedAtMs = this.#options.clock.now();
       gate.continue();
       if (connection.isEnding && exchanges.size === 0) closeSoon(req.socket);
-    };
-    exchanges.set(res, end);
-    res.once("close", end);
+    });
     return true;
   }
 
@@ -142,7 +141,7 @@
 
   #open(socket: Socket): void {
     this.#closeStalledReaders();
-    const exchanges = new Map<ServerResponse, () => void>();
+    const exchanges = new Set<ServerResponse>();
     const account = {
       unanswered: () => exchanges.size,
       endAfterResponses: () => {
@@ -159,9 +158,8 @@
       partSeenAtMs: null,
       isEnding: false,
     }));
-    // Node.js reports the end of a connection only to the response whose turn it is.
     socket.once("close", () => {
-      for (const end of [...exchanges.values()]) end();
+      for (const res of [...exchanges.keys()]) closeUnsent(res);
     });
   }
 
@@ -172,6 +170,16 @@
   }
 }
 
+/**
+ * Closes a response whose turn on the connection has not come when the connection ends. Node.js reports the end only to
+ * the response whose turn it is, and the work on the others would go on.
+ */
+export function closeUnsent(res: ServerResponse): void {
+  if (res.socket !== null) return;
+  res.destroy();
+  res.emit("close");
+}
+
 /** Closes a connection once what was written is sent. One that is no socket has no such method. */
 function closeSoon(socket: Partial<Pick<Socket, "destroySoon">> & Pick<Socket, "destroy">): void {
   if (socket.destroySoon === undefined) socket.destroy();
--- a/packages/http/tests/bounded_connections_test.ts
+++ b/packages/http/tests/bounded_connections_test.ts
@@ -82,8 +82,11 @@
   const socket = await open();
   socket.write(GET.repeat(2));
   await until(() => begun.length === 2);
+  let closed = 0;
+  for (const res of begun) res.once("close", () => closed++);
   socket.destroy();
   await until(() => connections.requests === 0);
+  assert.equal(closed, 2, "the work on a response that waits for its turn goes on");
   assert.equal(connections.size, 0);
 });
 
