--- a/packages/standins/src/crowd.ts
+++ b/packages/standins/src/crowd.ts
@@ -15,6 +15,10 @@
 
 /** Most bytes that are written to a connection at once. */
 const WRITE_BYTES = 65_536;
+/** Time without progress after which a crowd is held up, in milliseconds. */
+const SETTLE_POLL_MS = 500;
+/** Time after which a crowd that still gets rid of bytes is not waited for, in milliseconds. */
+const MAX_SETTLE_MS = 10_000;
 /** Time after which a connection that was closed is opened anew, in milliseconds. */
 const REOPEN_MS = 50;
 
@@ -87,6 +91,19 @@
     );
   }
 
+  /**
+   * Resolves when the connections have sent all, are held up or have had some seconds. `onPoll` is called in between.
+   */
+  async settle(onPoll: () => void): Promise<void> {
+    const endsAtMs = performance.now() + MAX_SETTLE_MS;
+    let before = -1;
+    while ((!this.isConnected || this.sentBytes !== before) && performance.now() < endsAtMs) {
+      before = this.sentBytes;
+      await new Promise((resolve) => setTimeout(resolve, SETTLE_POLL_MS));
+      onPoll();
+    }
+  }
+
   close(): void {
     this.#isClosed = true;
     for (const socket of this.#sockets) socket.destroy();
