Bound connections and requests in progress at the stand-ins

Users saw: the command standins, and with it the local system, that ends with SIGABRT (heap) 3 s after 150 connections have each asked 10,000 times for the hosts and read nothing. Cause: the stand-ins' servers began all requests of a read and kept all responses. Change: the same BoundedConnections as at the other listeners.

--- a/packages/cli/tests/uncontrolled_callers_test.ts
+++ b/packages/cli/tests/uncontrolled_callers_test.ts
@@ -2,7 +2,9 @@
 import assert from "node:assert/strict";
 import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
-import { afterEach, beforeEach, test } from "node:test";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { afterEach, test } from "node:test";
 import { fileURLToPath } from "node:url";
 import {
   Crowd,
@@ -16,6 +18,11 @@
 /** Memory of a side's host, in MiB; the process is killed over it. It runs the whole system. */
 const MEMORY_MB = 282;
 const HEAP_MB = 180;
+const STANDINS_HEAP_MB = 110;
+const ANY_PORT = "127.0.0.1:0";
+const STANDINS_SETTINGS = fileURLToPath(
+  new URL("../../../../examples/kente_lane/standins.yaml", import.meta.url),
+);
 /** Descriptors that the process may have open. */
 const MAX_DESCRIPTORS = 600;
 const TIMEOUT_MS = 200_000;
@@ -35,12 +42,13 @@
 let descriptors: DescriptorWatch;
 let crowd: Crowd;
 
-beforeEach(async () => {
+/** Starts the command with a heap, and waits until it has printed a line. Returns the pattern's first group. */
+async function startProgram(heapMb: number, args: string[], pattern: RegExp): Promise<string> {
   exit = null;
   output = "";
-  const limits = [`--memory-mb=${MEMORY_MB}`, `--max-descriptors=${MAX_DESCRIPTORS}`];
-  const args = [`--max-old-space-size=${HEAP_MB}`, BIN, "local", "--port", "0", ...limits];
-  child = spawn(process.execPath, args, { stdio: ["ignore", "pipe", "pipe"] });
+  child = spawn(process.execPath, [`--max-old-space-size=${heapMb}`, BIN, ...args], {
+    stdio: ["ignore", "pipe", "pipe"],
+  });
   child.once("exit", (code, signal) => exit = `code ${code}, signal ${signal}`);
   child.stdout!.on("data", (bytes) => output += bytes);
   child.stderr!.on("data", (bytes) => output += bytes);
@@ -48,16 +56,22 @@
   memory = new MemoryWatch(watched, ({ residentMb }) => residentMb > MEMORY_MB);
   descriptors = new DescriptorWatch(watched);
   for (;;) {
-    const url = /^entry: (\S+)\n/.exec(output)?.[1];
-    if (url !== undefined) {
-      address = { host: new URL(url).hostname, port: Number(new URL(url).port) };
-      break;
-    }
+    const found = pattern.exec(output)?.[1];
+    if (found !== undefined) return found;
     assert.equal(exit, null, output);
     await new Promise((resolve) => setTimeout(resolve, 10));
   }
+}
+
+/** Starts the local system, and waits until it answers. */
+async function startLocal(): Promise<void> {
+  const limits = [`--memory-mb=${MEMORY_MB}`, `--max-descriptors=${MAX_DESCRIPTORS}`];
+  const url = new URL(
+    await startProgram(HEAP_MB, ["local", "--port", "0", ...limits], /^entry: (\S+)\n/),
+  );
+  address = { host: url.hostname, port: Number(url.port) };
   await untilAnswered();
-});
+}
 
 afterEach(async () => {
   crowd.close();
@@ -113,6 +127,7 @@
     readonly isReading?: boolean;
   },
 ): Promise<void> {
+  await startLocal();
   crowd = new Crowd(address, { isReading });
   for (let i = 0; i < callers; i++) crowd.add(() => bytesOf(i));
   await crowd.settle(assertAlive);
@@ -198,3 +213,38 @@
   const head = Buffer.from(`GET /v1/models HTTP/1.1\r\n${FIELDS}X-Long: ${"x".repeat(12_000)}`);
   await assertOutlives({ callers: MANY_CALLERS, bytesOf: () => head });
 });
+
+// Guards against stand-ins that end beside a crowd, and with them all that is tried against them.
+test("the stand-ins outlive requests for the hosts whose responses are not read", {
+  timeout: TIMEOUT_MS,
+}, async (t) => {
+  const dir = mkdtempSync(`${tmpdir()}/wisteriapick-standins-test-`);
+  t.after(() => rmSync(dir, { recursive: true }));
+  const settings = readFileSync(STANDINS_SETTINGS, "utf8").replace(/127\.0\.0\.1:\d+/g, ANY_PORT);
+  writeFileSync(`${dir}/standins.yaml`, settings);
+  const origin = await startProgram(
+    STANDINS_HEAP_MB,
+    ["standins", `${dir}/standins.yaml`],
+    /^standins: store \S+ hosts (\S+)\n/,
+  );
+  const { hostname, port } = new URL(origin);
+  const isServed = async () => {
+    const res = await fetch(`${origin}/v1/hosts`, { headers: { connection: "close" } })
+      .catch(() => null);
+    await res?.arrayBuffer();
+    return res?.status === 200;
+  };
+  const bytes = requestsAhead({
+    requestLine: "GET /v1/hosts",
+    fieldsOf: () => "Host: hosts.example\r\n",
+    count: REQUESTS_AHEAD,
+  });
+  crowd = new Crowd({ host: hostname, port: Number(port) });
+  for (let i = 0; i < CALLERS; i++) crowd.add(() => bytes);
+  await crowd.settle(assertAlive);
+  while (!(await isServed())) assertAlive();
+  assertAlive();
+  crowd.close();
+  while (!(await isServed())) assertAlive();
+  assertAlive();
+});
--- a/packages/standins/src/engine_server.ts
+++ b/packages/standins/src/engine_server.ts
@@ -7,7 +7,7 @@
  *
  * @module
  */
-import { createServer, type IncomingMessage, type Server } from "node:http";
+import { type IncomingMessage, type Server } from "node:http";
 import {
   type Clock,
   type GenerationId,
@@ -23,6 +23,7 @@
 import { countPromptTokens, drawOutputTokens, promptPrefixes, TextSource } from "./engine_text.ts";
 import type { EngineOptions, ModelFinish, ModelRequest, VersionBehaviour } from "./engine_types.ts";
 import {
+  createBoundedServer,
   listen,
   type ListenOptions,
   readJson,
@@ -150,7 +151,7 @@
   /** Starts the HTTP server. */
   async listen(options: ListenOptions = {}): Promise<RunningServer> {
     const routes = this.#routes();
-    const server = createServer((req, res) => routes.lookup(req, res));
+    const server = createBoundedServer((req, res) => routes.lookup(req, res));
     // A crashed engine refuses connections but keeps its port, so that no other process can take it meanwhile.
     server.on("connection", (socket) => {
       if (!this.#model.isAlive) socket.destroy();
--- a/packages/standins/src/http_server.ts
+++ b/packages/standins/src/http_server.ts
@@ -3,9 +3,17 @@
  *
  * @module
  */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import {
+  createServer,
+  type IncomingMessage,
+  type RequestListener,
+  type Server,
+  type ServerResponse,
+} from "node:http";
 import type { AddressInfo } from "node:net";
-import { raise, toWpError, type WpError } from "@wisteriapick/core";
+import { raise, SystemClock, toWpError, type WpError } from "@wisteriapick/core";
+import { BoundedConnections } from "@wisteriapick/http";
+import { sharesOf } from "@wisteriapick/policy";
 import findMyWay from "find-my-way";
 
 /** The address on which a server listens. With port 0, the system chooses the port. */
@@ -34,8 +42,25 @@
 /** Responds to a call. Errors that it throws become error responses. */
 export type StandinHandler = (call: StandinCall) => void | Promise<void>;
 
+/** Open connections of one stand-in. A deployment of hundreds of processes has fewer. */
+const MAX_CONNECTIONS = 1_024;
 const MAX_JSON_BYTES = 16 * 1024 * 1024;
 
+/** Creates a server whose connections are bounded, as a crowd at a stand-in must not end the processes beside it. */
+export function createBoundedServer(listener: RequestListener): Server {
+  const connections = new BoundedConnections({
+    clock: new SystemClock(),
+    bounds: { shares: sharesOf(null), maxDescriptors: null },
+    maxConnections: () => MAX_CONNECTIONS,
+    contain: (work) => work(),
+  });
+  const server = createServer((req, res) => {
+    if (connections.begin(req, res)) listener(req, res);
+  });
+  connections.guard(server);
+  return server;
+}
+
 /** Routes of one stand-in. */
 export class StandinRoutes {
   readonly #router = findMyWay({
@@ -63,7 +88,7 @@
 
   /** Starts listening. */
   async listen(options: ListenOptions = {}): Promise<RunningServer> {
-    const server = createServer((req, res) => this.lookup(req, res));
+    const server = createBoundedServer((req, res) => this.lookup(req, res));
     return listen(server, options);
   }
 }
--- a/packages/standins/src/plain_service.ts
+++ b/packages/standins/src/plain_service.ts
@@ -7,9 +7,10 @@
  * @module
  */
 import { createHash } from "node:crypto";
-import { createServer, type Server, type ServerResponse } from "node:http";
+import { type Server, type ServerResponse } from "node:http";
 import { type Clock, raise, SystemClock, type Undo } from "@wisteriapick/core";
 import {
+  createBoundedServer,
   listen,
   type ListenOptions,
   readJson,
@@ -117,7 +118,7 @@
   /** Starts the HTTP server. */
   async listen(options: ListenOptions = {}): Promise<RunningServer> {
     const routes = this.#routes();
-    const server = createServer((req, res) => routes.lookup(req, res));
+    const server = createBoundedServer((req, res) => routes.lookup(req, res));
     server.on("connection", (socket) => {
       if (!this.#isAlive) socket.destroy();
     });
