Leave a quarter of a service's places to other accounts at the daemon's entry

Cause: nothing bounded what one account without limits takes of a service. Change: ServiceShares. While others have used a service within a minute, one account has at most three quarters of the places that its endpoints report, and is refused at once beyond them (account_concurrency_limit, not run, Retry-After 1 s). The entry of the local system has a quarter of its descriptors, as 200 calls that stop took 616 of 600.

--- a/packages/cli/tests/uncontrolled_callers_test.ts
+++ b/packages/cli/tests/uncontrolled_callers_test.ts
@@ -104,9 +104,18 @@
   }
 }
 
-/** Asks for completions one after the other until one succeeds. The test's timeout is the only one. */
-async function untilAnswered(): Promise<void> {
-  while (!(await isAnswered())) {
+/** Checks the stock of one item, on a connection of its own; returns whether that succeeds. */
+async function isStockAnswered(): Promise<boolean> {
+  const headers = { authorization: "Bearer local-elmina-shop", connection: "close" };
+  const url = `http://${address.host}:${address.port}/services/counter/stock/kente-7`;
+  const res = await fetch(url, { headers }).catch(() => null);
+  await res?.arrayBuffer();
+  return res?.status === 200;
+}
+
+/** Asks one time after the other until it succeeds. The test's timeout is the only one. */
+async function untilAnswered(isServed = isAnswered): Promise<void> {
+  while (!(await isServed())) {
     assertAlive();
     await new Promise((resolve) => setTimeout(resolve, 100));
   }
@@ -121,20 +130,22 @@
 
 /** Checks that the system serves others beside a crowd and after it, within the memory and descriptors of its host. */
 async function assertOutlives(
-  { callers, bytesOf, isReading = false }: {
+  { callers, bytesOf, isReading = false, isServed = isAnswered }: {
     readonly callers: number;
     readonly bytesOf: (i: number) => Buffer;
     readonly isReading?: boolean;
+    readonly isServed?: () => Promise<boolean>;
   },
 ): Promise<void> {
   await startLocal();
+  await untilAnswered(isServed);
   crowd = new Crowd(address, { isReading });
   for (let i = 0; i < callers; i++) crowd.add(() => bytesOf(i));
   await crowd.settle(assertAlive);
-  await untilAnswered();
+  await untilAnswered(isServed);
   assertAlive();
   crowd.close();
-  await untilAnswered();
+  await untilAnswered(isServed);
   assertAlive();
 }
 
@@ -206,6 +217,20 @@
   }
 }
 
+// Guards against calls that take every place of a service for as long as their bodies do not end.
+test("the local system outlives calls whose bodies stop, and answers calls of others", {
+  timeout: TIMEOUT_MS,
+}, async () => {
+  const bytesOf = () =>
+    unendedBody({
+      path: "/services/counter/orders",
+      fields: FIELDS,
+      bytes: 200_000,
+      chunkBytes: 4_096,
+    });
+  await assertOutlives({ callers: CALLERS, bytesOf, isServed: isStockAnswered });
+});
+
 // Guards against connections without a request that take all descriptors.
 test("the local system outlives heads that stop before their end", {
   timeout: TIMEOUT_MS,
--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -30,6 +30,7 @@
   openConnectionLimit,
   Quarantine,
   RetryPolicy,
+  ServiceShares,
   sharesOf,
 } from "@wisteriapick/policy";
 import { type EndpointLoad, type LoadReport, MAX_PENDING_HANDSHAKES } from "@wisteriapick/wire";
@@ -95,6 +96,8 @@
   readonly #connections: BoundedConnections;
   readonly #bodies: BodyRoom;
   readonly #endpointVersions = new Map<EndpointId, VersionId>();
+  /** What endpoints last said of themselves. */
+  readonly #loads = new Map<EndpointId, EndpointLoad>();
   readonly #undos: Undo[] = [];
   readonly #quarantine: Quarantine;
   readonly #accounts: AccountLimiter;
@@ -249,9 +252,11 @@
       metrics: this.metrics,
       versions,
       accounts: this.#accounts,
+      shares: new ServiceShares(),
       bodies: this.#bodies,
       requests: table,
       makeId,
+      placesOf: (service) => this.#placesOf(service),
       versionOf: (endpoint) => this.#versionOf(endpoint),
       ineligibleEndpoints: (view, service, id) => this.#ineligibleEndpoints(view, service, id),
       assertServing: () => this.#assertServing(),
@@ -293,8 +298,7 @@
   #sharedRelayDependencies() {
     const { rng = new Rng(randomInt(2 ** 31)), limits, onOutcome } = this.#o;
     const { maxHops } = { ...RELAY_LIMITS, ...limits };
-    const recordLoad = (load: EndpointLoad) =>
-      void this.#endpointVersions.set(load.endpoint, load.version);
+    const recordLoad = (load: EndpointLoad) => this.#recordLoad(load);
     return {
       retry: new RetryPolicy(rng.fork("retry"), { maxHops }),
       recordLoad,
@@ -423,11 +427,12 @@
   #removeEndpoint(endpoint: EndpointId): void {
     this.#o.placement.removeEndpoint(endpoint);
     this.#endpointVersions.delete(endpoint);
+    this.#loads.delete(endpoint);
   }
 
   #onLoad({ load, suspects, cache = [] }: LoadReport): void {
     const now = this.#o.world.clock.now();
-    this.#endpointVersions.set(load.endpoint, load.version);
+    this.#recordLoad(load);
     this.#o.placement.recordLoad(load, now);
     if (suspects !== undefined) this.#quarantine.merge(suspects, now);
     for (const { type, prefix } of cache) {
@@ -435,6 +440,19 @@
     }
   }
 
+  #recordLoad(load: EndpointLoad): void {
+    this.#endpointVersions.set(load.endpoint, load.version);
+    this.#loads.set(load.endpoint, load);
+  }
+
+  #placesOf(service: ServiceId): number {
+    let places = 0;
+    for (const load of this.#loads.values()) {
+      if (load.service === service && !load.leaving) places += load.allowance;
+    }
+    return places;
+  }
+
   #applyConfig(view: ConfigView): void {
     const usable = new Set<DataCentreId>();
     for (const dc of view.dataCentres.values()) if (dc.state !== "out") usable.add(dc.id);
--- a/packages/daemon/src/entry_context.ts
+++ b/packages/daemon/src/entry_context.ts
@@ -17,6 +17,7 @@
 } from "@wisteriapick/core";
 import type { Account, ConfigSource, ConfigView, Service } from "@wisteriapick/control";
 import type { BodyRoom } from "@wisteriapick/http";
+import type { ServiceShares } from "@wisteriapick/policy";
 import type { AccountLimiter } from "./account_limiter.ts";
 import type { VersionChooser } from "./entry_versions.ts";
 
@@ -35,10 +36,13 @@
   readonly metrics: Metrics;
   readonly versions: VersionChooser;
   readonly accounts: AccountLimiter;
+  readonly shares: ServiceShares;
   /** Reads bodies that are kept whole. */
   readonly bodies: BodyRoom;
   readonly requests: Table<RequestId, RequestRow>;
   readonly makeId: (prefix: string) => string;
+  /** Requests that the endpoints of a service sustain together, as they last said; 0 if nothing is known of them. */
+  placesOf(service: ServiceId): number;
   /** The version that an endpoint is known to run. */
   versionOf(endpoint: EndpointId): VersionId | null;
   /** Endpoints that a request must not be sent to, as their data centre is returning and takes only a share. */
@@ -60,15 +64,42 @@
   refuse({ type: "version_withdrawn", message, notRun: true, retryAfterMs: 5_000 });
 }
 
+/** Time after which an account that has its share of a service may try again, in milliseconds. */
+const SHARE_RETRY_AFTER_MS = 1_000;
+
+/** What the limits of accounts need to know of a request. */
+export interface TrackedRequest {
+  readonly account: Account;
+  readonly service: ServiceId;
+  readonly expectedTokens: number;
+}
+
 /** Runs `fn` within the limits of the request's account, with a row in the `requests` table meanwhile. */
 export async function trackRequest<T>(
   ctx: EntryContext,
   id: RequestId,
-  { account, service, expectedTokens }: {
-    account: Account;
-    service: ServiceId;
-    expectedTokens: number;
-  },
+  { account, service, expectedTokens }: TrackedRequest,
+  fn: () => Promise<T>,
+): Promise<T> {
+  const { clock } = ctx.world;
+  const places = { places: ctx.placesOf(service), nowMs: clock.now() };
+  if (!ctx.shares.begin(service, account.id, places)) {
+    const message = `the client account has its share of the places of ${service}`;
+    const type = "account_concurrency_limit";
+    refuse({ type, message, notRun: true, retryAfterMs: SHARE_RETRY_AFTER_MS });
+  }
+  try {
+    return await trackAdmitted(ctx, id, { account, service, expectedTokens }, fn);
+  } finally {
+    ctx.shares.end(service, account.id, clock.now());
+  }
+}
+
+/** The same for a request whose account does not exceed its share of the service. */
+async function trackAdmitted<T>(
+  ctx: EntryContext,
+  id: RequestId,
+  { account, service, expectedTokens }: TrackedRequest,
   fn: () => Promise<T>,
 ): Promise<T> {
   ctx.accounts.admit(account, expectedTokens);
--- a/packages/daemon/src/local.ts
+++ b/packages/daemon/src/local.ts
@@ -49,7 +49,7 @@
 /** Interval at which the start checks whether every process is ready. */
 const READY_POLL_MS = 10;
 /** Fraction of the descriptors for the entry; the rest is for the sides and the stand-ins. */
-const ENTRY_DESCRIPTORS_FRACTION = 0.5;
+const ENTRY_DESCRIPTORS_FRACTION = 0.25;
 
 type Closer = () => void | Promise<void>;
 
--- a/packages/policy/src/mod.ts
+++ b/packages/policy/src/mod.ts
@@ -55,6 +55,7 @@
 export * from "./run_attempts.ts";
 export * from "./scale_target.ts";
 export * from "./sequential_probability_ratio.ts";
+export * from "./service_shares.ts";
 export * from "./side_admission.ts";
 export * from "./side_options.ts";
 export * from "./start_decision.ts";
