--- a/packages/cli/tests/uncontrolled_callers_test.ts
+++ b/packages/cli/tests/uncontrolled_callers_test.ts
@@ -4,7 +4,7 @@
 import { once } from "node:events";
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { tmpdir } from "node:os";
-import { afterEach, test } from "node:test";
+import { afterEach, test, type TestContext } from "node:test";
 import { fileURLToPath } from "node:url";
 import {
   Crowd,
@@ -41,9 +41,12 @@
 let memory: MemoryWatch;
 let descriptors: DescriptorWatch;
 let crowd: Crowd;
+/** What the present test does, for one that does not end. */
+let phase = "";
 
 /** Starts the command with a heap, and waits until it has printed a line. Returns the pattern's first group. */
 async function startProgram(heapMb: number, args: string[], pattern: RegExp): Promise<string> {
+  phase = "start of the program";
   exit = null;
   output = "";
   child = spawn(process.execPath, [`--max-old-space-size=${heapMb}`, BIN, ...args], {
@@ -70,10 +73,12 @@
     await startProgram(HEAP_MB, ["local", "--port", "0", ...limits], /^entry: (\S+)\n/),
   );
   address = { host: url.hostname, port: Number(url.port) };
+  phase = "first answer";
   await untilAnswered();
 }
 
-afterEach(async () => {
+afterEach(async (t) => {
+  (t as TestContext).diagnostic(`the last phase was: ${phase}`);
   crowd.close();
   memory.stop();
   descriptors.stop();
@@ -139,11 +144,14 @@
 ): Promise<void> {
   await startLocal();
   await untilAnswered(isServed);
+  phase = "crowd";
   crowd = new Crowd(address, { isReading });
   for (let i = 0; i < callers; i++) crowd.add(() => bytesOf(i));
   await crowd.settle(assertAlive);
+  phase = "answer beside the crowd";
   await untilAnswered(isServed);
   assertAlive();
+  phase = "answer after the crowd";
   crowd.close();
   await untilAnswered(isServed);
   assertAlive();
