Close connections whose rest was dropped inside a body

Callers would see: a daemon's entry that accepts nobody for as long as a crowd stays whose bodies stop: the rest of a connection was dropped to make room, its body never ended, so its request was awaited for ever; and a stalled body counted as a request in progress. In the gateway's bundle this reaches only the ports of readiness and metrics, where no body is read.

--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -234,6 +234,7 @@
           log.error({ err: toWpError(e) }, "connection failed");
         }
       },
+      onFull: () => this.#bodies.refuseLongestStalled(),
       onLimit: (event, details) => {
         this.metrics.countCallerLimit(event);
         log.debug({ event, ...details }, "connection limited");
--- a/packages/http/src/body_room.ts
+++ b/packages/http/src/body_room.ts
@@ -105,6 +105,11 @@
     });
   }
 
+  /** Refuses the request whose body has been stalled for the longest time, if there is one. */
+  refuseLongestStalled(): void {
+    this.#stalled.makeRoom(1, this.#options.clock.now());
+  }
+
   /** Takes room for more of a body; stalled ones are refused for it. */
   #take(bytes: number, bodyBytes: number): boolean {
     const { budget, clock } = this.#options;
--- a/packages/http/src/bounded_connections.ts
+++ b/packages/http/src/bounded_connections.ts
@@ -20,6 +20,8 @@
   readonly maxConnections: () => number;
   readonly contain: ContainWork;
   readonly onLimit?: OnCallerLimit;
+  /** Called when a connection is closed as all others have a request in progress, so that one of those ends. */
+  readonly onFull?: () => void;
 }
 
 interface BoundedConnection extends TrackedConnection {
@@ -27,6 +29,8 @@
   readonly exchanges: Set<ServerResponse>;
   /** Whether the connection ends when its requests are answered. */
   isEnding: boolean;
+  /** Whether the rest of its bytes was dropped, so that a request whose body is not complete is never answered. */
+  isCut: boolean;
 }
 
 /** What a connection has not taken of its responses. */
@@ -62,6 +66,7 @@
       accounts: this.#accounts,
       maxOpen: maxConnections,
       onLimit,
+      onFull: options.onFull,
     });
   }
 
@@ -106,7 +111,7 @@
       release();
       connection.usedAtMs = this.#options.clock.now();
       gate.continue();
-      if (connection.isEnding && exchanges.size === 0) closeSoon(req.socket);
+      if (connection.isEnding && !isAnyAwaited(connection)) closeSoon(req.socket);
     });
     return true;
   }
@@ -146,8 +151,9 @@
       unanswered: () => exchanges.size,
       endAfterResponses: () => {
         const connection = this.#table.of(socket);
-        if (connection === undefined) closeSoon(socket);
-        else this.#end(socket, connection);
+        if (connection === undefined) return closeSoon(socket);
+        connection.isCut = true;
+        this.#end(socket, connection);
       },
     };
     this.#table.open(socket, account, (gate) => ({
@@ -157,6 +163,7 @@
       usedAtMs: this.#options.clock.now(),
       partSeenAtMs: null,
       isEnding: false,
+      isCut: false,
     }));
     socket.once("close", () => {
       for (const res of [...exchanges.keys()]) closeUnsent(res);
@@ -166,10 +173,16 @@
   #end(socket: Socket, connection: BoundedConnection): void {
     connection.isEnding = true;
     connection.gate.discard();
-    if (connection.exchanges.size === 0) closeSoon(socket);
+    if (!isAnyAwaited(connection)) closeSoon(socket);
   }
 }
 
+/** Whether a request of the connection may still be answered. */
+function isAnyAwaited({ exchanges, isCut }: BoundedConnection): boolean {
+  for (const res of exchanges) if (!isCut || res.req.complete || res.headersSent) return true;
+  return false;
+}
+
 /**
  * Closes a response whose turn on the connection has not come when the connection ends. Node.js reports the end only to
  * the response whose turn it is, and the work on the others would go on.
--- a/packages/http/tests/body_room_test.ts
+++ b/packages/http/tests/body_room_test.ts
@@ -45,7 +45,7 @@
     }
     return bodies;
   };
-  return { begin, budget, clock, fill, refused: () => refused };
+  return { begin, budget, clock, fill, refused: () => refused, room };
 }
 
 // Guards against bodies that are each within their limit and take more memory than there is.
@@ -79,6 +79,21 @@
   assert.equal(refused(), 1);
 });
 
+// Guards against bodies that stop before their end and keep all connections.
+test("the longest stalled body is refused when its connection is wanted, and no other", async () => {
+  const { begin, clock, room } = makeRoom();
+  const stalled = begin();
+  stalled.send(10);
+  clock.advance(STALLED_MS);
+  const arriving = begin();
+  arriving.send(10);
+  room.refuseLongestStalled();
+  room.refuseLongestStalled();
+  assert.equal(await stalled.read, "memory_pressure");
+  arriving.end();
+  assert.equal(await arriving.read, 10);
+});
+
 test("a body that is too large, or whose caller leaves, gives back its room", async () => {
   const { begin, budget } = makeRoom();
   const [large, left] = [begin(), begin()];
--- a/packages/http/tests/bounded_connections_test.ts
+++ b/packages/http/tests/bounded_connections_test.ts
@@ -165,3 +165,18 @@
   assert.match(text, /small$/);
   assert.ok(events.includes("unread_closed"));
 });
+
+// Guards against connections that stay for as long as their callers do, as a body whose rest was dropped never ends.
+test("a connection whose rest was dropped inside a body is closed", async (t) => {
+  const { begun, connections, open } = await startServer(t, { maxConnections: 1 });
+  const socket = await open();
+  socket.resume();
+  const head = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+  socket.write(head + "1\r\nx\r\n".repeat(20_000));
+  await until(() => begun.length === 1);
+  const ended = once(socket, "close");
+  const newest = await open();
+  newest.resume();
+  await ended;
+  assert.equal(connections.requests, 0);
+});
