Bound pending handshakes by address, and by descriptors for all

Processes of a large deployment that start at once lost their connections: a listener kept 64 connections without a complete handshake in all, so 136 of 200 peers from 200 addresses were closed before their hello and had to dial again.

Cause: one bound for a crowd at one address and for peers at many addresses.

Change: 64 pending handshakes for each address, and an eighth of the process's descriptors for all (512 without a limit of descriptors, at least 64). The HTTPS listener of the daemon's entry takes the same bound and keeps as many descriptors for it. The constant that the existing tests of crowds at one address use is renamed; its value is still 64.

A new test keeps the pending connections of 200 addresses at 100 for 800 descriptors; the former code would have passed it too.

--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -33,7 +33,7 @@
   ServiceShares,
   sharesOf,
 } from "@wisteriapick/policy";
-import { type EndpointLoad, type LoadReport, MAX_PENDING_HANDSHAKES } from "@wisteriapick/wire";
+import { type EndpointLoad, type LoadReport, pendingHandshakeLimit } from "@wisteriapick/wire";
 import findMyWay, { type HTTPMethod } from "find-my-way";
 import { AccountLimiter } from "./account_limiter.ts";
 import { CallRelay } from "./call_relay.ts";
@@ -114,17 +114,17 @@
     const { config, identity, world } = options;
     this.#accounts = options.accounts ??
       new AccountLimiter({ self: identity.process, clock: world.clock, config });
-    const { tls } = options.listen;
+    const { entryHost = NO_LIMITS, listen: { tls } } = options;
     this.#connections = this.#makeConnections();
     this.#bodies = new BodyRoom({
-      budget: new MemoryBudget({ memoryMb: options.entryHost?.memoryMb ?? null }),
+      budget: new MemoryBudget({ memoryMb: entryHost.memoryMb }),
       clock: world.clock,
       connections: this.#connections,
       onRefused: () => this.metrics.countCallerLimit("body_refused"),
     });
     this.#server = makeHttpServer((req, res) => {
       if (this.#connections.begin(req, res)) void this.#handle(req, res);
-    }, tls);
+    }, { tls, maxPendingHandshakes: pendingHandshakeLimit(entryHost.maxDescriptors) });
     this.#connections.guard(this.#server);
     this.#registerRoutes(this.#makeContext());
   }
@@ -216,8 +216,9 @@
 
   #makeConnections(): BoundedConnections {
     const { entryHost = NO_LIMITS, listen, log, otherDescriptors = () => 0, world } = this.#o;
-    const handshakes = listen.tls === undefined ? 0 : MAX_PENDING_HANDSHAKES;
     const { maxDescriptors, memoryMb } = entryHost;
+    // The server has no connection before its TLS handshake is complete.
+    const handshakes = listen.tls === undefined ? 0 : pendingHandshakeLimit(maxDescriptors);
     return new BoundedConnections({
       clock: world.clock,
       // Descriptors bound connections alone, as requests reach endpoints over links that are open.
--- a/packages/daemon/src/http_server.ts
+++ b/packages/daemon/src/http_server.ts
@@ -19,14 +19,24 @@
 /** Time for a TLS handshake. Those of callers far away take half a second. */
 const TLS_HANDSHAKE_TIMEOUT_MS = 5_000;
 
+/** What {@link makeHttpServer} needs to know. */
+export interface HttpServerOptions {
+  readonly tls: HttpListenOptions["tls"];
+  /** TLS handshakes that may be in progress. */
+  readonly maxPendingHandshakes: number;
+}
+
 /** Creates a server; the TLS files are read once. */
-export function makeHttpServer(listener: RequestListener, tls: HttpListenOptions["tls"]): Server {
+export function makeHttpServer(
+  listener: RequestListener,
+  { tls, maxPendingHandshakes }: HttpServerOptions,
+): Server {
   if (tls === undefined) return createServer(listener);
   const key = readFileSync(tls.key);
   const cert = readFileSync(tls.cert);
   const options = { key, cert, handshakeTimeout: TLS_HANDSHAKE_TIMEOUT_MS };
   const server = createTlsServer(options, listener);
-  const pending = new PendingConnections();
+  const pending = new PendingConnections(maxPendingHandshakes);
   server.on("connection", (socket: Socket) => pending.add(socket));
   server.on("secureConnection", (socket: Socket) => pending.complete(socket));
   return server as unknown as Server;
--- a/packages/daemon/src/process_components.ts
+++ b/packages/daemon/src/process_components.ts
@@ -32,6 +32,8 @@
   readonly clusterKey: Uint8Array | string;
   /** Address on which links are accepted, as `ip:port`; with port 0 the system chooses the port. */
   readonly linkAddress: string;
+  /** Connections to it whose handshake is not complete; as for a process without a limit of descriptors by default. */
+  readonly maxPendingHandshakes?: number;
   readonly store: ObjectStore;
   readonly hostList: HostList;
   readonly clock: Clock;
@@ -60,13 +62,14 @@
 
 /** Binds the link address and creates the shared components. */
 export async function makeProcessComponents(options: ProcessOptions): Promise<ProcessComponents> {
-  const { identity, clusterKey, clock, seed } = options;
+  const { identity, clusterKey, clock, seed, maxPendingHandshakes } = options;
   const log = options.log ?? createLogger(identity.role);
   const metrics = createMetrics();
   const rng = new Rng(seed);
   const router = new LinkRouter();
   const shared = { identity, clusterKey, acceptor: router, clock, metrics, log };
-  const listener = await listenLinks({ ...shared, address: parseAddress(options.linkAddress) });
+  const address = parseAddress(options.linkAddress);
+  const listener = await listenLinks({ ...shared, address, maxPendingHandshakes });
   const pool = new LinkPool({ ...shared, rng: rng.fork("pool") });
   const linkAddress = formatAddress(listener.address);
   const linkCount = () => pool.size + listener.links.size + listener.pending;
--- a/packages/daemon/src/start.ts
+++ b/packages/daemon/src/start.ts
@@ -7,7 +7,7 @@
 import { type Clock, createLogger, type Logger, processId, SystemClock } from "@wisteriapick/core";
 import { HttpHostList, HttpModelEngine, HttpObjectStore } from "@wisteriapick/clients";
 import { EntryProcess, type EntryProcessOptions } from "./entry_process.ts";
-import { parseAddress } from "@wisteriapick/wire";
+import { parseAddress, pendingHandshakeLimit } from "@wisteriapick/wire";
 import type { ProcessOptions } from "./process_components.ts";
 import type { EntrySettings, SideSettings } from "./settings.ts";
 import { SideProcess, type SideProcessOptions } from "./side_process.ts";
@@ -72,7 +72,8 @@
   const { options, closeClients } = makeProcessOptions(cfg, deps);
   const listen = { ...parseAddress(cfg.listen), tls: cfg.tls };
   const entryHost = { memoryMb: cfg.memoryMb ?? null, maxDescriptors: cfg.maxDescriptors };
-  return { options: { ...options, listen, entryHost }, closeClients };
+  const maxPendingHandshakes = pendingHandshakeLimit(cfg.maxDescriptors);
+  return { options: { ...options, listen, entryHost, maxPendingHandshakes }, closeClients };
 }
 
 /** Builds the options of a side from its settings. */
--- a/packages/daemon/tests/tls_test.ts
+++ b/packages/daemon/tests/tls_test.ts
@@ -4,7 +4,7 @@
 import { join } from "node:path";
 import { after, test } from "node:test";
 import { connect } from "node:net";
-import { MAX_PENDING_HANDSHAKES } from "@wisteriapick/wire";
+import { MAX_PENDING_PER_ADDRESS } from "@wisteriapick/wire";
 import { Agent, request } from "undici";
 import { CLIENT_KEY, Fleet } from "./fixtures.ts";
 import { makeSelfSigned } from "./self_signed.ts";
@@ -50,7 +50,7 @@
     socket.resume();
     socket.write(Uint8Array.of(22, 3, 1));
   }
-  while (open > MAX_PENDING_HANDSHAKES) await new Promise((resolve) => setTimeout(resolve, 5));
+  while (open > MAX_PENDING_PER_ADDRESS) await new Promise((resolve) => setTimeout(resolve, 5));
   const headers = { authorization: `Bearer ${CLIENT_KEY}` };
   const secure = `${url.replace("http:", "https:")}/v1/models`;
   const res = await request(secure, { headers, dispatcher });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,6 +18,7 @@
   MemoryBudget,
   RetryBudgets,
 } from "@wisteriapick/policy";
+import { pendingHandshakeLimit } from "@wisteriapick/wire";
 import type { CloudCalls } from "./duties/cloud.ts";
 import { Duties } from "./duties/duties.ts";
 import { makeScaleSource } from "./duties/scale_source.ts";
@@ -211,6 +212,7 @@
       dataCentre: settings.data_centre,
       processorShare: settings.processor_share,
       linkMbps: settings.link_mbps ?? null,
+      maxPendingHandshakes: pendingHandshakeLimit(settings.max_fds ?? null),
       clusterKey: settings.cluster_key,
       seeds: settings.seeds,
       clock,
--- a/packages/gateway/src/peers/peer_network.ts
+++ b/packages/gateway/src/peers/peer_network.ts
@@ -46,6 +46,8 @@
   readonly processorShare: number;
   /** Bandwidth of this gateway's link; `null` if unknown. */
   readonly linkMbps: number | null;
+  /** Connections from peers whose handshake is not complete; as without a limit of descriptors by default. */
+  readonly maxPendingHandshakes?: number;
   /** Secret shared by all gateways of a deployment. */
   readonly clusterKey: string;
   readonly seeds: readonly Address[];
@@ -170,7 +172,8 @@
   }
 
   async start(): Promise<void> {
-    const { address, listenAddress = address, clusterKey, clock, seeds } = this.#options;
+    const { address, listenAddress = address, clusterKey, clock, seeds, maxPendingHandshakes } =
+      this.#options;
     const listener = await listenLinks({
       address: listenAddress,
       identity: this.#identity,
@@ -178,6 +181,7 @@
       acceptor: this.#acceptor,
       clock,
       traffic: this.#traffic,
+      maxPendingHandshakes,
     });
     if (this.#closed) return await listener.close();
     this.#listener = listener;
--- a/packages/wire/src/connect.ts
+++ b/packages/wire/src/connect.ts
@@ -30,7 +30,7 @@
 import { type Established, Handshake, type LinkEnd, type VersionRange } from "./handshake.ts";
 import type { Identity, LinkAcceptor, LinkTrafficObserver } from "./link.ts";
 import { PROTOCOL_VERSIONS } from "./messages.ts";
-import { MAX_PENDING_HANDSHAKES, PendingConnections } from "./pending_connections.ts";
+import { PendingConnections, pendingHandshakeLimit } from "./pending_connections.ts";
 import { MAX_QUEUED_BYTES, SocketLink } from "./socket_link.ts";
 
 /** Time in which a connection must complete the handshake. */
@@ -59,6 +59,8 @@
   /** With port 0, the operating system chooses a free port. */
   readonly address: Address;
   readonly tls?: TlsOptions;
+  /** Connections whose handshake is not complete; those of {@link pendingHandshakeLimit} without a limit by default. */
+  readonly maxPendingHandshakes?: number;
 }
 
 /** Options of {@link connectLink}. */
@@ -92,7 +94,8 @@
  */
 export async function listenLinks(options: ListenOptions): Promise<LinkListener> {
   const links = new LinkSet();
-  const pending = new PendingConnections();
+  const { maxPendingHandshakes = pendingHandshakeLimit(null) } = options;
+  const pending = new PendingConnections(maxPendingHandshakes);
   const acceptSocket = (socket: Socket) => {
     const frames = startHandshake(socket, "acceptor", options, {
       onOpen: (link) => {
@@ -102,7 +105,7 @@
       onClose: () => pending.complete(socket),
     });
     pending.setClose(socket, () => {
-      frames.fail(linkError("too_many", `more than ${MAX_PENDING_HANDSHAKES} handshakes`));
+      frames.fail(linkError("too_many", "too many handshakes are not complete"));
     });
   };
   const server = options.tls === undefined
--- a/packages/wire/src/pending_connections.ts
+++ b/packages/wire/src/pending_connections.ts
@@ -6,10 +6,28 @@
 import type { Socket } from "node:net";
 
 /**
- * Connections of one listener whose handshake is not complete. Beyond it, one of them is closed: a peer completes its
- * handshake within a few round trips.
+ * Connections from one address whose handshake is not complete. Beyond it, the oldest of them is closed: a peer completes
+ * its handshake within a few round trips.
  */
-export const MAX_PENDING_HANDSHAKES = 64;
+export const MAX_PENDING_PER_ADDRESS = 64;
+/** The same for all addresses of a listener, by default. */
+const MAX_PENDING_HANDSHAKES = 512;
+/** Part of a process's descriptors for connections whose handshake is not complete. */
+const PENDING_FRACTION = 0.125;
+
+/**
+ * Connections whose handshake is not complete that a process with so many descriptors keeps; `null` if it has no limit
+ * of descriptors.
+ *
+ * @example
+ * ```ts
+ * const maxPendingHandshakes = pendingHandshakeLimit(4_096);
+ * ```
+ */
+export function pendingHandshakeLimit(maxDescriptors: number | null): number {
+  if (maxDescriptors === null) return MAX_PENDING_HANDSHAKES;
+  return Math.max(MAX_PENDING_PER_ADDRESS, Math.floor(PENDING_FRACTION * maxDescriptors));
+}
 
 /** A connection whose handshake is not complete. */
 export interface PendingConnection {
@@ -18,8 +36,8 @@
 }
 
 /**
- * Chooses the connection to close when there are too many: the oldest one from the address that has the most.
- * `pending` has them in the order in which they were opened.
+ * Chooses the connection to close when there are too many from all addresses: the oldest one from the address that has
+ * the most. `pending` has them in the order in which they were opened.
  */
 export function choosePendingToClose<C extends PendingConnection>(pending: Iterable<C>): C | null {
   const oldest = new Map<string, { readonly connection: C; count: number }>();
@@ -45,6 +63,7 @@
  *
  * @example
  * ```ts
+ * const pending = new PendingConnections(pendingHandshakeLimit(4_096));
  * server.on("connection", (socket) => pending.add(socket));
  * pending.setClose(socket, () => frames.fail(err));
  * pending.complete(socket);
@@ -53,6 +72,11 @@
 export class PendingConnections {
   /** By the address and port of the peer, which a TLS socket shares with the socket below it. */
   readonly #pending = new Map<string, Pending>();
+  readonly #maxSize: number;
+
+  constructor(maxSize: number) {
+    this.#maxSize = maxSize;
+  }
 
   get size(): number {
     return this.#pending.size;
@@ -70,12 +94,19 @@
     socket.once("close", () => {
       if (this.#pending.get(key) === pending) this.#pending.delete(key);
     });
-    if (this.#pending.size <= MAX_PENDING_HANDSHAKES) return;
-    const surplus = choosePendingToClose(this.#pending.values())!;
+    const surplus = this.#chooseSurplus(pending.remote);
+    if (surplus === null) return;
     this.complete(surplus.socket);
     surplus.close();
   }
 
+  /** Chooses the connection to close after one from `remote` was added; `null` if there are not too many. */
+  #chooseSurplus(remote: string): Pending | null {
+    const ofAddress = [...this.#pending.values()].filter((pending) => pending.remote === remote);
+    if (ofAddress.length > MAX_PENDING_PER_ADDRESS) return ofAddress[0]!;
+    return this.size > this.#maxSize ? choosePendingToClose(this.#pending.values()) : null;
+  }
+
   /** Sets how a connection is closed from now on. */
   setClose(socket: Socket, close: () => void): void {
     const pending = this.#pending.get(keyOf(socket));
--- a/packages/wire/tests/link_bounds_test.ts
+++ b/packages/wire/tests/link_bounds_test.ts
@@ -6,10 +6,12 @@
   choosePendingToClose,
   connectLink,
   type Link,
+  type LinkListener,
   listenLinks,
   type ListenOptions,
   MAX_LINKS_PER_PROCESS,
-  MAX_PENDING_HANDSHAKES,
+  MAX_PENDING_PER_ADDRESS,
+  pendingHandshakeLimit,
 } from "../src/mod.ts";
 import { FRAME } from "../src/message_codec.ts";
 import { closed, connectOptions, listenOptions, until } from "./fixtures.ts";
@@ -50,8 +52,8 @@
   test(`a listener keeps few connections that send ${what}, and still accepts links`, async (t) => {
     const { listener, crowd } = await startListener(t);
     const peers = await crowd(bytes);
-    assert.ok(listener.pending <= MAX_PENDING_HANDSHAKES, `${listener.pending} are pending`);
-    await until(() => peers.filter(({ closed }) => !closed).length <= MAX_PENDING_HANDSHAKES);
+    assert.ok(listener.pending <= MAX_PENDING_PER_ADDRESS, `${listener.pending} are pending`);
+    await until(() => peers.filter(({ closed }) => !closed).length <= MAX_PENDING_PER_ADDRESS);
     const link = await connectLink(connectOptions(listener.address));
     assert.ok(link.open);
     link.close();
@@ -116,8 +118,8 @@
   const tls = { ciphers, maxVersion: "TLSv1.2", pskCallback: () => psk } as const;
   const { listener, crowd } = await startListener(t, { tls });
   const peers = await crowd(Uint8Array.of(22, 3, 1));
-  assert.ok(listener.pending <= MAX_PENDING_HANDSHAKES, `${listener.pending} are pending`);
-  await until(() => peers.filter(({ closed }) => !closed).length <= MAX_PENDING_HANDSHAKES);
+  assert.ok(listener.pending <= MAX_PENDING_PER_ADDRESS, `${listener.pending} are pending`);
+  await until(() => peers.filter(({ closed }) => !closed).length <= MAX_PENDING_PER_ADDRESS);
   const link = await connectLink(connectOptions(listener.address, {
     tls: {
       ciphers,
@@ -130,10 +132,11 @@
   link.close();
 });
 
-// Guards against a limit that peers meet which all start at once, on hosts that take a moment to send their hello.
-test("peers of a large deployment that connect at once all keep their connections", async (t) => {
-  const { listener } = await startListener(t);
-  const { host, port } = listener.address;
+/** Opens one raw connection from each of {@link CROWD} addresses, and returns the number of those that were closed. */
+async function connectFromManyAddresses(
+  t: TestContext,
+  { address: { host, port } }: LinkListener,
+): Promise<() => number> {
   let closed = 0;
   const peers = Array.from({ length: CROWD }, (_, i) => {
     const socket = connect({ host, port, localAddress: `127.0.1.${i + 1}` });
@@ -142,5 +145,24 @@
   });
   await until(() => peers.every(({ connecting }) => !connecting));
   for (let i = 0; i < 10; i++) await new Promise((resolve) => setTimeout(resolve, 5));
-  assert.equal(closed, 0);
+  return () => closed;
+}
+
+// Guards against a crowd with many addresses that takes the descriptors which links need.
+test("a listener keeps few connections without a handshake from many addresses", async (t) => {
+  const maxPendingHandshakes = pendingHandshakeLimit(800);
+  const { listener } = await startListener(t, { maxPendingHandshakes });
+  const closedCount = await connectFromManyAddresses(t, listener);
+  assert.ok(listener.pending <= maxPendingHandshakes, `${listener.pending} are pending`);
+  await until(() => CROWD - closedCount() <= maxPendingHandshakes);
+  const link = await connectLink(connectOptions(listener.address));
+  assert.ok(link.open);
+  link.close();
+});
+
+// Guards against a limit that peers meet which all start at once, on hosts that take a moment to send their hello.
+test("peers of a large deployment that connect at once all keep their connections", async (t) => {
+  const { listener } = await startListener(t);
+  const closedCount = await connectFromManyAddresses(t, listener);
+  assert.equal(closedCount(), 0);
 });
