Bound an account's places only when it asks for more than a service has

Callers saw: an account's 8th of 10 requests refused (account_concurrency_limit) with three places free and nobody else asking, as another account had used the service within a minute.

Cause: the bound of three quarters counted the use by others alone, not what the account itself asks for. A bound after others were refused cannot replace it: generations of a crowd hold their places for about 50 s.

Change: a request beyond three quarters is held for 100 ms. If its account asks for no more than all places meanwhile, it begins; if it asks for more, requests beyond three quarters are refused until 10 s after it last did. A crowd is bounded as before; an account that asks for what the service has is not refused.

Tests: "an account has three quarters of the places while others use the service" asked through begin(), which decided at once; it now asks through ask() and settle() with the same accounts, places and figures (6 of 8, 1 after an end, 3 more of 12), at 59.8 s instead of 59.999 s, since the hold has to end within the minute.

--- a/packages/daemon/src/entry_context.ts
+++ b/packages/daemon/src/entry_context.ts
@@ -17,7 +17,7 @@
 } from "@wisteriapick/core";
 import type { Account, ConfigSource, ConfigView, Service } from "@wisteriapick/control";
 import type { BodyRoom } from "@wisteriapick/http";
-import type { ServiceShares } from "@wisteriapick/policy";
+import { type ServiceShares, SHARE_HOLD_MS } from "@wisteriapick/policy";
 import type { AccountLimiter } from "./account_limiter.ts";
 import type { VersionChooser } from "./entry_versions.ts";
 
@@ -82,8 +82,13 @@
   fn: () => Promise<T>,
 ): Promise<T> {
   const { clock } = ctx.world;
-  const places = { places: ctx.placesOf(service), nowMs: clock.now() };
-  if (!ctx.shares.begin(service, account.id, places)) {
+  const placesNow = () => ({ places: ctx.placesOf(service), nowMs: clock.now() });
+  let decision = ctx.shares.ask(service, account.id, placesNow());
+  if (decision === "hold") {
+    await clock.sleep(SHARE_HOLD_MS);
+    decision = ctx.shares.settle(service, account.id, placesNow());
+  }
+  if (decision === "refuse") {
     const message = `the client account has its share of the places of ${service}`;
     const type = "account_concurrency_limit";
     refuse({ type, message, notRun: true, retryAfterMs: SHARE_RETRY_AFTER_MS });
--- a/packages/policy/src/service_shares.ts
+++ b/packages/policy/src/service_shares.ts
@@ -1,8 +1,10 @@
 /**
- * Bounds the part of a service's places that one client account may have at an entry while others use the service too.
+ * Bounds the part of a service's places that one client account may have at an entry while others use the service too
+ * and it asks for more than all of them.
  *
  * Load pattern: an account sends thousands of generations, or calls whose bodies stop before their end. It takes every
- * place, also those that become free, and all others are refused until its work ends.
+ * place, also those that become free, and all others are refused until its work ends. An account that asks for no more
+ * than the service has is not bounded.
  *
  * @module
  */
@@ -10,8 +12,15 @@
 
 /** Time after its last request for which an account counts as using a service, in milliseconds. */
 const ACTIVE_MS = 60_000;
-/** Largest part of a service's places for one account while others use it. */
+/** Largest part of a service's places for an account that asks for more than all of them while others use it. */
 const MAX_SHARE = 0.75;
+/** Time after which an account that asked for more than all places is taken at its word anew, in milliseconds. */
+const EXCESS_MS = 10_000;
+/**
+ * Time for which a request beyond the share is held, in milliseconds. What its account asks for meanwhile shows whether
+ * it asks for more than all places; the requests of a crowd come within a few of these.
+ */
+export const SHARE_HOLD_MS = 100;
 
 /** What a decision needs to know of a service. */
 export interface ServicePlaces {
@@ -20,9 +29,15 @@
   readonly nowMs: number;
 }
 
+/** Whether a request begins, is to be settled after {@link SHARE_HOLD_MS}, or is refused. */
+export type ShareDecision = "begin" | "hold" | "refuse";
+
 interface AccountUse {
   inProgress: number;
+  held: number;
   usedAtMs: number;
+  /** When it last asked for more than all places. */
+  exceededAtMs: number;
 }
 
 /**
@@ -30,27 +45,55 @@
  *
  * @example
  * ```ts
- * if (!shares.begin(service, account, { places, nowMs })) refuse();
- * try { await run(); } finally { shares.end(service, account, nowMs); }
+ * let decision = shares.ask(service, account, { places, nowMs });
+ * if (decision === "hold") {
+ *   await clock.sleep(SHARE_HOLD_MS);
+ *   decision = shares.settle(service, account, { places, nowMs: clock.now() });
+ * }
+ * if (decision === "refuse") refuse();
+ * try { await run(); } finally { shares.end(service, account, clock.now()); }
  * ```
  */
 export class ServiceShares {
   readonly #uses = new Map<ServiceId, Map<AccountId, AccountUse>>();
 
-  /** Counts a request in progress. Returns false, and counts none, if its account has its share. */
-  begin(service: ServiceId, account: AccountId, { places, nowMs }: ServicePlaces): boolean {
+  /**
+   * Decides about a new request. One that begins is in progress until {@link ServiceShares.end}; one that is held needs a
+   * call of {@link ServiceShares.settle}.
+   */
+  ask(service: ServiceId, account: AccountId, { places, nowMs }: ServicePlaces): ShareDecision {
     const accounts = this.#accountsOf(service);
-    const use = accounts.get(account) ?? { inProgress: 0, usedAtMs: nowMs };
+    const use = accounts.get(account) ??
+      { inProgress: 0, held: 0, usedAtMs: nowMs, exceededAtMs: -Infinity };
     accounts.set(account, use);
     use.usedAtMs = nowMs;
-    const most = Math.max(1, Math.floor(MAX_SHARE * places));
-    const hasShare = places > 0 && use.inProgress >= most;
-    if (hasShare && isUsedByOthers(accounts, account, nowMs)) return false;
+    if (places > 0 && use.inProgress + use.held >= places) use.exceededAtMs = nowMs;
+    if (!hasShare(use, places) || !isUsedByOthers(accounts, account, nowMs)) {
+      use.inProgress++;
+      return "begin";
+    }
+    if (hasExceeded(use, nowMs)) return "refuse";
+    use.held++;
+    return "hold";
+  }
+
+  /** Decides about a request that was held. */
+  settle(
+    service: ServiceId,
+    account: AccountId,
+    { places, nowMs }: ServicePlaces,
+  ): Exclude<ShareDecision, "hold"> {
+    const accounts = this.#accountsOf(service);
+    const use = accounts.get(account)!;
+    use.held--;
+    const isBounded = hasShare(use, places) && hasExceeded(use, nowMs) &&
+      isUsedByOthers(accounts, account, nowMs);
+    if (isBounded) return "refuse";
     use.inProgress++;
-    return true;
+    return "begin";
   }
 
-  /** Counts the end of a request for which {@link ServiceShares.begin} returned true. */
+  /** Counts the end of a request that began. */
   end(service: ServiceId, account: AccountId, nowMs: number): void {
     const use = this.#accountsOf(service).get(account);
     if (use === undefined) return;
@@ -65,14 +108,22 @@
   }
 }
 
+function hasShare({ inProgress }: AccountUse, places: number): boolean {
+  return places > 0 && inProgress >= Math.max(1, Math.floor(MAX_SHARE * places));
+}
+
+function hasExceeded({ exceededAtMs }: AccountUse, nowMs: number): boolean {
+  return nowMs - exceededAtMs < EXCESS_MS;
+}
+
 function isUsedByOthers(
   accounts: Map<AccountId, AccountUse>,
   account: AccountId,
   nowMs: number,
 ): boolean {
-  for (const [other, { inProgress, usedAtMs }] of accounts) {
+  for (const [other, { inProgress, held, usedAtMs }] of accounts) {
     if (other === account) continue;
-    if (inProgress > 0 || nowMs - usedAtMs < ACTIVE_MS) return true;
+    if (inProgress > 0 || held > 0 || nowMs - usedAtMs < ACTIVE_MS) return true;
     accounts.delete(other);
   }
   return false;
