Keep the HTTP client of endpoints unpaused while a caller reads slowly

Cause: undici asserts that its parser is not paused when a response without length is reset, or ends after a second pause. The assertion is raised in an event of the socket, outside any request, so it ends the process. One slow caller and one endpoint that closes its connection to end a response are enough.

Change: the parser is never paused. The socket returns nothing to it while the sink takes no more (PausableSocket), and chunks of the piece that was being parsed, and the end, wait in the exchange.

Tests: both ways to end, with a slow reader, raised the assertion before (uncaughtException, 2 of 2) and pass now. Two more guard what the change has to keep: one chunk at a time with the end after the last one, and an abort while another response is being parsed. open_failure_test replaced net.connect to have a socket raise; it replaces Socket.prototype.connect now, which net.connect calls too.

--- a/packages/gateway/src/upstream/connection.ts
+++ b/packages/gateway/src/upstream/connection.ts
@@ -4,10 +4,10 @@
  *
  * @module
  */
-import { connect, type Socket } from "node:net";
 import { type buildConnector, Client, type Dispatcher } from "undici";
 import { type Address, formatAddress } from "@wisteriapick/wire";
 import { afterPoll } from "./after_poll.ts";
+import { PausableSocket } from "./pausable_socket.ts";
 
 /** A request as it is written to an endpoint. */
 export interface UpstreamRequest {
@@ -105,7 +105,8 @@
 export class UpstreamConnection {
   #client: Client | null = null;
   readonly #options: UpstreamConnectionOptions;
-  #socket: Socket | null = null;
+  #socket: PausableSocket | null = null;
+  #exchange: Exchange | null = null;
   #socketError = false;
   /** Whether the connection failed before the operating system had taken all bytes of the request. */
   #hasUnwritten = false;
@@ -156,8 +157,11 @@
       hasConnectionFailed: () => this.#socketError,
       hasUnwritten: () => this.#hasUnwritten,
       onBodyBytes: (bytes) => this.#bodyBytes += bytes,
+      onPaused: () => this.#socket?.pauseReading(),
+      onResumed: () => this.#socket?.resumeReading(),
       onEnded: (reusable) => this.#onExchangeEnded(reusable),
     });
+    this.#exchange = call;
     const { method, target: path, headers, body } = req;
     call.whileDispatching(() => {
       this.#client ??= this.#makeClient();
@@ -170,12 +174,16 @@
   destroy(): void {
     if (this.#closed) return;
     this.#drop();
+    // The client has nothing left to fail.
+    if (this.#exchange?.hasHeldEnd) this.#exchange.abort();
     void this.#client?.destroy(new AbortedError("connection closed"));
   }
 
   #onExchangeEnded(reusable: boolean): void {
     this.#busy = false;
-    if (!reusable) this.destroy();
+    this.#exchange = null;
+    if (reusable) this.#socket?.resumeReading();
+    else this.destroy();
   }
 
   #drop(): void {
@@ -187,7 +195,8 @@
 
   #connect(callback: buildConnector.Callback): void {
     const { address, connectTimeoutMs } = this.#options;
-    const socket = connect({ host: address.host, port: address.port, noDelay: true });
+    const socket = new PausableSocket();
+    socket.connect({ host: address.host, port: address.port, noDelay: true });
     this.#socket = socket;
     let isSettled = false;
     const expire = () => {
@@ -216,7 +225,7 @@
   }
 
   /** Closes the connection when a response exceeds the limit of bytes outside its body. */
-  #checkOverhead(socket: Socket): void {
+  #checkOverhead(socket: PausableSocket): void {
     const overhead = socket.bytesRead - this.#bytesBefore - this.#bodyBytes;
     if (overhead <= MAX_OVERHEAD_BYTES + MAX_OVERHEAD_PER_BODY_BYTE * this.#bodyBytes) return;
     socket.destroy(new OverheadError(`${overhead} bytes outside the response's body`));
@@ -234,6 +243,9 @@
   /** Whether it has failed before all of the request was written. */
   readonly hasUnwritten: () => boolean;
   readonly onBodyBytes: (bytes: number) => void;
+  /** Called when the sink takes no more for now, and when it does again. */
+  readonly onPaused: () => void;
+  readonly onResumed: () => void;
   readonly onEnded: (reusable: boolean) => void;
 }
 
@@ -243,7 +255,10 @@
   readonly #sink: UpstreamSink;
   readonly #options: ExchangeOptions;
   #abort: ((err?: Error) => void) | null = null;
-  #resume: (() => void) | null = null;
+  #isPaused = false;
+  /** Chunks that came in one piece with the one at which the sink paused. */
+  readonly #heldChunks: Buffer[] = [];
+  #hasHeldEnd = false;
   #sent = false;
   #hasEnded = false;
   #abortRequested = false;
@@ -277,6 +292,11 @@
     return this.#sent;
   }
 
+  /** Whether the response has ended, and its sink has yet to take the last of it. */
+  get hasHeldEnd(): boolean {
+    return this.#hasHeldEnd && !this.#hasEnded;
+  }
+
   abort(): void {
     if (this.#hasEnded) return;
     this.#abortRequested = true;
@@ -286,9 +306,24 @@
 
   resume(): void {
     // A response may be resumed while another one is being parsed, which the parser does not allow.
-    queueMicrotask(() => {
-      if (!this.#hasEnded) this.#resume?.();
-    });
+    queueMicrotask(() => this.#resume());
+  }
+
+  #resume(): void {
+    if (!this.#isPaused) return;
+    this.#isPaused = false;
+    while (!this.#hasEnded && !this.#isPaused && this.#heldChunks.length > 0) {
+      this.#pass(this.#heldChunks.shift()!);
+    }
+    if (this.#hasEnded || this.#isPaused) return;
+    if (this.#hasHeldEnd) this.#finish(() => this.#sink.onEnd(), true);
+    else this.#options.onResumed();
+  }
+
+  #pass(chunk: Buffer): void {
+    if (this.#sink.onData(chunk) || this.#hasEnded) return;
+    this.#isPaused = true;
+    this.#options.onPaused();
   }
 
   onConnect(abort: (err?: Error) => void): void {
@@ -309,7 +344,7 @@
     this.#sent = true;
   }
 
-  onHeaders(status: number, headers: Buffer[], resume: () => void): boolean {
+  onHeaders(status: number, headers: Buffer[]): boolean {
     if (this.#hasEnded) return false;
     if (!isHttpStatus(status)) {
       const err = new StatusError(`status ${status}, which HTTP does not define`);
@@ -320,7 +355,6 @@
     // Interim responses contain nothing to forward.
     if (status < FIRST_FINAL_STATUS) return true;
     this.#hasHead = true;
-    this.#resume = resume;
     this.#sink.onHead(status, headers.map((b) => b.toString("latin1")));
     return true;
   }
@@ -328,7 +362,9 @@
   onData(chunk: Buffer): boolean {
     this.#options.onBodyBytes(chunk.length);
     if (this.#hasEnded) return false;
-    return this.#sink.onData(chunk);
+    if (this.#isPaused) this.#heldChunks.push(chunk);
+    else this.#pass(chunk);
+    return true;
   }
 
   onComplete(): void {
@@ -336,7 +372,8 @@
       const message = "connection reset inside a response without length";
       return this.#finish(() => this.#fail({ type: "connection_lost", message }), false);
     }
-    this.#finish(() => this.#sink.onEnd(), true);
+    this.#hasHeldEnd = this.#isPaused;
+    if (!this.#isPaused) this.#finish(() => this.#sink.onEnd(), true);
   }
 
   onError(err: Error): void {
--- a/packages/gateway/tests/connection_test.ts
+++ b/packages/gateway/tests/connection_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import type { UpstreamSink } from "../src/upstream/connection.ts";
 import { ConnectionPool } from "../src/upstream/connection_pool.ts";
 import { makeGet, makeSink, stallFor, startRawServer } from "./upstream_fixtures.ts";
 
@@ -149,3 +150,96 @@
   pool.destroy();
   await server.close();
 });
+
+/** A sink that asks for one chunk at a time, after a while each. */
+function makeSlowSink(resume: () => void) {
+  const { sink, ended } = makeSink();
+  const slow: UpstreamSink = {
+    ...sink,
+    onData: (chunk) => {
+      sink.onData(chunk);
+      setTimeout(resume, 50);
+      return false;
+    },
+  };
+  return { sink: slow, ended };
+}
+
+// Guards against an error outside any request, which ends the process: the client does not expect the end of a response
+// that it has paused.
+for (
+  const [what, end] of Object.entries({ reset: "resetAndDestroy", end: "destroySoon" } as const)
+) {
+  test(`a response without length may ${what} while its reader is slow`, async (t) => {
+    const server = await startRawServer((socket) => {
+      socket.write("HTTP/1.1 200 OK\r\n\r\nfirst");
+      setTimeout(() => socket.write("second", () => setTimeout(() => socket[end](), 20)), 20);
+    });
+    const pool = new ConnectionPool({ address: server.address });
+    t.after(() => {
+      pool.destroy();
+      return server.close();
+    });
+    const { sink, ended } = makeSlowSink(() => call.resume());
+    const call = pool.send(makeGet(), sink);
+    const { body, ended: isComplete, failure } = await ended;
+    if (what === "end") assert.deepEqual([body, isComplete], ["firstsecond", true]);
+    else assert.deepEqual([isComplete, failure?.type], [false, "connection_lost"]);
+  });
+}
+
+// Guards against an error where the end of a paused response lets the parser run within its own call.
+test("a paused response is aborted while another one is being parsed", async (t) => {
+  const server = await startRawServer((socket) => {
+    socket.write("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nfirst");
+    setTimeout(() => socket.write("later"), 20);
+  });
+  const pool = new ConnectionPool({ address: server.address });
+  t.after(() => {
+    pool.destroy();
+    return server.close();
+  });
+  const [paused, other] = [makeSink(), makeSink()];
+  const call = pool.send(makeGet(), { ...paused.sink, onData: () => false });
+  pool.send(makeGet(), {
+    ...other.sink,
+    onData: (chunk) => {
+      if (chunk.toString() === "later") call.abort();
+      return other.sink.onData(chunk);
+    },
+  });
+  const [first, second] = await Promise.all([paused.ended, other.ended]);
+  assert.equal(first.failure?.type, "aborted");
+  assert.deepEqual([second.body, second.ended], ["firstlater", true]);
+});
+
+// Guards against chunks that come in one packet and overtake a pause, and against an end before the last of them.
+test("a slow reader gets one chunk at a time, and the end after the last one", async (t) => {
+  const chunks = ["one", "two", "six"];
+  const body = chunks.map((chunk) => `3\r\n${chunk}\r\n`).join("");
+  const server = await startRawServer((socket) =>
+    socket.write(`HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n${body}0\r\n\r\n`)
+  );
+  const pool = new ConnectionPool({ address: server.address });
+  t.after(() => {
+    pool.destroy();
+    return server.close();
+  });
+  for (let i = 0; i < 2; i++) {
+    const received: string[] = [];
+    const { sink, ended } = makeSlowSink(() => {
+      received.push("resume");
+      call.resume();
+    });
+    const call = pool.send(makeGet(), {
+      ...sink,
+      onData: (chunk) => {
+        received.push(chunk.toString());
+        return sink.onData(chunk);
+      },
+    });
+    await ended;
+    assert.deepEqual(received, chunks.flatMap((chunk) => [chunk, "resume"]));
+  }
+  assert.equal(server.connections(), 1);
+});
--- a/packages/gateway/tests/open_failure_test.ts
+++ b/packages/gateway/tests/open_failure_test.ts
@@ -1,6 +1,5 @@
 import assert from "node:assert/strict";
-import { syncBuiltinESMExports } from "node:module";
-import net from "node:net";
+import { Socket } from "node:net";
 import { test, type TestContext } from "node:test";
 import { ManualClock, SystemClock } from "@wisteriapick/core";
 import type { Address } from "@wisteriapick/wire";
@@ -23,14 +22,10 @@
 
 /** Lets the socket's `connect` raise until the test ends. */
 function breakConnect(t: TestContext): void {
-  t.mock.method(net, "connect", () => {
+  t.mock.method(Socket.prototype, "connect", () => {
     throw new RangeError("connect raised");
   });
-  syncBuiltinESMExports();
-  t.after(() => {
-    t.mock.restoreAll();
-    syncBuiltinESMExports();
-  });
+  t.after(() => t.mock.restoreAll());
 }
 
 async function assertFailsAlone(address: Address): Promise<string> {
