Read the bodies of operators' requests within the memory of all bodies

Seen: with 450 connections that each send 900 kB of a plan and stop, an ordinary completion was not answered for the 100 s of the test.

Cause: the operators' routes read bodies themselves, outside the room that all bodies share. Such a body was never stalled, so its request stayed in progress, and new connections were closed as all others had one.

Change: they read bodies through the entry's BodyRoom. A plan that is too large is refused with request_too_large (413) in place of invalid_change (422).

Tests: "the local system outlives bodies of plans in chunks of 16384 bytes that stop" failed before (1 of 1) and passes. Added beside it, all held before: the same in chunks of one byte, unread dumps and events of operators, and connections to a side's port for links that send nothing, a part of a frame, or HTTP.

--- a/packages/cli/tests/uncontrolled_callers_test.ts
+++ b/packages/cli/tests/uncontrolled_callers_test.ts
@@ -13,6 +13,7 @@
   requestsAhead,
   unendedBody,
 } from "@wisteriapick/standins";
+import { parseAddress } from "@wisteriapick/wire";
 
 const BIN = fileURLToPath(new URL("../../bin/wisteriapick.js", import.meta.url));
 /** Memory of a side's host, in MiB; the process is killed over it. It runs the whole system. */
@@ -33,6 +34,7 @@
 const COMPLETIONS_AHEAD = 400;
 const KEY = "local-museum-shop";
 const FIELDS = `Host: local.example\r\nAuthorization: Bearer ${KEY}\r\n`;
+const OPERATOR_FIELDS = "Host: local.example\r\nAuthorization: Bearer local-operator\r\n";
 
 let child: ChildProcess;
 let exit: string | null;
@@ -135,17 +137,19 @@
 
 /** Checks that the system serves others beside a crowd and after it, within the memory and descriptors of its host. */
 async function assertOutlives(
-  { callers, bytesOf, isReading = false, isServed = isAnswered }: {
+  { callers, bytesOf, isReading = false, isServed = isAnswered, targetOf = () => address }: {
     readonly callers: number;
     readonly bytesOf: (i: number) => Buffer;
     readonly isReading?: boolean;
     readonly isServed?: () => Promise<boolean>;
+    /** Returns the address that the crowd connects to; that of the entry by default. */
+    readonly targetOf?: () => typeof address | Promise<typeof address>;
   },
 ): Promise<void> {
   await startLocal();
   await untilAnswered(isServed);
   phase = "crowd";
-  crowd = new Crowd(address, { isReading });
+  crowd = new Crowd(await targetOf(), { isReading });
   for (let i = 0; i < callers; i++) crowd.add(() => bytesOf(i));
   await crowd.settle(assertAlive);
   phase = "answer beside the crowd";
@@ -161,6 +165,8 @@
   "lists of models": ["/v1/models", FIELDS],
   "the health": ["/healthz", "Host: local.example\r\n"],
   "metrics": ["/metrics", "Host: local.example\r\n"],
+  "the operators' dump": ["/admin/dump", OPERATOR_FIELDS],
+  "the operators' events": ["/admin/events?wait_ms=20000", OPERATOR_FIELDS],
   "completions with unknown keys": [
     "/v1/chat/completions",
     "Host: local.example\r\nAuthorization: Bearer unknown\r\n",
@@ -206,6 +212,7 @@
 
 const BODIES: Readonly<Record<string, readonly [path: string, fields: string, bytes: number]>> = {
   completions: ["/v1/chat/completions", FIELDS, 500_000],
+  plans: ["/admin/plans", OPERATOR_FIELDS, 900_000],
   "calls with a key": ["/services/counter/orders", `${FIELDS}Idempotency-Key: k-`, 900_000],
 };
 
@@ -247,6 +254,34 @@
   await assertOutlives({ callers: MANY_CALLERS, bytesOf: () => head });
 });
 
+/** Returns the address at which a side accepts links. */
+async function linkAddressOfSide(): Promise<typeof address> {
+  const res = await fetch(`http://${address.host}:${address.port}/admin/dump`, {
+    headers: { authorization: "Bearer local-operator", connection: "close" },
+  });
+  const { directory } = await res.json() as { directory: Record<string, { side: string }> };
+  return parseAddress(directory["scribe-01"]!.side);
+}
+
+const LINK_BYTES: Readonly<Record<string, Buffer>> = {
+  "nothing": Buffer.alloc(0),
+  "a part of a frame": Buffer.from([0, 0, 15, 255, 1, 2, 3]),
+  "HTTP requests": Buffer.from(`GET / HTTP/1.1\r\n${FIELDS}\r\n`.repeat(100)),
+};
+
+for (const [what, bytes] of Object.entries(LINK_BYTES)) {
+  // Guards against connections without a handshake that take the descriptors of a side's process.
+  test(`the local system outlives connections to a side's link port that send ${what}`, {
+    timeout: TIMEOUT_MS,
+  }, async () => {
+    await assertOutlives({
+      callers: MANY_CALLERS,
+      bytesOf: () => bytes,
+      targetOf: linkAddressOfSide,
+    });
+  });
+}
+
 // Guards against stand-ins that end beside a crowd, and with them all that is tried against them.
 test("the stand-ins outlive requests for the hosts whose responses are not read", {
   timeout: TIMEOUT_MS,
--- a/packages/control/src/operator_http.ts
+++ b/packages/control/src/operator_http.ts
@@ -29,9 +29,21 @@
   handler: OperatorHandler,
 ) => Undo;
 
+/**
+ * Reads a whole body of at most `maxBytes`, within the memory that all callers share.
+ *
+ * @throws WpFailure of type `refused` if it is too large, or there is no memory for it.
+ */
+export type ReadBody = (
+  req: IncomingMessage,
+  res: ServerResponse,
+  options: { readonly maxBytes: number },
+) => Promise<Buffer>;
+
 /** Sources that the routes read from. */
 export interface OperatorSources extends StatusSources {
   readonly plans: PlanManager;
+  readonly readBody: ReadBody;
 }
 
 const STATUS_CODES: Partial<Record<WpError["type"], number>> = {
@@ -54,13 +66,14 @@
  * ```
  */
 export function registerOperatorRoutes(register: RegisterRoute, sources: OperatorSources): Undo {
-  const { plans, state, clock } = sources;
+  const { plans, readBody, state, clock } = sources;
   const undos = [
     register(
       "POST",
       "/admin/plans",
-      jsonHandler(async (req, _params, account) => {
-        return plans.plan(parseIntent(await readJson(req)), account.id);
+      jsonHandler(async (req, _params, account, res) => {
+        const body = await readBody(req, res, { maxBytes: MAX_BODY_BYTES });
+        return plans.plan(parseIntent(parseJson(body)), account.id);
       }),
     ),
     register(
@@ -95,14 +108,17 @@
   req: IncomingMessage,
   params: Readonly<Record<string, string | undefined>>,
   account: Account,
+  res: ServerResponse,
 ) => unknown;
 
 function jsonHandler(operation: JsonOperation): OperatorHandler {
   return async (req, res, params, account) => {
     try {
-      sendJson(res, 200, await operation(req, params, account));
+      sendJson(res, 200, await operation(req, params, account, res));
     } catch (e) {
       const err = toWpError(e);
+      // The entry answers refusals of all its routes.
+      if (err.type === "refused") throw e;
       sendJson(res, STATUS_CODES[err.type] ?? 500, err, "application/problem+json");
     }
   };
@@ -130,18 +146,9 @@
   raise({ type: "settings", message, file: "request", issues });
 }
 
-async function readJson(req: IncomingMessage): Promise<unknown> {
-  const chunks: Buffer[] = [];
-  let bytes = 0;
-  for await (const chunk of req as AsyncIterable<Buffer>) {
-    bytes += chunk.length;
-    if (bytes > MAX_BODY_BYTES) {
-      raise({ type: "invalid_change", message: "the request is too large" });
-    }
-    chunks.push(chunk);
-  }
+function parseJson(body: Buffer): unknown {
   try {
-    return JSON.parse(Buffer.concat(chunks).toString("utf8"));
+    return JSON.parse(body.toString("utf8"));
   } catch {
     raise({ type: "invalid_change", message: "the request body is not JSON" });
   }
--- a/packages/control/tests/operator_test.ts
+++ b/packages/control/tests/operator_test.ts
@@ -237,7 +237,14 @@
   registerOperatorRoutes((method, path, handler) => {
     routes.set(`${method} ${path}`, handler);
     return () => {};
-  }, { plans: ama, state: log.state, store, fleet, clock });
+  }, {
+    plans: ama,
+    state: log.state,
+    store,
+    fleet,
+    clock,
+    readBody: async (req) => Buffer.concat(await req.toArray()),
+  });
   const server = createServer((req, res) => {
     const path = req.url!.split("?")[0]!;
     const plan = /^\/admin\/plans\/([^/]+)/.exec(path)?.[1];
--- a/packages/daemon/src/entry.ts
+++ b/packages/daemon/src/entry.ts
@@ -21,7 +21,12 @@
   type Undo,
   type VersionId,
 } from "@wisteriapick/core";
-import { type Account, type ConfigView, excludedDataCentres } from "@wisteriapick/control";
+import {
+  type Account,
+  type ConfigView,
+  excludedDataCentres,
+  type ReadBody,
+} from "@wisteriapick/control";
 import { encodeModelList, ResumeSigner } from "@wisteriapick/delivery";
 import { BodyRoom, BoundedConnections, RecentText } from "@wisteriapick/http";
 import {
@@ -188,6 +193,9 @@
     return () => this.#router.off(method, path);
   }
 
+  /** Reads a whole body within the memory that all callers share. */
+  readonly readBody: ReadBody = (req, res, options) => this.#bodies.read(req, res, options);
+
   /**
    * Planned stop: the health check fails first, new work is refused after `announceMs` or once `announce` resolves,
    * and the promise resolves when every open request has ended.
--- a/packages/daemon/src/entry_process.ts
+++ b/packages/daemon/src/entry_process.ts
@@ -251,6 +251,7 @@
       clock,
       fleet,
       storeUp: () => control.node.storeUp,
+      readBody: this.entry.readBody,
     };
     return registerOperatorRoutes(
       (method, path, handler) => this.entry.registerAdminRoute(method, path, handler),
