--- a/packages/standins/src/crowd.ts
+++ b/packages/standins/src/crowd.ts
@@ -11,6 +11,10 @@
   readonly isReading?: boolean;
   /** Whether a connection that was closed is opened anew. */
   readonly reopens?: boolean;
+  /** Bytes that each connection writes and reads in a second; as many as are taken by default. */
+  readonly bytesPerSecond?: number;
+  /** Bytes that each connection writes before it becomes slow; none by default. */
+  readonly quickBytes?: number;
 }
 
 /** Most bytes that are written to a connection at once. */
@@ -19,6 +23,8 @@
 const SETTLE_POLL_MS = 500;
 /** Time after which a crowd that still gets rid of bytes is not waited for, in milliseconds. */
 const MAX_SETTLE_MS = 10_000;
+/** Time between two writes of a connection that writes slowly, in milliseconds. */
+const PACE_MS = 100;
 /** Time after which a connection that was closed is opened anew, in milliseconds. */
 const REOPEN_MS = 50;
 
@@ -57,6 +63,11 @@
     const socket = connect(this.#address.port, this.#address.host);
     this.#sockets.add(socket);
     socket.on("error", () => {});
+    const { bytesPerSecond, quickBytes = 0 } = this.#options;
+    if (bytesPerSecond !== undefined) {
+      socket.write(bytes.subarray(0, quickBytes));
+      return this.#pace(socket, bytes.subarray(quickBytes), bytesPerSecond);
+    }
     if (this.#options.isReading) socket.resume();
     else socket.pause();
     if (this.#options.reopens) socket.once("close", () => this.#reopen(socket, makeBytes));
@@ -71,6 +82,18 @@
     next();
   }
 
+  /** Writes and reads so many bytes in a second. */
+  #pace(socket: Socket, bytes: Buffer, bytesPerSecond: number): void {
+    const perTurn = Math.ceil(bytesPerSecond * PACE_MS / 1_000);
+    let written = 0;
+    const timer = setInterval(() => {
+      if (written < bytes.length) socket.write(bytes.subarray(written, written += perTurn));
+      socket.read(Math.min(perTurn, socket.readableLength));
+    }, PACE_MS);
+    socket.on("readable", () => {});
+    socket.once("close", () => clearInterval(timer));
+  }
+
   #reopen(socket: Socket, makeBytes: () => Buffer): void {
     if (this.#isClosed) return;
     this.#sentBefore += socket.bytesWritten;
