--- a/packages/daemon/tests/calls_test.ts
+++ b/packages/daemon/tests/calls_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { once } from "node:events";
 import { type IncomingMessage, request as httpRequest } from "node:http";
+import { type AddressInfo, createServer } from "node:net";
 import { Readable } from "node:stream";
 import { after, test } from "node:test";
 import { request } from "undici";
@@ -76,6 +77,34 @@
   assert.equal((await res.body.arrayBuffer()).byteLength, 50_000);
 });
 
+// Guards against an error that ends the side's process, as the response ends while its caller has paused it.
+test("a response without length to a caller that reads slowly is delivered whole", async () => {
+  const fleet = new Fleet();
+  after(() => fleet.close());
+  const body = Buffer.alloc(4 << 20, "0123456789abcdef");
+  const server = createServer((socket) => {
+    socket.on("error", () => {});
+    socket.once("data", (head) => {
+      if (head.includes("/healthz")) return socket.end("HTTP/1.1 200 OK\r\n\r\nok");
+      socket.end(Buffer.concat([Buffer.from("HTTP/1.1 200 OK\r\n\r\n"), body]));
+    });
+  });
+  after(() => server.close());
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const origin = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
+  await fleet.startSide("counter-1", null, { service: "counter", origin });
+  const { url } = await fleet.startEntry("1");
+  const req = httpRequest(`${url}/services/counter/report`, { headers: AUTH }).end();
+  const [res] = await once(req, "response") as [IncomingMessage];
+  const received: Buffer[] = [];
+  for await (const chunk of res) {
+    received.push(chunk);
+    if (received.length % 8 === 0) await new Promise((resolve) => setTimeout(resolve, 10));
+  }
+  assert.ok(Buffer.concat(received).equals(body));
+});
+
 // Guards against buffering a large response without bound for a caller that does not read it.
 test("a caller that does not read pauses the service and later receives the whole body", async () => {
   const { service, url } = await startCounter();
