Show that a reset response without length is not a whole one at a side

Callers of a plain service got "first half" with a complete end where the service reset the connection: undici takes a reset for the end of a response without length. The code that guardResponses gives a reset mends that.

--- a/packages/daemon/tests/calls_test.ts
+++ b/packages/daemon/tests/calls_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { once } from "node:events";
 import { type IncomingMessage, request as httpRequest } from "node:http";
-import { type AddressInfo, createServer } from "node:net";
+import { type AddressInfo, createServer, type Socket } from "node:net";
 import { Readable } from "node:stream";
 import { after, test } from "node:test";
 import { request } from "undici";
@@ -77,16 +77,15 @@
   assert.equal((await res.body.arrayBuffer()).byteLength, 50_000);
 });
 
-// Guards against an error that ends the side's process, as the response ends while its caller has paused it.
-test("a response without length to a caller that reads slowly is delivered whole", async () => {
+/** Starts a service whose responses are raw bytes, and an entry in front of it. */
+async function startRawService(respond: (socket: Socket) => void) {
   const fleet = new Fleet();
   after(() => fleet.close());
-  const body = Buffer.alloc(4 << 20, "0123456789abcdef");
   const server = createServer((socket) => {
     socket.on("error", () => {});
     socket.once("data", (head) => {
       if (head.includes("/healthz")) return socket.end("HTTP/1.1 200 OK\r\n\r\nok");
-      socket.end(Buffer.concat([Buffer.from("HTTP/1.1 200 OK\r\n\r\n"), body]));
+      respond(socket);
     });
   });
   after(() => server.close());
@@ -95,7 +94,32 @@
   const origin = `http://127.0.0.1:${(server.address() as AddressInfo).port}`;
   await fleet.startSide("counter-1", null, { service: "counter", origin });
   const { url } = await fleet.startEntry("1");
-  const req = httpRequest(`${url}/services/counter/report`, { headers: AUTH }).end();
+  return `${url}/services/counter`;
+}
+
+// Guards against a part of a response that is passed on as a whole one.
+for (const delayMs of [0, 20]) {
+  test(`a response without length that is reset after ${delayMs} ms is not a whole one`, async () => {
+    const url = await startRawService((socket) => {
+      socket.write("HTTP/1.1 200 OK\r\n\r\nfirst half", () => {
+        setTimeout(() => socket.resetAndDestroy(), delayMs);
+      });
+    });
+    const res = await request(`${url}/report`, { method: "POST", headers: AUTH }).catch(() => null);
+    const body = res === null || res.statusCode !== 200
+      ? null
+      : await res.body.text().catch(() => null);
+    assert.equal(body, null);
+  });
+}
+
+// Guards against an error that ends the side's process, as the response ends while its caller has paused it.
+test("a response without length to a caller that reads slowly is delivered whole", async () => {
+  const body = Buffer.alloc(4 << 20, "0123456789abcdef");
+  const url = await startRawService((socket) => {
+    socket.end(Buffer.concat([Buffer.from("HTTP/1.1 200 OK\r\n\r\n"), body]));
+  });
+  const req = httpRequest(`${url}/report`, { headers: AUTH }).end();
   const [res] = await once(req, "response") as [IncomingMessage];
   const received: Buffer[] = [];
   for await (const chunk of res) {
