Read nothing of a connection after a request for a tunnel

Cause: Node.js gives up the parser of a connection at a request for a tunnel that nobody takes, and destroys the socket. The gate of the connection kept the parser's listener and passed the bytes behind the request to it: "parser.onIncoming is not a function", outside any request.

--- a/packages/cli/tests/uncontrolled_callers_test.ts
+++ b/packages/cli/tests/uncontrolled_callers_test.ts
@@ -246,6 +246,15 @@
   await assertOutlives({ callers: CALLERS, bytesOf, isServed: isStockAnswered });
 });
 
+// Guards against bytes that reach a parser which the server has given up; an error there ends the process.
+test("the local system outlives requests for tunnels with others behind them", {
+  timeout: TIMEOUT_MS,
+}, async () => {
+  const tunnel = "CONNECT a:443 HTTP/1.1\r\nHost: a:443\r\n\r\n";
+  const bytes = Buffer.from(tunnel + `GET /healthz HTTP/1.1\r\n${FIELDS}\r\n`.repeat(100));
+  await assertOutlives({ callers: CALLERS, bytesOf: () => bytes });
+});
+
 // Guards against connections without a request that take all descriptors.
 test("the local system outlives heads that stop before their end", {
   timeout: TIMEOUT_MS,
--- a/packages/http/tests/bounded_connections_test.ts
+++ b/packages/http/tests/bounded_connections_test.ts
@@ -5,13 +5,14 @@
 import { test, type TestContext } from "node:test";
 import { ManualClock } from "@wisteriapick/core";
 import { type CallerBounds, sharesOf } from "@wisteriapick/policy";
-import { BoundedConnections } from "../src/mod.ts";
+import { BoundedConnections, type ContainWork } from "../src/mod.ts";
 
 const GET = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
 const BOUNDS: CallerBounds = { shares: sharesOf(null), maxDescriptors: null, maxUnanswered: 2 };
 
 interface Handling {
   readonly maxConnections?: number;
+  readonly contain?: ContainWork;
   readonly respond?: (
     req: IncomingMessage,
     res: ServerResponse,
@@ -22,7 +23,7 @@
 /** Starts a guarded server, which holds requests unless `respond` says otherwise. */
 async function startServer(
   t: TestContext,
-  { maxConnections = 8, respond = () => {} }: Handling = {},
+  { maxConnections = 8, contain = (work) => work(), respond = () => {} }: Handling = {},
 ) {
   const clock = new ManualClock();
   const events: string[] = [];
@@ -30,7 +31,7 @@
     clock,
     bounds: BOUNDS,
     maxConnections: () => maxConnections,
-    contain: (work) => work(),
+    contain,
     onLimit: (event) => events.push(event),
   });
   const begun: ServerResponse[] = [];
@@ -180,3 +181,22 @@
   await ended;
   assert.equal(connections.requests, 0);
 });
+
+// Guards against bytes after a request for a tunnel that reach a parser which the server has given up.
+test("nothing is read of a connection after a request for a tunnel", async (t) => {
+  const errors: unknown[] = [];
+  const { begun, connections, open } = await startServer(t, {
+    contain: (work) => {
+      try {
+        work();
+      } catch (e) {
+        errors.push(e);
+      }
+    },
+  });
+  const socket = await open();
+  socket.write(`CONNECT a:443 HTTP/1.1\r\nHost: a:443\r\n\r\n${GET.repeat(20)}`);
+  await once(socket, "close");
+  await until(() => connections.size === 0);
+  assert.deepEqual([errors, begun.length], [[], 0]);
+});
