Detach the gate at a request for a tunnel, and parse on behind refused requests

Seen: unanswered_test did not end within 240 s on: requests behind a refused one were no longer logged as dropped.

Cause: the gate stopped for every socket that was destroyed. A server that destroys the socket after a refusal still has its parser, and what follows is parsed so that it can be logged.

Change: BoundedConnections takes requests for tunnels, detaches the gate and destroys the socket, as the gateway's port for callers does; the gate is as before.

--- a/packages/http/src/bounded_connections.ts
+++ b/packages/http/src/bounded_connections.ts
@@ -85,6 +85,7 @@
     // The TLS server of Node.js emits `connection` for a socket whose handshake has not begun.
     const event = "setSecureContext" in server ? "secureConnection" : "connection";
     server.on(event, (socket: Socket) => this.#options.contain(() => this.#open(socket)));
+    server.on("connect", (_req, socket) => this.#closeTunnel(socket as Socket));
   }
 
   /**
@@ -170,6 +171,12 @@
     });
   }
 
+  /** Closes the connection of a request for a tunnel. The server has given up its parser, which must get no more. */
+  #closeTunnel(socket: Socket): void {
+    this.#table.of(socket)?.gate.detach();
+    socket.destroy();
+  }
+
   #end(socket: Socket, connection: BoundedConnection): void {
     connection.isEnding = true;
     connection.gate.discard();
--- a/packages/http/src/request_gate.ts
+++ b/packages/http/src/request_gate.ts
@@ -88,11 +88,6 @@
     socket.once("close", () => this.detach());
   }
 
-  /** Whether the parser still reads the socket. The server gives it up with the socket that it destroys. */
-  get #isOpen(): boolean {
-    return this.#isAttached && !this.#options.socket.destroyed;
-  }
-
   /** Whether bytes wait here. */
   get isHolding(): boolean {
     return this.#held.length > 0;
@@ -135,7 +130,7 @@
   }
 
   takeTurn(): void {
-    if (!this.#isOpen) return;
+    if (!this.#isAttached) return;
     this.#beginTurn();
     for (;;) {
       const bytes = this.#held[0];
@@ -159,7 +154,7 @@
       this.#beginTurn();
       passed = this.#pass(bytes);
     }
-    if (passed < bytes.length && !this.#isDiscarding && this.#isOpen) {
+    if (passed < bytes.length && !this.#isDiscarding && this.#isAttached) {
       this.#held.push(bytes.subarray(passed));
       this.#options.onHeld(bytes.length - passed);
     }
@@ -175,7 +170,7 @@
   /** Pauses the socket while bytes wait, and lets them wait for a turn unless the account is the reason. */
   #settle(): void {
     const { socket, turns } = this.#options;
-    if (!this.#isOpen || this.#isDiscarding) return;
+    if (!this.#isAttached || this.#isDiscarding) return;
     if (this.#held.length === 0) {
       if (this.#isWanted && this.#hasPausedSocket) Socket.prototype.resume.call(socket);
       this.#hasPausedSocket = false;
@@ -203,7 +198,7 @@
   /** Passes on what the turn allows. Returns how many bytes. */
   #pass(bytes: Buffer): number {
     let passed = 0;
-    while (passed < bytes.length && this.#isWanted && this.#isOpen && !this.#isDiscarding) {
+    while (passed < bytes.length && this.#isWanted && this.#isAttached && !this.#isDiscarding) {
       if (!this.#isTurnOpen()) break;
       const end = this.#sliceEnd(bytes, passed);
       const current = this.#current;
