Take a reset for no end of a response where the system reports it as one

Seen: a response without length that was reset after its last bytes ended like a whole one where its reader was slow (response_socket_test with a pause of 100 ms: 2 of 2 runs).

Cause: libuv reports a reset after unread bytes as an ordinary end; only the peer's address is gone. The gateway's connections looked at that, the daemon's side did not.

Change: guardResponses does, and the gateway's own check goes.

--- a/packages/gateway/src/upstream/connection.ts
+++ b/packages/gateway/src/upstream/connection.ts
@@ -210,10 +210,6 @@
       this.#hasUnwritten = socket.writableLength > 0 || isWriteError(err);
       finish(err);
     });
-    // libuv reports a reset after unread bytes as an ordinary end. Only in that case has the socket no peer.
-    socket.once("end", () => {
-      if (socket.remoteAddress === undefined) this.#socketError = true;
-    });
     socket.once("connect", () => finish(null));
     socket.on("readable", () => this.#checkOverhead(socket));
   }
--- a/packages/http/src/response_socket.ts
+++ b/packages/http/src/response_socket.ts
@@ -26,6 +26,11 @@
   const push = socket.push.bind(socket);
   let hasEnded = false;
   socket.push = (chunk, encoding) => {
+    // libuv reports a reset after unread bytes as an ordinary end. Only in that case has the socket no peer.
+    if (chunk === null && socket.remoteAddress === undefined) {
+      socket.destroy(connectionReset());
+      return false;
+    }
     hasEnded ||= chunk === null;
     return push(chunk, encoding);
   };
@@ -65,7 +70,10 @@
 
 function withOwnCode(err: NodeJS.ErrnoException): Error {
   if (err.code !== "ECONNRESET") return err;
-  const { message, syscall } = err;
-  const options = { cause: err };
-  return Object.assign(new Error(message, options), { code: CONNECTION_RESET_CODE, syscall });
+  return connectionReset(err);
+}
+
+function connectionReset(cause?: NodeJS.ErrnoException): Error {
+  const { message = "the connection was reset", syscall = "read" } = cause ?? {};
+  return Object.assign(new Error(message, { cause }), { code: CONNECTION_RESET_CODE, syscall });
 }
--- a/packages/http/tests/response_socket_test.ts
+++ b/packages/http/tests/response_socket_test.ts
@@ -36,7 +36,7 @@
     let bytes = 0;
     const reader = setInterval(
       () => bytes += body.read(20_000)?.length ?? body.read()?.length ?? 0,
-      50,
+      100,
     );
     const outcome = await new Promise((resolve) => {
       body.once("end", () => resolve("end"));
@@ -44,5 +44,6 @@
     });
     clearInterval(reader);
     if (end === "end") assert.deepEqual([outcome, bytes], ["end", 2 * PART_BYTES]);
+    else assert.equal(outcome, "error", "a part of a response looks complete");
   });
 }
