--- a/packages/policy/src/service_shares.ts
+++ b/packages/policy/src/service_shares.ts
@@ -14,11 +14,11 @@
 const ACTIVE_MS = 60_000;
 /** Largest part of a service's places for an account that asks for more than all of them while others use it. */
 const MAX_SHARE = 0.75;
-/** Time after which an account that asked for more than all places is taken at its word anew, in milliseconds. */
+/** Time for which an account stays bounded after it asked for more than all places, in milliseconds. */
 const EXCESS_MS = 10_000;
 /**
- * Time for which a request beyond the share is held, in milliseconds. What its account asks for meanwhile shows whether
- * it asks for more than all places; the requests of a crowd come within a few of these.
+ * Time for which a request beyond the share is held, in milliseconds. Its account may ask for more than all places
+ * meanwhile.
  */
 export const SHARE_HOLD_MS = 100;
 
